Serve a request end to end through separate processes

Cause: the repository was empty. This is the first thin path: a platform stand-in (append-only streams, host list), worker stand-ins, and entry hosts that follow the control stream, record hosts, assign pools to workers and forward requests.

Ruled out: one process per role of the system. All entry hosts are the same, so that any of them can be replaced at any time.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= association
+SOURCES := src stand_ins bench tools tests
+
+.PHONY: install format lint types unit test demo bench slopes binary matrix proto
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+format: install
+	$(BIN)/black -q $(SOURCES)
+	$(BIN)/ruff check -q --fix $(SOURCES)
+
+lint: install
+	$(BIN)/black -q --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+types: install
+	$(BIN)/mypy src stand_ins
+
+unit: install
+	$(BIN)/pytest
+
+test: lint types unit
+
+demo: install
+	$(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
+
+bench: install
+	$(BIN)/python -m bench
+
+slopes: install
+	$(BIN)/python -m tools.slopes
+
+matrix: install
+	$(BIN)/python -m tools.fault_matrix --write docs/fault-matrix.md
+
+binary: install
+	$(BIN)/shiv -q -c bergamotgap -o dist/bergamotgap --compressed -r requirements-run.lock . --no-deps
+
+proto: install
+	$(BIN)/python -m grpc_tools.protoc -I proto --python_out=src/bergamotgap/adapters/proto \
+		--grpc_python_out=src/bergamotgap/adapters/proto proto/peer.proto
+	sed -i "s/^import peer_pb2 as/from bergamotgap.adapters.proto import peer_pb2 as/" \
+		src/bergamotgap/adapters/proto/peer_pb2_grpc.py
--- /dev/null
+++ b/src/bergamotgap/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Code that talks to the outside through libraries."""
--- /dev/null
+++ b/src/bergamotgap/adapters/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages between entry hosts."""
--- /dev/null
+++ b/src/bergamotgap/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/bergamotgap/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and data; nothing here performs input or output."""
--- /dev/null
+++ b/src/bergamotgap/domain/hosts.py
@@ -0,0 +1,20 @@
+"""Facts about backend server hosts."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class HostFacts:
+    """What the platform tells of one host; `address` is `ip:port`."""
+
+    host: str
+    address: str
+    data_centre: str
+    rack: str
+    cpus: float
+    memory_mb: int
+    accelerators: int
+    slots: int
+    connections: int
+    pool: str
+    is_leaving: bool = False
--- /dev/null
+++ b/src/bergamotgap/domain/records.py
@@ -0,0 +1,267 @@
+"""Records of the platform's streams and their encoding."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+RECORD_VERSION = 1
+
+
+class UnknownRecordError(Exception):
+    """A record of a kind or version that this binary does not know."""
+
+
+@dataclass(frozen=True, slots=True)
+class CataloguePublished:
+    """A new catalogue revision, as the TOML document the operator wrote."""
+
+    revision: int
+    base_revision: int
+    document: str
+    operator: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostSeen:
+    """A host or a new address of a known one; `pool` is its home pool."""
+
+    host: str
+    address: str
+    data_centre: str
+    rack: str
+    cpus: float
+    memory_mb: int
+    accelerators: int
+    slots: int
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostReleased:
+    """Take a host out of its pool at `epoch`."""
+
+    host: str
+    epoch: int
+    plan_base: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostAssigned:
+    """Put a host that is in no pool at `epoch` into `pool`."""
+
+    host: str
+    pool: str
+    epoch: int
+    plan_base: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostDown:
+    """A host stopped answering."""
+
+    host: str
+    boot_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostUp:
+    """A host answers again."""
+
+    host: str
+    boot_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostRemoved:
+    """A host left the fleet for good."""
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class WaveDeclared:
+    """Maintenance of some hosts, one after another within the budgets."""
+
+    wave: str
+    hosts: tuple[str, ...]
+    operator: str
+
+
+@dataclass(frozen=True, slots=True)
+class WaveCancelled:
+    """No further host of the wave is drained."""
+
+    wave: str
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """A host of a wave stops taking work."""
+
+    host: str
+    wave: str
+    plan_base: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostMaintained:
+    """A host of a wave rebooted and serves again."""
+
+    host: str
+    wave: str
+    boot_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """A job that the system answers for from here on; `body` is base64."""
+
+    job: str
+    caller: str
+    request_id: str
+    entry: str
+    body: str
+    deadline_ms: int
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobTaken:
+    """Another entry host takes over an open job."""
+
+    job: str
+    node: str
+    ownership: int
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The right to dispatch one attempt of non-idempotent work to one worker."""
+
+    key: str
+    job: str | None
+    entry: str
+    node: str
+    attempt: int
+    worker: str
+    boot_id: str
+    task: str
+    start_before_ms: int
+    ownership: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptNotRun:
+    """The worker proved that the claimed attempt did not start and never will."""
+
+    key: str
+    attempt: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The outcome of a job or of a claimed request; `result_inline` is base64."""
+
+    key: str
+    job: str | None
+    outcome: str
+    worker: str
+    task: str
+    result_inline: str | None
+    result_size: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRequested:
+    """The caller asks to cancel an open job."""
+
+    job: str
+
+
+ControlRecord = (
+    CataloguePublished
+    | HostSeen
+    | HostReleased
+    | HostAssigned
+    | HostDown
+    | HostUp
+    | HostRemoved
+    | WaveDeclared
+    | WaveCancelled
+    | DrainStarted
+    | HostMaintained
+)
+WorkRecord = JobAccepted | JobTaken | Claimed | AttemptNotRun | Ended | CancelRequested
+Record = ControlRecord | WorkRecord
+
+_KINDS: dict[str, type[Any]] = {
+    kind.__name__: kind
+    for kind in (
+        CataloguePublished,
+        HostSeen,
+        HostReleased,
+        HostAssigned,
+        HostDown,
+        HostUp,
+        HostRemoved,
+        WaveDeclared,
+        WaveCancelled,
+        DrainStarted,
+        HostMaintained,
+        JobAccepted,
+        JobTaken,
+        Claimed,
+        AttemptNotRun,
+        Ended,
+        CancelRequested,
+    )
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """One record with its unique id, kind and version."""
+
+    id: str
+    kind: str
+    version: int
+    fields: dict[str, Any]
+
+
+def wrap_record(record_id: str, record: Record) -> Envelope:
+    """Put a record into an envelope."""
+    return Envelope(
+        id=record_id,
+        kind=type(record).__name__,
+        version=RECORD_VERSION,
+        fields=msgspec.to_builtins(record),
+    )
+
+
+def unwrap_record(envelope: Envelope) -> Record:
+    """Return the typed record; raises UnknownRecordError for unknown ones."""
+    kind = _KINDS.get(envelope.kind)
+    if kind is None or envelope.version != RECORD_VERSION:
+        message = f"unknown record kind {envelope.kind!r} version {envelope.version}"
+        raise UnknownRecordError(message)
+    try:
+        record: Record = msgspec.convert(envelope.fields, kind)
+    except msgspec.ValidationError as error:
+        raise UnknownRecordError(f"malformed {envelope.kind}: {error}") from error
+    return record
+
+
+def encode_batch(envelopes: list[Envelope]) -> str:
+    """Encode the body of one append, which carries one or more records."""
+    return msgspec.json.encode(envelopes).decode()
+
+
+def decode_batch(body: str) -> list[Envelope]:
+    """Decode the body of one append; raises UnknownRecordError when malformed."""
+    try:
+        return msgspec.json.decode(body, type=list[Envelope])
+    except msgspec.DecodeError as error:
+        raise UnknownRecordError(f"malformed batch: {error}") from error
--- /dev/null
+++ b/src/bergamotgap/node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host process: owners of state and their tasks."""
--- /dev/null
+++ b/src/bergamotgap/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces that the node needs from the outside."""
--- /dev/null
+++ b/src/bergamotgap/ports/worker.py
@@ -0,0 +1,129 @@
+"""What the node needs from workers."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerStatus:
+    """A worker's own word; `time_ms` is its clock, `arrived_ms` ours (monotonic)."""
+
+    worker: str
+    time_ms: int
+    arrived_ms: int
+    boot_id: str
+    pool: str | None
+    epoch: int
+    state: str
+    slots: int
+    busy: int
+    used_cpus: float
+    used_memory_mb: int
+    usage_as_of_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TaskOrder:
+    """A task to run: its id, fencing values and declared size."""
+
+    task: str
+    entry: str
+    urgency: str
+    epoch: int
+    boot_id: str | None
+    start_before_ms: int | None
+    lease_ms: int
+    cpus: float
+    memory_mb: int
+    accelerators: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TaskStatus:
+    """What a worker knows of a task.
+
+    `state` is one of unknown, running, done, failed, stopped, refused.
+    """
+
+    state: str
+    size: int
+    boot_id: str
+    started: bool
+
+
+class WorkerError(Exception):
+    """Base of the worker port's errors."""
+
+
+class TaskRefusedError(WorkerError):
+    """The worker refused the task before its start; `code` tells why."""
+
+    def __init__(self, code: str, busy: int | None = None) -> None:
+        super().__init__(code)
+        self.code = code
+        self.busy = busy
+
+
+class WorkerUnreachableError(WorkerError):
+    """No connection was established, so nothing was sent."""
+
+
+class TaskFateUnknownError(WorkerError):
+    """The order may have arrived; the answer is missing or cut short."""
+
+
+class TaskAnswer(Protocol):
+    """A task's answer while it arrives."""
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the worker reports that the task failed."""
+
+    @property
+    def size(self) -> int | None:
+        """Return the announced length in bytes, if any."""
+
+    @property
+    def busy(self) -> int | None:
+        """Return the worker's running tasks, as told with the answer."""
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises TaskFateUnknownError when it is cut short."""
+
+
+class WorkerClient(Protocol):
+    """Talk to workers by address."""
+
+    async def fetch_status(self, address: str) -> WorkerStatus:
+        """Ask a worker for its own state."""
+
+    async def assign(self, address: str, pool: str | None, epoch: int) -> None:
+        """Tell a worker its pool and epoch; raises TaskRefusedError if it is stale."""
+
+    def run(
+        self, address: str, order: TaskOrder, progress_ms: int
+    ) -> AbstractAsyncContextManager[TaskAnswer]:
+        """Send a task; no progress within `progress_ms` raises TaskFateUnknownError."""
+
+    async def fetch_task(self, address: str, task: str) -> TaskStatus:
+        """Ask for a task over a new connection."""
+
+    def fetch_result(
+        self, address: str, task: str
+    ) -> AbstractAsyncContextManager[TaskAnswer]:
+        """Stream the result of a finished task over a new connection."""
+
+    async def cancel(self, address: str, task: str) -> TaskStatus:
+        """Refuse the task for good if it has not started; return what is known."""
+
+    async def control(self, address: str, task: str, verb: str) -> TaskStatus:
+        """Renew, checkpoint, throttle or stop a running task."""
+
+    async def drain(self, address: str) -> None:
+        """Tell the worker to refuse new tasks."""
+
+    async def reboot(self, address: str) -> None:
+        """Tell the worker to restart."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools."""
