Route requests by load and health, retry within a budget, recover lost answers

Cause: a request went to any worker with a status, was lost with its connection, and was cut off by a shutdown. Ruled out: a shared connection pool with per-host eviction, which the client library has no public call for; each worker has its own pool that can be left behind.

--- a/src/bergamotgap/adapters/caller_auth.py
+++ b/src/bergamotgap/adapters/caller_auth.py
@@ -1,41 +1,76 @@
-"""Identify callers by key, and find what they may use."""
+"""Identify callers by key, find what they may use, and build their errors."""
 
 import hashlib
+import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from aiohttp import web
 
 from bergamotgap.domain.catalogue import Caller, Catalogue, Entry
 
 BEARER = "Bearer "
+MAX_KEY_CHARS = 512
+MS_PER_SECOND = 1000
+
+CatalogueSource = Callable[[], Catalogue | None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Index:
+    """Callers by key digest and entries by name, of one catalogue."""
+
+    catalogue: Catalogue
+    callers: dict[str, Caller]
+    entries: dict[str, Entry]
+
+
+_index: _Index | None = None
+
+
+def _index_of(catalogue: Catalogue) -> _Index:
+    # A search through all callers for each request would cost more than the rest of
+    # its checks; only one catalogue is in force at a time.
+    global _index
+    if _index is None or _index.catalogue is not catalogue:
+        callers = {caller.key_sha256: caller for caller in catalogue.callers}
+        entries = {entry.name: entry for entry in catalogue.entries}
+        _index = _Index(catalogue, callers, entries)
+    return _index
 
 
 def find_caller(request: web.Request, catalogue: Catalogue | None) -> Caller | None:
     """Return the caller whose key the request carries."""
     value = request.headers.get("Authorization", "")
-    if catalogue is None or not value.startswith(BEARER):
+    if catalogue is None or not value.startswith(BEARER) or len(value) > MAX_KEY_CHARS:
         return None
-    digest = hashlib.sha256(value.removeprefix(BEARER).encode()).hexdigest()
-    return next((c for c in catalogue.callers if c.key_sha256 == digest), None)
+    key = value[len(BEARER) :].encode(errors="surrogateescape")
+    return _index_of(catalogue).callers.get(hashlib.sha256(key).hexdigest())
 
 
 def find_entry(caller: Caller, catalogue: Catalogue | None, name: str) -> Entry | None:
     """Return the entry if the caller may use it."""
     if catalogue is None or name not in caller.entries:
         return None
-    return catalogue.find_entry(name)
+    return _index_of(catalogue).entries.get(name)
 
 
 def build_problem(
-    status: int, code: str, outcome: str, detail: str = ""
+    status: int,
+    code: str,
+    outcome: str,
+    detail: str = "",
+    retry_after_ms: int | None = None,
 ) -> web.Response:
     """Return a problem+json answer with a stable code."""
+    headers = {"Outcome": outcome}
+    if retry_after_ms is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(retry_after_ms / MS_PER_SECOND)))
+    if status == web.HTTPUnauthorized.status_code:
+        headers["WWW-Authenticate"] = "Bearer"
     return web.json_response(
         {"type": "about:blank", "status": status, "code": code, "detail": detail},
         status=status,
         content_type="application/problem+json",
-        headers={"Outcome": outcome},
+        headers=headers,
     )
-
-
-CatalogueSource = Callable[[], Catalogue | None]
--- a/src/bergamotgap/adapters/caller_http.py
+++ b/src/bergamotgap/adapters/caller_http.py
@@ -1,6 +1,16 @@
 """The callers' HTTP interface for synchronous requests."""
 
+import asyncio
+import re
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Protocol
+
 from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
 
 from bergamotgap.adapters.caller_auth import (
     CatalogueSource,
@@ -8,50 +18,306 @@
     find_caller,
     find_entry,
 )
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.catalogue import MAX_DEADLINE_MS, Caller, Entry
 from bergamotgap.domain.clock import Clock
-from bergamotgap.node.admission import NotAdmittedError
-from bergamotgap.node.dispatch import Dispatcher
-from bergamotgap.ports.worker import TaskFateUnknownError, WorkerError
+from bergamotgap.domain.outcomes import (
+    Cancelled,
+    Done,
+    Expired,
+    Failed,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from bergamotgap.node.dispatch import Answer, Dispatcher, RequestEndedError
+from bergamotgap.node.shutdown import RequestGate
+
+REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+MAX_DEADLINE_DIGITS = 9
+# A caller that doesn't read its answer would hold a slot and a worker.
+CALLER_PROGRESS_MS = 10_000
+RETRY_AFTER_MS = 1000
+# Closes the connection with a reset instead of an orderly end.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+# Set on a request once the head of its answer may have been sent.
+IS_STARTED = "is_started"
+
+log = get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestResult:
+    """The end of a non-idempotent request; `answer` is given when it is done."""
+
+    outcome: Outcome
+    answer: Answer | None = None
+
+
+class NonIdempotentRunner(Protocol):
+    """Run requests that must run at most once."""
+
+    async def run(
+        self,
+        caller_name: str,
+        request_id: str,
+        entry: Entry,
+        body: bytes,
+        deadline_at_ms: int,
+    ) -> RequestResult:
+        """Run a request; `deadline_at_ms` is monotonic.
+
+        The call is cancelled when the caller goes away.
+        """
+
+
+class _BadRequestError(Exception):
+    def __init__(self, status: int, code: str, detail: str) -> None:
+        super().__init__(code)
+        self.status = status
+        self.code = code
+        self.detail = detail
 
 
 class CallerApi:
-    """Serve synchronous requests of callers."""
+    """Serve synchronous requests of callers.
+
+    `once_runner` runs the requests of non-idempotent entries.
+    """
 
     def __init__(
-        self, catalogue: CatalogueSource, dispatcher: Dispatcher, clock: Clock
+        self,
+        catalogue: CatalogueSource,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        once_runner: NonIdempotentRunner | None = None,
     ) -> None:
         self._catalogue = catalogue
         self._dispatcher = dispatcher
         self._clock = clock
+        self._once_runner = once_runner
 
     def add_routes(self, app: web.Application) -> None:
         """Add this interface's routes."""
         app.router.add_post("/v1/requests/{entry}", self._run_request)
 
     async def _run_request(self, request: web.Request) -> web.StreamResponse:
-        caller = find_caller(request, self._catalogue())
+        try:
+            caller, entry = self._identify(request)
+            request_id = _parse_request_id(request)
+            duration_ms = min(_parse_deadline_ms(request, entry), entry.deadline_ms)
+            # The deadline counts from the headers on, so a slow body can't extend it.
+            deadline_at_ms = self._clock.monotonic_ms() + duration_ms
+            body = await _read_body(request, duration_ms)
+            response = await self._run(
+                request, caller, entry, request_id, body, deadline_at_ms
+            )
+        except _BadRequestError as error:
+            response = build_problem(
+                error.status,
+                error.code,
+                "not_run",
+                error.detail,
+                RETRY_AFTER_MS if error.status == 503 else None,
+            )
+            request_id = _echo_request_id(request)
+        if request_id is not None and not response.prepared:
+            response.headers["Request-Id"] = request_id
+        return response
+
+    def _identify(self, request: web.Request) -> tuple[Caller, Entry]:
+        catalogue = self._catalogue()
+        if catalogue is None:
+            raise _BadRequestError(503, "not_ready", "no catalogue is in force yet")
+        caller = find_caller(request, catalogue)
         if caller is None:
-            return build_problem(401, "unknown_key", "not_run")
-        entry = find_entry(caller, self._catalogue(), request.match_info["entry"])
+            raise _BadRequestError(401, "unknown_key", "the key is missing or wrong")
+        entry = find_entry(caller, catalogue, request.match_info["entry"])
         if entry is None:
-            return build_problem(404, "unknown_entry", "not_run")
-        body = await request.read()
-        duration_ms = int(request.headers.get("Deadline-Ms", entry.deadline_ms))
-        deadline_at_ms = self._clock.monotonic_ms() + duration_ms
-        response = web.StreamResponse(headers={"Outcome": "done"})
+            raise _BadRequestError(404, "unknown_entry", "the key gives no such entry")
+        return caller, entry
+
+    async def _run(
+        self,
+        request: web.Request,
+        caller: Caller,
+        entry: Entry,
+        request_id: str | None,
+        body: bytes,
+        deadline_at_ms: int,
+    ) -> web.StreamResponse:
+        if not entry.idempotent:
+            if self._once_runner is None:
+                return build_problem(501, "not_supported", "not_run")
+            if request_id is None:
+                raise _BadRequestError(
+                    400, "missing_request_id", "the entry needs a Request-Id"
+                )
+            result = await self._once_runner.run(
+                caller.name, request_id, entry, body, deadline_at_ms
+            )
+            if result.answer is None:
+                return build_outcome(result.outcome)
+            return await send_answer(request, result.answer, request_id)
         try:
             async with self._dispatcher.run(entry, body, deadline_at_ms) as answer:
-                await response.prepare(request)
-                async for chunk in answer.chunks():
-                    await response.write(chunk)
-        except NotAdmittedError as error:
-            return build_problem(503, "not_admitted", error.outcome.tag)
-        except TaskFateUnknownError as error:
-            if response.prepared and request.transport is not None:
-                request.transport.abort()
-                return response
-            return build_problem(504, "fate_unknown", "unknown", str(error))
-        except WorkerError as error:
-            return build_problem(503, "worker_refused", "not_run", str(error))
+                return await send_answer(request, answer, request_id)
+        except RequestEndedError as error:
+            return build_outcome(error.outcome)
+
+
+def _parse_request_id(request: web.Request) -> str | None:
+    value = request.headers.get("Request-Id")
+    if value is not None and REQUEST_ID_PATTERN.fullmatch(value) is None:
+        detail = "Request-Id must match " + REQUEST_ID_PATTERN.pattern
+        raise _BadRequestError(400, "invalid_request_id", detail)
+    return value
+
+
+def _echo_request_id(request: web.Request) -> str | None:
+    with suppress(_BadRequestError):
+        return _parse_request_id(request)
+    return None
+
+
+def _parse_deadline_ms(request: web.Request, entry: Entry) -> int:
+    value = request.headers.get("Deadline-Ms")
+    if value is None:
+        return entry.deadline_ms
+    is_number = (
+        value.isascii() and value.isdigit() and len(value) <= MAX_DEADLINE_DIGITS
+    )
+    if not is_number or not 0 < int(value) <= MAX_DEADLINE_MS:
+        detail = f"Deadline-Ms must be a whole number from 1 to {MAX_DEADLINE_MS}"
+        raise _BadRequestError(400, "invalid_deadline", detail)
+    return int(value)
+
+
+async def _read_body(request: web.Request, limit_ms: int) -> bytes:
+    if not request.can_read_body:
+        return b""
+    try:
+        async with asyncio.timeout(limit_ms / 1000):
+            return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise _BadRequestError(413, "body_too_large", error.text or "") from error
+    except TimeoutError as error:
+        detail = "the body did not arrive before the deadline"
+        raise _BadRequestError(408, "body_too_late", detail) from error
+
+
+def build_outcome(outcome: Outcome) -> web.Response:
+    """Return the error answer for an outcome without a result."""
+    match outcome:
+        case NotRun(code="does_not_fit"):
+            return build_problem(422, outcome.code, outcome.tag, outcome.detail)
+        case NotRun():
+            retry_ms = outcome.retry_after_ms or RETRY_AFTER_MS
+            return build_problem(
+                503, outcome.code, outcome.tag, outcome.detail, retry_ms
+            )
+        case Expired():
+            return build_problem(504, "expired", outcome.tag)
+        case Failed():
+            return build_problem(502, "task_failed", outcome.tag, outcome.reason)
+        case Cancelled():
+            return build_problem(409, "cancelled", outcome.tag)
+        case Unknown():
+            return build_problem(504, "outcome_unknown", outcome.tag, outcome.reason)
+        case Done():
+            return build_problem(410, "result_gone", outcome.tag)
+
+
+async def send_answer(
+    request: web.Request, answer: Answer, request_id: str | None
+) -> web.StreamResponse:
+    """Send a whole answer, or abort the caller's connection."""
+    headers = {"Outcome": Done.tag, "Content-Type": "application/octet-stream"}
+    if request_id is not None:
+        headers["Request-Id"] = request_id
+    if answer.rest is None:
+        return web.Response(body=answer.head, headers=headers)
+    response = web.StreamResponse(headers=headers)
+    response.content_length = answer.size
+    if answer.size is None and request.version < (1, 1):
+        # Without chunks the end of the connection is the end of the answer.
+        response.force_close()
+    request[IS_STARTED] = True
+    try:
+        await response.prepare(request)
+        await _write(response, answer.head)
+        await _write_all(response, answer.rest)
         await response.write_eof()
+    except BaseException as error:
+        log.warning("answer cut short", path=request.path, error=repr(error))
+        abort_connection(request)
+        raise
+    return response
+
+
+async def _write_all(
+    response: web.StreamResponse, chunks: AsyncIterator[bytes]
+) -> None:
+    async for chunk in chunks:
+        await _write(response, chunk)
+
+
+async def _write(response: web.StreamResponse, chunk: bytes) -> None:
+    async with asyncio.timeout(CALLER_PROGRESS_MS / 1000):
+        await response.write(chunk)
+
+
+def abort_connection(request: web.Request) -> None:
+    """Reset the caller's connection, so that a part never looks like the whole."""
+    transport = request.transport
+    if transport is None:
+        return
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
+def build_middleware(gate: RequestGate) -> Middleware:
+    """Return what every route of callers needs: the gate and clear errors."""
+
+    @web.middleware
+    async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
+        if not gate.is_open:
+            response: web.StreamResponse = build_problem(
+                503, "shutting_down", "not_run", "", RETRY_AFTER_MS
+            )
+            response.force_close()
+            return response
+        with gate.count_request():
+            try:
+                response = await handler(request)
+            except web.HTTPException as error:
+                code = _code_of_status(error.status)
+                return build_problem(error.status, code, "not_run")
+            except Exception as error:
+                return _end_broken(request, error)
+        if gate.is_leaving and not response.prepared:
+            response.force_close()
         return response
+
+    return guard
+
+
+def _code_of_status(status: int) -> str:
+    codes = {404: "not_found", 405: "method_not_allowed", 413: "body_too_large"}
+    return codes.get(status, "bad_request")
+
+
+def _end_broken(request: web.Request, error: Exception) -> web.StreamResponse:
+    transport = request.transport
+    if transport is None or transport.is_closing():
+        # The connection was lost or reset, so this answer goes nowhere.
+        return web.Response(status=500)
+    if request.get(IS_STARTED):
+        abort_connection(request)
+        return web.Response(status=500)
+    log.error("request failed", path=request.path, exc_info=error)
+    return build_problem(500, "internal", Unknown.tag)
--- /dev/null
+++ b/src/bergamotgap/adapters/worker_connections.py
@@ -0,0 +1,88 @@
+"""Connections to workers that can be left behind when one of them went silent."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import aiohttp
+
+DEFAULT_LIMIT = 64
+
+
+@dataclass(slots=True, eq=False)
+class _Pool:
+    """Connections to one worker; `is_retired` pools get no new requests."""
+
+    session: aiohttp.ClientSession
+    in_use: int = 0
+    is_retired: bool = False
+
+
+class TooManyConnectionsError(Exception):
+    """All connections that this node may have to the worker are in use."""
+
+
+class WorkerConnections:
+    """Own a pool of connections for each worker, of `limit` connections at most."""
+
+    def __init__(self, limit: int = DEFAULT_LIMIT) -> None:
+        self._limit = limit
+        self._pools: dict[str, _Pool] = {}
+        self._in_use: dict[str, int] = {}
+        self._idle_retired: list[_Pool] = []
+        self._retired: list[_Pool] = []
+
+    @contextmanager
+    def borrow(self, address: str) -> Iterator[aiohttp.ClientSession]:
+        """Hold a session for one request; raises TooManyConnectionsError."""
+        in_use = self._in_use.get(address, 0)
+        if in_use >= self._limit:
+            raise TooManyConnectionsError(address)
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = _Pool(open_session(self._limit))
+        self._in_use[address] = in_use + 1
+        pool.in_use += 1
+        try:
+            yield pool.session
+        finally:
+            pool.in_use -= 1
+            self._in_use[address] -= 1
+            if pool.is_retired and pool.in_use == 0:
+                self._retired.remove(pool)
+                self._idle_retired.append(pool)
+
+    def retire(self, address: str) -> None:
+        """Use none of the open connections to a worker for further requests.
+
+        Requests in progress on them go on.
+        """
+        pool = self._pools.pop(address, None)
+        if pool is None:
+            return
+        pool.is_retired = True
+        (self._retired if pool.in_use else self._idle_retired).append(pool)
+
+    async def close_retired(self) -> None:
+        """Close retired pools that no request uses any more."""
+        pools, self._idle_retired = self._idle_retired, []
+        for pool in pools:
+            await pool.session.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        pools = [*self._pools.values(), *self._retired]
+        self._pools.clear()
+        await self.close_retired()
+        for pool in pools:
+            await pool.session.close()
+
+
+def open_session(limit: int, is_reusing: bool = True) -> aiohttp.ClientSession:
+    """Open a session to workers; answers are passed on as they are."""
+    connector = aiohttp.TCPConnector(limit=limit, force_close=not is_reusing)
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- /dev/null
+++ b/src/bergamotgap/domain/retries.py
@@ -0,0 +1,94 @@
+"""Budgets, limits and waits of retries."""
+
+import random
+
+from bergamotgap.domain.catalogue import Entry
+
+# A retry is paid for by ten requests, so that retries add at most a tenth of load.
+TOKENS_PER_REQUEST = 0.1
+MAX_TOKENS = 20.0
+# Runs of one request on different hosts that are paid from the budget.
+MAX_RETRIES = 2
+# Placements of one request that workers refused; these cost no budget, as nothing ran.
+MAX_REFUSALS = 8
+FIRST_WAIT_MS = 4.0
+MAX_WAIT_MS = 200.0
+
+# Refusals that prove that the task has not started. A `duplicate` is none: the worker
+# knows the task, so it may have run.
+NOT_STARTED_CODES = frozenset(
+    {
+        "stale_epoch",
+        "wrong_boot",
+        "too_late",
+        "cancelled",
+        "busy",
+        "leaving",
+        "draining",
+        "unreachable",
+    },
+)
+
+
+class RetryBudget:
+    """Hold a token bucket for each entry, filled by its requests."""
+
+    def __init__(self) -> None:
+        self._tokens: dict[str, float] = {}
+
+    def note_request(self, entry: str) -> None:
+        """Add the part of a retry that one request pays for."""
+        tokens = self._tokens.get(entry, 0.0) + TOKENS_PER_REQUEST
+        self._tokens[entry] = min(tokens, MAX_TOKENS)
+
+    def take(self, entry: str) -> bool:
+        """Take one retry out of the budget and return whether there was one."""
+        tokens = self._tokens.get(entry, 0.0)
+        # Ten additions of 0.1 give slightly less than 1.
+        if tokens < 1.0 - 1e-9:
+            return False
+        self._tokens[entry] = tokens - 1.0
+        return True
+
+
+class RetryPlan:
+    """Count the attempts of one request and decide whether there is a next one."""
+
+    def __init__(
+        self, entry: Entry, deadline_at_ms: int, budget: RetryBudget, rng: random.Random
+    ) -> None:
+        self._entry = entry
+        self._deadline_at_ms = deadline_at_ms
+        self._budget = budget
+        self._rng = rng
+        self._retries = 0
+        self._refusals = 0
+
+    def after_failure(self, now_ms: int) -> float | None:
+        """Return the wait in ms before a retry, or None when there is none.
+
+        For attempts that may have run; only idempotent work is run again.
+        """
+        if not self._entry.idempotent or self._retries >= MAX_RETRIES:
+            return None
+        wait_ms = self._draw_wait_ms(self._retries)
+        if now_ms + wait_ms >= self._deadline_at_ms:
+            return None
+        if not self._budget.take(self._entry.name):
+            return None
+        self._retries += 1
+        return wait_ms
+
+    def after_refusal(self, now_ms: int) -> float | None:
+        """Return the wait in ms before another placement, or None.
+
+        For attempts that are proven not to have started.
+        """
+        self._refusals += 1
+        if self._refusals >= MAX_REFUSALS:
+            return None
+        wait_ms = self._draw_wait_ms(self._refusals - 1)
+        return wait_ms if now_ms + wait_ms < self._deadline_at_ms else None
+
+    def _draw_wait_ms(self, number: int) -> float:
+        return self._rng.uniform(0.0, min(FIRST_WAIT_MS * 2**number, MAX_WAIT_MS))
--- /dev/null
+++ b/src/bergamotgap/node/resolution.py
@@ -0,0 +1,118 @@
+"""Find out how a task ended whose answer was lost."""
+
+import asyncio
+import random
+from enum import StrEnum
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.ports.worker import TaskStatus, WorkerClient, WorkerError
+
+FIRST_POLL_MS = 20.0
+MAX_POLL_MS = 500.0
+MAX_LOST_ASKS = 3
+# A request near its deadline gets this much time to learn what became of its task.
+MIN_ASK_MS = 250
+MAX_CANCELS_AT_ONCE = 32
+
+log = get_logger(__name__)
+
+
+class TaskEnd(StrEnum):
+    """What is known of a task after its worker was asked."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    RUNNING = "running"
+    NOT_STARTED = "not_started"
+    # The worker can't be asked, or it restarted and has no memory of the task.
+    UNKNOWN = "unknown"
+
+
+_ENDS = {
+    "done": TaskEnd.DONE,
+    "failed": TaskEnd.FAILED,
+    "stopped": TaskEnd.STOPPED,
+    "running": TaskEnd.RUNNING,
+}
+
+
+class TaskResolver:
+    """Ask workers for tasks by id, over new connections."""
+
+    def __init__(
+        self, client: WorkerClient, clock: Clock, rng: random.Random | None = None
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._cancels: set[asyncio.Task[None]] = set()
+        self._cancel_places = asyncio.Semaphore(MAX_CANCELS_AT_ONCE)
+
+    async def resolve(
+        self, address: str, task: str, boot_id: str, until_ms: int
+    ) -> TaskEnd:
+        """Wait until the task's end is known; RUNNING when it isn't at `until_ms`.
+
+        A task that the worker doesn't know is cancelled there, which proves that it
+        has not started and never will. `until_ms` is monotonic.
+        """
+        until_ms = max(until_ms, self._clock.monotonic_ms() + MIN_ASK_MS)
+        lost = 0
+        wait_ms = FIRST_POLL_MS
+        while True:
+            status = await self._ask(address, task, until_ms)
+            if status is None:
+                lost += 1
+                end = TaskEnd.UNKNOWN
+            else:
+                end = _read_end(status, boot_id)
+            is_open = end is TaskEnd.RUNNING or (
+                status is None and lost < MAX_LOST_ASKS
+            )
+            if not is_open or self._clock.monotonic_ms() >= until_ms:
+                return end
+            await self._clock.sleep_ms(wait_ms * self._rng.uniform(0.5, 1.0))
+            wait_ms = min(2 * wait_ms, MAX_POLL_MS)
+
+    async def _ask(self, address: str, task: str, until_ms: int) -> TaskStatus | None:
+        left_ms = max(MIN_ASK_MS, until_ms - self._clock.monotonic_ms())
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                status = await self._client.fetch_task(address, task)
+                if status.state == "unknown":
+                    status = await self._client.cancel(address, task)
+                return status
+        except (WorkerError, TimeoutError) as error:
+            log.info("task status failed", address=address, error=repr(error))
+            return None
+
+    def abandon(self, address: str, task: str) -> None:
+        """Cancel a task in the background, or stop it if it runs."""
+        cancel = asyncio.create_task(self._cancel(address, task))
+        self._cancels.add(cancel)
+        cancel.add_done_callback(self._cancels.discard)
+
+    async def _cancel(self, address: str, task: str) -> None:
+        async with self._cancel_places:
+            try:
+                status = await self._client.cancel(address, task)
+                if status.state == "running":
+                    await self._client.control(address, task, "stop")
+            except WorkerError as error:
+                log.info("cancellation failed", address=address, error=repr(error))
+
+    async def close(self) -> None:
+        """Wait for cancellations in progress."""
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+
+
+def _read_end(status: TaskStatus, boot_id: str) -> TaskEnd:
+    # After a restart the worker doesn't remember tasks of its former boot, so its
+    # "unknown" or "refused" proves nothing.
+    if status.boot_id != boot_id:
+        return TaskEnd.UNKNOWN
+    if status.state in _ENDS:
+        return _ENDS[status.state]
+    return TaskEnd.UNKNOWN if status.started else TaskEnd.NOT_STARTED
--- /dev/null
+++ b/src/bergamotgap/node/shutdown.py
@@ -0,0 +1,91 @@
+"""Stop an entry host without cutting off a request in progress."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+
+# The platform's load balancer is taken to ask for readiness at least every second; in
+# this time it notices and sends new requests elsewhere.
+GRACE_MS = 2500
+
+log = get_logger(__name__)
+
+
+class RequestGate:
+    """Count the requests in progress and refuse new ones once it is closed."""
+
+    def __init__(self) -> None:
+        self._in_progress = 0
+        self._is_open = True
+        self._is_leaving = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether new requests are taken."""
+        return self._is_open
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether connections are to be closed after their answer."""
+        return self._is_leaving
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests in progress."""
+        return self._in_progress
+
+    @contextmanager
+    def count_request(self) -> Iterator[None]:
+        """Count a request as in progress."""
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            if self._in_progress == 0:
+                self._idle.set()
+
+    def announce(self) -> None:
+        """Still take requests, but close connections after their answers."""
+        self._is_leaving = True
+
+    def close(self) -> None:
+        """Refuse new requests from now on."""
+        self._is_leaving = True
+        self._is_open = False
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        await self._idle.wait()
+
+
+async def shut_down(
+    gate: RequestGate,
+    announce_leaving: Callable[[], None],
+    clock: Clock,
+    shutdown_ms: int,
+    grace_ms: int = GRACE_MS,
+) -> bool:
+    """Let requests in progress finish and return whether all of them did.
+
+    Readiness is off as soon as the gate is leaving. After the grace time new requests
+    are refused, and those in progress get up to `shutdown_ms`.
+    """
+    gate.announce()
+    announce_leaving()
+    log.info("node leaving", in_progress=gate.in_progress)
+    await clock.sleep_ms(grace_ms)
+    gate.close()
+    try:
+        async with asyncio.timeout(shutdown_ms / 1000):
+            await gate.wait_idle()
+    except TimeoutError:
+        log.error("requests cut off by shutdown", in_progress=gate.in_progress)
+        return False
+    return True
--- a/src/bergamotgap/node/workers.py
+++ b/src/bergamotgap/node/workers.py
@@ -1,66 +1,307 @@
 """Keep a view of the workers: their own status, assignments and load."""
 
 import asyncio
-from dataclasses import dataclass
+import random
+from collections.abc import Collection
+from contextlib import suppress
+from dataclasses import dataclass, replace
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.control_state import ControlState, HostState
+from bergamotgap.domain.health import HealthTracker
+from bergamotgap.domain.routing import estimate_load
 from bergamotgap.node.streams import Stream
-from bergamotgap.ports.worker import WorkerClient, WorkerError, WorkerStatus
+from bergamotgap.ports.platform import HostDirectory, HostListing, PlatformError
+from bergamotgap.ports.worker import (
+    TaskRefusedError,
+    WorkerClient,
+    WorkerError,
+    WorkerStatus,
+    WorkerUnreachableError,
+)
 
+TICK_MS = 100
+# Workers that aren't as they should be are asked this often; the others too, as long
+# as the fleet is small.
 STATUS_INTERVAL_MS = 1000
+# About 0.5 KB are exchanged for one status, and a node may use 20 KB/s for control.
+# Above 40 workers the interval grows; answers and refusals of tasks keep the view of
+# used workers fresh.
+STATUSES_PER_SECOND = 40
+MAX_POLLS_AT_ONCE = 64
+# One lost status may be chance; a refused connection is not.
+FAILURES_UNTIL_UNREACHABLE = 2
+# The host list may name a host as leaving that is not. After this time the worker's
+# own word is trusted again.
+LISTED_LEAVING_MS = 60_000
+# One host is about 200 bytes of the list; reading it takes at most 5 KB/s.
+LISTING_MS_PER_HOST = 40
+MIN_LISTING_MS = 2000
 
 log = get_logger(__name__)
 
 
 @dataclass(slots=True)
 class WorkerView:
-    """What this node believes of one worker."""
+    """What this node believes of one worker; reservations are of own running tasks."""
 
     status: WorkerStatus | None = None
     failures: int = 0
     running: int = 0
+    busy: int = 0
+    sent_since_report: int = 0
+    reserved_cpus: float = 0.0
+    reserved_memory_mb: int = 0
+    reserved_accelerators: int = 0
+    is_unreachable: bool = False
+    is_refusing: bool = False
+    listed_leaving_ms: int | None = None
+    next_poll_ms: int = 0
+    is_polled: bool = False
+
+    @property
+    def load(self) -> int:
+        """Return the tasks that the worker probably runs."""
+        return estimate_load(self.running, self.busy, self.sent_since_report)
+
+    def note_busy(self, busy: int) -> None:
+        """Take over the worker's own count of running tasks."""
+        self.busy = busy
+        self.sent_since_report = 0
 
 
 class Workers:
-    """Own the views of all workers and the task that refreshes them."""
+    """Own the views of all workers and the tasks that refresh them.
+
+    `directory` is the platform's host list; without it only the workers' own word and
+    refused connections tell that a worker is leaving.
+    """
 
     def __init__(
-        self, control: Stream[ControlState], client: WorkerClient, clock: Clock
+        self,
+        control: Stream[ControlState],
+        client: WorkerClient,
+        clock: Clock,
+        directory: HostDirectory | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self._control = control
         self._client = client
         self._clock = clock
+        self._directory = directory
+        self._rng = rng or random.Random()
         self._views: dict[str, WorkerView] = {}
+        self._polls: set[asyncio.Task[None]] = set()
+        self._pools: dict[str, list[HostState]] = {}
+        self._pools_key: tuple[int, int] | None = None
+        self._capacities: dict[str, int] = {}
+        self.health = HealthTracker(clock)
 
     def view(self, host: str) -> WorkerView:
         """Return the view of a host."""
-        return self._views.setdefault(host, WorkerView())
+        view = self._views.get(host)
+        if view is None:
+            view = self._views[host] = WorkerView()
+        return view
 
-    def pool_capacity(self, pool: str) -> int:
-        """Return the slots of a pool's workers that can take tasks."""
-        return sum(
-            host.facts.slots
-            for name, host in self._control.state.hosts.items()
-            if host.pool == pool and self.view(name).status is not None
+    def list_pool(self, pool: str) -> list[HostState]:
+        """Return the hosts that the folded state has in a pool."""
+        key = (id(self._control.state), self._control.next_offset)
+        if key != self._pools_key:
+            self._pools_key = key
+            self._pools = {}
+            self._capacities = {}
+            for host in self._control.state.hosts.values():
+                if host.pool is not None:
+                    self._pools.setdefault(host.pool, []).append(host)
+        return self._pools.get(pool, [])
+
+    def is_routable(self, host: HostState) -> bool:
+        """Return whether a worker may be given new tasks of its pool.
+
+        It must have answered lately, say itself that it serves in the pool and epoch
+        of the folded state, and be neither draining nor listed as leaving.
+        """
+        view = self.view(host.facts.host)
+        status = view.status
+        return (
+            status is not None
+            and not view.is_unreachable
+            and not view.is_refusing
+            and status.state == "serving"
+            and status.epoch == host.epoch
+            and status.pool == host.pool
+            and host.draining_in is None
+            and not self._is_listed_leaving(view)
         )
 
+    def _is_listed_leaving(self, view: WorkerView) -> bool:
+        if view.listed_leaving_ms is None:
+            return False
+        age_ms = self._clock.monotonic_ms() - view.listed_leaving_ms
+        return age_ms < LISTED_LEAVING_MS
+
+    def pool_capacity(self, pool: str) -> int:
+        """Return the slots of a pool's routable workers that are not ejected."""
+        hosts = self.list_pool(pool)
+        capacity = self._capacities.get(pool)
+        if capacity is None:
+            capacity = self._capacities[pool] = sum(
+                host.facts.slots
+                for host in hosts
+                if self.is_routable(host)
+                and not self.health.is_ejected(host.facts.host)
+            )
+        return capacity
+
+    def note_answer(self, host: str, busy: int | None, boot_id: str | None) -> None:
+        """Learn from the headers of an answer or a refusal of a worker."""
+        view = self.view(host)
+        view.failures = 0
+        if busy is not None:
+            view.note_busy(busy)
+        if view.status is not None and boot_id not in (None, view.status.boot_id):
+            log.info("worker restarted", host=host, boot_id=boot_id)
+            self._forget_status(view)
+
+    def note_refusal(self, host: str, code: str) -> None:
+        """Learn that a worker refused a task before its start."""
+        view = self.view(host)
+        if code in ("leaving", "draining"):
+            view.is_refusing = True
+        if code in ("leaving", "draining", "stale_epoch", "wrong_boot"):
+            view.next_poll_ms = 0
+            self._capacities.clear()
+
+    def note_unreachable(self, host: str) -> None:
+        """Learn that no connection to a worker could be established."""
+        view = self.view(host)
+        if not view.is_unreachable:
+            log.warning("worker unreachable", host=host)
+        view.is_unreachable = True
+        view.failures += 1
+        view.next_poll_ms = 0
+        self._capacities.clear()
+
+    def note_failure(self, entry: str, host: str, pool: str) -> None:
+        """Count a failed task against a worker."""
+        names = [item.facts.host for item in self.list_pool(pool)]
+        if self.health.note_failure(entry, host, names):
+            log.warning("worker ejected", host=host, pool=pool, entry=entry)
+            self._capacities.clear()
+
+    def note_listing(self, listing: HostListing) -> None:
+        """Take over which hosts the platform lists as leaving."""
+        now_ms = self._clock.monotonic_ms()
+        leaving = {facts.host for facts in listing.hosts if facts.is_leaving}
+        for name in self._control.state.hosts:
+            view = self.view(name)
+            if name not in leaving:
+                view.listed_leaving_ms = None
+            elif view.listed_leaving_ms is None:
+                view.listed_leaving_ms = now_ms
+        self._capacities.clear()
+
     async def run(self) -> None:
         """Refresh all views for good."""
-        while True:
-            hosts = list(self._control.state.hosts.items())
-            await asyncio.gather(*(self._refresh(name, host) for name, host in hosts))
-            await self._clock.sleep_ms(STATUS_INTERVAL_MS)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_polls())
+            if self._directory is not None:
+                group.create_task(self._run_listings(self._directory))
+
+    async def _run_polls(self) -> None:
+        try:
+            while True:
+                self._start_due_polls()
+                await self._clock.sleep_ms(TICK_MS)
+        finally:
+            for poll in self._polls:
+                poll.cancel()
+
+    def _start_due_polls(self) -> None:
+        # Ejections, listings and probes also end by time alone.
+        self._capacities.clear()
+        self._drop_removed(self._control.state.hosts)
+        now_ms = self._clock.monotonic_ms()
+        for name, host in self._control.state.hosts.items():
+            view = self.view(name)
+            if view.next_poll_ms > now_ms or view.is_polled:
+                continue
+            if len(self._polls) >= MAX_POLLS_AT_ONCE:
+                return
+            view.is_polled = True
+            poll = asyncio.create_task(self._poll(name, host, view))
+            self._polls.add(poll)
+            poll.add_done_callback(self._polls.discard)
+
+    def _drop_removed(self, known: Collection[str]) -> None:
+        for name in [name for name in self._views if name not in known]:
+            if self._views[name].running == 0:
+                del self._views[name]
+                self.health.forget(name)
+
+    async def _poll(self, name: str, host: HostState, view: WorkerView) -> None:
+        try:
+            await self.refresh(name, host)
+        finally:
+            view.is_polled = False
+            interval_ms = self._interval_ms(host)
+            jitter_ms = self._rng.uniform(-0.2, 0.2) * interval_ms
+            view.next_poll_ms = int(
+                self._clock.monotonic_ms() + interval_ms + jitter_ms
+            )
 
-    async def _refresh(self, name: str, host: HostState) -> None:
+    def _interval_ms(self, host: HostState) -> float:
+        if not self.is_routable(host):
+            return STATUS_INTERVAL_MS
+        count = len(self._control.state.hosts)
+        return max(STATUS_INTERVAL_MS, 1000 * count / STATUSES_PER_SECOND)
+
+    async def refresh(self, name: str, host: HostState) -> None:
+        """Ask a worker for its status and assign its pool if it is behind."""
         view = self.view(name)
         address = host.facts.address
         try:
-            view.status = await self._client.fetch_status(address)
-            view.failures = 0
-            if view.status.epoch < host.epoch:
+            status = await self._client.fetch_status(address)
+            self._take_status(view, status)
+            if status.epoch < host.epoch:
                 await self._client.assign(address, host.pool, host.epoch)
+                view.status = replace(status, pool=host.pool, epoch=host.epoch)
+        except TaskRefusedError as error:
+            log.info("assignment refused", host=name, code=error.code)
         except WorkerError as error:
-            view.failures += 1
-            log.info("worker status failed", host=name, error=repr(error))
+            self._note_lost_status(name, view, error)
+        self._capacities.clear()
+
+    def _take_status(self, view: WorkerView, status: WorkerStatus) -> None:
+        if view.status is not None and view.status.boot_id != status.boot_id:
+            self._forget_status(view)
+        view.status = status
+        view.failures = 0
+        view.is_unreachable = False
+        view.is_refusing = False
+        view.note_busy(status.busy)
+
+    def _note_lost_status(
+        self, name: str, view: WorkerView, error: WorkerError
+    ) -> None:
+        log.info("worker status failed", host=name, error=repr(error))
+        view.failures += 1
+        is_refused = isinstance(error, WorkerUnreachableError)
+        if is_refused or view.failures >= FAILURES_UNTIL_UNREACHABLE:
+            view.is_unreachable = True
+
+    def _forget_status(self, view: WorkerView) -> None:
+        view.status = None
+        view.next_poll_ms = 0
+        view.note_busy(0)
+        self._capacities.clear()
+
+    async def _run_listings(self, directory: HostDirectory) -> None:
+        while True:
+            with suppress(PlatformError):
+                self.note_listing(await directory.list_hosts())
+            count = len(self._control.state.hosts)
+            wait_ms = max(MIN_LISTING_MS, count * LISTING_MS_PER_HOST)
+            await self._clock.sleep_ms(wait_ms * self._rng.uniform(0.8, 1.2))
--- a/src/bergamotgap/ports/worker.py
+++ b/src/bergamotgap/ports/worker.py
@@ -61,10 +61,13 @@
 class TaskRefusedError(WorkerError):
     """The worker refused the task before its start; `code` tells why."""
 
-    def __init__(self, code: str, busy: int | None = None) -> None:
+    def __init__(
+        self, code: str, busy: int | None = None, boot_id: str | None = None
+    ) -> None:
         super().__init__(code)
         self.code = code
         self.busy = busy
+        self.boot_id = boot_id
 
 
 class WorkerUnreachableError(WorkerError):
@@ -90,6 +93,10 @@
     def busy(self) -> int | None:
         """Return the worker's running tasks, as told with the answer."""
 
+    @property
+    def boot_id(self) -> str | None:
+        """Return the worker's boot id, as told with the answer."""
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises TaskFateUnknownError when it is cut short."""
 
