Test the request path against lost, late, cut and silent answers

Cause: the mechanisms of the request path had no proof. Two faults of the code were found and mended: failures of tasks that were sent before an ejection counted as failed probes and doubled the ejection, and already ejected workers raised the pool's failure rate so far that no second bad worker was ejected. Ruled out: mocks of the client library, which would not show its reuse of connections.

--- a/src/bergamotgap/adapters/caller_http.py
+++ b/src/bergamotgap/adapters/caller_http.py
@@ -42,7 +42,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 # Set on a request once the head of its answer may have been sent.
-IS_STARTED = "is_started"
+IS_STARTED = web.RequestKey("is_started", bool)
 
 log = get_logger(__name__)
 
--- a/src/bergamotgap/domain/health.py
+++ b/src/bergamotgap/domain/health.py
@@ -70,7 +70,8 @@
         record = self._record(worker)
         self._count(record.results, 1.0, 0.0)
         self._count(self._entry_results(entry, worker), 1.0, 0.0)
-        if record.ejection is None:
+        # Tasks sent before the ejection end too, but are no probes.
+        if record.ejection is None or not record.ejection.is_probe_running:
             return
         record.ejection.probes_passed += 1
         if record.ejection.probes_passed >= PROBES_TO_READMIT:
@@ -87,7 +88,8 @@
         self._count(record.results, 0.0, weight)
         self._count(self._entry_results(entry, worker), 0.0, 1.0)
         if record.ejection is not None:
-            self._eject(record, record.ejection.level + 1)
+            if record.ejection.is_probe_running:
+                self._eject(record, record.ejection.level + 1)
             return False
         if not self._fails_more_than(record, worker, pool):
             return False
@@ -180,7 +182,11 @@
         if own.total < MIN_RESULTS:
             return False
         rate = own.failures / own.total
-        others = [self._record(name).results for name in pool if name != worker]
+        others = [
+            self._record(name).results
+            for name in pool
+            if name != worker and not self.is_ejected(name)
+        ]
         failures = sum(results.failures for results in others)
         total = sum(results.total for results in others)
         return rate >= max(MIN_FAILURE_RATE, RATE_FACTOR * failures / (total + 1.0))
--- /dev/null
+++ b/tests/test_request_answers.py
@@ -0,0 +1,145 @@
+"""The whole answer reaches the right caller, or none does (P3)."""
+
+import asyncio
+import hashlib
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from tests.request_harness import FakeWorker, Front, echo, wait_for
+
+LARGE = 300_000
+
+
+def cut_after(sent: int, size: int | None, total: int = LARGE) -> Any:
+    """Return a behaviour that closes its connection in the middle of the answer."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.start(task, "done", b"x" * total)
+        response = web.StreamResponse(headers=worker.headers(task))
+        response.content_length = size
+        await response.prepare(request)
+        await response.write(b"x" * sent)
+        await asyncio.sleep(0.05)
+        request.transport.close()
+        return response
+
+    return behave
+
+
+@pytest.mark.fault("truncated_answer", "answer")
+@pytest.mark.parametrize("size", [LARGE, None])
+async def test_large_answer_cut_short_never_looks_complete(size: int | None) -> None:
+    """Guards against a part of an answer that a caller takes for the whole."""
+    worker = FakeWorker(cut_after(200_000, size))
+    async with Front(worker) as front, front.open() as response:
+        assert response.status == 200
+        with pytest.raises(aiohttp.ClientError):
+            await response.read()
+
+
+@pytest.mark.fault("truncated_answer", "answer")
+async def test_cut_answer_resets_connection_of_old_callers() -> None:
+    """Guards against an orderly end, which means "complete" to HTTP/1.0 callers."""
+    async with Front(FakeWorker(cut_after(200_000, None))) as front:
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        head = "POST /v1/requests/report HTTP/1.0\r\nAuthorization: Bearer key\r\n\r\n"
+        writer.write(head.encode())
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(65536):
+                pass
+        writer.close()
+
+
+@pytest.mark.fault("truncated_answer", "answer")
+@pytest.mark.parametrize("size", [100, None])
+async def test_small_answer_cut_short_is_fetched_again(size: int | None) -> None:
+    """Guards against a lost answer whose result the worker still has."""
+    worker = FakeWorker(cut_after(50, size, total=100))
+    async with Front(worker) as front:
+        assert await front.request() == (200, "done", b"x" * 100)
+        assert len(worker.started) == 1
+
+
+async def send_late(worker: FakeWorker, request: web.Request, task: str) -> Any:
+    """Answer, and send the answer of another task after it."""
+    response = await echo(worker, request, task)
+    if len(worker.started) == 1:
+
+        async def send() -> None:
+            await asyncio.sleep(0.05)
+            late = b"HTTP/1.1 200 OK\r\nTask-Id: other\r\nContent-Length: 4\r\n\r\nlate"
+            worker.transports[0].write(late)
+
+        worker.late = asyncio.create_task(send())  # type: ignore[attr-defined]
+    return response
+
+
+@pytest.mark.fault("answer_lost", "answer")
+async def test_late_answer_never_reaches_next_request() -> None:
+    """Guards against a late answer on a kept connection that the next caller gets."""
+    worker = FakeWorker(send_late)
+    async with Front(worker) as front:
+        assert await front.request(b"first") == (200, "done", b"first")
+        await worker.late  # type: ignore[attr-defined]
+        for body in (b"second", b"third"):
+            assert await front.request(body) == (200, "done", body)
+
+
+async def test_large_answer_is_streamed_with_bounded_memory() -> None:
+    """Guards against an entry host that holds answers of slow callers in memory."""
+    chunk, count = b"y" * (1 << 20), 128
+    sent = 0
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        nonlocal sent
+        response = web.StreamResponse(headers=worker.headers(task))
+        await response.prepare(request)
+        for _ in range(count):
+            await response.write(chunk)
+            sent += 1
+        await response.write_eof()
+        return response
+
+    async with Front(FakeWorker(behave), progress_ms=5000) as front:
+        async with front.open() as response:
+            seen = -1
+            while sent != seen:
+                seen = sent
+                await asyncio.sleep(0.5)
+            assert seen < 48, "the worker sent most of the answer to no reader"
+            digest = hashlib.sha256()
+            async for part in response.content.iter_any():
+                digest.update(part)
+        assert digest.digest() == hashlib.sha256(chunk * count).digest()
+
+
+async def test_failed_task_is_told_as_failed() -> None:
+    """Guards against a failed task whose answer looks like a result."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.start(task, "failed", b"no such ledger")
+        return worker.answer(task, status=500)
+
+    async with Front(FakeWorker(behave)) as front:
+        status, outcome, body = await front.request()
+        assert (status, outcome) == (502, "failed")
+        assert b"no such ledger" in body
+
+
+async def test_caller_that_goes_away_cancels_its_task() -> None:
+    """Guards against tasks that run on for nobody."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.start(task, "running")
+        await asyncio.sleep(60)
+
+    worker = FakeWorker(behave)
+    async with Front(worker, progress_ms=10_000) as front:
+        request = asyncio.create_task(front.request())
+        await wait_for(lambda: worker.started)
+        request.cancel()
+        await wait_for(lambda: worker.calls == ["cancel", "stop"])
+        assert front.admission.pool_demand()["reports"] == 0
--- /dev/null
+++ b/tests/test_request_outcomes.py
@@ -0,0 +1,244 @@
+"""The outcome told to a caller is true (P4), also after lost answers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from aiohttp import web
+
+from bergamotgap.domain.outcomes import Expired
+from bergamotgap.node.admission import NotAdmittedError
+from tests.request_harness import FakeWorker, Front, echo, wait_for
+
+
+def keep_silent(state: str) -> Any:
+    """Return a behaviour that takes the first order and never answers it."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        if len(worker.transports) > 1:
+            return await echo(worker, request, task)
+        if state != "unknown":
+            worker.start(task, state, await request.read())
+        await asyncio.sleep(60)
+
+    return behave
+
+
+def refuse(code: str) -> Any:
+    """Return a behaviour that refuses all orders."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        return worker.refuse(task, code)
+
+    return behave
+
+
+@pytest.mark.fault("silent_connection", "answer")
+async def test_result_of_silent_connection_is_fetched_over_new_one() -> None:
+    """Guards against a second run, or a lost result, after a silent connection."""
+    worker = FakeWorker(keep_silent("done"))
+    async with Front(worker) as front:
+        assert await front.request(b"q1") == (200, "done", b"q1")
+        assert len(worker.started) == 1
+
+
+@pytest.mark.fault("silent_connection", "running")
+async def test_running_task_of_silent_connection_is_waited_for() -> None:
+    """Guards against giving up on a task that still runs."""
+    worker = FakeWorker(keep_silent("running"))
+    async with Front(worker) as front:
+        request = asyncio.create_task(front.request(b"q1"))
+        await wait_for(lambda: worker.calls.count("status") >= 2)
+        worker.tasks[worker.started[0]] = ("done", b"q1")
+        assert await request == (200, "done", b"q1")
+        assert len(worker.started) == 1
+
+
+@pytest.mark.fault("silent_connection", "dispatch")
+async def test_idle_connections_are_left_after_silence() -> None:
+    """Guards against a next request on connections that may be silent too."""
+    worker = FakeWorker()
+    async with Front(worker) as front:
+        await asyncio.gather(*(front.request() for _ in range(4)))
+        open_before = set(worker.transports)
+        worker.transports.clear()
+        worker.behaviour = keep_silent("done")
+        await front.request()
+        assert worker.transports[0] in open_before
+        for _ in range(5):
+            await front.request()
+        assert not open_before & set(worker.transports[1:])
+
+
+@pytest.mark.fault("answer_lost", "dispatch")
+async def test_lost_order_is_refused_for_good_before_it_is_placed_again() -> None:
+    """Guards against two runs when a lost order arrives late."""
+    worker = FakeWorker(keep_silent("unknown"))
+    async with Front(worker) as front:
+        assert await front.request() == (200, "done", b"q")
+        assert [state for state, _ in worker.tasks.values()] == ["refused", "done"]
+
+
+@pytest.mark.fault("answer_lost", "dispatch")
+async def test_not_run_is_told_only_after_workers_refused_for_good() -> None:
+    """Guards against "not run" for an order that a worker may still start."""
+    tasks = []
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        tasks.append(task)
+        await asyncio.sleep(60)
+
+    worker = FakeWorker(behave)
+    async with Front(worker, progress_ms=50) as front:
+        assert (await front.request())[:2] == (503, "not_run")
+        assert {task: "refused" for task in tasks} == {
+            task: state for task, (state, _) in worker.tasks.items()
+        }
+
+
+@pytest.mark.fault("crash", "running")
+async def test_outcome_is_unknown_after_worker_restart() -> None:
+    """Guards against "not run" from a worker that forgot its tasks by a restart."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.started.append(task)
+        worker.boot_id = "boot-2"
+        request.transport.close()
+
+    worker = FakeWorker(behave)
+    async with Front(worker) as front:
+        status, outcome, _ = await front.request()
+        assert (status, outcome) == (504, "unknown")
+
+
+@pytest.mark.fault("crash", "running")
+async def test_outcome_is_unknown_when_worker_is_gone() -> None:
+    """Guards against "not run" when nobody can tell."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.started.append(task)
+        for site in list(worker.runner.sites):
+            await site.stop()
+        request.transport.abort()
+
+    async with Front(FakeWorker(behave)) as front:
+        assert (await front.request())[:2] == (504, "unknown")
+
+
+async def test_task_past_its_deadline_is_stopped_and_unknown() -> None:
+    """Guards against "expired" or "not run" for a task that runs."""
+    worker = FakeWorker(keep_silent("running"))
+    async with Front(worker) as front:
+        status, outcome, _ = await front.request(Deadline_Ms="300")
+        assert (status, outcome) == (504, "unknown")
+        await wait_for(lambda: "stop" in worker.calls)
+
+
+@pytest.mark.parametrize("code", ["busy", "stale_epoch", "wrong_boot", "draining"])
+async def test_refusals_everywhere_are_not_run(code: str) -> None:
+    """Guards against unbounded placements, and against "unknown" for refusals."""
+    workers = [FakeWorker(refuse(code)) for _ in range(3)]
+    async with Front(*workers) as front:
+        async with front.open() as response:
+            assert response.status == 503
+            assert response.headers["Outcome"] == "not_run"
+            assert int(response.headers["Retry-After"]) >= 1
+        assert sum(len(worker.transports) for worker in workers) <= 8
+        assert not any(worker.started for worker in workers)
+
+
+async def test_duplicate_is_no_proof_of_not_run() -> None:
+    """Guards against "not run" when the worker already knows the task."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.start(task, "done", b"r")
+        return worker.refuse(task, "duplicate")
+
+    async with Front(FakeWorker(behave)) as front:
+        assert await front.request() == (200, "done", b"r")
+
+
+@pytest.mark.fault("answer_lost", "dispatch")
+async def test_refusal_of_other_task_is_no_proof_of_not_run() -> None:
+    """Guards against "not run" from a late refusal of a former task."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.start(task, "done", b"r")
+        return worker.refuse("other", "cancelled")
+
+    async with Front(FakeWorker(behave)) as front:
+        assert await front.request() == (200, "done", b"r")
+
+
+@pytest.mark.fault("crash", "dispatch")
+async def test_unreachable_worker_is_passed_over_without_budget() -> None:
+    """Guards against failed requests when a worker's process is gone."""
+    gone, well = FakeWorker(), FakeWorker(data_centre="dc-2")
+    async with Front(gone, well) as front:
+        await gone.runner.cleanup()
+        for _ in range(3):
+            assert await front.request() == (200, "done", b"q")
+        assert front.views.pool_capacity("reports") == 8
+
+
+async def test_request_leaves_queue_when_caller_goes_away() -> None:
+    """Guards against queued requests that are dispatched for nobody."""
+    states: list[str] = []
+
+    @asynccontextmanager
+    async def admit(entry: Any, deadline_at_ms: int) -> AsyncIterator[Any]:
+        states.append("queued")
+        try:
+            await asyncio.sleep(60)
+            yield
+        except asyncio.CancelledError:
+            states.append("left")
+            raise
+
+    worker = FakeWorker()
+    async with Front(worker) as front:
+        front.admission.admit = admit  # type: ignore[method-assign]
+        request = asyncio.create_task(front.request())
+        await wait_for(lambda: states == ["queued"])
+        request.cancel()
+        await wait_for(lambda: states == ["queued", "left"])
+        assert not worker.transports
+
+
+async def test_request_that_expires_in_queue_is_expired() -> None:
+    """Guards against another outcome for a request that never left its queue."""
+
+    @asynccontextmanager
+    async def admit(entry: Any, deadline_at_ms: int) -> AsyncIterator[Any]:
+        raise NotAdmittedError(Expired())
+        yield
+
+    async with Front(FakeWorker()) as front:
+        front.admission.admit = admit  # type: ignore[method-assign]
+        assert (await front.request())[:2] == (504, "expired")
+
+
+async def test_concurrent_callers_get_their_own_answers() -> None:
+    """Guards against answers that are mixed up between callers at the same time."""
+    async with Front(FakeWorker(), FakeWorker()) as front:
+        bodies = [f"request {number}".encode() for number in range(100)]
+        answers = await asyncio.gather(*(front.request(body) for body in bodies))
+        assert [answer[2] for answer in answers] == bodies
+
+
+async def test_connections_of_broken_callers_leave_no_trace() -> None:
+    """Guards against slots held by callers that broke off in the middle."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        worker.start(task, "done", b"z" * 1_000_000)
+        return worker.answer(task)
+
+    async with Front(FakeWorker(behave)) as front:
+        for _ in range(10):
+            async with front.open() as response:
+                assert response.status == 200
+                response.close()
+        await wait_for(lambda: front.admission.pool_demand()["reports"] == 0)
+        await wait_for(lambda: front.gate.in_progress == 0)
--- /dev/null
+++ b/tests/test_request_retries.py
@@ -0,0 +1,82 @@
+"""Retries stay within their budget and never repeat what must not be repeated."""
+
+import random
+from typing import Any
+
+import pytest
+from aiohttp import web
+
+from bergamotgap.domain.catalogue import parse_catalogue
+from bergamotgap.domain.retries import MAX_REFUSALS, RetryBudget, RetryPlan
+from tests.request_harness import DOCUMENT, FakeWorker, Front
+from tests.test_request_answers import cut_after
+
+
+async def fail(worker: FakeWorker, request: web.Request, task: str) -> Any:
+    """Start the task and fail it at once."""
+    worker.start(task, "failed", b"disk full")
+    return worker.answer(task, status=500)
+
+
+def build_plan(entry: str, requests: int) -> RetryPlan:
+    """Return the plan of a request whose entry had a number of requests."""
+    found = parse_catalogue(DOCUMENT).find_entry(entry)
+    assert found is not None
+    budget = RetryBudget()
+    for _ in range(requests):
+        budget.note_request(entry)
+    return RetryPlan(found, 10_000, budget, random.Random(1))
+
+
+async def test_failed_task_is_run_again_on_another_host() -> None:
+    """Guards against callers that see the failure of one bad worker."""
+    bad, good = FakeWorker(fail), FakeWorker(data_centre="dc-2")
+    async with Front(bad, good) as front:
+        front.fill_budget()
+        assert await front.request() == (200, "done", b"q")
+        assert (len(bad.started), len(good.started)) == (1, 1)
+
+
+@pytest.mark.fault("worker_fails_everything", "running")
+async def test_retries_add_at_most_a_tenth_of_load() -> None:
+    """Guards against retries that multiply the load of an entry that fails."""
+    workers = [FakeWorker(fail) for _ in range(3)]
+    async with Front(*workers) as front:
+        for _ in range(100):
+            assert (await front.request())[1] == "failed"
+        assert sum(len(worker.started) for worker in workers) == 110
+
+
+async def test_nothing_is_run_again_after_the_first_byte() -> None:
+    """Guards against two answers mixed into one."""
+    workers = [FakeWorker(cut_after(200_000, 300_000)) for _ in range(2)]
+    async with Front(*workers) as front:
+        front.fill_budget()
+        with pytest.raises(Exception, match="payload"):
+            await front.request()
+        assert sum(len(worker.started) for worker in workers) == 1
+
+
+def test_non_idempotent_work_is_never_retried() -> None:
+    """Guards against a second run of work that must run at most once."""
+    assert build_plan("report", 100).after_failure(0) is not None
+    assert build_plan("bill", 100).after_failure(0) is None
+
+
+def test_retries_end_by_budget_count_and_deadline() -> None:
+    """Guards against a request that is retried without end."""
+    assert build_plan("report", 9).after_failure(0) is None
+    plan = build_plan("report", 100)
+    waits = [plan.after_failure(0) for _ in range(3)]
+    assert waits[2] is None
+    assert len(set(waits)) == 3
+    assert build_plan("report", 100).after_failure(10_000) is None
+
+
+def test_refused_placements_are_bounded_without_budget() -> None:
+    """Guards against a request that is placed again for ever while all are busy."""
+    plan = build_plan("bill", 0)
+    waits = [plan.after_refusal(0) for _ in range(MAX_REFUSALS)]
+    assert None not in waits[:-1]
+    assert waits[-1] is None
+    assert build_plan("bill", 0).after_refusal(10_000) is None
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,267 @@
+"""Work goes to workers that can take it, and not to those that fail it."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from bergamotgap.domain.catalogue import Entry, parse_catalogue
+from bergamotgap.domain.clock import ManualClock
+from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.health import FIRST_EJECTION_MS, HealthTracker
+from bergamotgap.domain.hosts import HostFacts
+from bergamotgap.domain.routing import choose_worker, estimate_load
+from bergamotgap.node.admission import Admission, NotAdmittedError
+from bergamotgap.node.placement import Placer
+from bergamotgap.node.streams import Stream
+from bergamotgap.node.workers import LISTED_LEAVING_MS, Workers
+from bergamotgap.ports.platform import HostListing
+from bergamotgap.ports.worker import (
+    TaskRefusedError,
+    WorkerStatus,
+    WorkerUnreachableError,
+)
+from tests.request_harness import DOCUMENT, POOL, build_host, fold
+
+POOL_NAMES = [f"w{number}" for number in range(6)]
+
+
+class ScriptedClient:
+    """Give statuses that a test has set."""
+
+    def __init__(self) -> None:
+        self.statuses: dict[str, WorkerStatus] = {}
+        self.assigned: list[tuple[str, str | None, int]] = []
+        self.is_refusing_assignment = False
+
+    async def fetch_status(self, address: str) -> WorkerStatus:
+        if address not in self.statuses:
+            raise WorkerUnreachableError(address)
+        return self.statuses[address]
+
+    async def assign(self, address: str, pool: str | None, epoch: int) -> None:
+        if self.is_refusing_assignment:
+            raise TaskRefusedError("stale_epoch")
+        self.assigned.append((address, pool, epoch))
+
+
+class World:
+    """Six workers in two data centres, and what this node believes of them."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.client = ScriptedClient()
+        self.control = Stream("control", ControlState(), self.clock)
+        for number, name in enumerate(POOL_NAMES):
+            fold(self.control, build_host(name, name, f"dc-{1 + number // 3}"))
+            self.client.statuses[name] = WorkerStatus(
+                name, 0, 0, "boot-1", POOL, 1, "serving", 8, 0, 0.0, 0, 0
+            )
+        rng = random.Random(7)
+        self.workers = Workers(self.control, self.client, self.clock, rng=rng)
+        admission = Admission(self.clock, self.workers.pool_capacity, list)
+        self.placer = Placer(
+            lambda: self.control.state, self.workers, admission, "dc-1", rng
+        )
+        entry = parse_catalogue(DOCUMENT).find_entry("report")
+        assert entry is not None
+        self.entry: Entry = entry
+
+    async def refresh(self) -> None:
+        for name, host in self.control.state.hosts.items():
+            await self.workers.refresh(name, host)
+
+    def set_status(self, name: str, **changes: object) -> None:
+        status = self.client.statuses[name]
+        self.client.statuses[name] = replace(status, **changes)  # type: ignore[arg-type]
+
+    async def place(self, avoid: frozenset[str] = frozenset()) -> str:
+        async with self.placer.place(self.entry, 1 << 40, avoid) as placement:
+            return placement.host
+
+    async def count(self, times: int = 200) -> Counter[str]:
+        """Return how often each worker is chosen; every task ends at once."""
+        hosts = Counter()
+        for _ in range(times):
+            host = await self.place()
+            self.placer.note_answer(host, 0, "boot-1")
+            hosts[host] += 1
+        return hosts
+
+    async def fail(self, host: str, times: int = 8, entry: str = "report") -> None:
+        for _ in range(times):
+            self.workers.note_failure(entry, host, POOL)
+
+
+@pytest.fixture
+async def world() -> World:
+    """Return a world whose statuses are known."""
+    made = World()
+    await made.refresh()
+    return made
+
+
+def test_least_loaded_of_sample_is_chosen_near_before_far() -> None:
+    """Guards against far or loaded workers while near ones are free."""
+    rng = random.Random(1)
+    loads = {"a": 3, "b": 1, "c": 2, "far": 0}
+    groups = [["a", "b", "c"], ["far"]]
+
+    def choose(limit: int) -> str | None:
+        return choose_worker(
+            groups, [lambda item: loads[item] < limit], loads.__getitem__, rng
+        )
+
+    assert choose(4) == "b"
+    assert choose(1) == "far"
+    assert choose(0) is None
+
+
+def test_single_free_worker_of_large_pool_is_found() -> None:
+    """Guards against a refusal because the random sample saw only full workers."""
+    rng = random.Random(1)
+    found = choose_worker([range(500)], [lambda item: item == 333], lambda _: 0.0, rng)
+    assert found == 333
+
+
+def test_load_counts_what_reports_do_not_show_yet() -> None:
+    """Guards against all work at the worker whose report is oldest."""
+    assert estimate_load(running=1, reported_busy=2, sent_since_report=3) == 5
+    assert estimate_load(running=6, reported_busy=0, sent_since_report=0) == 6
+
+
+async def test_local_workers_are_used_until_full(world: World) -> None:
+    """Guards against traffic between data centres while local slots are free."""
+    assert set(await world.count()) == {"w0", "w1", "w2"}
+    for name in ("w0", "w1", "w2"):
+        world.workers.view(name).note_busy(8)
+    assert set(await world.count()) <= {"w3", "w4", "w5"}
+
+
+async def test_resources_and_avoided_hosts_are_respected(world: World) -> None:
+    """Guards against tasks on hosts without room, or on the host that just failed."""
+    world.workers.view("w0").reserved_memory_mb = 4096
+    assert "w0" not in await world.count()
+    avoid = frozenset(POOL_NAMES[1:])
+    assert await world.place(avoid) == "w0"
+    assert await world.place(frozenset(POOL_NAMES)) in POOL_NAMES
+
+
+@pytest.mark.fault("worker_fails_everything", "dispatch")
+async def test_worker_that_fails_fast_attracts_no_work(world: World) -> None:
+    """Guards against a nearly idle worker that fails all it gets."""
+    attempts: Counter[str] = Counter()
+    for _ in range(300):
+        host = await world.place()
+        attempts[host] += 1
+        world.placer.note_answer(host, 0 if host == "w0" else 7, "boot-1")
+        if host == "w0":
+            world.placer.note_failure(world.entry, host, "failed")
+        else:
+            world.placer.note_success(world.entry, host, 1.0)
+    assert attempts["w0"] <= 10
+    assert world.workers.pool_capacity(POOL) == 40
+
+
+@pytest.mark.fault("worker_fails_everything", "dispatch")
+async def test_at_most_a_third_of_pool_is_ejected(world: World) -> None:
+    """Guards against ejections that empty a pool."""
+    for name in POOL_NAMES:
+        await world.fail(name, entry=f"entry-{name}")
+    assert world.workers.health.count_ejected(POOL_NAMES) == 2
+
+
+@pytest.mark.fault("worker_fails_everything", "dispatch")
+async def test_entry_that_fails_everywhere_ejects_no_worker(world: World) -> None:
+    """Guards against a bad entry that takes workers away from good ones."""
+    for _ in range(20):
+        for name in POOL_NAMES:
+            await world.fail(name, times=1, entry="broken")
+            world.workers.health.note_success("report", name)
+    assert world.workers.health.count_ejected(POOL_NAMES) == 0
+
+
+def test_ejected_worker_returns_by_probes_with_growing_waits() -> None:
+    """Guards against a bad worker that returns too soon, or a good one that doesn't."""
+    clock = ManualClock()
+    health = HealthTracker(clock)
+    for _ in range(8):
+        health.note_failure("report", "w0", POOL_NAMES)
+    assert health.is_ejected("w0") and not health.is_probe_due("w0")
+    clock.advance_ms(FIRST_EJECTION_MS)
+    assert health.is_probe_due("w0")
+    health.begin_probe("w0")
+    assert not health.is_probe_due("w0")
+    health.note_failure("report", "w0", POOL_NAMES)
+    clock.advance_ms(FIRST_EJECTION_MS)
+    assert not health.is_probe_due("w0")
+    clock.advance_ms(FIRST_EJECTION_MS)
+    for _ in range(3):
+        assert health.is_probe_due("w0")
+        health.begin_probe("w0")
+        health.note_success("report", "w0")
+        health.end_probe("w0")
+    assert not health.is_ejected("w0")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "leaving"},
+        {"state": "draining"},
+        {"epoch": 2},
+        {"pool": "other"},
+    ],
+)
+async def test_worker_that_says_so_itself_gets_no_work(
+    world: World, changes: dict[str, object]
+) -> None:
+    """Guards against work for a worker that leaves or is in another pool (P7)."""
+    world.set_status("w0", **changes)
+    await world.refresh()
+    assert "w0" not in await world.count()
+    assert world.workers.pool_capacity(POOL) == 40
+
+
+@pytest.mark.fault("host_list_wrong", "dispatch")
+async def test_host_list_refusals_and_refused_connections_count(world: World) -> None:
+    """Guards against work for a leaving worker whose own status is still old (P7)."""
+    facts = HostFacts("w0", "w0", "dc-1", "r", 8, 4096, 0, 8, 64, POOL, is_leaving=True)
+    world.workers.note_listing(HostListing(0, (facts,)))
+    world.placer.note_failure(world.entry, "w1", "leaving")
+    world.placer.note_failure(world.entry, "w2", "unreachable")
+    assert not {"w0", "w1", "w2"} & set(await world.count())
+    # A list that keeps naming a serving worker is not believed for ever.
+    world.clock.advance_ms(LISTED_LEAVING_MS)
+    await world.refresh()
+    assert set(await world.count()) == {"w0", "w1", "w2"}
+
+
+async def test_worker_with_older_epoch_is_assigned_its_pool(world: World) -> None:
+    """Guards against a restarted worker that never gets its pool back."""
+    world.set_status("w0", pool=None, epoch=0, boot_id="boot-2")
+    await world.refresh()
+    assert world.client.assigned == [("w0", POOL, 1)]
+    assert "w0" in await world.count()
+    world.client.is_refusing_assignment = True
+    await world.refresh()
+    assert "w0" not in await world.count()
+
+
+async def test_new_boot_id_in_an_answer_is_learned(world: World) -> None:
+    """Guards against tasks fenced with the boot id of a former boot."""
+    world.placer.note_answer("w0", 0, "boot-2")
+    assert "w0" not in await world.count()
+    world.set_status("w0", boot_id="boot-2")
+    await world.refresh()
+    assert world.workers.pool_capacity(POOL) == 48
+
+
+async def test_no_routable_worker_is_not_run(world: World) -> None:
+    """Guards against a request that hangs when its pool is down."""
+    world.client.statuses.clear()
+    await world.refresh()
+    with pytest.raises(NotAdmittedError) as caught:
+        await world.place()
+    assert caught.value.outcome.tag == "not_run"
--- /dev/null
+++ b/tests/test_worker_client.py
@@ -0,0 +1,148 @@
+"""The worker client tells what an answer proves."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import Any
+
+import pytest
+from aiohttp import web
+
+from bergamotgap.adapters.worker_connections import WorkerConnections, open_session
+from bergamotgap.adapters.worker_http import HttpWorkerClient
+from bergamotgap.domain.clock import SystemClock
+from bergamotgap.ports.worker import (
+    TaskFateUnknownError,
+    TaskOrder,
+    TaskRefusedError,
+    WorkerUnreachableError,
+)
+from tests.request_harness import FakeWorker, echo
+
+ORDER = TaskOrder("t1", "report", "normal", 1, "boot-1", None, 1000, 1, 1, 0, b"body")
+
+
+async def open_client(stack: AsyncExitStack, limit: int = 8) -> HttpWorkerClient:
+    """Return a client that the stack closes."""
+    pooled = await stack.enter_async_context(open_session(0))
+    fresh = await stack.enter_async_context(open_session(0, False))
+    connections = WorkerConnections(limit)
+    client = HttpWorkerClient(pooled, fresh, SystemClock(), connections)
+    stack.push_async_callback(client.close)
+    return client
+
+
+async def run(client: HttpWorkerClient, address: str, task: str = "t1") -> bytes:
+    """Run an order and return its whole answer."""
+    async with client.run(address, ORDER, 200) as answer:
+        return b"".join([chunk async for chunk in answer.chunks()])
+
+
+async def answer_raw(head: str) -> tuple[asyncio.Server, str]:
+    """Return a server that sends fixed bytes to every request, and its address."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"body")
+        writer.write(head.encode())
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, "127.0.0.1:{1}".format(*server.sockets[0].getsockname())
+
+
+@pytest.mark.fault("truncated_answer", "answer")
+@pytest.mark.parametrize(
+    "lines",
+    [
+        "Task-Id: t1\r\n\r\nwhole?",
+        "Task-Id: t1\r\nContent-Length: 9\r\n\r\npart",
+        "Task-Id: t1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+        "Task-Id: t2\r\nContent-Length: 4\r\n\r\npart",
+        "Content-Length: 4\r\n\r\npart",
+        "Task-Id: t2\r\nTask-Refused: busy\r\nContent-Length: 0\r\n\r\n",
+        "Task-",
+        "",
+    ],
+)
+async def test_doubtful_answer_leaves_the_fate_unknown(lines: str) -> None:
+    """Guards against parts, and answers of other tasks, that are taken for whole."""
+    async with AsyncExitStack() as stack:
+        server, address = await answer_raw("HTTP/1.1 200 OK\r\n" + lines)
+        stack.callback(server.close)
+        client = await open_client(stack)
+        with pytest.raises(TaskFateUnknownError):
+            await run(client, address)
+
+
+async def test_refused_connection_proves_that_nothing_was_sent() -> None:
+    """Guards against "unknown" for a worker that is not there."""
+    async with AsyncExitStack() as stack:
+        server, address = await answer_raw("")
+        server.close()
+        await server.wait_closed()
+        client = await open_client(stack)
+        for call in (run(client, address), client.fetch_status(address)):
+            with pytest.raises(WorkerUnreachableError):
+                await call
+
+
+async def test_connections_to_a_worker_are_bounded() -> None:
+    """Guards against more connections than a worker takes."""
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        await asyncio.sleep(0.1)
+        return await echo(worker, request, task)
+
+    async with AsyncExitStack() as stack:
+        worker = FakeWorker(behave)
+        await worker.serve(stack)
+        client = await open_client(stack, limit=2)
+        calls = [run(client, worker.address) for _ in range(3)]
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        assert results[:2] == [b"body", b"body"]
+        assert isinstance(results[2], TaskRefusedError)
+        assert await run(client, worker.address) == b"body"
+
+
+async def test_malformed_status_is_an_error_of_the_port() -> None:
+    """Guards against a poll task that ends by an answer it can't read."""
+
+    async def status(request: web.Request) -> web.Response:
+        return web.json_response({"worker": 5})
+
+    async with AsyncExitStack() as stack:
+        app = web.Application()
+        app.router.add_get("/v1/status", status)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        client = await open_client(stack)
+        with pytest.raises(TaskFateUnknownError):
+            await client.fetch_status("127.0.0.1:{1}".format(*runner.addresses[0]))
+
+
+@pytest.mark.fault("silent_connection", "running")
+async def test_status_is_asked_over_new_connection_after_silence() -> None:
+    """Guards against a worker taken for dead because its kept connection is silent."""
+    seen: list[Any] = []
+
+    async def status(request: web.Request) -> web.Response:
+        seen.append(request.transport)
+        if len(seen) == 2:
+            await asyncio.sleep(60)
+        payload = {"worker": "w", "time_ms": 1, "boot_id": "b", "pool": None}
+        payload |= {"epoch": 0, "state": "serving", "slots": 8, "busy": 0}
+        return web.json_response(payload | {"usage": {}, "usage_as_of_ms": 1})
+
+    async with AsyncExitStack() as stack:
+        app = web.Application()
+        app.router.add_get("/v1/status", status)
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        client = await open_client(stack)
+        address = "127.0.0.1:{1}".format(*runner.addresses[0])
+        for _ in range(2):
+            assert (await client.fetch_status(address)).boot_id == "b"
+        assert seen[0] is seen[1] and seen[2] is not seen[1]
