--- a/src/bergamotgap/adapters/operator_http.py
+++ b/src/bergamotgap/adapters/operator_http.py
@@ -12,8 +12,8 @@
     AppendRefusedError,
     AppendUnknownError,
     Stream,
-    StreamWriter,
 )
+from bergamotgap.node.writer import StreamWriter
 
 APPEND_TIMEOUT_MS = 10_000
 
--- a/src/bergamotgap/adapters/platform_http.py
+++ b/src/bergamotgap/adapters/platform_http.py
@@ -10,6 +10,7 @@
     LogPage,
     LogRecord,
     OffsetDroppedError,
+    PlatformBusyError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
@@ -40,6 +41,8 @@
             ) as response:
                 if response.status >= 500:
                     raise PlatformOutcomeUnknownError(f"status {response.status}")
+                if response.status == TOO_MANY_REQUESTS:
+                    raise PlatformBusyError("append rate exceeded")
                 if response.status != 200:
                     raise PlatformUnavailableError(f"status {response.status}")
                 return int((await response.json())["offset"])
--- a/src/bergamotgap/domain/control_state.py
+++ b/src/bergamotgap/domain/control_state.py
@@ -81,7 +81,7 @@
 
     def encode(self) -> bytes:
         """Encode the whole state; equal states give equal bytes."""
-        return msgspec.json.encode(self._data, order="sorted")
+        return msgspec.json.encode(self._data)
 
     @classmethod
     def decode(cls, encoded: bytes) -> Self:
--- /dev/null
+++ b/src/bergamotgap/node/following.py
@@ -0,0 +1,272 @@
+"""Keep a stream up to date from the platform or from other entry hosts."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Generic, TypeVar
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.folding import FoldedState
+from bergamotgap.domain.sources import PLATFORM, SourceCandidate, rank_sources
+from bergamotgap.node.membership import Membership
+from bergamotgap.node.platform_health import PlatformHealth
+from bergamotgap.node.snapshots import read_newest_snapshot
+from bergamotgap.node.streams import Stream
+from bergamotgap.ports.peer import PeerClient, PeerError, RelayBatch, StateCopy
+from bergamotgap.ports.platform import OffsetDroppedError, PlatformError
+
+PAGE_RECORDS = 500
+LONG_POLL_MS = 1000
+HEARTBEAT_MS = 500
+SILENCE_MS = 1500
+STALE_MS = 4000
+FAILED_SOURCE_MS = 3000
+RETRY_MS = 500
+NEVER_HEARD_MS = 1 << 40
+
+S = TypeVar("S", bound=FoldedState)
+
+log = get_logger(__name__)
+
+
+class SourceLostError(Exception):
+    """The source gave nothing, or only old news, for too long."""
+
+
+async def relay_stream(stream: Stream[S], offset: int) -> AsyncIterator[RelayBatch]:
+    """Yield a stream's records from memory, and an empty batch as a heartbeat.
+
+    Ends at once when the offset is older than what is kept in memory; the batch then
+    says from where on records can be had.
+    """
+    next_offset = offset
+    while True:
+        first_offset = stream.tail_offset
+        records = stream.list_tail(next_offset)[:PAGE_RECORDS]
+        if next_offset < first_offset:
+            records = ()
+        age_ms = stream.age_ms
+        yield RelayBatch(
+            records, NEVER_HEARD_MS if age_ms is None else age_ms, first_offset
+        )
+        if next_offset < first_offset:
+            return
+        if records:
+            next_offset = records[-1].offset + 1
+        if next_offset >= stream.next_offset:
+            await stream.wait_for_growth(HEARTBEAT_MS)
+
+
+class Follower(Generic[S]):
+    """Own the task that reads one stream from the best source there is."""
+
+    def __init__(
+        self,
+        stream: Stream[S],
+        decode: Callable[[bytes], S],
+        platform: PlatformHealth,
+        peers: PeerClient,
+        membership: Membership,
+        clock: Clock,
+    ) -> None:
+        self._stream = stream
+        self._decode = decode
+        self._platform = platform
+        self._peers = peers
+        self._membership = membership
+        self._clock = clock
+        self._failed_ms: dict[str, int] = {}
+        self._source: str | None = None
+        self._is_caught_up = False
+
+    @property
+    def stream(self) -> Stream[S]:
+        """Return the stream that is kept up to date."""
+        return self._stream
+
+    @property
+    def source(self) -> str | None:
+        """Return PLATFORM or the node id that the stream is read from."""
+        return self._source
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Return whether the stream once reached the end that its source knew."""
+        return self._is_caught_up
+
+    async def run(self) -> None:
+        """Load a state, then follow the stream for good."""
+        while not self._stream.is_loaded:
+            await self._try_load()
+        while self._stream.halt_reason is None:
+            self._source = self._choose_source()
+            try:
+                await self._follow(self._source)
+            except OffsetDroppedError:
+                await self._try_load()
+            except (PlatformError, PeerError, SourceLostError) as error:
+                self._note_lost(self._source, error)
+                await self._pause_if_all_failed()
+
+    def _note_lost(self, source: str, error: Exception) -> None:
+        # While the platform is down every source fails in turn; one line for each
+        # is enough.
+        write = log.debug if source in self._failed_ms else log.warning
+        write(
+            "stream source lost",
+            stream=self._stream.name,
+            source=source,
+            error=str(error),
+        )
+        self._failed_ms[source] = self._clock.monotonic_ms()
+
+    def _note_alive(self, source: str) -> None:
+        if self._failed_ms.pop(source, None) is not None:
+            log.info("stream source back", stream=self._stream.name, source=source)
+
+    async def _try_load(self) -> None:
+        """Take the newest state from a snapshot or from any peer."""
+        best, first_offset = await self._read_platform_state()
+        for copy in await self._fetch_peer_states():
+            if best is None or copy.next_offset > best.next_offset:
+                best = copy
+        if best is not None and best.next_offset >= (first_offset or 0):
+            if self._stream.load(self._decode(best.state), best.next_offset):
+                log.info(
+                    "state loaded",
+                    stream=self._stream.name,
+                    next_offset=best.next_offset,
+                )
+            # Without the platform, the newest state among the peers is the best
+            # there is, and this host serves with it.
+            self._is_caught_up = self._is_caught_up or first_offset is None
+            return
+        if first_offset == 0:
+            self._stream.note_heard()
+            return
+        log.warning(
+            "no state to start from",
+            stream=self._stream.name,
+            first_offset=first_offset,
+        )
+        await self._clock.sleep_ms(RETRY_MS)
+
+    async def _read_platform_state(self) -> tuple[StateCopy | None, int | None]:
+        try:
+            seen = await read_newest_snapshot(self._platform, self._stream.name)
+            try:
+                page = await self._platform.read(self._stream.name, 0, 1, 0)
+                first_offset = page.first_offset
+            except OffsetDroppedError as error:
+                first_offset = error.first_offset
+        except PlatformError as error:
+            log.warning("snapshot not read", error=str(error))
+            return None, None
+        return (seen.copy if seen else None), first_offset
+
+    async def _fetch_peer_states(self) -> list[StateCopy]:
+        async def fetch(address: str) -> StateCopy | None:
+            try:
+                return await self._peers.fetch_state(address, self._stream.name)
+            except PeerError:
+                return None
+
+        addresses = self._membership.list_addresses()
+        copies = await asyncio.gather(*(fetch(address) for address in addresses))
+        return [copy for copy in copies if copy is not None]
+
+    def _rank_sources(self) -> tuple[str, ...]:
+        return rank_sources(
+            SourceCandidate(
+                self._membership.node_id,
+                self._membership.data_centre,
+                self._platform.is_reachable,
+                self._stream.next_offset,
+            ),
+            [
+                SourceCandidate(
+                    peer.node_id,
+                    peer.data_centre,
+                    peer.is_platform_reachable,
+                    peer.offset_of(self._stream.name),
+                )
+                for peer in self._membership.list_live()
+            ],
+        )
+
+    def _is_failed(self, source: str) -> bool:
+        failed_ms = self._failed_ms.get(source)
+        if failed_ms is None:
+            return False
+        return self._clock.monotonic_ms() - failed_ms < FAILED_SOURCE_MS
+
+    def _choose_source(self) -> str:
+        ranked = self._rank_sources()
+        usable = [source for source in ranked if not self._is_failed(source)]
+        if usable:
+            return usable[0]
+        return min(ranked, key=lambda source: self._failed_ms[source])
+
+    async def _pause_if_all_failed(self) -> None:
+        if all(self._is_failed(source) for source in self._rank_sources()):
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _follow(self, source: str) -> None:
+        if source == PLATFORM:
+            await self._follow_platform()
+            return
+        peer = self._membership.find(source)
+        if peer is None:
+            raise SourceLostError("unknown peer")
+        await self._follow_peer(peer.contact_address, source)
+
+    async def _follow_platform(self) -> None:
+        while self._choose_source() == PLATFORM and self._stream.halt_reason is None:
+            page = await self._platform.read(
+                self._stream.name, self._stream.next_offset, PAGE_RECORDS, LONG_POLL_MS
+            )
+            self._stream.note_heard()
+            self._note_alive(PLATFORM)
+            if page.next_offset < self._stream.next_offset:
+                # A log that lost records must not take this host back.
+                log.error(
+                    "log ends before the folded offset",
+                    stream=self._stream.name,
+                    log_offset=page.next_offset,
+                    folded_offset=self._stream.next_offset,
+                )
+                await self._clock.sleep_ms(LONG_POLL_MS)
+            self._stream.fold_records(page.records)
+            if self._stream.next_offset >= page.next_offset:
+                self._is_caught_up = True
+
+    async def _follow_peer(self, address: str, source: str) -> None:
+        batches = self._peers.follow(
+            address, self._stream.name, self._stream.next_offset
+        )
+        try:
+            while self._choose_source() == source and self._stream.halt_reason is None:
+                batch = await asyncio.wait_for(anext(batches), SILENCE_MS / 1000)
+                await self._take_batch(address, batch)
+                if batch.age_ms <= STALE_MS:
+                    self._note_alive(source)
+        except (TimeoutError, StopAsyncIteration) as error:
+            raise SourceLostError("the relay went silent") from error
+        finally:
+            aclose = getattr(batches, "aclose", None)
+            if aclose is not None:
+                await aclose()
+
+    async def _take_batch(self, address: str, batch: RelayBatch) -> None:
+        if batch.first_offset > self._stream.next_offset:
+            copy = await self._peers.fetch_state(address, self._stream.name)
+            if copy is not None:
+                self._stream.load(self._decode(copy.state), copy.next_offset)
+            raise SourceLostError("the relay no longer keeps the offset")
+        self._stream.fold_records(batch.records)
+        if batch.age_ms < NEVER_HEARD_MS:
+            self._stream.note_heard(batch.age_ms)
+        if not batch.records:
+            self._is_caught_up = True
+        if batch.age_ms > STALE_MS and not batch.records:
+            raise SourceLostError("the relay itself hears nothing from the platform")
--- a/src/bergamotgap/node/membership.py
+++ b/src/bergamotgap/node/membership.py
@@ -1,16 +1,35 @@
 """Heartbeats with the other entry hosts and the list of live ones."""
 
+import asyncio
+import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Self
 
+from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
+from bergamotgap.node.supervision import supervise
+from bergamotgap.ports.peer import Digest, PeerClient, PeerError, PeerInfo
 
 PEER_LIVE_MS = 3000
+LOCAL_INTERVAL_MS = 500
+REMOTE_INTERVAL_MS = 1000
+# Bounds the heartbeats that one host sends to other data centres each second, so
+# that their cost doesn't grow with the number of entry hosts.
+MAX_REMOTE_PER_SECOND = 12
+FORGET_MS = 60_000
+JITTER = 0.2
+
+log = get_logger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
 class PeerView:
-    """What this node last heard from a peer; `heard_ms` is our monotonic time."""
+    """What this node last heard from a peer; `heard_ms` is our monotonic time.
+
+    `contact_address` is the address to call: the one in our settings if the peer was
+    found there, else the one that the peer gives of itself.
+    """
 
     node_id: str
     incarnation_ms: int
@@ -18,6 +37,7 @@
     operator_address: str
     data_centre: str
     heard_ms: int
+    contact_address: str = ""
     control_offset: int = 0
     work_offset: int = 0
     catalogue_revision: int = 0
@@ -26,51 +46,208 @@
     pool_demand: Mapping[str, float] = field(default_factory=dict)
     owner_demand: Mapping[str, float] = field(default_factory=dict)
 
+    def offset_of(self, stream: str) -> int:
+        """Return the next offset that the peer reported for a stream."""
+        return self.control_offset if stream == "control" else self.work_offset
+
+    @property
+    def info(self) -> PeerInfo:
+        """Return who the peer is."""
+        return PeerInfo(
+            self.node_id,
+            self.incarnation_ms,
+            self.peer_address,
+            self.operator_address,
+            self.data_centre,
+        )
+
 
 class Membership:
     """Own the views of peers and the tasks that exchange digests with them.
 
-    Demand is in slots: running plus queued tasks of this node.
+    `build_digest` gives this node's digest from the peers it knows.
     """
 
     def __init__(
         self,
-        node_id: str,
+        info: PeerInfo,
+        seeds: tuple[str, ...],
+        client: PeerClient,
         clock: Clock,
-        pool_demand: Callable[[], Mapping[str, float]],
-        owner_demand: Callable[[], Mapping[str, float]],
+        build_digest: Callable[[tuple[PeerInfo, ...]], Digest],
+        note_digest: Callable[[Digest], None],
     ) -> None:
-        self._node_id = node_id
+        self._info = info
+        self._seeds = seeds
+        self._client = client
         self._clock = clock
-        self._pool_demand = pool_demand
-        self._owner_demand = owner_demand
+        self._build_digest = build_digest
+        self._note_digest = note_digest
         self._peers: dict[str, PeerView] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._contacts: dict[str, str] = {}
         self._is_leaving = False
+        self._entered_ms = clock.monotonic_ms()
+        self._random = random.Random()
+
+    async def __aenter__(self) -> Self:
+        """Start a heartbeat task for each seed."""
+        for address in self._seeds:
+            self._start_task(address)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """End the heartbeat tasks."""
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
     @property
     def node_id(self) -> str:
         """Return this node's own id."""
-        return self._node_id
+        return self._info.node_id
+
+    @property
+    def data_centre(self) -> str:
+        """Return this node's data centre."""
+        return self._info.data_centre
+
+    @property
+    def info(self) -> PeerInfo:
+        """Return who this node is."""
+        return self._info
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this node announced that it stops."""
+        return self._is_leaving
 
     def list_known(self) -> list[PeerView]:
         """Return all known peers, live or not, without this node."""
         return list(self._peers.values())
 
     def list_live(self) -> list[PeerView]:
-        """Return peers heard within `PEER_LIVE_MS` that are not leaving."""
-        limit_ms = self._clock.monotonic_ms() - PEER_LIVE_MS
+        """Return live peers that are not leaving, without this node."""
         return [
             peer
             for peer in self._peers.values()
-            if peer.heard_ms >= limit_ms and not peer.is_leaving
+            if self._is_heard(peer) and not peer.is_leaving
         ]
 
+    def _is_heard(self, peer: PeerView) -> bool:
+        interval_ms = self._interval_ms(peer.data_centre)
+        limit_ms = max(PEER_LIVE_MS, 3 * interval_ms)
+        return self._clock.monotonic_ms() - peer.heard_ms <= limit_ms
+
     def is_live(self, node_id: str) -> bool:
         """Return whether a node is this one or a live peer."""
-        if node_id == self._node_id:
-            return True
+        if node_id == self.node_id:
+            return not self._is_leaving
         return any(peer.node_id == node_id for peer in self.list_live())
 
+    def find(self, node_id: str) -> PeerView | None:
+        """Return what is known of a peer."""
+        return self._peers.get(node_id)
+
+    def list_addresses(self) -> list[str]:
+        """Return the addresses of all peers to call."""
+        return list(self._tasks) or list(self._seeds)
+
     def announce_leaving(self) -> None:
         """Tell peers with the next digest that this node stops."""
         self._is_leaving = True
+
+    def answer(self, digest: Digest) -> Digest:
+        """Take the digest of a peer that called, and return our own."""
+        self._take(digest, self._contacts.get(digest.sender.node_id))
+        return self._digest()
+
+    def _digest(self) -> Digest:
+        known = tuple(p.info for p in self._peers.values() if self._is_heard(p))
+        return self._build_digest(known)
+
+    def _take(self, digest: Digest, contact: str | None) -> None:
+        sender = digest.sender
+        if sender.node_id == self.node_id:
+            return
+        known = self._peers.get(sender.node_id)
+        if known is not None and sender.incarnation_ms < known.incarnation_ms:
+            return
+        self._peers[sender.node_id] = PeerView(
+            node_id=sender.node_id,
+            incarnation_ms=sender.incarnation_ms,
+            peer_address=sender.peer_address,
+            operator_address=sender.operator_address,
+            data_centre=sender.data_centre,
+            heard_ms=self._clock.monotonic_ms(),
+            contact_address=contact or sender.peer_address,
+            control_offset=digest.control_offset,
+            work_offset=digest.work_offset,
+            catalogue_revision=digest.catalogue_revision,
+            is_leaving=digest.is_leaving,
+            is_platform_reachable=digest.is_platform_reachable,
+            pool_demand=digest.pool_demand,
+            owner_demand=digest.owner_demand,
+        )
+        self._note_digest(digest)
+        self._meet((sender, *digest.known))
+
+    def _meet(self, infos: tuple[PeerInfo, ...]) -> None:
+        """Start heartbeats with peers that are not in the settings."""
+        for info in infos:
+            if info.node_id == self.node_id or info.node_id in self._contacts:
+                continue
+            if info.peer_address in self._tasks:
+                continue
+            if self._has_silent_seed():
+                # A seed that has not answered yet may be this very peer.
+                continue
+            self._contacts[info.node_id] = info.peer_address
+            self._start_task(info.peer_address)
+
+    def _has_silent_seed(self) -> bool:
+        if self._clock.monotonic_ms() - self._entered_ms > FORGET_MS:
+            return False
+        answered = set(self._contacts.values())
+        return any(seed not in answered for seed in self._seeds)
+
+    def _start_task(self, address: str) -> None:
+        if address not in self._tasks:
+            self._tasks[address] = asyncio.create_task(
+                supervise(
+                    f"heartbeat {address}", lambda: self._keep_exchanging(address)
+                )
+            )
+
+    async def _keep_exchanging(self, address: str) -> None:
+        """Exchange digests with one address until it is silent for long."""
+        data_centre = self.data_centre
+        answered_ms = self._clock.monotonic_ms()
+        while True:
+            try:
+                digest = await self._client.exchange(address, self._digest())
+                answered_ms = self._clock.monotonic_ms()
+                self._contacts[digest.sender.node_id] = address
+                self._take(digest, address)
+                data_centre = digest.sender.data_centre
+            except PeerError as error:
+                log.debug("heartbeat failed", address=address, error=str(error))
+            silent_ms = self._clock.monotonic_ms() - answered_ms
+            if address not in self._seeds and silent_ms > FORGET_MS:
+                self._forget(address)
+                return
+            jitter = self._random.uniform(1 - JITTER, 1 + JITTER)
+            await self._clock.sleep_ms(self._interval_ms(data_centre) * jitter)
+
+    def _interval_ms(self, data_centre: str) -> float:
+        if data_centre == self.data_centre:
+            return LOCAL_INTERVAL_MS
+        remote = sum(p.data_centre != self.data_centre for p in self._peers.values())
+        return max(REMOTE_INTERVAL_MS, 1000 * remote / MAX_REMOTE_PER_SECOND)
+
+    def _forget(self, address: str) -> None:
+        self._tasks.pop(address, None)
+        gone = [name for name, at in self._contacts.items() if at == address]
+        for name in gone:
+            del self._contacts[name]
+            self._peers.pop(name, None)
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -1,6 +1,7 @@
 """The entry host: builds its parts, starts their tasks and stops them in order."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from typing import Any, Self
 
@@ -10,6 +11,7 @@
 from bergamotgap.adapters.caller_http import CallerApi
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.operator_http import OperatorApi
+from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.adapters.worker_http import HttpWorkerClient
 from bergamotgap.domain.clock import Clock
@@ -17,12 +19,19 @@
 from bergamotgap.domain.work_state import WorkState
 from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
+from bergamotgap.node.following import Follower
 from bergamotgap.node.membership import Membership, PeerView
+from bergamotgap.node.peer_service import PeerService, build_relay
 from bergamotgap.node.placement import Placer
 from bergamotgap.node.planner import Planner
+from bergamotgap.node.platform_health import PlatformHealth
 from bergamotgap.node.settings import Settings
-from bergamotgap.node.streams import Stream, StreamWriter, follow_platform
+from bergamotgap.node.snapshots import SnapshotWriter
+from bergamotgap.node.streams import Stream
+from bergamotgap.node.supervision import supervise
 from bergamotgap.node.workers import Workers
+from bergamotgap.node.writer import StreamWriter
+from bergamotgap.ports.peer import PeerInfo
 
 CONNECTIONS_PER_WORKER = 64
 
@@ -39,7 +48,13 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._control = Stream("control", ControlState(), clock)
         self._work = Stream("work", WorkState(), clock)
-        self._membership: Membership | None = None
+        self._info = PeerInfo(
+            node_id=settings.node_id,
+            incarnation_ms=clock.wall_ms(),
+            peer_address=settings.peer_address,
+            operator_address=settings.operator_address,
+            data_centre=settings.data_centre,
+        )
 
     async def __aenter__(self) -> Self:
         """Start serving."""
@@ -47,33 +62,20 @@
             aiohttp.TCPConnector(limit=0, limit_per_host=CONNECTIONS_PER_WORKER)
         )
         fresh = await self._open_session(aiohttp.TCPConnector(force_close=True))
-        platform = HttpPlatform(pooled, self._settings.platform_url)
+        http_platform = HttpPlatform(pooled, self._settings.platform_url)
+        self._platform = PlatformHealth(http_platform, self._clock)
         client = HttpWorkerClient(pooled, fresh, self._clock)
-        writer = StreamWriter(
-            self._control, platform, self._clock, self._settings.batch_ms
-        )
         workers = Workers(self._control, client, self._clock)
         admission = Admission(self._clock, workers.pool_capacity, self._list_live_peers)
-        self._membership = Membership(
-            self._settings.node_id,
-            self._clock,
-            admission.pool_demand,
-            admission.owner_demand,
-        )
+        await self._join_peers(admission)
+        writer = self._build_writer(self._control)
+        self._planner = Planner(self._control, writer, http_platform, self._clock)
         placer = Placer(lambda: self._control.state, workers, admission)
         dispatcher = Dispatcher(placer, client, self._clock)
-        planner = Planner(self._control, writer, platform, self._clock)
-        callers = CallerApi(
-            lambda: self._control.state.catalogue, dispatcher, self._clock
-        )
+        self._start("workers", workers.run)
+        self._start("planner", self._planner.run)
+        await self._serve_callers(dispatcher)
         operators = OperatorApi(self._control, writer, self.dump, self.is_ready)
-        self._start(follow_platform(self._control, platform))
-        self._start(follow_platform(self._work, platform))
-        self._start(workers.run())
-        self._start(planner.run())
-        caller_app = web.Application(client_max_size=self._settings.max_body_bytes)
-        callers.add_routes(caller_app)
-        await self._serve(caller_app, self._settings.caller_address)
         await self._serve(operators.build_app(), self._settings.operator_address)
         log.info("node started", caller_address=self._settings.caller_address)
         return self
@@ -86,11 +88,78 @@
         await self._stack.aclose()
         log.info("node stopped")
 
+    async def _join_peers(self, admission: Admission) -> None:
+        """Exchange heartbeats with peers and follow the streams."""
+        self._peer_client = await self._stack.enter_async_context(GrpcPeerClient())
+        streams: dict[str, Stream[Any]] = {
+            "control": self._control,
+            "work": self._work,
+        }
+        self._service = PeerService(
+            self._info,
+            streams,
+            self._platform,
+            admission.pool_demand,
+            admission.owner_demand,
+        )
+        self._membership = Membership(
+            self._info,
+            self._settings.peers,
+            self._peer_client,
+            self._clock,
+            self._service.build_digest,
+            self._service.note_digest,
+        )
+        self._service.attach(self._membership)
+        await self._stack.enter_async_context(
+            PeerServer(self._service, self._settings.peer_address)
+        )
+        await self._stack.enter_async_context(self._membership)
+        self._start("platform probe", self._platform.run)
+        self._followers = [
+            self._follow(self._control, ControlState.decode),
+            self._follow(self._work, WorkState.decode),
+        ]
+
+    def _follow(self, stream: Stream[Any], decode: Any) -> Follower[Any]:
+        follower = Follower(
+            stream,
+            decode,
+            self._platform,
+            self._peer_client,
+            self._membership,
+            self._clock,
+        )
+        snapshots = SnapshotWriter(
+            stream,
+            self._platform,
+            self._clock,
+            self._settings.snapshot_records,
+            self._settings.snapshot_age_ms,
+        )
+        self._start(f"follow {stream.name}", follower.run)
+        self._start(f"snapshot {stream.name}", snapshots.run)
+        return follower
+
+    def _build_writer(self, stream: Stream[Any]) -> StreamWriter:
+        relay = build_relay(self._membership, self._peer_client)
+        return StreamWriter(
+            stream, self._platform, self._clock, self._settings.batch_ms, relay
+        )
+
+    async def _serve_callers(self, dispatcher: Dispatcher) -> None:
+        callers = CallerApi(
+            lambda: self._control.state.catalogue, dispatcher, self._clock
+        )
+        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        callers.add_routes(app)
+        await self._serve(app, self._settings.caller_address)
+
     def _list_live_peers(self) -> list[PeerView]:
-        return self._membership.list_live() if self._membership else []
+        return self._membership.list_live()
 
-    def _start(self, coroutine: Any) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+    def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(supervise(name, run), name=name))
 
     async def _open_session(
         self, connector: aiohttp.TCPConnector
@@ -110,18 +179,46 @@
         await web.TCPSite(runner, host, int(port)).start()
 
     def is_ready(self) -> bool:
-        """Return whether the node has a catalogue and can serve."""
-        return self._control.state.catalogue is not None
+        """Return whether the node has up-to-date state and can serve."""
+        return (
+            self._control.state.catalogue is not None
+            and all(follower.is_caught_up for follower in self._followers)
+            and self._control.halt_reason is None
+            and self._work.halt_reason is None
+            and not self._membership.is_leaving
+        )
 
     def dump(self) -> dict[str, Any]:
         """Return what this process believes and how old each belief is."""
+        now_ms = self._clock.monotonic_ms()
         state = self._control.state
         return {
             "node_id": self._settings.node_id,
-            "control": {
-                "next_offset": self._control.next_offset,
-                "age_ms": self._control.age_ms,
-                "revision": state.revision,
-                "hosts": len(state.hosts),
+            "incarnation_ms": self._info.incarnation_ms,
+            "is_ready": self.is_ready(),
+            "platform": {
+                "is_reachable": self._platform.is_reachable,
+                "age_ms": now_ms - self._platform.changed_ms,
+            },
+            "streams": {
+                follower.stream.name: {
+                    "next_offset": follower.stream.next_offset,
+                    "age_ms": follower.stream.age_ms,
+                    "source": follower.source,
+                    "halt_reason": follower.stream.halt_reason,
+                }
+                for follower in self._followers
             },
+            "peers": [
+                {
+                    "node_id": peer.node_id,
+                    "is_live": self._membership.is_live(peer.node_id),
+                    "age_ms": now_ms - peer.heard_ms,
+                    "catalogue_revision": peer.catalogue_revision,
+                    "control_offset": peer.control_offset,
+                }
+                for peer in self._membership.list_known()
+            ],
+            "catalogue_revision": state.revision,
+            "hosts": len(state.hosts),
         }
--- a/src/bergamotgap/node/planner.py
+++ b/src/bergamotgap/node/planner.py
@@ -9,8 +9,8 @@
     AppendRefusedError,
     AppendUnknownError,
     Stream,
-    StreamWriter,
 )
+from bergamotgap.node.writer import StreamWriter
 from bergamotgap.ports.platform import HostDirectory, PlatformError
 
 PLAN_INTERVAL_MS = 1000
--- a/src/bergamotgap/node/streams.py
+++ b/src/bergamotgap/node/streams.py
@@ -1,9 +1,12 @@
-"""Follow the platform's streams and append records to them."""
+"""Folded streams: the state, the offset it holds through, and recent records."""
 
 import asyncio
-import secrets
+import os
+from collections import deque
 from collections.abc import Callable
-from typing import Any, Generic, TypeVar
+from typing import Generic, TypeVar
+
+import xxhash
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
@@ -11,24 +14,22 @@
 from bergamotgap.domain.records import (
     Envelope,
     Record,
+    UnknownRecordError,
     decode_batch,
-    encode_batch,
     unwrap_record,
-    wrap_record,
-)
-from bergamotgap.ports.platform import (
-    LogRecord,
-    PlatformError,
-    PlatformLog,
-    PlatformOutcomeUnknownError,
-    PlatformUnavailableError,
 )
+from bergamotgap.ports.peer import Checkpoint, StateCopy
+from bergamotgap.ports.platform import LogRecord
 
-PAGE_RECORDS = 500
-LONG_POLL_MS = 10_000
-RETRY_MS = 250
+TAIL_RECORDS = 2000
+TAIL_BYTES = 8 << 20
+# All entry hosts compute digests at the same offsets, so that two of them can
+# compare states without asking for one.
+CHECKPOINT_EVERY = 256
+CHECKPOINTS_KEPT = 8
 
 S = TypeVar("S", bound=FoldedState)
+Observer = Callable[[Stamp, Record, Effect], None]
 
 log = get_logger(__name__)
 
@@ -41,6 +42,11 @@
     """The record may be in the stream, or may yet appear."""
 
 
+def new_record_id() -> str:
+    """Return a unique record id."""
+    return os.urandom(12).hex()
+
+
 class Stream(Generic[S]):
     """Own the folded state of one stream and the offset it holds through."""
 
@@ -49,10 +55,15 @@
         self._state = state
         self._clock = clock
         self._next_offset = 0
+        self._is_loaded = False
+        self._halt_reason: str | None = None
         self._heard_ms: int | None = None
         self._waiting: dict[str, asyncio.Future[Effect]] = {}
         self._grown = asyncio.Event()
-        self._observers: list[Callable[[Stamp, Record, Effect], None]] = []
+        self._observers: list[Observer] = []
+        self._tail: deque[LogRecord] = deque()
+        self._tail_bytes = 0
+        self._checkpoints: dict[int, str] = {}
 
     @property
     def state(self) -> S:
@@ -64,123 +75,158 @@
         """Return the offset of the next record to fold; never falls."""
         return self._next_offset
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the state was taken from the platform or from a peer."""
+        return self._is_loaded
+
+    @property
+    def halt_reason(self) -> str | None:
+        """Return why folding stopped for good, if it did."""
+        return self._halt_reason
+
     @property
     def age_ms(self) -> int | None:
-        """Return the time since the source was last heard."""
+        """Return the time since the platform was last heard, through any relays."""
         if self._heard_ms is None:
             return None
         return self._clock.monotonic_ms() - self._heard_ms
 
-    def observe(self, observer: Callable[[Stamp, Record, Effect], None]) -> None:
+    @property
+    def tail_offset(self) -> int:
+        """Return the first offset that `list_tail` can give."""
+        return self._tail[0].offset if self._tail else self._next_offset
+
+    @property
+    def checkpoints(self) -> dict[int, str]:
+        """Return digests of the state by offset, the newest last."""
+        return self._checkpoints
+
+    def observe(self, observer: Observer) -> None:
         """Call the observer after each folded record."""
         self._observers.append(observer)
 
-    def note_heard(self) -> None:
-        """Remember that the source answered now."""
-        self._heard_ms = self._clock.monotonic_ms()
+    def note_heard(self, age_ms: int = 0) -> None:
+        """Remember that the platform spoke `age_ms` ago."""
+        heard_ms = self._clock.monotonic_ms() - age_ms
+        self._heard_ms = max(heard_ms, self._heard_ms or heard_ms)
+        self._is_loaded = True
+
+    def load(self, state: S, next_offset: int) -> bool:
+        """Replace the state by a later one; return whether it was later."""
+        if self._is_loaded and next_offset <= self._next_offset:
+            return False
+        self._state = state
+        self._next_offset = next_offset
+        self._is_loaded = True
+        self._tail.clear()
+        self._tail_bytes = 0
+        self._announce_growth()
+        return True
+
+    def copy_state(self) -> StateCopy | None:
+        """Return the encoded state, or None before there is one."""
+        if not self._is_loaded:
+            return None
+        return StateCopy(self._next_offset, self._state.encode())
 
     def fold_records(self, records: tuple[LogRecord, ...]) -> None:
-        """Fold appends in offset order; those already folded are passed over."""
+        """Fold appends in offset order; those already folded are passed over.
+
+        An unknown record stops folding for good: a binary that skipped it would
+        fold a different state than one that knows it.
+        """
         for record in records:
+            if self._halt_reason is not None:
+                return
             if record.offset < self._next_offset:
                 continue
-            stamp = Stamp(record.offset, record.appended_ms)
-            for envelope in decode_batch(record.body):
-                self._fold_envelope(stamp, envelope)
-            self._next_offset = record.offset + 1
+            if record.offset > self._next_offset:
+                log.error(
+                    "gap in stream",
+                    stream=self.name,
+                    expected=self._next_offset,
+                    found=record.offset,
+                )
+                return
+            self._fold_record(record)
         if records:
-            self._grown.set()
-            self._grown = asyncio.Event()
+            self._announce_growth()
 
-    def _fold_envelope(self, stamp: Stamp, envelope: Envelope) -> None:
-        record = unwrap_record(envelope)
-        effect = self._state.apply(stamp, record)
+    def _fold_record(self, record: LogRecord) -> None:
+        stamp = Stamp(record.offset, record.appended_ms)
+        try:
+            batch = [(item, unwrap_record(item)) for item in decode_batch(record.body)]
+        except UnknownRecordError as error:
+            self._halt_reason = str(error)
+            log.error("stream halted", stream=self.name, reason=str(error))
+            return
+        self._next_offset = record.offset + 1
+        self._keep(record)
+        for envelope, content in batch:
+            self._fold_content(stamp, envelope, content)
+        if self._next_offset % CHECKPOINT_EVERY == 0:
+            self._record_checkpoint()
+
+    def _fold_content(self, stamp: Stamp, envelope: Envelope, content: Record) -> None:
+        effect = self._state.apply(stamp, content)
         waiter = self._waiting.pop(envelope.id, None)
         if waiter is not None and not waiter.done():
             waiter.set_result(effect)
         for observer in self._observers:
-            observer(stamp, record, effect)
+            observer(stamp, content, effect)
+
+    def _keep(self, record: LogRecord) -> None:
+        self._tail.append(record)
+        self._tail_bytes += len(record.body)
+        while len(self._tail) > TAIL_RECORDS or self._tail_bytes > TAIL_BYTES:
+            self._tail_bytes -= len(self._tail.popleft().body)
+
+    def _record_checkpoint(self) -> None:
+        digest = xxhash.xxh3_128_hexdigest(self._state.encode())
+        self._checkpoints[self._next_offset] = digest
+        while len(self._checkpoints) > CHECKPOINTS_KEPT:
+            del self._checkpoints[min(self._checkpoints)]
+
+    def compare_checkpoint(self, checkpoint: Checkpoint) -> bool:
+        """Return whether a peer's digest agrees with ours, if we have that offset."""
+        own = self._checkpoints.get(checkpoint.next_offset)
+        return own is None or own == checkpoint.digest
+
+    def list_tail(self, offset: int) -> tuple[LogRecord, ...]:
+        """Return the records kept in memory from an offset on."""
+        skipped = max(0, offset - self.tail_offset)
+        return tuple(self._tail)[skipped:]
+
+    def _announce_growth(self) -> None:
+        self._grown.set()
+        self._grown = asyncio.Event()
 
-    async def wait_for_growth(self) -> None:
-        """Wait until further records are folded."""
-        await self._grown.wait()
+    async def wait_for_growth(self, timeout_ms: int) -> None:
+        """Wait until further records are folded, or the timeout."""
+        try:
+            await asyncio.wait_for(self._grown.wait(), timeout_ms / 1000)
+        except TimeoutError:
+            return
 
-    def expect(self, record_id: str) -> asyncio.Future[Effect]:
+    def expect(self, record_id: str) -> "asyncio.Future[Effect]":
         """Return a future of the effect that the fold gives to a record."""
-        return self._waiting.setdefault(
-            record_id, asyncio.get_running_loop().create_future()
-        )
+        future = self._waiting.get(record_id)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._waiting[record_id] = future
+        return future
+
+    def fail(self, record_id: str, error: Exception) -> None:
+        """Give up on a record that somebody still waits for."""
+        future = self._waiting.pop(record_id, None)
+        if future is not None and not future.done():
+            future.set_exception(error)
+
+    def is_expected(self, record_id: str) -> bool:
+        """Return whether somebody still waits for a record."""
+        return record_id in self._waiting
 
     def forget(self, record_id: str) -> None:
         """Stop waiting for a record."""
         self._waiting.pop(record_id, None)
-
-
-async def follow_platform(stream: Stream[Any], platform: PlatformLog) -> None:
-    """Read a stream from the platform for good."""
-    while True:
-        try:
-            page = await platform.read(
-                stream.name, stream.next_offset, PAGE_RECORDS, LONG_POLL_MS
-            )
-        except PlatformError as error:
-            log.warning("stream read failed", stream=stream.name, error=str(error))
-            await asyncio.sleep(RETRY_MS / 1000)
-            continue
-        stream.note_heard()
-        stream.fold_records(page.records)
-
-
-class StreamWriter:
-    """Append records to a stream in batches and tell what the fold made of them."""
-
-    def __init__(
-        self, stream: Stream[Any], platform: PlatformLog, clock: Clock, batch_ms: int
-    ) -> None:
-        self._stream = stream
-        self._platform = platform
-        self._clock = clock
-        self._batch_ms = batch_ms
-        self._pending: list[Envelope] = []
-        self._failures: dict[str, asyncio.Future[Effect]] = {}
-        self._flush_task: asyncio.Task[None] | None = None
-
-    async def append(self, record: Record, timeout_ms: int) -> Effect:
-        """Append a record and return its effect.
-
-        Raises AppendRefusedError when the record can't have been appended, and
-        AppendUnknownError when it may have been.
-        """
-        envelope = wrap_record(secrets.token_hex(12), record)
-        effect = self._stream.expect(envelope.id)
-        self._pending.append(envelope)
-        if self._flush_task is None or self._flush_task.done():
-            self._flush_task = asyncio.create_task(self._flush())
-        try:
-            return await asyncio.wait_for(effect, timeout_ms / 1000)
-        except TimeoutError:
-            raise AppendUnknownError("no answer in time") from None
-        finally:
-            self._stream.forget(envelope.id)
-
-    async def _flush(self) -> None:
-        while self._pending:
-            await self._clock.sleep_ms(self._batch_ms)
-            batch, self._pending = self._pending, []
-            await self._send(batch)
-
-    async def _send(self, batch: list[Envelope]) -> None:
-        try:
-            await self._platform.append(
-                self._stream.name, secrets.token_hex(12), encode_batch(batch)
-            )
-        except PlatformUnavailableError as error:
-            self._fail(batch, AppendRefusedError(str(error)))
-        except PlatformOutcomeUnknownError as error:
-            self._fail(batch, AppendUnknownError(str(error)))
-
-    def _fail(self, batch: list[Envelope], error: Exception) -> None:
-        for envelope in batch:
-            future = self._stream.expect(envelope.id)
-            if not future.done():
-                future.set_exception(error)
--- /dev/null
+++ b/src/bergamotgap/node/writer.py
@@ -0,0 +1,151 @@
+"""Append records to a stream in batches, with the fold's verdict on each."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.folding import Effect
+from bergamotgap.domain.records import Envelope, Record, encode_batch, wrap_record
+from bergamotgap.node.streams import (
+    AppendRefusedError,
+    AppendUnknownError,
+    Stream,
+    new_record_id,
+)
+from bergamotgap.ports.peer import (
+    PeerUnreachableError,
+    RelayedAppendRefusedError,
+    RelayedAppendUnknownError,
+)
+from bergamotgap.ports.platform import (
+    PlatformBusyError,
+    PlatformLog,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
+
+MAX_BATCH_BYTES = 512 * 1024
+MAX_IN_FLIGHT = 4
+BUSY_RETRY_MS = 50
+# The stream is read this long for a record whose append got no answer before the
+# record is appended again under the same id.
+LOOKUP_MS = 1000
+
+RelayAppend = Callable[[str, str, str], Awaitable[int]]
+
+log = get_logger(__name__)
+
+
+class StreamWriter:
+    """Append records to a stream in batches and tell what the fold made of them.
+
+    `relay` appends through a peer; it is used when the platform can't be reached.
+    """
+
+    def __init__(
+        self,
+        stream: Stream[Any],
+        platform: PlatformLog,
+        clock: Clock,
+        batch_ms: int,
+        relay: RelayAppend | None = None,
+    ) -> None:
+        self._stream = stream
+        self._platform = platform
+        self._clock = clock
+        self._batch_ms = batch_ms
+        self._relay = relay
+        self._pending: list[tuple[Envelope, int]] = []
+        self._collector: asyncio.Task[None] | None = None
+        self._sending: set[asyncio.Task[None]] = set()
+        self.appends = 0
+        self.records = 0
+
+    async def append(self, record: Record, timeout_ms: int) -> Effect:
+        """Append a record and return its effect.
+
+        Raises AppendRefusedError when the record can't have been appended, and
+        AppendUnknownError when it may have been.
+        """
+        envelope = wrap_record(new_record_id(), record)
+        effect = self._stream.expect(envelope.id)
+        size = len(encode_batch([envelope]))
+        self._pending.append((envelope, size))
+        if self._collector is None or self._collector.done():
+            self._collector = asyncio.create_task(self._collect())
+        try:
+            return await asyncio.wait_for(effect, timeout_ms / 1000)
+        except TimeoutError:
+            raise AppendUnknownError("no answer in time") from None
+        finally:
+            self._stream.forget(envelope.id)
+
+    async def _collect(self) -> None:
+        while self._pending:
+            await self._clock.sleep_ms(self._batch_ms)
+            while len(self._sending) >= MAX_IN_FLIGHT:
+                await asyncio.wait(self._sending, return_when=asyncio.FIRST_COMPLETED)
+            batch = self._take_batch()
+            task = asyncio.create_task(self._send(batch))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    def _take_batch(self) -> list[Envelope]:
+        batch: list[Envelope] = []
+        total = 0
+        while self._pending and (not batch or total < MAX_BATCH_BYTES):
+            envelope, size = self._pending.pop(0)
+            batch.append(envelope)
+            total += size
+        return batch
+
+    async def _send(self, batch: list[Envelope]) -> None:
+        # Nobody resends a record that nobody waits for: its writer was told that
+        # the outcome is unknown.
+        is_maybe_sent = False
+        while batch := [e for e in batch if self._stream.is_expected(e.id)]:
+            try:
+                await self._append_batch(batch)
+                return
+            except PlatformBusyError:
+                await self._clock.sleep_ms(BUSY_RETRY_MS)
+            except PlatformUnavailableError as error:
+                if not is_maybe_sent:
+                    self._fail(batch, AppendRefusedError(str(error)))
+                    return
+                await self._clock.sleep_ms(LOOKUP_MS)
+            except PlatformOutcomeUnknownError as error:
+                log.warning(
+                    "append got no answer", stream=self._stream.name, error=str(error)
+                )
+                is_maybe_sent = True
+                await self._clock.sleep_ms(LOOKUP_MS)
+
+    async def _append_batch(self, batch: list[Envelope]) -> None:
+        body = encode_batch(batch)
+        append_id = new_record_id()
+        self.appends += 1
+        self.records += len(batch)
+        try:
+            await self._platform.append(self._stream.name, append_id, body)
+        except PlatformBusyError:
+            raise
+        except PlatformUnavailableError:
+            if self._relay is None:
+                raise
+            await self._append_through_peer(append_id, body)
+
+    async def _append_through_peer(self, append_id: str, body: str) -> None:
+        assert self._relay is not None
+        try:
+            await self._relay(self._stream.name, append_id, body)
+        except (RelayedAppendRefusedError, PeerUnreachableError) as error:
+            raise PlatformUnavailableError(str(error)) from error
+        except RelayedAppendUnknownError as error:
+            raise PlatformOutcomeUnknownError(str(error)) from error
+
+    def _fail(self, batch: list[Envelope], error: Exception) -> None:
+        for envelope in batch:
+            self._stream.fail(envelope.id, error)
--- a/src/bergamotgap/ports/platform.py
+++ b/src/bergamotgap/ports/platform.py
@@ -41,6 +41,10 @@
     """The call did not take effect: nothing was sent, or the platform refused it."""
 
 
+class PlatformBusyError(PlatformUnavailableError):
+    """The platform refused the call for its rate; it may be repeated later."""
+
+
 class PlatformOutcomeUnknownError(PlatformError):
     """The call may have taken effect; the answer is missing."""
 
--- /dev/null
+++ b/tests/test_sources.py
@@ -0,0 +1,33 @@
+"""Which source an entry host reads a stream from."""
+
+from bergamotgap.domain.sources import PLATFORM, SourceCandidate, rank_sources
+
+
+def candidate(
+    name: str, centre: str = "dc-1", reachable: bool = True, offset: int = 5
+) -> SourceCandidate:
+    return SourceCandidate(name, centre, reachable, offset)
+
+
+def test_lowest_reaching_host_reads_the_platform() -> None:
+    """Guards against several readers, or none, in a data centre."""
+    one, two = candidate("a"), candidate("b")
+    assert rank_sources(one, [two])[0] == PLATFORM
+    assert rank_sources(two, [one])[:2] == ("a", PLATFORM)
+
+
+def test_host_cut_from_the_platform_is_no_reader() -> None:
+    """Guards against a data centre that follows a host without the platform."""
+    cut, other = candidate("a", reachable=False), candidate("b")
+    assert rank_sources(other, [cut])[0] == PLATFORM
+    assert rank_sources(cut, [other])[0] == "b"
+
+
+def test_cut_data_centre_follows_another_one() -> None:
+    """Guards against old state where another data centre still has the platform."""
+    own = candidate("a", reachable=False)
+    local = candidate("b", reachable=False)
+    remote = candidate("c", "dc-2")
+    behind = candidate("d", "dc-2", offset=1)
+    ranked = rank_sources(own, [local, behind, remote])
+    assert ranked == ("c", "d", "b", PLATFORM)
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,288 @@
+"""Folding, appending, snapshots and start of a stream under faults."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+
+from bergamotgap.domain.clock import SystemClock
+from bergamotgap.domain.folding import Applied, Effect, Rejected, Stamp
+from bergamotgap.domain.records import HostRemoved, Record, encode_batch, wrap_record
+from bergamotgap.node import writer as writer_module
+from bergamotgap.node.following import Follower
+from bergamotgap.node.membership import Membership
+from bergamotgap.node.platform_health import PlatformHealth
+from bergamotgap.node.snapshots import (
+    SnapshotWriter,
+    join_snapshots,
+    name_snapshots,
+    split_snapshot,
+)
+from bergamotgap.node.streams import (
+    CHECKPOINT_EVERY,
+    AppendRefusedError,
+    AppendUnknownError,
+    Stream,
+)
+from bergamotgap.node.writer import StreamWriter
+from bergamotgap.ports.peer import Checkpoint, Digest, PeerInfo, StateCopy
+from bergamotgap.ports.platform import LogRecord
+from tests.fakes_platform import FakePeers, FakePlatform
+
+
+@dataclass
+class Names:
+    """State that lists names in the order of their first record."""
+
+    names: list[str] = field(default_factory=list)
+
+    def apply(self, stamp: Stamp, record: Record) -> Effect:
+        assert isinstance(record, HostRemoved)
+        if record.host in self.names:
+            return Rejected("duplicate")
+        self.names.append(record.host)
+        return Applied()
+
+    def encode(self) -> bytes:
+        return ",".join(self.names).encode()
+
+    @staticmethod
+    def decode(encoded: bytes) -> "Names":
+        return Names([name for name in encoded.decode().split(",") if name])
+
+
+def make_stream() -> Stream[Names]:
+    return Stream("control", Names(), SystemClock())
+
+
+def log_record(offset: int, name: str) -> LogRecord:
+    body = encode_batch([wrap_record(f"id-{name}", HostRemoved(name))])
+    return LogRecord(offset, offset, f"append-{offset}", body)
+
+
+def make_membership(clock: SystemClock, peers: FakePeers) -> Membership:
+    info = PeerInfo("entry-1", 1, "127.0.0.1:1", "127.0.0.1:2", "dc-1")
+
+    def build(known: tuple[PeerInfo, ...]) -> Digest:
+        return Digest(info, 0, 0, 0, False, True)
+
+    seeds = tuple(peers.states)
+    return Membership(info, seeds, peers, clock, build, lambda digest: None)
+
+
+@asynccontextmanager
+async def following(
+    stream: Stream[Names], platform: FakePlatform, peers: FakePeers | None = None
+) -> AsyncIterator[Follower[Names]]:
+    clock = SystemClock()
+    peers = peers or FakePeers()
+    follower = Follower(
+        stream,
+        Names.decode,
+        PlatformHealth(platform, clock),
+        peers,
+        make_membership(clock, peers),
+        clock,
+    )
+    task = asyncio.create_task(follower.run())
+    try:
+        yield follower
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def wait_for_names(stream: Stream[Names], *names: str) -> None:
+    async with asyncio.timeout(10):
+        while stream.state.names != list(names):
+            await asyncio.sleep(0.005)
+
+
+def test_fold_passes_over_old_offsets_and_stops_at_a_gap() -> None:
+    """Guards against going back, folding twice, or skipping a record."""
+    stream = make_stream()
+    stream.fold_records((log_record(0, "a"), log_record(1, "b")))
+    stream.fold_records((log_record(0, "x"), log_record(1, "y"), log_record(2, "c")))
+    stream.fold_records((log_record(4, "e"),))
+    assert stream.state.names == ["a", "b", "c"]
+    assert stream.next_offset == 3
+
+
+def test_state_is_never_replaced_by_an_older_one() -> None:
+    """Guards against a late snapshot that overwrites what came after it."""
+    stream = make_stream()
+    stream.fold_records((log_record(0, "a"), log_record(1, "b")))
+    stream.note_heard()
+    assert not stream.load(Names(["a"]), 1)
+    assert not stream.load(Names(["x", "y"]), 2)
+    assert stream.load(Names(["a", "b", "c"]), 3)
+    assert stream.state.names == ["a", "b", "c"]
+
+
+def test_unknown_record_halts_the_fold() -> None:
+    """Guards against two versions of the binary that fold different states."""
+    stream = make_stream()
+    unknown = LogRecord(0, 0, "r", '[{"id":"1","kind":"New","version":1,"fields":{}}]')
+    stream.fold_records((unknown, log_record(1, "a")))
+    assert stream.next_offset == 0
+    assert "unknown record kind 'New'" in (stream.halt_reason or "")
+
+
+def test_different_states_at_a_checkpoint_are_noticed() -> None:
+    """Guards against entry hosts that diverge without anybody noticing."""
+    ours, theirs = make_stream(), make_stream()
+    for offset in range(CHECKPOINT_EVERY):
+        ours.fold_records((log_record(offset, f"a{offset}"),))
+        theirs.fold_records((log_record(offset, f"b{offset}"),))
+    digest = theirs.checkpoints[CHECKPOINT_EVERY]
+    assert not ours.compare_checkpoint(Checkpoint("control", CHECKPOINT_EVERY, digest))
+    own = Checkpoint("control", CHECKPOINT_EVERY, ours.checkpoints[CHECKPOINT_EVERY])
+    assert ours.compare_checkpoint(own)
+
+
+@pytest.mark.fault("answer_lost", "publish")
+async def test_lost_append_answer_gives_the_effect_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a record that is appended twice when its answer was lost."""
+    monkeypatch.setattr(writer_module, "LOOKUP_MS", 50)
+    platform, stream = FakePlatform(lost_answers=1), make_stream()
+    async with following(stream, platform):
+        writer = StreamWriter(stream, platform, SystemClock(), 0)
+        assert await writer.append(HostRemoved("a"), 5000) == Applied()
+        await asyncio.sleep(0.1)
+    assert len(platform.streams["control"]) == 1
+
+
+@pytest.mark.fault("platform_slow", "publish")
+async def test_lost_append_is_repeated_until_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a record that is given up although it can still be appended."""
+    monkeypatch.setattr(writer_module, "LOOKUP_MS", 20)
+    platform, stream = FakePlatform(lost_appends=2), make_stream()
+    async with following(stream, platform):
+        writer = StreamWriter(stream, platform, SystemClock(), 0)
+        assert await writer.append(HostRemoved("a"), 5000) == Applied()
+
+
+@pytest.mark.fault("platform_down", "publish")
+async def test_unreachable_platform_refuses_the_record() -> None:
+    """Guards against "unknown" where nothing was sent."""
+    platform = FakePlatform(is_down=True)
+    writer = StreamWriter(make_stream(), platform, SystemClock(), 0)
+    with pytest.raises(AppendRefusedError):
+        await writer.append(HostRemoved("a"), 1000)
+
+
+@pytest.mark.fault("platform_down", "publish")
+async def test_outage_after_a_lost_append_is_unknown(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against "refused" for a record whose first append may have arrived."""
+    monkeypatch.setattr(writer_module, "LOOKUP_MS", 20)
+    platform = FakePlatform(lost_answers=1)
+    writer = StreamWriter(make_stream(), platform, SystemClock(), 0)
+    append = asyncio.create_task(writer.append(HostRemoved("a"), 300))
+    await asyncio.sleep(0.01)
+    platform.is_down = True
+    with pytest.raises(AppendUnknownError):
+        await append
+
+
+async def test_concurrent_records_share_appends() -> None:
+    """Guards against one append per record, which the log's rate does not allow."""
+    platform, stream = FakePlatform(), make_stream()
+    async with following(stream, platform):
+        writer = StreamWriter(stream, platform, SystemClock(), 5)
+        records = [HostRemoved(f"host-{index}") for index in range(100)]
+        effects = await asyncio.gather(*(writer.append(r, 5000) for r in records))
+    assert set(effects) == {Applied()}
+    assert len(platform.streams["control"]) <= 5
+
+
+def test_snapshot_parts_are_joined_only_when_whole() -> None:
+    """Guards against a state from a snapshot whose writer stopped half-way."""
+    names = Names([f"{index:08x}-{index * 7919:x}" for index in range(120_000)])
+    bodies = split_snapshot(StateCopy(9, names.encode()))
+    assert len(bodies) > 1
+    records = tuple(LogRecord(i, 5, str(i), body) for i, body in enumerate(bodies))
+    assert join_snapshots(records[:-1]) is None
+    seen = join_snapshots(records)
+    assert seen is not None
+    assert seen.copy == StateCopy(9, names.encode())
+
+
+@pytest.mark.fault("crash", "snapshot")
+async def test_reader_starts_from_a_snapshot_when_records_are_dropped() -> None:
+    """Guards against a start that misses records which retention has dropped."""
+    platform = FakePlatform()
+    stream = make_stream()
+    for offset, name in enumerate("abcd"):
+        record = log_record(offset, name)
+        platform.streams["control"].append(record)
+        stream.fold_records((record,))
+    stream.note_heard()
+    snapshots = SnapshotWriter(stream, platform, SystemClock(), 2, 60_000)
+    assert await snapshots.write_if_due()
+    assert not await snapshots.write_if_due()
+    platform.streams["control"].append(log_record(4, "e"))
+    platform.drop_before("control", 3)
+    started = make_stream()
+    async with following(started, platform):
+        await wait_for_names(started, "a", "b", "c", "d", "e")
+
+
+async def test_second_writer_finds_a_recent_snapshot() -> None:
+    """Guards against a snapshot from each entry host."""
+    platform, streams = FakePlatform(), [make_stream(), make_stream()]
+    for stream in streams:
+        stream.fold_records((log_record(0, "a"),))
+        stream.note_heard()
+    writers = [SnapshotWriter(s, platform, SystemClock(), 5, 1 << 50) for s in streams]
+    assert [await writer.write_if_due() for writer in writers] == [True, False]
+    assert len(platform.streams[name_snapshots("control")]) == 1
+
+
+@pytest.mark.fault("platform_down", "start")
+async def test_start_without_the_platform_takes_the_newest_peer_state() -> None:
+    """Guards against a start from an old peer, or an empty state, in an outage."""
+    platform = FakePlatform(is_down=True)
+    peers = FakePeers(
+        {
+            "old": StateCopy(1, b"a"),
+            "new": StateCopy(3, b"a,b,c"),
+            "empty": None,
+        },
+    )
+    stream = make_stream()
+    async with following(stream, platform, peers) as follower:
+        await wait_for_names(stream, "a", "b", "c")
+        assert follower.is_caught_up
+        platform.streams["control"] = [log_record(i, n) for i, n in enumerate("abcd")]
+        platform.is_down = False
+        await wait_for_names(stream, "a", "b", "c", "d")
+
+
+@pytest.mark.fault("cut_from_platform", "start")
+async def test_start_without_platform_and_peers_is_not_ready() -> None:
+    """Guards against a host that serves an empty catalogue."""
+    stream = make_stream()
+    async with following(stream, FakePlatform(is_down=True)) as follower:
+        await asyncio.sleep(0.05)
+        assert not stream.is_loaded
+        assert not follower.is_caught_up
+
+
+@pytest.mark.fault("platform_down", "snapshot")
+async def test_log_that_lost_records_does_not_take_the_state_back() -> None:
+    """Guards against a configuration that reverts because the log was reset."""
+    platform, stream = FakePlatform(), make_stream()
+    platform.streams["control"] = [log_record(i, n) for i, n in enumerate("abc")]
+    async with following(stream, platform):
+        await wait_for_names(stream, "a", "b", "c")
+        platform.streams["control"] = [log_record(0, "z")]
+        await asyncio.sleep(0.05)
+        assert stream.state.names == ["a", "b", "c"]
