Expose OpenTelemetry metrics of requests, streams and peers

Cause: nothing showed from outside how fresh a host's state is or how requests end.

Ruled out: a label for any entry name that a caller sends, since a caller could then create series at will; names that are no entry are counted as "other".

Conclusion: /metrics on the operator interface, in the Prometheus text format. Names carry their unit. The cost per request is not measured yet.

--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -10,6 +10,11 @@
 
 from bergamotgap.adapters.caller_http import CallerApi
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.adapters.metrics import (
+    Metrics,
+    build_request_middleware,
+    serve_metrics,
+)
 from bergamotgap.adapters.operator_http import OperatorApi
 from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
 from bergamotgap.adapters.platform_http import HttpPlatform
@@ -20,6 +25,7 @@
 from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
 from bergamotgap.node.following import Follower
+from bergamotgap.node.gauges import register_fleet_gauges, register_stream_gauges
 from bergamotgap.node.membership import Membership, PeerView
 from bergamotgap.node.peer_service import PeerService, build_relay
 from bergamotgap.node.placement import Placer
@@ -45,6 +51,8 @@
         self._settings = settings
         self._clock = clock
         self._stack = AsyncExitStack()
+        self._metrics = Metrics()
+        self._stack.callback(self._metrics.close)
         self._tasks: list[asyncio.Task[None]] = []
         self._control = Stream("control", ControlState(), clock)
         self._work = Stream("work", WorkState(), clock)
@@ -76,7 +84,10 @@
         self._start("planner", self._planner.run)
         await self._serve_callers(dispatcher)
         operators = OperatorApi(self._control, writer, self.dump, self.is_ready)
-        await self._serve(operators.build_app(), self._settings.operator_address)
+        self._register_gauges(writer)
+        operator_app = operators.build_app()
+        operator_app.router.add_get("/metrics", serve_metrics)
+        await self._serve(operator_app, self._settings.operator_address)
         log.info("node started", caller_address=self._settings.caller_address)
         return self
 
@@ -151,10 +162,26 @@
         callers = CallerApi(
             lambda: self._control.state.catalogue, dispatcher, self._clock
         )
-        app = web.Application(client_max_size=self._settings.max_body_bytes)
+        app = web.Application(
+            client_max_size=self._settings.max_body_bytes,
+            middlewares=[build_request_middleware(self._metrics)],
+        )
         callers.add_routes(app)
         await self._serve(app, self._settings.caller_address)
 
+    def _register_gauges(self, writer: StreamWriter) -> None:
+        register_stream_gauges(
+            self._metrics, (self._control, self._work), [("control", writer)]
+        )
+        register_fleet_gauges(
+            self._metrics,
+            self._control,
+            self._membership,
+            self._platform,
+            self._service,
+            self.is_ready,
+        )
+
     def _list_live_peers(self) -> list[PeerView]:
         return self._membership.list_live()
 
