Make the stand-ins promise what the platform and workers promise

Cause: the stand-ins had no append rate, no lag, no leases, no faults, so no test could show what the product does when these matter.

The worker has leases, throttle, checkpoint, stop, reboot with its own duration, lagging usage and a log of task starts. Both share the fault switches of stand_ins/faults.py. Link is a TCP forwarder for cuts between two processes; the fleet places links on request.

Ruled out: a token bucket for appends, because it lets a burst above the rate through; keeping results as bytes, because large results of many tasks would not fit, so a result is a pattern and a size; reading the start log over HTTP only, because a killed worker would lose it, so it is a file too; random separate ports, because two fleets that start together would often overlap (birthday problem), so ports are consecutive from a random one.

--- /dev/null
+++ b/stand_ins/link.py
@@ -0,0 +1,114 @@
+"""A TCP forwarder between two processes, with switches for network faults."""
+
+import asyncio
+import socket
+from typing import Self
+
+from stand_ins.faults import LINGER_RESET
+
+BUFFER_BYTES = 64 * 1024
+BACKLOG = 128
+
+
+class Link:
+    """Forward connections from an address of its own to `target` (`ip:port`).
+
+    `delay_ms` delays each piece of data, in both directions.
+    """
+
+    def __init__(self, target: str, delay_ms: int = 0) -> None:
+        self.delay_ms = delay_ms
+        self._target = target
+        self._port = 0
+        self._listener: socket.socket | None = None
+        self._accepting: asyncio.Task[None] | None = None
+        self._connections: dict[asyncio.Task[None], list[socket.socket]] = {}
+        self._silent: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        """Start forwarding."""
+        self.restore()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Reset all connections and stop listening."""
+        connections = list(self._connections)
+        self.cut()
+        await asyncio.gather(*connections, return_exceptions=True)
+
+    @property
+    def address(self) -> str:
+        """Return the `ip:port` that stands for the target; it never changes."""
+        return f"127.0.0.1:{self._port}"
+
+    def cut(self) -> None:
+        """Reset all connections and refuse new ones."""
+        if self._accepting is not None:
+            self._accepting.cancel()
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+        for connection in self._connections:
+            connection.cancel()
+
+    def restore(self) -> None:
+        """Forward new connections again; silent ones stay silent."""
+        if self._listener is not None:
+            return
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(("127.0.0.1", self._port))
+        self._listener.listen(BACKLOG)
+        self._listener.setblocking(False)
+        self._port = self._listener.getsockname()[1]
+        self._accepting = asyncio.create_task(self._accept(self._listener))
+
+    def silence(self) -> None:
+        """Swallow all further data of the connections open now."""
+        self._silent.update(self._connections)
+
+    async def _accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(listener)
+            sockets = [accepted, socket.socket()]
+            connection = asyncio.create_task(self._forward(*sockets))
+            self._connections[connection] = sockets
+            connection.add_done_callback(self._close)
+
+    def _close(self, connection: asyncio.Task[None]) -> None:
+        for sock in self._connections.pop(connection):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            sock.close()
+        self._silent.discard(connection)
+
+    async def _forward(self, accepted: socket.socket, opened: socket.socket) -> None:
+        connection = asyncio.current_task()
+        assert connection is not None
+        opened.setblocking(False)
+        host, _, port = self._target.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.sock_connect(opened, (host, int(port)))
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(connection, accepted, opened))
+                group.create_task(self._pump(connection, opened, accepted))
+        except* OSError:
+            # Either end reset the connection; closing both resets the other.
+            pass
+
+    async def _pump(
+        self,
+        connection: asyncio.Task[None],
+        source: socket.socket,
+        sink: socket.socket,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while data := await loop.sock_recv(source, BUFFER_BYTES):
+            if self.delay_ms:
+                await asyncio.sleep(self.delay_ms / 1000)
+            if connection not in self._silent:
+                await loop.sock_sendall(sink, data)
+        if connection not in self._silent:
+            sink.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/stand_ins/serving.py
@@ -0,0 +1,29 @@
+"""Serve a stand-in's application on an address."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+from stand_ins.faults import FAULTS
+
+# Calls still running at the end of a stand-in are cut off.
+SHUTDOWN_S = 0.1
+
+
+@asynccontextmanager
+async def serve_app(
+    app: web.Application, address: str = "127.0.0.1:0"
+) -> AsyncIterator[str]:
+    """Serve until the context ends; yield the address, with the port in use."""
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_S)
+    await runner.setup()
+    try:
+        assert runner.server is not None
+        app[FAULTS].attach(runner.server)
+        site = web.TCPSite(runner, host, int(port))
+        await site.start()
+        yield f"{host}:{runner.addresses[0][1]}"
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/stand_ins/starts.py
@@ -0,0 +1,41 @@
+"""Log of the task starts of a worker stand-in."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+BODY_START_BYTES = 64
+
+
+class StartLog:
+    """Record each start of a task, in memory and in a file that outlives a crash.
+
+    `count` in an entry is how often this worker has started the task so far.
+    """
+
+    def __init__(self, file: Path | None = None) -> None:
+        self._file = file
+        self.entries: list[dict[str, Any]] = []
+        if file is not None and file.exists():
+            self.entries = read_starts(file)
+        self._counts: dict[str, int] = {}
+        for entry in self.entries:
+            self._counts[entry["task"]] = entry["count"]
+
+    def note(self, task: str, body: bytes, **facts: str | int | None) -> None:
+        """Record one start."""
+        count = self._counts.get(task, 0) + 1
+        self._counts[task] = count
+        start = body[:BODY_START_BYTES].decode(errors="replace")
+        entry = {"task": task, "count": count, **facts, "body": start}
+        self.entries.append(entry)
+        if self._file is not None:
+            with self._file.open("a") as file:
+                file.write(json.dumps(entry) + "\n")
+
+
+def read_starts(file: Path) -> list[dict[str, Any]]:
+    """Return the entries of a file that a StartLog wrote."""
+    if not file.exists():
+        return []
+    return [json.loads(line) for line in file.read_text().splitlines()]
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -1,165 +1,307 @@
 """Stand-in for a worker: runs tasks in slots and answers over HTTP."""
 
 import asyncio
+import functools
 import secrets
 import time
-from dataclasses import dataclass
-from typing import Any
+from collections import deque
+from pathlib import Path
+from typing import Annotated, Any, Literal
 
 from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from stand_ins.bodies import RepeatedBody, parse_order_body
+from stand_ins.faults import Faults, reject, reset
+from stand_ins.starts import StartLog
+from stand_ins.tasks import Task, TaskTable
 
 MAX_BODY_BYTES = 64 << 20
-DEFAULT_RUN_MS = 20
+REFUSED = 409
 
 
-def _now_ms() -> int:
-    return time.time_ns() // 1_000_000
+class WorkerSettings(BaseModel):
+    """What can be set at the start or by `PUT /fakes/settings`.
 
+    `run_ms` is the true run time of an order that sets none; `pause_ms` is how long
+    a checkpointed task gives up its slot.
+    """
 
-@dataclass
-class Task:
-    """One task that the worker knows of."""
+    model_config = ConfigDict(frozen=True, extra="forbid")
 
-    state: str
-    started: bool
-    result: bytes = b""
+    slots: int = Field(default=8, ge=1)
+    run_ms: int = Field(default=20, ge=0)
+    reboot_ms: int = Field(default=200, ge=0)
+    usage_lag_ms: int = Field(default=1000, ge=0)
+    clock_offset_ms: int = 0
+    pause_ms: int = Field(default=1000, ge=0)
+    results_kept: int = Field(default=10_000, ge=0)
+    state: Literal["serving", "leaving", "draining"] = "serving"
 
 
-class Worker:
-    """Hold the assignment and the tasks of one worker; serve them over HTTP.
+class Assignment(BaseModel):
+    """The body of `PUT /v1/assignment`."""
 
-    The body of a task is echoed as its result. The headers `Run-Ms` and
-    `Result-Bytes` of an order, or the same keys in a JSON body, set the true run
-    time and the size of the result.
-    """
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    pool: str | None
+    epoch: int = Field(ge=0)
+
+
+class OrderHeaders(BaseModel):
+    """The headers of an order."""
+
+    model_config = ConfigDict(frozen=True)
+
+    epoch: int = Field(alias="Pool-Epoch", ge=0)
+    lease_ms: int = Field(alias="Lease-Ms", ge=1)
+    boot_id: str | None = Field(default=None, alias="Boot-Id")
+    start_before_ms: int | None = Field(default=None, alias="Start-Before-Ms")
+    entry: str = Field(default="", alias="Entry")
+    cpus: Annotated[float, Field(alias="Cpus", ge=0)] = 1.0
+    memory_mb: Annotated[int, Field(alias="Memory-Mb", ge=0)] = 0
+
+
+class Worker:
+    """Hold the assignment and the tasks of one worker; serve them over HTTP."""
 
-    def __init__(self, name: str, slots: int, run_ms: int = DEFAULT_RUN_MS) -> None:
+    def __init__(
+        self,
+        name: str,
+        settings: WorkerSettings | None = None,
+        starts_file: Path | None = None,
+    ) -> None:
         self._name = name
-        self._slots = slots
-        self._run_ms = run_ms
+        self._settings = settings or WorkerSettings()
         self._boot_id = secrets.token_hex(4)
         self._pool: str | None = None
         self._epoch = 0
-        self._state = "serving"
-        self._busy = 0
-        self._tasks: dict[str, Task] = {}
-        self.starts: dict[str, int] = {}
+        self._state: str = self._settings.state
+        self._tasks = TaskTable(self._settings.results_kept)
+        self._starts = StartLog(starts_file)
+        self._usage: deque[tuple[int, float, int]] = deque([(0, 0.0, 0)])
+        self._faults = Faults(fails_itself=True)
+        self._rebooting: asyncio.Task[None] | None = None
 
     def build_app(self) -> web.Application:
         """Return the application."""
         app = web.Application(client_max_size=MAX_BODY_BYTES)
-        app.router.add_get("/v1/status", self._status)
+        self._faults.add_to(app)
+        app.router.add_get("/v1/status", self._get_status)
         app.router.add_put("/v1/assignment", self._assign)
         app.router.add_post("/v1/tasks/{task}", self._run)
-        app.router.add_get("/v1/tasks/{task}", self._task_status)
-        app.router.add_get("/v1/tasks/{task}/result", self._result)
+        app.router.add_get("/v1/tasks/{task}", self._get_task)
+        app.router.add_get("/v1/tasks/{task}/result", self._get_result)
         app.router.add_post("/v1/tasks/{task}/cancel", self._cancel)
+        app.router.add_post(
+            "/v1/tasks/{task}/{verb:renew|checkpoint|throttle|stop}", self._control
+        )
         app.router.add_post("/v1/drain", self._drain)
         app.router.add_post("/v1/reboot", self._reboot)
+        app.router.add_get("/fakes/starts", self._get_starts)
+        app.router.add_put("/fakes/settings", self._put_settings)
         return app
 
-    async def _status(self, request: web.Request) -> web.Response:
+    def _now_ms(self) -> int:
+        return time.time_ns() // 1_000_000 + self._settings.clock_offset_ms
+
+    def _sample_usage(self) -> tuple[int, float, int]:
+        """Note the use at present; return the newest sample that may be reported."""
+        now_ms = self._now_ms()
+        limit_ms = now_ms - self._settings.usage_lag_ms
+        self._usage.append((now_ms, *self._tasks.usage))
+        while len(self._usage) > 1 and self._usage[1][0] <= limit_ms:
+            self._usage.popleft()
+        return self._usage[0]
+
+    async def _get_status(self, request: web.Request) -> web.Response:
+        as_of_ms, cpus, memory_mb = self._sample_usage()
         return web.json_response(
             {
                 "worker": self._name,
-                "time_ms": _now_ms(),
+                "time_ms": self._now_ms(),
                 "boot_id": self._boot_id,
                 "pool": self._pool,
                 "epoch": self._epoch,
                 "state": self._state,
-                "slots": self._slots,
-                "busy": self._busy,
-                "usage": {"cpus": float(self._busy), "memory_mb": 0},
-                "usage_as_of_ms": _now_ms(),
+                "slots": self._settings.slots,
+                "busy": self._tasks.busy,
+                "usage": {"cpus": cpus, "memory_mb": memory_mb},
+                "usage_as_of_ms": as_of_ms,
             },
         )
 
     async def _assign(self, request: web.Request) -> web.Response:
-        payload = await request.json()
-        if payload["epoch"] < self._epoch:
+        try:
+            assignment = Assignment.model_validate_json(await request.read())
+        except ValidationError as error:
+            return reject("bad_assignment", str(error))
+        if assignment.epoch < self._epoch:
             body = {"code": "stale_epoch", "epoch": self._epoch}
-            return web.json_response(body, status=409)
-        self._pool = payload["pool"]
-        self._epoch = payload["epoch"]
+            return web.json_response(body, status=REFUSED)
+        self._pool = assignment.pool
+        self._epoch = assignment.epoch
+        self._tasks.stop_paused(self._epoch)
         return web.json_response({"epoch": self._epoch})
 
-    def _refusal(self, request: web.Request, task_id: str) -> str | None:
-        headers = request.headers
+    def _find_refusal(self, task_id: str, order: OrderHeaders) -> str | None:
         known = self._tasks.get(task_id)
         if known is not None:
-            return "cancelled" if known.state == "refused" else "duplicate"
+            return "duplicate" if known.started else "cancelled"
         if self._state != "serving":
             return "leaving" if self._state == "leaving" else "draining"
-        if int(headers["Pool-Epoch"]) != self._epoch or self._pool is None:
+        if order.epoch != self._epoch or self._pool is None:
             return "stale_epoch"
-        if headers.get("Boot-Id", self._boot_id) != self._boot_id:
+        if order.boot_id not in (None, self._boot_id):
             return "wrong_boot"
-        if _now_ms() > int(headers.get("Start-Before-Ms", _now_ms())):
+        start_before_ms = order.start_before_ms
+        if start_before_ms is not None and self._now_ms() > start_before_ms:
             return "too_late"
-        return "busy" if self._busy >= self._slots else None
+        return "busy" if self._tasks.busy >= self._settings.slots else None
 
     def _answer_headers(self, task_id: str) -> dict[str, str]:
         return {
             "Task-Id": task_id,
-            "Worker-Time-Ms": str(_now_ms()),
-            "Worker-Busy": str(self._busy),
+            "Worker-Time-Ms": str(self._now_ms()),
+            "Worker-Busy": str(self._tasks.busy),
             "Boot-Id": self._boot_id,
         }
 
-    async def _run(self, request: web.Request) -> web.StreamResponse:
+    async def _run(self, request: web.Request) -> web.Response:
         task_id = request.match_info["task"]
+        try:
+            order = OrderHeaders.model_validate(
+                {name.title(): value for name, value in request.headers.items()}
+            )
+        except ValidationError as error:
+            return reject("bad_order", str(error))
         body = await request.read()
-        refusal = self._refusal(request, task_id)
-        headers = self._answer_headers(task_id)
+        # No await may come between the check and the start.
+        refusal = self._find_refusal(task_id, order)
         if refusal is not None:
-            return web.json_response(
-                {"code": refusal},
-                status=409,
-                headers={**headers, "Task-Refused": refusal},
-            )
-        task = Task(state="running", started=True)
-        self._tasks[task_id] = task
-        self.starts[task_id] = self.starts.get(task_id, 0) + 1
-        self._busy += 1
-        try:
-            await asyncio.sleep(int(request.headers.get("Run-Ms", self._run_ms)) / 1000)
-        finally:
-            self._busy -= 1
-        task.result = body
-        task.state = "done"
-        return web.Response(body=task.result, headers=self._answer_headers(task_id))
-
-    async def _task_status(self, request: web.Request) -> web.Response:
-        return web.json_response(self._describe(request.match_info["task"]))
-
-    def _describe(self, task_id: str) -> dict[str, Any]:
-        task = self._tasks.get(task_id) or Task(state="unknown", started=False)
-        return {
-            "state": task.state,
-            "started": task.started,
-            "size": len(task.result),
+            headers = {**self._answer_headers(task_id), "Task-Refused": refusal}
+            body_json = {"code": refusal}
+            return web.json_response(body_json, status=REFUSED, headers=headers)
+        task = self._start(task_id, order, body, self._faults.is_failing(request))
+        await task.ended.wait()
+        return self._answer_task(request, task_id, task)
+
+    def _start(
+        self, task_id: str, order: OrderHeaders, body: bytes, is_failing: bool
+    ) -> Task:
+        true = parse_order_body(body)
+        run_ms = self._settings.run_ms if true.run_ms is None else true.run_ms
+        task = Task(
+            state="running",
+            epoch=self._epoch,
+            body=body,
+            remaining_ms=0 if is_failing else run_ms,
+            lease_ms=order.lease_ms,
+            fails=is_failing or true.fail,
+            cpus=order.cpus if true.cpus is None else true.cpus,
+            memory_mb=order.memory_mb if true.memory_mb is None else true.memory_mb,
+        )
+        self._tasks.start(task_id, task, true, self._settings.slots)
+        self._starts.note(
+            task=task_id,
+            epoch=self._epoch,
+            pool=self._pool,
+            entry=order.entry,
+            boot_id=self._boot_id,
+            key=true.key,
+            body=body,
+        )
+        self._sample_usage()
+        return task
+
+    def _answer_task(
+        self, request: web.Request, task_id: str, task: Task
+    ) -> web.Response:
+        self._sample_usage()
+        if task.state == "lost":
+            return reset(request)
+        headers = self._answer_headers(task_id)
+        if task.state != "done":
+            body = {"code": f"task_{task.state}"}
+            return web.json_response(body, status=500, headers=headers)
+        hold = functools.partial(self._faults.hold, request)
+        return web.Response(
+            body=RepeatedBody(task.body, task.size, hold), headers=headers
+        )
+
+    def _describe(self, task_id: str) -> web.Response:
+        task = self._tasks.get(task_id)
+        body = {
+            "state": "unknown" if task is None else task.state,
+            "started": task is not None and task.started,
+            "size": task.size if task is not None and task.state == "done" else 0,
             "boot_id": self._boot_id,
         }
+        return web.json_response(body, headers=self._answer_headers(task_id))
 
-    async def _result(self, request: web.Request) -> web.Response:
+    async def _get_task(self, request: web.Request) -> web.Response:
+        return self._describe(request.match_info["task"])
+
+    async def _get_result(self, request: web.Request) -> web.Response:
         task_id = request.match_info["task"]
         task = self._tasks.get(task_id)
-        if task is None or task.state != "done":
-            return web.json_response({"code": "no_result"}, status=404)
-        return web.Response(body=task.result, headers=self._answer_headers(task_id))
+        if task is None or not task.has_result:
+            return reject("no_result", "there is no result of this task", 404)
+        return self._answer_task(request, task_id, task)
 
     async def _cancel(self, request: web.Request) -> web.Response:
         task_id = request.match_info["task"]
-        if task_id not in self._tasks:
-            self._tasks[task_id] = Task(state="refused", started=False)
-        return web.json_response(self._describe(task_id))
+        self._tasks.refuse(task_id)
+        return self._describe(task_id)
+
+    async def _control(self, request: web.Request) -> web.Response:
+        task_id = request.match_info["task"]
+        task = self._tasks.get(task_id)
+        if task is not None and task.state == "running":
+            self._apply_verb(task, request.match_info["verb"])
+            self._sample_usage()
+        return self._describe(task_id)
+
+    def _apply_verb(self, task: Task, verb: str) -> None:
+        if verb == "renew":
+            self._tasks.renew(task)
+        elif verb == "throttle":
+            self._tasks.throttle(task)
+        elif verb == "checkpoint":
+            self._tasks.checkpoint(task, self._settings.pause_ms)
+        else:
+            self._tasks.stop(task)
 
     async def _drain(self, request: web.Request) -> web.Response:
-        self._state = "draining"
+        if self._state != "rebooting":
+            self._state = "draining"
         return web.json_response({})
 
     async def _reboot(self, request: web.Request) -> web.Response:
-        self._boot_id = secrets.token_hex(4)
-        self._tasks.clear()
-        self._state = "serving"
+        if self._state != "rebooting":
+            self._state = "rebooting"
+            # The boot id changes together with the loss of the tasks, because an
+            # unknown task under the old id would count as one that never started.
+            self._boot_id = secrets.token_hex(4)
+            self._tasks.forget()
+            self._rebooting = asyncio.create_task(self._finish_reboot())
         return web.json_response({})
+
+    async def _finish_reboot(self) -> None:
+        await asyncio.sleep(self._settings.reboot_ms / 1000)
+        self._state = "serving"
+
+    async def _get_starts(self, request: web.Request) -> web.Response:
+        return web.json_response(self._starts.entries)
+
+    async def _put_settings(self, request: web.Request) -> web.Response:
+        try:
+            changes = WorkerSettings.model_validate_json(await request.read())
+        except ValidationError as error:
+            return reject("bad_settings", str(error))
+        update: dict[str, Any] = changes.model_dump(exclude_unset=True)
+        self._settings = self._settings.model_copy(update=update)
+        self._tasks.results_kept = self._settings.results_kept
+        if "state" in update:
+            self._state = changes.state
+        return web.json_response(self._settings.model_dump())
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,27 +2,55 @@
 
 import asyncio
 
-import aiohttp
 import pytest
 
-from tools.fleet import Fleet
-
-FOUNDER = {"Authorization": "Bearer founder-key"}
+from tools.fleet import Fleet, StartError
 
 
 @pytest.mark.processes
 async def test_request_is_served_end_to_end() -> None:
     """Guards against a broken path from caller through entry host to worker."""
-    fleet = Fleet(workers_per_pool=2, node_count=3, pools=("previews",))
-    async with fleet, aiohttp.ClientSession() as session:
+    async with Fleet(workers_per_pool=2, node_count=3, pools=("previews",)) as fleet:
         assert await fleet.publish() == 200
         await fleet.wait_until_ready()
-        url = f"http://{fleet.nodes[1].caller}/v1/requests/spend-preview"
+        await fleet.wait_until_assigned()
         async with asyncio.timeout(20):
-            while True:
-                async with session.post(url, headers=FOUNDER, data=b"q3") as response:
-                    if response.status == 200:
-                        assert response.headers["Outcome"] == "done"
-                        assert await response.read() == b"q3"
-                        return
+            answer = await fleet.calls.send_request("spend-preview", b"q3", node=1)
+            while answer.status != 200:
                 await asyncio.sleep(0.1)
+                answer = await fleet.calls.send_request("spend-preview", b"q3", node=1)
+        assert (answer.outcome, answer.body) == ("done", b"q3")
+        assert [start["body"] for start in fleet.read_starts()] == ["q3"]
+
+
+@pytest.mark.processes
+async def test_an_entry_host_is_cut_off_by_its_links() -> None:
+    """Guards against tests of cuts in which nothing is cut off."""
+    async with Fleet(
+        workers_per_pool=2,
+        node_count=2,
+        pools=("previews",),
+        workers_per_process=2,
+        links=True,
+    ) as fleet:
+        assert fleet.process_of("previews-2") == "workers-1"
+        fleet.cut_platform("entry-1")
+        assert await fleet.publish() != 200
+        fleet.restore()
+        # The refused append must not have taken effect.
+        assert await fleet.publish() == 200
+
+
+@pytest.mark.processes
+async def test_a_failed_start_leaves_no_process() -> None:
+    """Guards against processes left behind when one of them can't start."""
+    fleet = Fleet(
+        workers_per_pool=1,
+        node_count=1,
+        pools=("previews",),
+        worker_settings={"slots": "none"},
+    )
+    with pytest.raises(StartError, match="previews-1: exit status"):
+        await fleet.__aenter__()
+    assert all(process.poll() is not None for process in fleet.processes.values())
+    assert not fleet.path.exists()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,52 +4,39 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
-import tomllib
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Self
 
 import aiohttp
 
-LOOPBACK = "127.0.0.1"
+from stand_ins.starts import read_starts
+from tools.fleet_calls import FleetCalls
+from tools.fleet_links import FleetLinks
+from tools.fleet_plan import LOOPBACK, NodeAddresses, pick_ports, plan_hosts, plan_nodes
+
 START_TIMEOUT_S = 30.0
+CALL_TIMEOUT_S = 60.0
 POLL_S = 0.05
+LOG_TAIL_BYTES = 2000
 ROOT = Path(__file__).resolve().parent.parent
-DATA_CENTRES = {"association": "riga", "vestfjord": "vestland"}
-HOST_SIZES = {"association": (32.0, 65_536), "vestfjord": (16.0, 32_768)}
-WORKERS_PER_RACK = 4
-
-
-def pick_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((LOOPBACK, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
 
 
-@dataclass(frozen=True)
-class NodeAddresses:
-    """Where one entry host listens."""
-
-    name: str
-    data_centre: str
-    caller: str
-    operator: str
-    peer: str
+class StartError(Exception):
+    """A process ended, or did not answer, at the start; the message has its log."""
 
 
 @dataclass
 class Fleet:
-    """Own the processes of one local fleet."""
+    """Own the processes of one local fleet.
+
+    Processes are named after hosts and entry hosts, and `platform`; with more than
+    one worker per process, `process_of` names the process of a host.
+    """
 
     deployment: str = "association"
     workers_per_pool: int = 6
@@ -59,114 +46,113 @@
     retention_ms: int = 3_600_000
     node_options: dict[str, str] = field(default_factory=dict)
     pools: tuple[str, ...] | None = None
+    workers_per_process: int = 1
+    links: bool = False
+    platform_settings: dict[str, Any] = field(default_factory=dict)
+    worker_settings: dict[str, Any] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._directory = tempfile.TemporaryDirectory()
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._stack = AsyncExitStack()
         self._commands: dict[str, list[str]] = {}
+        self._process_of: dict[str, str] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.path = Path(self._directory.name)
         self.document = (ROOT / "catalogues" / f"{self.deployment}.toml").read_text()
-        self.hosts = self._plan_hosts()
+        self.hosts: list[dict[str, Any]] = plan_hosts(
+            self.deployment,
+            self.document,
+            self.workers_per_pool,
+            self.slots,
+            self.pools,
+        )
         self.platform_address = f"{LOOPBACK}:{pick_ports(1)[0]}"
-        self.nodes = self._plan_nodes()
-
-    def _plan_hosts(self) -> list[dict[str, Any]]:
-        pools = [pool["name"] for pool in tomllib.loads(self.document)["pools"]]
-        if self.pools is not None:
-            pools = [pool for pool in pools if pool in self.pools]
-        cpus, memory_mb = HOST_SIZES[self.deployment]
-        place = DATA_CENTRES[self.deployment]
-        ports = pick_ports(len(pools) * self.workers_per_pool)
-        hosts: list[dict[str, Any]] = []
-        for pool in pools:
-            for index in range(self.workers_per_pool):
-                number = len(hosts)
-                centre = index % 3
-                rack = (number // 3) // WORKERS_PER_RACK
-                hosts.append(
-                    {
-                        "host": f"{pool}-{index + 1}",
-                        "address": f"{LOOPBACK}:{ports[number]}",
-                        "data_centre": f"{place}-{centre + 1}",
-                        "rack": f"{place}-{centre + 1}-rack-{rack + 1}",
-                        "cpus": cpus,
-                        "memory_mb": memory_mb,
-                        "accelerators": 0,
-                        "slots": self.slots,
-                        "connections": 64,
-                        "pool": pool,
-                        "state": "live",
-                    },
-                )
-        return hosts
-
-    def _plan_nodes(self) -> list[NodeAddresses]:
-        place = DATA_CENTRES[self.deployment]
-        ports = pick_ports(3 * self.node_count)
-        nodes = []
-        for index in range(self.node_count):
-            caller, operator, peer = ports[3 * index : 3 * index + 3]
-            nodes.append(
-                NodeAddresses(
-                    name=f"entry-{index + 1}",
-                    data_centre=f"{place}-{index % 3 + 1}",
-                    caller=f"{LOOPBACK}:{caller}",
-                    operator=f"{LOOPBACK}:{operator}",
-                    peer=f"{LOOPBACK}:{peer}",
-                ),
-            )
-        return nodes
+        self.nodes = plan_nodes(self.deployment, self.node_count)
+        self._links: FleetLinks | None = None
 
     async def __aenter__(self) -> Self:
         """Start all processes and wait until each answers."""
-        hosts_file = self.path / "hosts.json"
-        hosts_file.write_text(json.dumps(self.hosts))
-        self.start("platform", self._platform_command(hosts_file))
-        for host in self.hosts:
-            self.start(host["host"], self._worker_command(host))
-        for node in self.nodes:
-            self.start(node.name, self._node_command(node))
-        self._session = aiohttp.ClientSession()
-        await self._wait(f"http://{self.platform_address}/hosts")
-        for host in self.hosts:
-            await self._wait(f"http://{host['address']}/v1/status")
-        for node in self.nodes:
-            await self._wait(f"http://{node.operator}/healthz")
+        self._stack.callback(self._directory.cleanup)
+        self._stack.callback(self._end_processes)
+        try:
+            await self._start_all()
+        except BaseException:
+            await self._stack.aclose()
+            raise
         return self
 
     async def __aexit__(self, *exc: object) -> None:
         """End every process that this fleet started."""
-        await self._session.close()
+        await self._stack.aclose()
+
+    async def _start_all(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        # A fault that silences connections must not reach later calls of the test.
+        connector = aiohttp.TCPConnector(force_close=True)
+        self._session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(timeout=timeout, connector=connector)
+        )
+        self.calls = FleetCalls(self.nodes, self._session)
+        if self.links:
+            links = FleetLinks(self.nodes, self.platform_address)
+            self._links = await self._stack.enter_async_context(links)
+        urls = self._start_platform() | self._start_workers()
+        for node in self.nodes:
+            self.start(node.name, self._node_command(node))
+            urls[f"http://{node.operator}/healthz"] = node.name
+        await asyncio.gather(*(self._wait(url, name) for url, name in urls.items()))
+
+    def _end_processes(self) -> None:
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        self._directory.cleanup()
 
-    def _platform_command(self, hosts_file: Path) -> list[str]:
-        return [
+    def _start_platform(self) -> dict[str, str]:
+        hosts_file = self.path / "hosts.json"
+        hosts_file.write_text(json.dumps(self.hosts))
+        settings = {"retention_ms": self.retention_ms} | self.platform_settings
+        command = [
             *[sys.executable, "-m", "stand_ins", "platform"],
             *["--listen", self.platform_address, "--hosts-file", str(hosts_file)],
-            *["--retention-ms", str(self.retention_ms)],
+            *["--settings", json.dumps(settings)],
         ]
+        self.start("platform", command)
+        return {f"http://{self.platform_address}/hosts": "platform"}
 
-    def _worker_command(self, host: dict[str, Any]) -> list[str]:
-        return [
-            *[sys.executable, "-m", "stand_ins", "worker"],
-            *["--listen", host["address"], "--name", host["host"]],
-            *["--slots", str(host["slots"]), "--run-ms", str(self.run_ms)],
-        ]
+    def _start_workers(self) -> dict[str, str]:
+        urls = {}
+        settings = {"run_ms": self.run_ms, "slots": self.slots} | self.worker_settings
+        size = self.workers_per_process
+        for first in range(0, len(self.hosts), size):
+            group = self.hosts[first : first + size]
+            name = group[0]["host"] if size == 1 else f"workers-{first // size + 1}"
+            command = [
+                *[sys.executable, "-m", "stand_ins", "workers"],
+                *["--settings", json.dumps(settings)],
+                *["--starts-directory", str(self.path)],
+            ]
+            for host in group:
+                command += ["--listen", host["address"], "--name", host["host"]]
+                self._process_of[host["host"]] = name
+                urls[f"http://{host['address']}/v1/status"] = name
+            self.start(name, command)
+        return urls
 
     def _node_command(self, node: NodeAddresses) -> list[str]:
-        peers = ",".join(item.peer for item in self.nodes if item is not node)
+        peers = [item.peer for item in self.nodes if item is not node]
+        platform_address = self.platform_address
+        if self._links is not None:
+            peers = self._links.list_peers(node.name)
+            platform_address = self._links.platform[node.name].address
         command = [
             *[sys.executable, "-m", "bergamotgap", "serve"],
             *["--node-id", node.name, "--data-centre", node.data_centre],
             *["--caller-address", node.caller, "--operator-address", node.operator],
-            *["--peer-address", node.peer, "--peers", peers],
-            *["--platform-url", f"http://{self.platform_address}"],
+            *["--peer-address", node.peer, "--peers", ",".join(peers)],
+            *["--platform-url", f"http://{platform_address}"],
         ]
         for name, value in self.node_options.items():
             command += [f"--{name}", value]
@@ -185,6 +171,10 @@
                 env={**os.environ, "PYTHONDONTWRITEBYTECODE": ""},
             )
 
+    def process_of(self, host: str) -> str:
+        """Return the name of the process that runs a worker."""
+        return self._process_of[host]
+
     def kill(self, name: str) -> None:
         """Kill a process at once."""
         self.processes[name].kill()
@@ -206,16 +196,86 @@
         """Return what a process has logged."""
         return (self.path / f"{name}.log").read_text(errors="replace")
 
-    async def _wait(self, url: str) -> None:
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while True:
-                try:
-                    async with self._session.get(url) as response:
-                        if response.status == 200:
-                            return
-                except aiohttp.ClientError:
-                    pass
-                await asyncio.sleep(POLL_S)
+    def read_starts(self, host: str | None = None) -> list[dict[str, Any]]:
+        """Return the task starts of one worker, or of all; a crash loses none."""
+        names = [item["host"] for item in self.hosts] if host is None else [host]
+        return [
+            {"host": name, **entry}
+            for name in names
+            for entry in read_starts(self.path / f"{name}.starts")
+        ]
+
+    def worker_address(self, host: str) -> str:
+        """Return the address of a worker."""
+        return next(str(h["address"]) for h in self.hosts if h["host"] == host)
+
+    def cut_platform(self, node_name: str) -> None:
+        """Cut an entry host off from the platform; needs `links`."""
+        assert self._links is not None, "the fleet was started without links"
+        self._links.platform[node_name].cut()
+
+    def cut_data_centres(self, first: str, second: str) -> None:
+        """Cut the entry hosts of two data centres off from each other."""
+        assert self._links is not None, "the fleet was started without links"
+        self._links.cut_data_centres(first, second)
+
+    def restore(self) -> None:
+        """End all cuts."""
+        assert self._links is not None, "the fleet was started without links"
+        self._links.restore()
+
+    async def _put(self, address: str, path: str, values: dict[str, Any]) -> None:
+        url = f"http://{address}{path}"
+        async with self._session.put(url, json=values) as response:
+            if response.status != 200:
+                raise ValueError(await response.text())
+
+    async def set_platform_faults(self, **faults: Any) -> None:
+        """Set the platform's fault switches; none given ends all faults."""
+        await self._put(self.platform_address, "/faults", faults)
+
+    async def set_platform_settings(self, **settings: Any) -> None:
+        """Change settings of the platform stand-in."""
+        await self._put(self.platform_address, "/fakes/settings", settings)
+
+    async def set_worker_faults(self, host: str, **faults: Any) -> None:
+        """Set a worker's fault switches; none given ends all faults."""
+        await self._put(self.worker_address(host), "/faults", faults)
+
+    async def set_worker_settings(self, host: str, **settings: Any) -> None:
+        """Change settings of a worker stand-in."""
+        await self._put(self.worker_address(host), "/fakes/settings", settings)
+
+    async def read_worker_status(self, host: str) -> dict[str, Any]:
+        """Return a worker's own status."""
+        url = f"http://{self.worker_address(host)}/v1/status"
+        async with self._session.get(url) as response:
+            status: dict[str, Any] = await response.json()
+            return status
+
+    async def _wait(self, url: str, process: str) -> None:
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while not await self._answers(url):
+                    if self.processes[process].poll() is not None:
+                        raise StartError(self._describe_end(process))
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            raise StartError(
+                f"{url}: no answer: {self._describe_end(process)}"
+            ) from None
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            async with self._session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def _describe_end(self, process: str) -> str:
+        code = self.processes[process].poll()
+        tail = self.read_log(process)[-LOG_TAIL_BYTES:]
+        return f"{process}: exit status {code}, log ends with:\n{tail}"
 
     async def publish(self, document: str | None = None, base_revision: int = 0) -> int:
         """Publish a catalogue through the first entry host; return the status."""
@@ -224,11 +284,20 @@
             "document": document or self.document,
             "operator": "operator",
         }
-        url = f"http://{self.nodes[0].operator}/v1/catalogue"
-        async with self._session.post(url, json=payload) as response:
-            return response.status
+        answer = await self.calls.call_operator("POST", "/v1/catalogue", payload)
+        return answer.status
 
     async def wait_until_ready(self) -> None:
-        """Wait until every entry host is ready."""
-        for node in self.nodes:
-            await self._wait(f"http://{node.operator}/readyz")
+        """Wait until every running entry host is ready."""
+        nodes = [n for n in self.nodes if self.processes[n.name].poll() is None]
+        urls = {n.name: f"http://{n.operator}/readyz" for n in nodes}
+        await asyncio.gather(*(self._wait(url, name) for name, url in urls.items()))
+
+    async def wait_until_assigned(self) -> None:
+        """Wait until every worker has been told its pool."""
+        waiting = [host["host"] for host in self.hosts]
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while waiting:
+                statuses = [await self.read_worker_status(host) for host in waiting]
+                waiting = [s["worker"] for s in statuses if s["pool"] is None]
+                await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/tools/fleet_links.py
@@ -0,0 +1,58 @@
+"""Links of a local fleet, which cut entry hosts off from peers and the platform."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import Self
+
+from stand_ins.link import Link
+from tools.fleet_plan import NodeAddresses
+
+
+class FleetLinks:
+    """Own one link per entry host to the platform and one per pair of entry hosts.
+
+    Each entry host reaches its peers and the platform only through links of its own,
+    as long as it dials the addresses from its settings.
+    """
+
+    def __init__(self, nodes: list[NodeAddresses], platform_address: str) -> None:
+        self._nodes = nodes
+        self._stack = AsyncExitStack()
+        self.platform = {node.name: Link(platform_address) for node in nodes}
+        self.peers = {
+            (node.name, peer.name): Link(peer.peer)
+            for node in nodes
+            for peer in nodes
+            if peer is not node
+        }
+
+    async def __aenter__(self) -> Self:
+        """Start all links."""
+        for link in self._all():
+            await self._stack.enter_async_context(link)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Reset all connections."""
+        await asyncio.shield(self._stack.aclose())
+
+    def _all(self) -> list[Link]:
+        return [*self.platform.values(), *self.peers.values()]
+
+    def list_peers(self, name: str) -> list[str]:
+        """Return the peer addresses for the settings of an entry host."""
+        return [
+            link.address for (source, _), link in self.peers.items() if source == name
+        ]
+
+    def cut_data_centres(self, first: str, second: str) -> None:
+        """Cut the entry hosts of two data centres off from each other."""
+        places = {node.name: node.data_centre for node in self._nodes}
+        for (source, target), link in self.peers.items():
+            if {places[source], places[target]} == {first, second}:
+                link.cut()
+
+    def restore(self) -> None:
+        """End all cuts."""
+        for link in self._all():
+            link.restore()
--- /dev/null
+++ b/tools/fleet_plan.py
@@ -0,0 +1,108 @@
+"""Names, addresses and places of the processes of a local fleet."""
+
+import random
+import socket
+import tomllib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+LOOPBACK = "127.0.0.1"
+# Below the range that the kernel gives to outgoing connections, so that no port is
+# taken between its choice and the start of the process that listens on it.
+PORTS = range(10_000, 32_000)
+DATA_CENTRES = {"association": "riga", "vestfjord": "vestland"}
+HOST_SIZES = {"association": (32.0, 65_536), "vestfjord": (16.0, 32_768)}
+WORKERS_PER_RACK = 4
+CONNECTIONS_PER_WORKER = 64
+DATA_CENTRE_COUNT = 3
+
+_picked: set[int] = set()
+
+
+@dataclass(frozen=True)
+class NodeAddresses:
+    """Where one entry host listens."""
+
+    name: str
+    data_centre: str
+    caller: str
+    operator: str
+    peer: str
+
+
+def pick_ports(count: int) -> list[int]:
+    """Return free ports of the loopback address, no port twice in one process."""
+    # Consecutive ports from a random one on: two fleets that start at the same time
+    # rarely overlap, unlike two sets of random ports.
+    first = random.SystemRandom().randrange(len(PORTS))
+    ports: list[int] = []
+    for port in (*PORTS[first:], *PORTS[:first]):
+        if len(ports) == count:
+            break
+        if port not in _picked and _is_free(port):
+            ports.append(port)
+    _picked.update(ports)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+        return True
+
+
+def plan_hosts(
+    deployment: str,
+    document: str,
+    workers_per_pool: int,
+    slots: int,
+    only_pools: Sequence[str] | None = None,
+) -> list[dict[str, Any]]:
+    """Return the host list: the pools' workers spread over racks and data centres."""
+    pools = [pool["name"] for pool in tomllib.loads(document)["pools"]]
+    if only_pools is not None:
+        pools = [pool for pool in pools if pool in only_pools]
+    cpus, memory_mb = HOST_SIZES[deployment]
+    place = DATA_CENTRES[deployment]
+    ports = pick_ports(len(pools) * workers_per_pool)
+    hosts: list[dict[str, Any]] = []
+    for number, port in enumerate(ports):
+        pool, index = pools[number // workers_per_pool], number % workers_per_pool
+        data_centre = f"{place}-{index % DATA_CENTRE_COUNT + 1}"
+        rack = (number // DATA_CENTRE_COUNT) // WORKERS_PER_RACK + 1
+        hosts.append(
+            {
+                "host": f"{pool}-{index + 1}",
+                "address": f"{LOOPBACK}:{port}",
+                "data_centre": data_centre,
+                "rack": f"{data_centre}-rack-{rack}",
+                "cpus": cpus,
+                "memory_mb": memory_mb,
+                "accelerators": 0,
+                "slots": slots,
+                "connections": CONNECTIONS_PER_WORKER,
+                "pool": pool,
+                "state": "live",
+            },
+        )
+    return hosts
+
+
+def plan_nodes(deployment: str, count: int) -> list[NodeAddresses]:
+    """Return the entry hosts, spread over the data centres."""
+    place = DATA_CENTRES[deployment]
+    ports = iter(pick_ports(3 * count))
+    return [
+        NodeAddresses(
+            name=f"entry-{index + 1}",
+            data_centre=f"{place}-{index % DATA_CENTRE_COUNT + 1}",
+            caller=f"{LOOPBACK}:{next(ports)}",
+            operator=f"{LOOPBACK}:{next(ports)}",
+            peer=f"{LOOPBACK}:{next(ports)}",
+        )
+        for index in range(count)
+    ]
