--- a/src/bergamotgap/adapters/peer_grpc.py
+++ b/src/bergamotgap/adapters/peer_grpc.py
@@ -24,7 +24,7 @@
 )
 
 EXCHANGE_TIMEOUT_S = 1.0
-STATE_TIMEOUT_S = 10.0
+STATE_TIMEOUT_S = 5.0
 APPEND_TIMEOUT_S = 4.0
 MAX_MESSAGE_BYTES = 64 << 20
 MAX_RELAY_RECORDS = 500
--- a/src/bergamotgap/node/following.py
+++ b/src/bergamotgap/node/following.py
@@ -127,9 +127,13 @@
     async def _try_load(self) -> None:
         """Take the newest state from a snapshot or from any peer."""
         best, first_offset = await self._read_platform_state()
-        for copy in await self._fetch_peer_states():
-            if best is None or copy.next_offset > best.next_offset:
-                best = copy
+        reach = best.next_offset if best is not None else 0
+        if first_offset is None or reach < first_offset:
+            # Peers are asked only when the platform can't give a usable state: one
+            # that doesn't answer would delay each start by its timeout.
+            for copy in await self._fetch_peer_states():
+                if best is None or copy.next_offset > best.next_offset:
+                    best = copy
         if best is not None and best.next_offset >= (first_offset or 0):
             if self._stream.load(self._decode(best.state), best.next_offset):
                 log.info(
--- a/src/bergamotgap/node/peer_service.py
+++ b/src/bergamotgap/node/peer_service.py
@@ -5,19 +5,23 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.node.following import relay_stream
-from bergamotgap.node.membership import Membership
+from bergamotgap.node.membership import Membership, PeerView
 from bergamotgap.node.platform_health import PlatformHealth
 from bergamotgap.node.streams import Stream
 from bergamotgap.ports.peer import (
     Checkpoint,
     Digest,
     PeerClient,
+    PeerError,
     PeerInfo,
     PeerUnreachableError,
     RelayBatch,
+    RelayedAppendRefusedError,
     StateCopy,
 )
 
+MAX_RELAYS = 8
+
 DemandSource = Callable[[], Mapping[str, float]]
 
 log = get_logger(__name__)
@@ -114,16 +118,23 @@
     """Return a function that appends through a live peer that reaches the platform."""
 
     async def append_through_peer(stream: str, record_id: str, body: str) -> int:
-        peers = [peer for peer in membership.list_live() if peer.is_platform_reachable]
-        if not peers:
-            raise PeerUnreachableError("no live peer reaches the platform")
-        nearest = min(
-            peers,
-            key=lambda peer: (
-                peer.data_centre != membership.data_centre,
-                peer.node_id,
-            ),
-        )
-        return await client.append(nearest.contact_address, stream, record_id, body)
+        failure: PeerError = PeerUnreachableError("no live peer reaches the platform")
+        for peer in _rank_relays(membership):
+            try:
+                return await client.append(
+                    peer.contact_address, stream, record_id, body
+                )
+            except (RelayedAppendRefusedError, PeerUnreachableError) as error:
+                # What a peer last said of the platform may be out of date.
+                failure = error
+        raise failure
 
     return append_through_peer
+
+
+def _rank_relays(membership: Membership) -> list[PeerView]:
+    peers = [peer for peer in membership.list_live() if peer.is_platform_reachable]
+    peers.sort(
+        key=lambda peer: (peer.data_centre != membership.data_centre, peer.node_id)
+    )
+    return peers[:MAX_RELAYS]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -35,6 +35,7 @@
     ) as fleet:
         assert fleet.process_of("previews-2") == "workers-1"
         fleet.cut_platform("entry-1")
+        fleet.cut_platform("entry-2")
         assert await fleet.publish() != 200
         fleet.restore()
         # The refused append must not have taken effect.
