--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,29 @@
+"""Run all benchmarks and print one table: `python -m bench [NAME ...]`."""
+
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from bench import roll_out
+from bench.figures import Figure, print_figures, write_figures
+
+RESULTS = Path(__file__).parent / "results" / "latest.json"
+BENCHMARKS: dict[str, Callable[[], list[Figure]]] = {
+    "roll_out": roll_out.main,
+}
+
+
+def run(names: list[str]) -> int:
+    """Run the named benchmarks, or all; return 1 if a target is missed."""
+    figures: list[Figure] = []
+    for name in names or list(BENCHMARKS):
+        started = time.monotonic()
+        figures += BENCHMARKS[name]()
+        print(f"{name}: {time.monotonic() - started:.0f} s", file=sys.stderr)
+    print_figures(figures)
+    write_figures(figures, RESULTS)
+    return int(not all(figure.is_met for figure in figures))
+
+
+sys.exit(run(sys.argv[1:]))
