--- a/tests/test_stand_ins.py
+++ b/tests/test_stand_ins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -29,7 +30,8 @@
 async def test_log_keeps_order_and_wakes_waiting_readers() -> None:
     """Guards against lost or reordered records and against polls that never end."""
     async with open_platform() as api:
-        waiting = asyncio.create_task(read(api, "from=0&wait_ms=15000"))
+        waiting = asyncio.create_task(read(api, "from=0&wait_ms=30000"))
+        await asyncio.sleep(0.1)
         assert [(await append(api, name))[1]["offset"] for name in "abc"] == [0, 1, 2]
         assert (await waiting)[1]["records"][0]["id"] == "a"
         page = (await read(api, "from=1&max=1"))[1]
@@ -122,6 +124,24 @@
         assert (await append(api, "a"))[1]["offset"] == 0
 
 
+async def test_slow_calls_wait_before_and_late_answers_after_the_effect() -> None:
+    """Guards against delays on the wrong side of the effect."""
+    async with open_platform() as api:
+        paths = ["POST /streams"]
+        await api.call("PUT", "/faults", {"delay_ms": 3_600_000, "paths": paths})
+        slow = asyncio.create_task(append(api, "slow"))
+        for _ in range(20):
+            assert (await read(api, "from=0"))[1]["next_offset"] == 0
+        await api.call("PUT", "/faults", {"late_ms": 3_600_000, "paths": paths})
+        late = asyncio.create_task(append(api, "late"))
+        page = (await read(api, "from=0&wait_ms=30000"))[1]
+        assert [record["id"] for record in page["records"]] == ["late"]
+        assert not slow.done()
+        assert not late.done()
+        slow.cancel()
+        late.cancel()
+
+
 async def test_hanging_connections_stay_silent_while_new_ones_work() -> None:
     """Guards against a hang that also stops new connections, or that ends."""
     async with open_platform() as api, aiohttp.ClientSession() as kept:
@@ -163,6 +183,9 @@
         await api.wait_for("/v1/status", busy=1)
         status_body = (await api.call("GET", "/v1/status"))[1]
         assert status_body["usage"]["cpus"] == 3.5
+        await api.verb("long", "throttle")
+        status_body = (await api.call("GET", "/v1/status"))[1]
+        assert status_body["usage"]["cpus"] == 1.75
         assert (await api.verb("long", "stop"))["state"] == "stopped"
         assert (await running)[1]["code"] == "task_stopped"
 
@@ -206,6 +229,17 @@
         await running
 
 
+async def test_the_start_limit_is_on_the_workers_own_clock() -> None:
+    """Guards against clock differences that tests never meet."""
+    async with open_worker(clock_offset_ms=3_600_000) as api:
+        now_ms = time.time_ns() // 1_000_000
+        answer = await api.run("t", Start_Before_Ms=now_ms + 600_000)
+        assert answer[2]["Task-Refused"] == "too_late"
+        status = (await api.call("GET", "/v1/status"))[1]
+        answer = await api.run("t", Start_Before_Ms=status["time_ms"] + 600_000)
+        assert answer[0] == 200
+
+
 async def test_checks_come_after_the_body_has_arrived() -> None:
     """Guards against a start by an epoch that ended while the body was on its way."""
     async with open_worker() as api:
@@ -235,7 +269,7 @@
     table = TaskTable(results_kept=1)
     task = Task(state="running", remaining_ms=3_600_000, lease_ms=60_000)
     table.start("u", task, OrderBody(), slots=1)
-    task.lease_until_ms = 0
+    task.lease_until_ms = 1
     table.renew(task)
     await asyncio.sleep(0)
     assert task.state == "running"
