--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -209,20 +209,23 @@
         """Return the address of a worker."""
         return next(str(h["address"]) for h in self.hosts if h["host"] == host)
 
-    def cut_platform(self, node_name: str) -> None:
-        """Cut an entry host off from the platform; needs `links`."""
+    @property
+    def network(self) -> FleetLinks:
+        """Return the links, for silence and delays; needs the option `links`."""
         assert self._links is not None, "the fleet was started without links"
-        self._links.platform[node_name].cut()
+        return self._links
+
+    def cut_platform(self, node_name: str) -> None:
+        """Cut an entry host off from the platform."""
+        self.network.platform[node_name].cut()
 
     def cut_data_centres(self, first: str, second: str) -> None:
         """Cut the entry hosts of two data centres off from each other."""
-        assert self._links is not None, "the fleet was started without links"
-        self._links.cut_data_centres(first, second)
+        self.network.cut_data_centres(first, second)
 
     def restore(self) -> None:
         """End all cuts."""
-        assert self._links is not None, "the fleet was started without links"
-        self._links.restore()
+        self.network.restore()
 
     async def _put(self, address: str, path: str, values: dict[str, Any]) -> None:
         url = f"http://{address}{path}"
