Fold every control record, with the availability budget inside the fold

Cause: only catalogue and host records were folded. Encoding a state with a catalogue failed: msgspec refuses integer keys when it sorts, and revisions were kept by number.

Conclusion: a record takes effect only if it fits the state that it meets, whichever process wrote it.

--- /dev/null
+++ b/src/bergamotgap/domain/control_data.py
@@ -0,0 +1,90 @@
+"""Data that the fold of the `control` stream holds; encoded in snapshots."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Literal
+
+from bergamotgap.domain.records import HostSeen
+
+WaveStatus = Literal["open", "cancelled", "completed"]
+
+
+@dataclass(frozen=True, slots=True)
+class HostState:
+    """One host: where it is, its pool (None between pools) and its epoch.
+
+    `boot_id` is the last recorded one; while the host drains it stays the one that
+    the drain began with. `changed_ms` is the log's time of the last release,
+    assignment or start of a drain.
+    """
+
+    facts: HostSeen
+    pool: str | None
+    epoch: int
+    is_down: bool = False
+    draining_in: str | None = None
+    boot_id: str | None = None
+    changed_ms: int = 0
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether the host is in a pool and neither down nor draining."""
+        return self.pool is not None and not self.is_down and self.draining_in is None
+
+
+@dataclass(frozen=True, slots=True)
+class Revision:
+    """One accepted revision of the catalogue."""
+
+    revision: int
+    document: str
+    operator: str
+    appended_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """One maintenance wave; `done` hosts were rebooted, `removed` left the fleet."""
+
+    wave: str
+    hosts: tuple[str, ...]
+    operator: str
+    declared_ms: int
+    declared_offset: int
+    status: WaveStatus = "open"
+    done: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+    @property
+    def pending(self) -> tuple[str, ...]:
+        """Return the hosts that still have to be maintained, in declared order."""
+        settled = {*self.done, *self.removed}
+        return tuple(host for host in self.hosts if host not in settled)
+
+
+@dataclass(slots=True)
+class ControlData:
+    """Everything that the fold keeps.
+
+    `older_revisions` and `older_waves` count what was dropped from the history.
+    `epoch_floor` is the highest epoch of any removed host: a host that returns
+    begins above it, so that its worker does not see its epoch fall.
+    """
+
+    revisions: list[Revision] = field(default_factory=list)
+    older_revisions: int = 0
+    hosts: dict[str, HostState] = field(default_factory=dict)
+    waves: dict[str, Wave] = field(default_factory=dict)
+    older_waves: int = 0
+    plan_revision: int = 0
+    epoch_floor: int = 0
+
+
+def list_pool(hosts: Mapping[str, HostState], pool: str) -> list[HostState]:
+    """Return the hosts of a pool, in the order of their names."""
+    return [hosts[name] for name in sorted(hosts) if hosts[name].pool == pool]
+
+
+def count_serving(hosts: Iterable[HostState]) -> int:
+    """Return how many of the hosts serve."""
+    return sum(host.is_serving for host in hosts)
--- a/src/bergamotgap/domain/control_state.py
+++ b/src/bergamotgap/domain/control_state.py
@@ -1,63 +1,65 @@
 """State of catalogue, hosts, pools and waves, folded from the `control` stream."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Self
 
 import msgspec
 
+from bergamotgap.domain.budget import can_drain, can_release
 from bergamotgap.domain.catalogue import Catalogue, parse_catalogue
+from bergamotgap.domain.control_data import (
+    ControlData,
+    HostState,
+    Revision,
+    Wave,
+    count_serving,
+    list_pool,
+)
 from bergamotgap.domain.folding import Applied, Effect, Rejected, Stamp
 from bergamotgap.domain.records import (
     CataloguePublished,
+    DrainStarted,
+    HostAssigned,
+    HostDown,
+    HostMaintained,
+    HostReleased,
+    HostRemoved,
     HostSeen,
+    HostUp,
     Record,
+    WaveCancelled,
+    WaveDeclared,
 )
 
+__all__ = ["ControlState", "HostState", "Revision", "Wave", "is_news"]
 
-@dataclass(frozen=True, slots=True)
-class HostState:
-    """One host: where it is, its pool (None between pools) and its epoch."""
-
-    facts: HostSeen
-    pool: str | None
-    epoch: int
-    is_down: bool = False
-    draining_in: str | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Revision:
-    """One accepted revision of the catalogue."""
+# History that operators look at; more would make every snapshot larger.
+KEPT_REVISIONS = 50
+KEPT_CLOSED_WAVES = 50
 
-    revision: int
-    document: str
-    operator: str
-    appended_ms: int
 
+def is_news(known: HostState | None, record: HostSeen) -> bool:
+    """Return whether `HostSeen` changes anything; the home pool of a known host won't.
 
-@dataclass(slots=True)
-class _Data:
-    revisions: dict[int, Revision] = field(default_factory=dict)
-    hosts: dict[str, HostState] = field(default_factory=dict)
-    plan_revision: int = 0
+    A known host changes its pool only by `HostReleased` and `HostAssigned`.
+    """
+    return known is None or replace(record, pool=known.facts.pool) != known.facts
 
 
 class ControlState:
     """Fold of the `control` stream."""
 
-    def __init__(self, data: _Data | None = None) -> None:
-        self._data = data or _Data()
+    def __init__(self, data: ControlData | None = None) -> None:
+        self._data = data or ControlData()
         self._catalogue: Catalogue | None = None
         if self._data.revisions:
-            self._catalogue = parse_catalogue(
-                self._data.revisions[self.revision].document
-            )
+            self._catalogue = parse_catalogue(self._data.revisions[-1].document)
 
     @property
     def revision(self) -> int:
         """Return the catalogue revision in force; 0 before the first."""
-        return max(self._data.revisions, default=0)
+        return self._data.revisions[-1].revision if self._data.revisions else 0
 
     @property
     def catalogue(self) -> Catalogue | None:
@@ -71,12 +73,22 @@
 
     @property
     def revisions(self) -> dict[int, Revision]:
-        """Return accepted revisions by number; not to be changed by the reader."""
-        return self._data.revisions
+        """Return the kept revisions by number, the oldest first."""
+        return {revision.revision: revision for revision in self._data.revisions}
+
+    @property
+    def older_revisions(self) -> int:
+        """Return how many revisions were dropped from the history."""
+        return self._data.older_revisions
+
+    @property
+    def waves(self) -> dict[str, Wave]:
+        """Return open and recently closed waves; not to be changed by the reader."""
+        return self._data.waves
 
     @property
     def plan_revision(self) -> int:
-        """Return the number of moves and drains that took effect."""
+        """Return the number of moves, drains and returns of hosts that took effect."""
         return self._data.plan_revision
 
     def encode(self) -> bytes:
@@ -86,7 +98,7 @@
     @classmethod
     def decode(cls, encoded: bytes) -> Self:
         """Restore a state from `encode`."""
-        return cls(msgspec.json.decode(encoded, type=_Data))
+        return cls(msgspec.json.decode(encoded, type=ControlData))
 
     @singledispatchmethod
     def _apply(self, record: Record, stamp: Stamp) -> Effect:
@@ -106,18 +118,209 @@
             self._catalogue = parse_catalogue(record.document)
         except ValueError as error:
             return Rejected("invalid_catalogue", str(error))
-        self._data.revisions[record.revision] = Revision(
-            record.revision, record.document, record.operator, stamp.appended_ms
+        revisions = self._data.revisions
+        revisions.append(
+            Revision(
+                record.revision, record.document, record.operator, stamp.appended_ms
+            )
         )
+        while len(revisions) > KEPT_REVISIONS:
+            del revisions[0]
+            self._data.older_revisions += 1
         return Applied()
 
     @_apply.register
     def _see_host(self, record: HostSeen, stamp: Stamp) -> Effect:
-        known = self._data.hosts.get(record.host)
+        known = self.hosts.get(record.host)
+        if not is_news(known, record):
+            return Rejected("no_change")
+        if known is None:
+            epoch = self._data.epoch_floor + 1
+            self.hosts[record.host] = HostState(record, record.pool, epoch)
+        else:
+            self.hosts[record.host] = replace(known, facts=record)
+        return Applied()
+
+    @_apply.register
+    def _release(self, record: HostReleased, stamp: Stamp) -> Effect:
+        known = self.hosts.get(record.host)
+        problem = self._check_move(known, record)
+        if problem is not None or known is None:
+            return problem or Rejected("unknown_host")
+        if known.pool is None or not known.is_serving:
+            return Rejected("not_serving", record.host)
+        hosts = list_pool(self.hosts, known.pool)
+        if self._catalogue is None:
+            return Rejected("no_catalogue")
+        if not can_release(
+            self._catalogue, known.pool, len(hosts), count_serving(hosts)
+        ):
+            return Rejected("budget", f"pool {known.pool} can't spare a host")
+        return self._change_pool(known, None, stamp)
+
+    @_apply.register
+    def _assign(self, record: HostAssigned, stamp: Stamp) -> Effect:
+        known = self.hosts.get(record.host)
+        problem = self._check_move(known, record)
+        if problem is not None or known is None:
+            return problem or Rejected("unknown_host")
+        if known.pool is not None:
+            return Rejected("in_pool", known.pool)
+        if known.is_down:
+            return Rejected("host_down", record.host)
+        pool = self._catalogue.find_pool(record.pool) if self._catalogue else None
+        if pool is None:
+            return Rejected("unknown_pool", record.pool)
+        if len(list_pool(self.hosts, pool.name)) >= pool.max_hosts:
+            return Rejected("pool_full", pool.name)
+        return self._change_pool(known, pool.name, stamp)
+
+    def _check_move(
+        self, known: HostState | None, record: HostReleased | HostAssigned
+    ) -> Rejected | None:
         if known is None:
-            self._data.hosts[record.host] = HostState(record, record.pool, 1)
-            return Applied()
-        if known.facts == record:
+            return Rejected("unknown_host", record.host)
+        if known.epoch != record.epoch:
+            return Rejected("stale_epoch", f"epoch is {known.epoch}")
+        return self._check_plan_base(record.plan_base)
+
+    def _check_plan_base(self, plan_base: int) -> Rejected | None:
+        if plan_base != self.plan_revision:
+            return Rejected("stale_plan", f"plan revision is {self.plan_revision}")
+        return None
+
+    def _change_pool(self, known: HostState, pool: str | None, stamp: Stamp) -> Effect:
+        self.hosts[known.facts.host] = replace(
+            known, pool=pool, epoch=known.epoch + 1, changed_ms=stamp.appended_ms
+        )
+        self._data.plan_revision += 1
+        return Applied()
+
+    @_apply.register
+    def _mark_down(self, record: HostDown, stamp: Stamp) -> Effect:
+        known = self.hosts.get(record.host)
+        if known is None:
+            return Rejected("unknown_host", record.host)
+        if known.is_down:
             return Rejected("no_change")
-        self._data.hosts[record.host] = replace(known, facts=record)
+        if known.boot_id is not None and known.boot_id != record.boot_id:
+            return Rejected("stale_boot", f"boot id is {known.boot_id}")
+        self.hosts[record.host] = replace(known, is_down=True)
         return Applied()
+
+    @_apply.register
+    def _mark_up(self, record: HostUp, stamp: Stamp) -> Effect:
+        known = self.hosts.get(record.host)
+        if known is None:
+            return Rejected("unknown_host", record.host)
+        # While the host drains, the boot id that the drain began with is what tells
+        # the next planner whether the reboot has happened.
+        is_draining = known.draining_in is not None
+        boot_id = known.boot_id if is_draining else record.boot_id
+        if not known.is_down and boot_id == known.boot_id:
+            return Rejected("no_change")
+        self.hosts[record.host] = replace(known, is_down=False, boot_id=boot_id)
+        # A drain that was planned before this change must not rely on the old boot.
+        self._data.plan_revision += 1
+        return Applied()
+
+    @_apply.register
+    def _remove_host(self, record: HostRemoved, stamp: Stamp) -> Effect:
+        known = self.hosts.pop(record.host, None)
+        if known is None:
+            return Rejected("unknown_host", record.host)
+        self._data.epoch_floor = max(self._data.epoch_floor, known.epoch)
+        for name in list(self.waves):
+            wave = self.waves.get(name)
+            if wave is not None and record.host in wave.pending:
+                removed = (*wave.removed, record.host)
+                self._settle_wave(replace(wave, removed=removed))
+        return Applied()
+
+    @_apply.register
+    def _declare_wave(self, record: WaveDeclared, stamp: Stamp) -> Effect:
+        if record.wave in self.waves:
+            return Rejected("known_wave", record.wave)
+        hosts = tuple(dict.fromkeys(record.hosts))
+        unknown = [host for host in hosts if host not in self.hosts]
+        if unknown:
+            return Rejected("unknown_host", ", ".join(unknown))
+        if not hosts:
+            return Rejected("empty_wave", record.wave)
+        self.waves[record.wave] = Wave(
+            wave=record.wave,
+            hosts=hosts,
+            operator=record.operator,
+            declared_ms=stamp.appended_ms,
+            declared_offset=stamp.offset,
+        )
+        return Applied()
+
+    @_apply.register
+    def _cancel_wave(self, record: WaveCancelled, stamp: Stamp) -> Effect:
+        wave = self.waves.get(record.wave)
+        if wave is None:
+            return Rejected("unknown_wave", record.wave)
+        if wave.status != "open":
+            return Rejected("closed_wave", wave.status)
+        self.waves[record.wave] = replace(wave, status="cancelled")
+        self._drop_closed_waves()
+        return Applied()
+
+    @_apply.register
+    def _start_drain(self, record: DrainStarted, stamp: Stamp) -> Effect:
+        wave = self.waves.get(record.wave)
+        if wave is None or wave.status != "open":
+            return Rejected("closed_wave", record.wave)
+        known = self.hosts.get(record.host)
+        if known is None or record.host not in wave.pending:
+            return Rejected("not_in_wave", record.host)
+        problem = self._check_plan_base(record.plan_base)
+        if problem is not None:
+            return problem
+        if known.pool is None or not known.is_serving:
+            return Rejected("not_serving", record.host)
+        if known.boot_id is None:
+            return Rejected("boot_unknown", record.host)
+        hosts = list_pool(self.hosts, known.pool)
+        if self._catalogue is None:
+            return Rejected("no_catalogue")
+        if not can_drain(self._catalogue, known.pool, len(hosts), count_serving(hosts)):
+            return Rejected("budget", f"pool {known.pool} can't spare a host")
+        self.hosts[record.host] = replace(
+            known, draining_in=record.wave, changed_ms=stamp.appended_ms
+        )
+        self._data.plan_revision += 1
+        return Applied()
+
+    @_apply.register
+    def _finish_maintenance(self, record: HostMaintained, stamp: Stamp) -> Effect:
+        known = self.hosts.get(record.host)
+        if known is None or known.draining_in != record.wave:
+            return Rejected("not_draining", record.host)
+        if known.boot_id == record.boot_id:
+            return Rejected("same_boot", "the host has not rebooted")
+        self.hosts[record.host] = replace(
+            known, draining_in=None, is_down=False, boot_id=record.boot_id
+        )
+        wave = self.waves[record.wave]
+        self._settle_wave(replace(wave, done=(*wave.done, record.host)))
+        return Applied()
+
+    def _settle_wave(self, wave: Wave) -> None:
+        if wave.status == "open" and not wave.pending:
+            wave = replace(wave, status="completed")
+        self.waves[wave.wave] = wave
+        self._drop_closed_waves()
+
+    def _drop_closed_waves(self) -> None:
+        in_use = {host.draining_in for host in self.hosts.values()}
+        closed = [
+            wave
+            for wave in self.waves.values()
+            if wave.status != "open" and wave.wave not in in_use
+        ]
+        closed.sort(key=lambda wave: (wave.declared_offset, wave.wave))
+        for wave in closed[: max(0, len(closed) - KEPT_CLOSED_WAVES)]:
+            del self.waves[wave.wave]
+            self._data.older_waves += 1
