Fold jobs, claims and outcomes from the work stream

Cause: WorkState rejected every record, so nothing could be accepted or claimed.

The fold now applies every record of the stream. Records gain fields: JobAccepted and Claimed carry body_sha256 (a reused request id is told from a repeat) and keep_ms (this fold does not see the catalogue, so the writer states how long the outcome is kept); Ended carries attempt and ownership, so that an outcome of a former owner or of an earlier attempt does not cover a later one. JobTaken with an empty node releases a job. An outcome that says "never started" is refused while a claim is outstanding.

Ruled out: a scan for expired items on each record (cost grows with kept items); the sender's wall clock for forgetting (not deterministic). A heap over log time stamps is rebuilt from the data and is not encoded.

--- a/src/bergamotgap/domain/records.py
+++ b/src/bergamotgap/domain/records.py
@@ -115,20 +115,26 @@
 
 @dataclass(frozen=True, slots=True)
 class JobAccepted:
-    """A job that the system answers for from here on; `body` is base64."""
+    """A job that the system answers for from here on; `body` is base64.
+
+    `deadline_ms` counts from the log's time stamp. `keep_ms` is how long the outcome
+    is remembered: the fold of this stream does not see the catalogue.
+    """
 
     job: str
     caller: str
     request_id: str
     entry: str
     body: str
+    body_sha256: str
     deadline_ms: int
+    keep_ms: int
     node: str
 
 
 @dataclass(frozen=True, slots=True)
 class JobTaken:
-    """Another entry host takes over an open job."""
+    """Another entry host takes over an open job; an empty `node` releases it."""
 
     job: str
     node: str
@@ -137,11 +143,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Claimed:
-    """The right to dispatch one attempt of non-idempotent work to one worker."""
+    """The right to dispatch one attempt of non-idempotent work to one worker.
+
+    `start_before_ms` is a time on the worker's clock; `keep_ms` is how long the
+    outcome is remembered.
+    """
 
     key: str
     job: str | None
     entry: str
+    body_sha256: str
+    keep_ms: int
     node: str
     attempt: int
     worker: str
@@ -162,10 +174,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """The outcome of a job or of a claimed request; `result_inline` is base64."""
+    """The outcome of a job or of a claimed request; `result_inline` is base64.
+
+    `attempt` is the claimed attempt that ended, 0 without a claim. `ownership` is the
+    one that the writer held, 0 for a request.
+    """
 
     key: str
     job: str | None
+    attempt: int
+    ownership: int
     outcome: str
     worker: str
     task: str
--- a/src/bergamotgap/domain/work_state.py
+++ b/src/bergamotgap/domain/work_state.py
@@ -1,24 +1,115 @@
 """State of jobs and claims, folded from the `work` stream."""
 
-from dataclasses import dataclass, field
+import heapq
+from dataclasses import dataclass, field, replace
+from functools import singledispatchmethod
 from typing import Self
 
 import msgspec
 
-from bergamotgap.domain.folding import Effect, Rejected, Stamp
-from bergamotgap.domain.records import JobAccepted, Record
+from bergamotgap.domain.folding import Applied, Effect, Rejected, Stamp
+from bergamotgap.domain.records import (
+    AttemptNotRun,
+    CancelRequested,
+    Claimed,
+    Ended,
+    JobAccepted,
+    JobTaken,
+    Record,
+)
+from bergamotgap.domain.work_items import NEVER_STARTED, Claim, Job, build_key
 
 
 @dataclass(slots=True)
 class _Data:
-    jobs: dict[str, JobAccepted] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    claims: dict[str, Claim] = field(default_factory=dict)
+    log_ms: int = 0
+    accepted: int = 0
+    ended: int = 0
 
 
 class WorkState:
-    """Fold of the `work` stream."""
+    """Fold of the `work` stream.
+
+    Each record costs a constant number of dictionary operations; forgetting costs a
+    heap operation for each forgotten item.
+    """
 
     def __init__(self, data: _Data | None = None) -> None:
         self._data = data or _Data()
+        # Everything below follows from the data and is not encoded.
+        jobs = self._data.jobs.values()
+        claims = self._data.claims.values()
+        self._job_ids = {job.key: job.job for job in jobs}
+        self._open = {job.job: None for job in jobs if job.ended is None}
+        self._outstanding = {c.key: None for c in claims if c.is_outstanding}
+        self._forgetting: list[tuple[int, str, bool]] = [
+            *(
+                (j.forget_at_ms, j.job, True)
+                for j in jobs
+                if j.forget_at_ms is not None
+            ),
+            *(
+                (c.forget_at_ms, c.key, False)
+                for c in claims
+                if c.forget_at_ms is not None
+            ),
+        ]
+        heapq.heapify(self._forgetting)
+
+    @property
+    def accepted(self) -> int:
+        """Return the number of jobs ever accepted."""
+        return self._data.accepted
+
+    @property
+    def ended(self) -> int:
+        """Return the number of jobs ever ended."""
+        return self._data.ended
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of accepted jobs without an outcome."""
+        return len(self._open)
+
+    @property
+    def log_ms(self) -> int:
+        """Return the latest time stamp of the log."""
+        return self._data.log_ms
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Return sizes for metrics and dumps."""
+        return {
+            "accepted": self.accepted,
+            "ended": self.ended,
+            "open": self.open_count,
+            "jobs_kept": len(self._data.jobs),
+            "claims_kept": len(self._data.claims),
+            "claims_outstanding": len(self._outstanding),
+        }
+
+    def find_job(self, job: str) -> Job | None:
+        """Return a job by its id, unless it is forgotten."""
+        return self._data.jobs.get(job)
+
+    def find_job_by_key(self, key: str) -> Job | None:
+        """Return the job that a caller's request id stands for."""
+        job = self._job_ids.get(key)
+        return None if job is None else self._data.jobs[job]
+
+    def find_claim(self, key: str) -> Claim | None:
+        """Return the last claim on a key."""
+        return self._data.claims.get(key)
+
+    def list_open_jobs(self) -> list[Job]:
+        """Return the jobs without an outcome, in no certain order."""
+        return [self._data.jobs[job] for job in self._open]
+
+    def list_outstanding_claims(self) -> list[Claim]:
+        """Return the claims whose fate is not recorded, in no certain order."""
+        return [self._data.claims[key] for key in self._outstanding]
 
     def encode(self) -> bytes:
         """Encode the whole state; equal states give equal bytes."""
@@ -31,4 +122,200 @@
 
     def apply(self, stamp: Stamp, record: Record) -> Effect:
         """Fold one record in; records come in offset order."""
+        # The log's clock may step back; forgetting must not depend on that.
+        self._data.log_ms = max(self._data.log_ms, stamp.appended_ms)
+        self._forget()
+        return self._apply(record)
+
+    def _forget(self) -> None:
+        while self._forgetting and self._forgetting[0][0] <= self._data.log_ms:
+            due_ms, name, is_job = heapq.heappop(self._forgetting)
+            if is_job:
+                self._forget_job(name, due_ms)
+                continue
+            claim = self._data.claims.get(name)
+            if claim is not None and claim.forget_at_ms == due_ms:
+                del self._data.claims[name]
+
+    def _forget_job(self, name: str, due_ms: int) -> None:
+        job = self._data.jobs.get(name)
+        if job is not None and job.forget_at_ms == due_ms:
+            del self._data.jobs[name]
+            del self._job_ids[job.key]
+
+    @singledispatchmethod
+    def _apply(self, record: Record) -> Effect:
         return Rejected("wrong_stream", type(record).__name__)
+
+    @_apply.register
+    def _accept(self, record: JobAccepted) -> Effect:
+        key = build_key(record.caller, record.request_id)
+        known = self._job_ids.get(key)
+        if known is not None:
+            return Rejected("duplicate", known)
+        if record.job in self._data.jobs:
+            return Rejected("job_known")
+        if key in self._data.claims:
+            return Rejected("request_id_reused")
+        log_ms = self._data.log_ms
+        self._data.jobs[record.job] = Job(
+            job=record.job,
+            key=key,
+            caller=record.caller,
+            entry=record.entry,
+            body=record.body,
+            body_sha256=record.body_sha256,
+            accepted_ms=log_ms,
+            deadline_at_ms=log_ms + record.deadline_ms,
+            keep_ms=record.keep_ms,
+            owner=record.node,
+        )
+        self._job_ids[key] = record.job
+        self._open[record.job] = None
+        self._data.accepted += 1
+        return Applied()
+
+    @_apply.register
+    def _take(self, record: JobTaken) -> Effect:
+        job = self._find_open(record.job)
+        if isinstance(job, Rejected):
+            return job
+        if record.ownership != job.ownership + 1:
+            return Rejected("stale_ownership", f"the job is at {job.ownership}")
+        self._data.jobs[job.job] = replace(
+            job, owner=record.node, ownership=record.ownership
+        )
+        return Applied()
+
+    @_apply.register
+    def _request_cancel(self, record: CancelRequested) -> Effect:
+        job = self._find_open(record.job)
+        if isinstance(job, Rejected):
+            return job
+        self._data.jobs[job.job] = replace(job, is_cancel_requested=True)
+        return Applied()
+
+    @_apply.register
+    def _claim(self, record: Claimed) -> Effect:
+        refusal = self._refuse_claimant(record)
+        if refusal is not None:
+            return refusal
+        known = self._data.claims.get(record.key)
+        next_attempt = 1
+        if known is not None:
+            if not known.is_not_run:
+                return Rejected("claimed", f"attempt {known.attempt}")
+            if (known.entry, known.body_sha256) != (record.entry, record.body_sha256):
+                return Rejected("request_id_reused")
+            next_attempt = known.attempt + 1
+        if record.attempt != next_attempt:
+            return Rejected("stale_attempt", f"attempt {next_attempt} is next")
+        self._data.claims[record.key] = Claim(
+            key=record.key,
+            job=record.job,
+            entry=record.entry,
+            body_sha256=record.body_sha256,
+            keep_ms=record.keep_ms,
+            node=record.node,
+            attempt=record.attempt,
+            worker=record.worker,
+            boot_id=record.boot_id,
+            task=record.task,
+            start_before_ms=record.start_before_ms,
+        )
+        self._outstanding[record.key] = None
+        return Applied()
+
+    def _refuse_claimant(self, record: Claimed) -> Rejected | None:
+        if record.job is None:
+            return Rejected("request_id_reused") if self._is_job(record.key) else None
+        job = self._find_open(record.job)
+        if isinstance(job, Rejected):
+            return job
+        if job.key != record.key or job.entry != record.entry:
+            return Rejected("wrong_key")
+        if (record.node, record.ownership) != (job.owner, job.ownership):
+            return Rejected("stale_ownership", f"the job is at {job.ownership}")
+        return Rejected("cancelled") if job.is_cancel_requested else None
+
+    @_apply.register
+    def _note_not_run(self, record: AttemptNotRun) -> Effect:
+        claim = self._data.claims.get(record.key)
+        if claim is None or not claim.is_outstanding:
+            return Rejected("not_outstanding")
+        if claim.attempt != record.attempt:
+            return Rejected("stale_attempt", f"attempt {claim.attempt} is current")
+        forget_at_ms = None if claim.job else self._data.log_ms + claim.keep_ms
+        claim = replace(claim, is_not_run=True, forget_at_ms=forget_at_ms)
+        self._settle_claim(claim)
+        return Applied()
+
+    @_apply.register
+    def _end(self, record: Ended) -> Effect:
+        if record.job is None:
+            return self._end_request(record)
+        job = self._find_open(record.job)
+        if isinstance(job, Rejected):
+            return job
+        if record.key != job.key:
+            return Rejected("wrong_key")
+        if record.ownership != job.ownership:
+            return Rejected("stale_ownership", f"the job is at {job.ownership}")
+        refusal = self._refuse_end(record, self._data.claims.get(job.key))
+        if refusal is not None:
+            return refusal
+        forget_at_ms = self._data.log_ms + job.keep_ms
+        self._data.jobs[job.job] = replace(
+            job, ended=record, body="", forget_at_ms=forget_at_ms
+        )
+        heapq.heappush(self._forgetting, (forget_at_ms, job.job, True))
+        # The ended job itself keeps the key from now on.
+        self._data.claims.pop(job.key, None)
+        self._outstanding.pop(job.key, None)
+        del self._open[job.job]
+        self._data.ended += 1
+        return Applied()
+
+    def _end_request(self, record: Ended) -> Effect:
+        claim = self._data.claims.get(record.key)
+        if claim is None or claim.job is not None:
+            return Rejected("no_claim")
+        if claim.ended is not None:
+            return Rejected("already_ended", claim.ended.outcome)
+        refusal = self._refuse_end(record, claim)
+        if refusal is not None:
+            return refusal
+        forget_at_ms = self._data.log_ms + claim.keep_ms
+        self._settle_claim(replace(claim, ended=record, forget_at_ms=forget_at_ms))
+        return Applied()
+
+    @staticmethod
+    def _refuse_end(record: Ended, claim: Claim | None) -> Rejected | None:
+        # An outcome that says "never started" must not cover an attempt that may run,
+        # and an outcome of an earlier attempt must not cover a later one.
+        is_outstanding = claim is not None and claim.is_outstanding
+        if is_outstanding and record.outcome in NEVER_STARTED:
+            return Rejected("claim_outstanding")
+        expected = claim.attempt if claim is not None and is_outstanding else 0
+        if record.attempt != expected:
+            return Rejected("stale_attempt", f"attempt {expected} is outstanding")
+        if record.job is None and not is_outstanding:
+            return Rejected("not_outstanding")
+        return None
+
+    def _settle_claim(self, claim: Claim) -> None:
+        self._data.claims[claim.key] = claim
+        self._outstanding.pop(claim.key, None)
+        if claim.forget_at_ms is not None:
+            heapq.heappush(self._forgetting, (claim.forget_at_ms, claim.key, False))
+
+    def _is_job(self, key: str) -> bool:
+        return key in self._job_ids
+
+    def _find_open(self, name: str) -> Job | Rejected:
+        job = self._data.jobs.get(name)
+        if job is None:
+            return Rejected("unknown_job")
+        if job.ended is not None:
+            return Rejected("already_ended", job.ended.outcome)
+        return job
