--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from bergamotgap.adapters.caller_http import CallerApi
+from bergamotgap.adapters.job_http import JobApi
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.metrics import (
     Metrics,
@@ -19,6 +20,7 @@
 from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.adapters.worker_http import HttpWorkerClient
+from bergamotgap.domain.catalogue import Catalogue
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.control_state import ControlState
 from bergamotgap.domain.work_state import WorkState
@@ -35,6 +37,7 @@
 from bergamotgap.node.snapshots import SnapshotWriter
 from bergamotgap.node.streams import Stream
 from bergamotgap.node.supervision import supervise
+from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
 from bergamotgap.node.writer import StreamWriter
 from bergamotgap.ports.peer import PeerInfo
@@ -80,11 +83,22 @@
         self._planner = Planner(self._control, writer, http_platform, self._clock)
         placer = Placer(lambda: self._control.state, workers, admission)
         dispatcher = Dispatcher(placer, client, self._clock)
+        work_writer = self._build_writer(self._work)
+        self._parts = WorkParts(
+            self._membership,
+            self._control,
+            self._work,
+            work_writer,
+            placer,
+            client,
+            self._clock,
+        )
         self._start("workers", workers.run)
         self._start("planner", self._planner.run)
+        await self._stack.enter_async_context(self._parts)
         await self._serve_callers(dispatcher)
         operators = OperatorApi(self._control, writer, self.dump, self.is_ready)
-        self._register_gauges(writer)
+        self._register_gauges(writer, work_writer)
         operator_app = operators.build_app()
         operator_app.router.add_get("/metrics", serve_metrics)
         await self._serve(operator_app, self._settings.operator_address)
@@ -160,18 +174,30 @@
 
     async def _serve_callers(self, dispatcher: Dispatcher) -> None:
         callers = CallerApi(
-            lambda: self._control.state.catalogue, dispatcher, self._clock
+            self._get_catalogue, dispatcher, self._parts.requests, self._clock
+        )
+        jobs = JobApi(
+            self._get_catalogue,
+            self._parts.jobs,
+            self._parts.results,
+            self._settings.max_job_body_bytes,
         )
         app = web.Application(
             client_max_size=self._settings.max_body_bytes,
             middlewares=[build_request_middleware(self._metrics)],
         )
         callers.add_routes(app)
+        jobs.add_routes(app)
         await self._serve(app, self._settings.caller_address)
 
-    def _register_gauges(self, writer: StreamWriter) -> None:
+    def _get_catalogue(self) -> Catalogue | None:
+        return self._control.state.catalogue
+
+    def _register_gauges(self, control: StreamWriter, work: StreamWriter) -> None:
         register_stream_gauges(
-            self._metrics, (self._control, self._work), [("control", writer)]
+            self._metrics,
+            (self._control, self._work),
+            [("control", control), ("work", work)],
         )
         register_fleet_gauges(
             self._metrics,
@@ -248,4 +274,8 @@
             ],
             "catalogue_revision": state.revision,
             "hosts": len(state.hosts),
+            "work": {
+                "jobs_owned": self._parts.jobs.owned,
+                **self._work.state.counts,
+            },
         }
