Choose drains and moves from the folded state, and compare move policies

Cause: nothing decided which hosts to drain or move. Demand of the five services peaks in turn, above what their pools can handle.

Ruled out: static pools, a greedy mover and loans from the spare pool only (docs/decisions/moves.md); a hold on the demand of the last seconds, which cost moves when one peak ended as the next began; taking hosts always from the spare pool first.

Conclusion: hosts stay where the last peak left them until another pool is short by the price.

--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,254 @@
+"""Compare ways of sizing pools on one demand trace; prints a table.
+
+Five services peak in turn. Work that finds no free slot waits, and counts as missed
+when it is not served within the deadline. Each move takes its host out of service for
+one tick.
+"""
+
+import math
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import numpy as np
+
+from bergamotgap.domain.moves import (
+    PoolLoad,
+    ShortageTimer,
+    choose_donors,
+)
+
+SEED = 20261204
+TICK_MS = 1000
+SERVICES = 5
+SPARE = "service-4"
+MEAN_SLOTS = 15.0
+PEAK_FACTOR = 5.0
+LULL_FACTOR = 0.05
+PEAK_TICKS = 20
+# The part of a cycle in peaks that gives a mean of one with the two factors above.
+CYCLE_TICKS = round(PEAK_TICKS * (PEAK_FACTOR - LULL_FACTOR) / (1 - LULL_FACTOR))
+CYCLES = 10
+SLOTS_PER_HOST = 8
+# The deployments have 30 hosts; the other sizes show what the policies need.
+FLEETS = (28, 29, 30)
+HOME_HOSTS = 5
+MIN_HOSTS = 3
+MAX_HOSTS = 12
+DEADLINE_TICKS = 2
+
+Trace = list[dict[str, float]]
+Sizes = dict[str, int]
+# Takes the tick, the demand and the sizes; returns moves as (donor, receiver).
+Policy = Callable[[int, Mapping[str, float], Sizes], list[tuple[str, str]]]
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What one policy did with the trace."""
+
+    policy: str
+    hosts: int
+    moves: int
+    spare_host_seconds: float
+    missed: float
+    offered: float
+
+
+def build_trace(seed: int = SEED) -> Trace:
+    """Return slot-seconds of new work per tick and service."""
+    random = np.random.default_rng(seed)
+    trace: Trace = []
+    for tick in range(CYCLE_TICKS * CYCLES):
+        arrivals = {}
+        for index in range(SERVICES):
+            start = index * CYCLE_TICKS // SERVICES
+            is_peak = (tick - start) % CYCLE_TICKS < PEAK_TICKS
+            factor = PEAK_FACTOR if is_peak else LULL_FACTOR
+            arrivals[f"service-{index}"] = float(random.poisson(MEAN_SLOTS * factor))
+        trace.append(arrivals)
+    return trace
+
+
+class _Queue:
+    """Work of one service, waiting in order of arrival."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[tuple[int, float]] = deque()
+
+    @property
+    def size(self) -> float:
+        return sum(work for _, work in self._waiting)
+
+    def add(self, tick: int, work: float) -> None:
+        self._waiting.append((tick, work))
+
+    def serve(self, capacity: float) -> float:
+        served = 0.0
+        while self._waiting and served < capacity:
+            tick, work = self._waiting.popleft()
+            part = min(work, capacity - served)
+            served += part
+            if part < work:
+                self._waiting.appendleft((tick, work - part))
+        return served
+
+    def drop_late(self, tick: int) -> float:
+        missed = 0.0
+        while self._waiting and tick - self._waiting[0][0] >= DEADLINE_TICKS:
+            missed += self._waiting.popleft()[1]
+        return missed
+
+
+def replay(name: str, trace: Trace, sizes: Sizes, policy: Policy) -> Result:
+    """Run one policy over the trace."""
+    queues = {service: _Queue() for service in sizes}
+    hosts = sum(sizes.values())
+    moves, spare, missed = 0, 0.0, 0.0
+    arriving: list[str] = []
+    for tick, arrivals in enumerate(trace):
+        for service in arriving:
+            sizes[service] += 1
+        for service, work in arrivals.items():
+            queues[service].add(tick, work)
+        demand = {service: queue.size for service, queue in queues.items()}
+        chosen = policy(tick, demand, sizes)
+        for donor, _ in chosen:
+            sizes[donor] -= 1
+        arriving = [receiver for _, receiver in chosen]
+        moves += len(chosen)
+        served = 0.0
+        for service, queue in queues.items():
+            served += queue.serve(sizes[service] * SLOTS_PER_HOST)
+            missed += queue.drop_late(tick)
+        spare += (hosts - served / SLOTS_PER_HOST) * TICK_MS / 1000
+    offered = sum(sum(arrivals.values()) for arrivals in trace)
+    return Result(name, hosts, moves, spare, missed, offered)
+
+
+def _keep(
+    tick: int, demand: Mapping[str, float], sizes: Sizes
+) -> list[tuple[str, str]]:
+    return []
+
+
+def _count_wanted(demand: float) -> int:
+    return min(MAX_HOSTS, max(MIN_HOSTS, math.ceil(demand / SLOTS_PER_HOST)))
+
+
+def _move_greedily(
+    tick: int, demand: Mapping[str, float], sizes: Sizes
+) -> list[tuple[str, str]]:
+    """Give every pool what its demand needs at each tick; the rest is spare."""
+    gaps = {
+        service: _count_wanted(demand[service]) - size
+        for service, size in sizes.items()
+        if service != SPARE
+    }
+    donors = [name for name, gap in gaps.items() for _ in range(-gap)]
+    receivers = [name for name, gap in gaps.items() for _ in range(gap)]
+    free = max(0, sizes[SPARE] - _count_wanted(demand[SPARE]))
+    donors += [SPARE] * free
+    pairs = list(zip(donors, receivers, strict=False))
+    left = [name for name in donors[len(pairs) :] if name != SPARE]
+    return pairs + [(name, SPARE) for name in left]
+
+
+def _borrow(
+    tick: int, demand: Mapping[str, float], sizes: Sizes
+) -> list[tuple[str, str]]:
+    """Lend hosts of the spare pool to pools that are short, and take them back."""
+    pairs: list[tuple[str, str]] = []
+    free = sizes[SPARE] - _count_wanted(demand[SPARE])
+    for service, size in sizes.items():
+        gap = _count_wanted(demand[service]) - size
+        if service == SPARE or gap == 0:
+            continue
+        if gap > 0:
+            lent = min(gap, max(0, free))
+            pairs += [(SPARE, service)] * lent
+            free -= lent
+        else:
+            returned = min(-gap, size - HOME_HOSTS)
+            pairs += [(service, SPARE)] * max(0, returned)
+    return pairs
+
+
+def build_policy() -> Policy:
+    """Return the policy of the product, with its own memory of demand."""
+    received: dict[str, float] = {}
+    timer = ShortageTimer()
+
+    def decide(
+        tick: int, demand: Mapping[str, float], sizes: Sizes
+    ) -> list[tuple[str, str]]:
+        now_ms = tick * TICK_MS
+        in_hosts = {name: slots / SLOTS_PER_HOST for name, slots in demand.items()}
+        loads = [
+            PoolLoad(
+                name=name,
+                serving=size,
+                keep=MIN_HOSTS,
+                capacity=MAX_HOSTS - size,
+                demand=in_hosts[name],
+                is_spare=name == SPARE,
+                received_ms_ago=now_ms - received.get(name, -math.inf),
+            )
+            for name, size in sizes.items()
+        ]
+        pairs = choose_donors(timer.measure(now_ms, loads), 0)
+        for _, receiver in pairs:
+            received[receiver] = now_ms + TICK_MS
+        return pairs
+
+    return decide
+
+
+def size_static(trace: Trace) -> Result:
+    """Return the smallest equal static pools that miss no work."""
+    size = MIN_HOSTS
+    while True:
+        sizes = {f"service-{index}": size for index in range(SERVICES)}
+        result = replay("static", trace, sizes, _keep)
+        if result.missed == 0:
+            return result
+        size += 1
+
+
+def compare(seed: int = SEED) -> list[Result]:
+    """Return the results of all policies on the same trace, per size of fleet."""
+    trace = build_trace(seed)
+    results = [size_static(trace)]
+    for hosts in FLEETS:
+        policies: dict[str, Policy] = {
+            "greedy mover": _move_greedily,
+            "borrowing": _borrow,
+            "bergamotgap": build_policy(),
+        }
+        for name, policy in policies.items():
+            results.append(replay(name, trace, _divide(hosts), policy))
+    return results
+
+
+def _divide(hosts: int) -> Sizes:
+    return {
+        f"service-{index}": hosts // SERVICES + (index < hosts % SERVICES)
+        for index in range(SERVICES)
+    }
+
+
+def main() -> list[Result]:
+    """Print the table and return its rows."""
+    results = compare()
+    print("policy         hosts  moves  spare host-s  missed slot-s  missed %")
+    for item in results:
+        print(
+            f"{item.policy:13}  {item.hosts:5}  {item.moves:5}"
+            f"  {item.spare_host_seconds:12.0f}  {item.missed:13.0f}"
+            f"  {100 * item.missed / item.offered:8.3f}"
+        )
+    return results
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bergamotgap/domain/control_data.py
+++ b/src/bergamotgap/domain/control_data.py
@@ -14,8 +14,8 @@
     """One host: where it is, its pool (None between pools) and its epoch.
 
     `boot_id` is the last recorded one; while the host drains it stays the one that
-    the drain began with. `changed_ms` is the log's time of the last release,
-    assignment or start of a drain.
+    the drain began with. `changed_ms` is the log's time of the last release
+    or start of a drain, `assigned_ms` that of the last assignment.
     """
 
     facts: HostSeen
@@ -25,6 +25,7 @@
     draining_in: str | None = None
     boot_id: str | None = None
     changed_ms: int = 0
+    assigned_ms: int = 0
 
     @property
     def is_serving(self) -> bool:
--- a/src/bergamotgap/domain/control_state.py
+++ b/src/bergamotgap/domain/control_state.py
@@ -156,7 +156,9 @@
             self._catalogue, known.pool, len(hosts), count_serving(hosts)
         ):
             return Rejected("budget", f"pool {known.pool} can't spare a host")
-        return self._change_pool(known, None, stamp)
+        return self._change_pool(
+            replace(known, pool=None, changed_ms=stamp.appended_ms)
+        )
 
     @_apply.register
     def _assign(self, record: HostAssigned, stamp: Stamp) -> Effect:
@@ -173,7 +175,9 @@
             return Rejected("unknown_pool", record.pool)
         if len(list_pool(self.hosts, pool.name)) >= pool.max_hosts:
             return Rejected("pool_full", pool.name)
-        return self._change_pool(known, pool.name, stamp)
+        return self._change_pool(
+            replace(known, pool=pool.name, assigned_ms=stamp.appended_ms)
+        )
 
     def _check_move(
         self, known: HostState | None, record: HostReleased | HostAssigned
@@ -189,10 +193,8 @@
             return Rejected("stale_plan", f"plan revision is {self.plan_revision}")
         return None
 
-    def _change_pool(self, known: HostState, pool: str | None, stamp: Stamp) -> Effect:
-        self.hosts[known.facts.host] = replace(
-            known, pool=pool, epoch=known.epoch + 1, changed_ms=stamp.appended_ms
-        )
+    def _change_pool(self, host: HostState) -> Effect:
+        self.hosts[host.facts.host] = replace(host, epoch=host.epoch + 1)
         self._data.plan_revision += 1
         return Applied()
 
