Plan hosts: failures, maintenance waves and moves that any planner can take over

Cause: the planner only recorded hosts, on every node at once.

Ruled out: steps kept in the planner's memory, which a crash loses. Each step follows from the folded state and the worker's own status; the boot id that a drain began with tells whether the reboot is still due. A destination recorded with the release: demand has changed by the time the worker has no task left. Recording a host as down whenever its calls fail: when more than half of the fleet is silent, this node is more likely cut off, and nothing is recorded.

A wave over 9 hosts ends with one reboot each, also when a new planner replaces the last one before every round.

Conclusion: a paused planner's record has no effect, and it tells a worker nothing unless its record took effect. A worker call that is already on its way when its sender pauses is not fenced: the worker protocol has no boot id on drain and reboot.

--- /dev/null
+++ b/src/bergamotgap/node/moves.py
@@ -0,0 +1,180 @@
+"""Move hosts between pools: release, acknowledgement by the worker, assignment.
+
+A released host is in no pool, and its destination is chosen when its worker has no
+task left, so that another planner can go on at any point without knowing the plan.
+"""
+
+from collections.abc import Callable, Mapping
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.budget import can_release
+from bergamotgap.domain.catalogue import Catalogue, Pool
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.control_data import HostState, count_serving, list_pool
+from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.moves import (
+    PoolLoad,
+    ShortageTimer,
+    choose_donors,
+    choose_host,
+    choose_receiver,
+)
+from bergamotgap.domain.records import HostAssigned, HostReleased
+from bergamotgap.node.worker_steps import Append, TasksOn, end_tasks, is_applied
+from bergamotgap.node.workers import WorkerView
+from bergamotgap.ports.worker import WorkerClient, WorkerError
+
+log = get_logger(__name__)
+
+
+class Mover:
+    """Take the next step of every move and begin those that demand asks for.
+
+    `pool_demand` is running plus queued slots by pool over all entry hosts;
+    `is_usable` tells whether a host answers, serves and does not leave.
+    """
+
+    def __init__(
+        self,
+        control: Callable[[], ControlState],
+        append: Append,
+        client: WorkerClient,
+        view: Callable[[str], WorkerView],
+        is_usable: Callable[[HostState], bool],
+        pool_demand: Callable[[], Mapping[str, float]],
+        tasks_on: TasksOn,
+        is_planner: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._control = control
+        self._append = append
+        self._client = client
+        self._view = view
+        self._is_usable = is_usable
+        self._pool_demand = pool_demand
+        self._tasks_on = tasks_on
+        self._is_planner = is_planner
+        self._clock = clock
+        self._shortage = ShortageTimer()
+
+    async def step(self) -> None:
+        """Continue begun moves, then release hosts for pools that are short."""
+        hosts = self._control().hosts
+        released = sorted(name for name, host in hosts.items() if host.pool is None)
+        for name in released:
+            await self._advance(name)
+        catalogue = self._control().catalogue
+        if catalogue is None:
+            return
+        await self._empty_dropped_pools(catalogue)
+        unassigned = sum(host.pool is None for host in hosts.values())
+        now_ms = self._clock.monotonic_ms()
+        loads = self._shortage.measure(now_ms, self._build_loads(catalogue))
+        for donor, receiver in choose_donors(loads, unassigned):
+            if not await self._release_from(donor, receiver):
+                return
+
+    async def _advance(self, name: str) -> None:
+        """Take one step with a released host, if its worker answers."""
+        host = self._control().hosts.get(name)
+        if host is None or host.pool is not None:
+            return
+        address = host.facts.address
+        try:
+            status = await self._client.fetch_status(address)
+            if (status.pool, status.epoch) != (None, host.epoch):
+                await self._client.assign(address, None, host.epoch)
+                status = await self._client.fetch_status(address)
+            if (status.pool, status.epoch) != (None, host.epoch):
+                return
+            if status.busy > 0:
+                waited_ms = self._clock.wall_ms() - host.changed_ms
+                tasks = self._tasks_on(name)
+                await end_tasks(self._client, address, tasks, waited_ms)
+            elif status.state == "serving":
+                await self._assign(host)
+        except WorkerError as error:
+            log.info("move step failed", host=name, error=repr(error))
+
+    async def _assign(self, host: HostState) -> None:
+        state = self._control()
+        name, address = host.facts.host, host.facts.address
+        if state.catalogue is None or not self._is_planner():
+            return
+        pool = choose_receiver(self._build_loads(state.catalogue))
+        if pool is None:
+            log.warning("no pool has room for a host", host=name)
+            return
+        record = HostAssigned(name, pool, host.epoch, state.plan_revision)
+        if is_applied(await self._append(record)):
+            log.info("host assigned", host=name, pool=pool)
+            await self._client.assign(address, pool, host.epoch + 1)
+
+    async def _release_from(self, donor: str, receiver: str) -> bool:
+        """Release one host of a pool; return whether the release took effect."""
+        hosts = self._control().hosts
+        host = choose_host(
+            [host for host in list_pool(hosts, donor) if self._is_usable(host)],
+            list_pool(hosts, receiver),
+            {name: self._count_busy(name) for name in hosts},
+        )
+        return host is not None and await self._release(host)
+
+    async def _release(self, host: HostState) -> bool:
+        name = host.facts.host
+        plan_base = self._control().plan_revision
+        record = HostReleased(name, host.epoch, plan_base)
+        if not self._is_planner() or not is_applied(await self._append(record)):
+            return False
+        log.info("host released", host=name, pool=host.pool)
+        await self._advance(name)
+        return True
+
+    async def _empty_dropped_pools(self, catalogue: Catalogue) -> None:
+        names = {pool.name for pool in catalogue.pools}
+        hosts = self._control().hosts
+        for name in sorted(hosts):
+            host = hosts[name]
+            if host.pool is None or host.pool in names or not self._is_usable(host):
+                continue
+            if not await self._release(host):
+                return
+
+    def _count_busy(self, host: str) -> int:
+        status = self._view(host).status
+        return status.busy if status is not None else 0
+
+    def _build_loads(self, catalogue: Catalogue) -> list[PoolLoad]:
+        hosts = self._control().hosts
+        slots = [host.facts.slots for host in hosts.values()]
+        slots_per_host = max(1.0, sum(slots) / max(1, len(slots)))
+        demand = self._pool_demand()
+        return [
+            self._build_load(catalogue, pool, demand.get(pool.name, 0) / slots_per_host)
+            for pool in catalogue.pools
+        ]
+
+    def _build_load(self, catalogue: Catalogue, pool: Pool, demand: float) -> PoolLoad:
+        hosts = list_pool(self._control().hosts, pool.name)
+        usable = sum(self._is_usable(host) for host in hosts)
+        received_ms = max((host.assigned_ms for host in hosts), default=0)
+        return PoolLoad(
+            name=pool.name,
+            serving=usable,
+            keep=usable - min(usable, _count_releasable(catalogue, pool.name, hosts)),
+            capacity=pool.max_hosts - len(hosts),
+            demand=demand,
+            is_spare=pool.spare,
+            received_ms_ago=self._clock.wall_ms() - received_ms,
+        )
+
+
+def _count_releasable(catalogue: Catalogue, pool: str, hosts: list[HostState]) -> int:
+    """Return how many hosts can leave a pool within its size and budgets."""
+    serving = count_serving(hosts)
+    count = 0
+    while count < serving and can_release(
+        catalogue, pool, len(hosts) - count, serving - count
+    ):
+        count += 1
+    return count
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -1,6 +1,8 @@
 """The entry host: builds its parts, starts their tasks and stops them in order."""
 
 import asyncio
+from collections import Counter
+from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from typing import Any, Self
 
@@ -17,9 +19,10 @@
 from bergamotgap.domain.work_state import WorkState
 from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
+from bergamotgap.node.host_health import HostList
 from bergamotgap.node.membership import Membership, PeerView
 from bergamotgap.node.placement import Placer
-from bergamotgap.node.planner import Planner
+from bergamotgap.node.planner import Planner, choose_planner
 from bergamotgap.node.settings import Settings
 from bergamotgap.node.streams import Stream, StreamWriter, follow_platform
 from bergamotgap.node.workers import Workers
@@ -62,7 +65,18 @@
         )
         placer = Placer(lambda: self._control.state, workers, admission)
         dispatcher = Dispatcher(placer, client, self._clock)
-        planner = Planner(self._control, writer, platform, self._clock)
+        host_list = HostList(platform, self._clock)
+        planner = Planner(
+            self._control,
+            writer,
+            host_list,
+            client,
+            workers.view,
+            lambda: self._sum_demand(admission.pool_demand()),
+            lambda host: (),
+            lambda: self._is_planner(host_list),
+            self._clock,
+        )
         callers = CallerApi(
             lambda: self._control.state.catalogue, dispatcher, self._clock
         )
@@ -70,6 +84,7 @@
         self._start(follow_platform(self._control, platform))
         self._start(follow_platform(self._work, platform))
         self._start(workers.run())
+        self._start(host_list.run())
         self._start(planner.run())
         caller_app = web.Application(client_max_size=self._settings.max_body_bytes)
         callers.add_routes(caller_app)
@@ -89,6 +104,20 @@
     def _list_live_peers(self) -> list[PeerView]:
         return self._membership.list_live() if self._membership else []
 
+    def _sum_demand(self, own: Mapping[str, float]) -> Mapping[str, float]:
+        total = Counter(own)
+        for peer in self._list_live_peers():
+            total.update(peer.pool_demand)
+        return total
+
+    def _is_planner(self, host_list: HostList) -> bool:
+        reaching = [
+            peer.node_id
+            for peer in self._list_live_peers()
+            if peer.is_platform_reachable
+        ]
+        return choose_planner(self._settings.node_id, host_list.is_fresh, reaching)
+
     def _start(self, coroutine: Any) -> None:
         self._tasks.append(asyncio.create_task(coroutine))
 
--- a/src/bergamotgap/node/planner.py
+++ b/src/bergamotgap/node/planner.py
@@ -1,55 +1,143 @@
-"""Keep the fleet's records in line with the platform's host list."""
+"""Plan hosts: record them, notice failures, run maintenance waves and moves."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.control_state import ControlState, HostState, is_news
+from bergamotgap.domain.folding import Effect, Rejected
 from bergamotgap.domain.hosts import HostFacts
-from bergamotgap.domain.records import HostSeen
+from bergamotgap.domain.records import HostSeen, Record
+from bergamotgap.node.host_health import HostList, list_changes
+from bergamotgap.node.maintenance import Maintenance
+from bergamotgap.node.moves import Mover
 from bergamotgap.node.streams import (
     AppendRefusedError,
     AppendUnknownError,
     Stream,
     StreamWriter,
 )
-from bergamotgap.ports.platform import HostDirectory, PlatformError
+from bergamotgap.node.worker_steps import TasksOn
+from bergamotgap.node.workers import WorkerView
+from bergamotgap.ports.worker import WorkerClient
 
-PLAN_INTERVAL_MS = 1000
+PLAN_INTERVAL_MS = 500
 APPEND_TIMEOUT_MS = 5000
+# Records that are appended at once when many hosts change, as at the first start.
+APPENDS_AT_ONCE = 100
 
 log = get_logger(__name__)
 
 
 class Planner:
-    """Append records about hosts."""
+    """Act on the fleet while `is_planner` says that this node plans.
+
+    Two planners at once are safe: the fold refuses records that build on an old plan.
+    """
 
     def __init__(
         self,
         control: Stream[ControlState],
         writer: StreamWriter,
-        directory: HostDirectory,
+        host_list: HostList,
+        client: WorkerClient,
+        view: Callable[[str], WorkerView],
+        pool_demand: Callable[[], Mapping[str, float]],
+        tasks_on: TasksOn,
+        is_planner: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._control = control
         self._writer = writer
-        self._directory = directory
+        self._host_list = host_list
+        self._view = view
+        self._is_planner = is_planner
         self._clock = clock
+        self._maintenance = Maintenance(
+            lambda: control.state,
+            self._append,
+            client,
+            view,
+            tasks_on,
+            is_planner,
+            clock,
+        )
+        self._mover = Mover(
+            lambda: control.state,
+            self._append,
+            client,
+            view,
+            self.is_usable,
+            pool_demand,
+            tasks_on,
+            is_planner,
+            clock,
+        )
 
     async def run(self) -> None:
         """Plan for good."""
         while True:
-            try:
-                await self._record_hosts()
-            except (PlatformError, AppendRefusedError, AppendUnknownError) as error:
-                log.warning("planning failed", error=str(error))
+            await self.step()
             await self._clock.sleep_ms(PLAN_INTERVAL_MS)
 
+    async def step(self) -> None:
+        """Do one round: hosts, failures, maintenance, moves."""
+        if not self._is_planner():
+            return
+        await self._record_hosts()
+        state = self._control.state
+        await self._append_all(list_changes(state, self._view, self._host_list))
+        await self._maintenance.step()
+        if self._is_planner():
+            await self._mover.step()
+
+    def is_usable(self, host: HostState) -> bool:
+        """Return whether a host may get new work, by all that this node knows."""
+        view = self._view(host.facts.host)
+        return (
+            host.is_serving
+            and view.status is not None
+            and view.status.state == "serving"
+            and view.failures == 0
+            and not self._host_list.is_leaving(host.facts.host, view)
+        )
+
     async def _record_hosts(self) -> None:
-        listing = await self._directory.list_hosts()
-        for facts in listing.hosts:
-            record = _build_host_seen(facts)
-            known = self._control.state.hosts.get(facts.host)
-            if known is None or known.facts != record:
-                await self._writer.append(record, APPEND_TIMEOUT_MS)
+        known = self._control.state.hosts
+        records = [_build_host_seen(facts) for facts in self._host_list.hosts.values()]
+        await self._append_all(
+            [record for record in records if is_news(known.get(record.host), record)]
+        )
+
+    async def _append_all(self, records: Sequence[Record]) -> None:
+        for start in range(0, len(records), APPENDS_AT_ONCE):
+            chunk = records[start : start + APPENDS_AT_ONCE]
+            await asyncio.gather(*(self._append(record) for record in chunk))
+
+    async def _append(self, record: Record) -> Effect | None:
+        """Append a record; None when it is unknown whether it was or will be."""
+        kind = type(record).__name__
+        try:
+            effect = await self._writer.append(record, APPEND_TIMEOUT_MS)
+        except AppendRefusedError as error:
+            log.warning("append refused", kind=kind, error=str(error))
+            return Rejected("not_appended", str(error))
+        except AppendUnknownError as error:
+            log.warning("append unknown", kind=kind, error=str(error))
+            return None
+        if isinstance(effect, Rejected):
+            log.info("record had no effect", kind=kind, code=effect.code)
+        return effect
+
+
+def choose_planner(own_id: str, is_reachable: bool, peer_ids: Sequence[str]) -> bool:
+    """Return whether this node plans.
+
+    `peer_ids` are the live peers that reach the platform; `is_reachable` tells the same
+    of this node. The lowest id plans.
+    """
+    return is_reachable and all(own_id < peer_id for peer_id in peer_ids)
 
 
 def _build_host_seen(facts: HostFacts) -> HostSeen:
--- a/tests/fakes_control.py
+++ b/tests/fakes_control.py
@@ -1,8 +1,37 @@
 """Builders and in-memory fakes for tests of the control stream and its planner."""
 
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bergamotgap.domain.clock import ManualClock
 from bergamotgap.domain.control_state import ControlState
 from bergamotgap.domain.folding import Applied, Effect, Stamp
-from bergamotgap.domain.records import CataloguePublished, HostSeen, HostUp, Record
+from bergamotgap.domain.hosts import HostFacts
+from bergamotgap.domain.records import (
+    CataloguePublished,
+    HostSeen,
+    HostUp,
+    Record,
+    decode_batch,
+    unwrap_record,
+)
+from bergamotgap.node.host_health import HostList
+from bergamotgap.node.planner import Planner
+from bergamotgap.node.streams import Stream, StreamWriter
+from bergamotgap.node.worker_steps import RunningTask
+from bergamotgap.node.workers import WorkerView
+from bergamotgap.ports.platform import (
+    HostListing,
+    LogRecord,
+    PlatformUnavailableError,
+)
+from bergamotgap.ports.worker import (
+    TaskRefusedError,
+    TaskStatus,
+    WorkerStatus,
+    WorkerUnreachableError,
+)
 
 START_MS = 1_700_000_000_000
 
@@ -72,3 +101,179 @@
             log.add_all(see_host(host, pool, index), HostUp(host, "boot-1"))
             index += 1
     return log
+
+
+@dataclass
+class FakeWorker:
+    """One worker: its own status and the calls it received.
+
+    A silent one answers no call; a deaf one answers assignments but keeps its own.
+    """
+
+    pool: str | None
+    epoch: int = 1
+    boot: int = 1
+    state: str = "serving"
+    busy: int = 0
+    is_silent: bool = False
+    is_deaf: bool = False
+    calls: list[str] = field(default_factory=list)
+
+
+class FakeWorkers:
+    """All workers by address, and the views that a node has of them."""
+
+    def __init__(self, log: Log) -> None:
+        self._log = log
+        self.by_host = {
+            name: FakeWorker(host.pool) for name, host in log.state.hosts.items()
+        }
+
+    def _find(self, address: str) -> FakeWorker:
+        for name, host in self._log.state.hosts.items():
+            if host.facts.address == address and not self.by_host[name].is_silent:
+                return self.by_host[name]
+        raise WorkerUnreachableError(address)
+
+    def view(self, host: str) -> WorkerView:
+        """Return what a node sees after several status calls."""
+        worker = self.by_host[host]
+        failures = 10 if worker.is_silent else 0
+        return WorkerView(status=_read_status(host, worker), failures=failures)
+
+    async def fetch_status(self, address: str) -> WorkerStatus:
+        """Answer with the worker's own state."""
+        return _read_status(address, self._find(address))
+
+    async def assign(self, address: str, pool: str | None, epoch: int) -> None:
+        """Take an assignment, or refuse a stale one."""
+        worker = self._find(address)
+        if epoch < worker.epoch:
+            raise TaskRefusedError("stale_epoch")
+        if not worker.is_deaf:
+            worker.pool, worker.epoch = pool, epoch
+        worker.calls.append(f"assign {pool} {epoch}")
+
+    async def control(self, address: str, task: str, verb: str) -> TaskStatus:
+        """End the task on `stop`."""
+        worker = self._find(address)
+        worker.calls.append(f"{verb} {task}")
+        if verb == "stop":
+            worker.busy -= 1
+        return TaskStatus("stopped", 0, "boot", started=True)
+
+    async def drain(self, address: str) -> None:
+        """Refuse new tasks from now on."""
+        worker = self._find(address)
+        worker.state = "draining"
+        worker.calls.append("drain")
+
+    async def reboot(self, address: str) -> None:
+        """Come back with a new boot id."""
+        worker = self._find(address)
+        worker.state, worker.busy = "serving", 0
+        worker.boot += 1
+        worker.calls.append("reboot")
+
+
+def _read_status(name: str, worker: FakeWorker) -> WorkerStatus:
+    return WorkerStatus(
+        worker=name,
+        time_ms=0,
+        arrived_ms=0,
+        boot_id=f"boot-{worker.boot}",
+        pool=worker.pool,
+        epoch=worker.epoch,
+        state=worker.state,
+        slots=8,
+        busy=worker.busy,
+        used_cpus=0.0,
+        used_memory_mb=0,
+        usage_as_of_ms=0,
+    )
+
+
+class FakePlatform:
+    """A log that folds into the control state at once, and a host list."""
+
+    def __init__(self, log: Log, clock: ManualClock) -> None:
+        self.log = log
+        self.clock = clock
+        self.stream: Stream[ControlState] = Stream("control", log.state, clock)
+        self.is_up = True
+        self.appended: list[Record] = []
+        self.listing: HostListing | None = None
+
+    async def append(self, stream: str, record_id: str, body: str) -> int:
+        """Fold the records of one append, or fail before anything was sent."""
+        if not self.is_up:
+            raise PlatformUnavailableError("down")
+        self.log.offset += 1
+        self.appended += [unwrap_record(item) for item in decode_batch(body)]
+        now_ms = self.clock.wall_ms()
+        self.stream.fold_records((LogRecord(self.log.offset, now_ms, record_id, body),))
+        return self.log.offset
+
+    async def list_hosts(self) -> HostListing:
+        """Return the set listing, or the recorded hosts."""
+        if not self.is_up:
+            raise PlatformUnavailableError("down")
+        return self.listing or list_hosts(self.log.state, self.clock.wall_ms())
+
+
+def list_hosts(
+    state: ControlState, as_of_ms: int, leaving: tuple[str, ...] = ()
+) -> HostListing:
+    """Return a listing of the recorded hosts, some of them leaving."""
+    return HostListing(
+        as_of_ms,
+        tuple(
+            HostFacts(
+                **msgspec.to_builtins(host.facts),
+                connections=64,
+                is_leaving=name in leaving,
+            )
+            for name, host in state.hosts.items()
+        ),
+    )
+
+
+class Site:
+    """A planner with its fakes; `take_over` builds another planner on them."""
+
+    def __init__(self, log: Log) -> None:
+        self.clock = ManualClock(START_MS + 10_000_000)
+        self.platform = FakePlatform(log, self.clock)
+        self.workers = FakeWorkers(log)
+        self.demand: dict[str, float] = {}
+        self.tasks: dict[str, list[RunningTask]] = {}
+        self.is_planner = True
+        self.take_over()
+
+    @property
+    def state(self) -> ControlState:
+        """Return the folded state."""
+        return self.platform.log.state
+
+    def take_over(self) -> None:
+        """Replace the planner by a new one without memory."""
+        writer = StreamWriter(self.platform.stream, self.platform, self.clock, 0)  # type: ignore[arg-type]
+        self.host_list = HostList(self.platform, self.clock)
+        self.planner = Planner(
+            self.platform.stream,
+            writer,
+            self.host_list,
+            self.workers,  # type: ignore[arg-type]
+            self.workers.view,
+            lambda: self.demand,
+            lambda host: self.tasks.get(host, []),
+            lambda: self.is_planner and self.host_list.is_fresh,
+            self.clock,
+        )
+
+    async def step(self, rounds: int = 1) -> None:
+        """Run rounds of the planner, one second apart."""
+        for _ in range(rounds):
+            self.clock.advance_ms(1000)
+            await self.host_list.refresh()
+            await self.planner.step()
