Queue requests by share, urgency and deadline; divide slots among entry hosts

Cause: every request got a slot at once, so nothing bounded the load on a pool, a flood could take all slots, and quotas were not enforced.

The queue of a pool keeps one flow per entry. A flow whose guaranteed service is due goes first (as in a hierarchical fair service curve), the rest goes by urgency class and deadline. Removal from a queue is lazy with bounded garbage. Slots, owner quotas and max_running are divided among entry hosts by max-min fairness over the demand in the digests; a node that hears at most half of the known nodes takes an equal share.

Ruled out: a scan of all waiting requests for each decision (linear in the queue); counting running tasks against whole guaranteed slots (an entry host has a few slots per pool, and parts below one slot then starve behind the urgent class).

--- /dev/null
+++ b/src/bergamotgap/domain/run_times.py
@@ -0,0 +1,104 @@
+"""Measured run times by entry, as quantiles that forget old windows."""
+
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from bergamotgap.domain.catalogue import MAX_DEADLINE_MS, Entry
+
+WINDOW_MS = 20_000
+WINDOWS = 3
+SIGNIFICANT_FIGURES = 2
+COUNTER_BYTES = 4
+# Declared run times are far from the truth: they count only until so many tasks
+# were measured, and never refuse a request by themselves.
+MIN_SAMPLES = 10
+CACHE_MS = 500
+HIGH_PERCENTILE = 90.0
+MIDDLE_PERCENTILE = 50.0
+PERCENTILES = [MIDDLE_PERCENTILE, HIGH_PERCENTILE]
+
+
+@dataclass(frozen=True, slots=True)
+class RunEstimate:
+    """What is believed of an entry's run times, in milliseconds."""
+
+    mean_ms: float
+    middle_ms: float
+    high_ms: float
+    is_measured: bool
+
+    def needed_ms(self, remaining_ms: float) -> float:
+        """Return the time to keep free for the run before a deadline.
+
+        The high quantile, unless it doesn't fit while the median does: then most
+        runs still end in time, and refusing all of them would help nobody.
+        """
+        if not self.is_measured:
+            return min(self.high_ms, remaining_ms / 2)
+        return self.high_ms if self.high_ms <= remaining_ms else self.middle_ms
+
+
+class RunTimes:
+    """Run times of one entry over the last `WINDOWS` windows of `WINDOW_MS`."""
+
+    def __init__(self) -> None:
+        self._windows: dict[int, HdrHistogram] = {}
+        self._sums: dict[int, float] = {}
+        self._cached: RunEstimate | None = None
+        self._cached_ms = 0
+        self._declared_ms = 0
+
+    def note(self, run_ms: float, now_ms: int) -> None:
+        """Record the run time of one finished task."""
+        window = now_ms // WINDOW_MS
+        if window not in self._windows:
+            self._forget(window)
+            self._windows[window] = HdrHistogram(
+                1, MAX_DEADLINE_MS, SIGNIFICANT_FIGURES, word_size=COUNTER_BYTES
+            )
+            self._sums[window] = 0.0
+        bounded_ms = min(max(1.0, run_ms), float(MAX_DEADLINE_MS))
+        self._windows[window].record_value(int(bounded_ms))
+        self._sums[window] += bounded_ms
+        if self._cached is not None and not self._cached.is_measured:
+            self._cached = None
+
+    def _forget(self, window: int) -> None:
+        for old in [key for key in self._windows if key <= window - WINDOWS]:
+            del self._windows[old]
+            del self._sums[old]
+
+    def estimate(self, entry: Entry, now_ms: int) -> RunEstimate:
+        """Return the estimate, at most `CACHE_MS` old; the declared time as prior."""
+        cached = self._cached
+        if (
+            cached is not None
+            and now_ms - self._cached_ms < CACHE_MS
+            and self._declared_ms == entry.run_ms
+        ):
+            return cached
+        self._forget(now_ms // WINDOW_MS)
+        self._cached = self._build(entry.run_ms)
+        self._cached_ms = now_ms
+        self._declared_ms = entry.run_ms
+        return self._cached
+
+    def _build(self, declared_ms: int) -> RunEstimate:
+        count = sum(item.get_total_count() for item in self._windows.values())
+        mean_ms = (sum(self._sums.values()) + declared_ms) / (count + 1)
+        if count < MIN_SAMPLES:
+            return RunEstimate(mean_ms, mean_ms, mean_ms, False)
+        merged = HdrHistogram(
+            1, MAX_DEADLINE_MS, SIGNIFICANT_FIGURES, word_size=COUNTER_BYTES
+        )
+        for item in self._windows.values():
+            merged.add(item)
+        values = merged.get_percentile_to_value_dict(PERCENTILES)
+        measured_ms = sum(self._sums.values()) / count
+        return RunEstimate(
+            measured_ms,
+            float(values[MIDDLE_PERCENTILE]),
+            float(values[HIGH_PERCENTILE]),
+            True,
+        )
--- /dev/null
+++ b/src/bergamotgap/domain/scheduler.py
@@ -0,0 +1,211 @@
+"""The queue of one pool: guaranteed shares first, then urgency and deadline.
+
+Each entry has a guaranteed rate: its part of the allowance, in slots. As in a
+hierarchical fair service curve (Stoica, Zhang and Ng, 1997), a flow whose guaranteed
+service is due is served first, in order of due time; lent service is not charged. The
+rest of the slots goes by urgency class and then deadline.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bergamotgap.domain.catalogue import Entry
+from bergamotgap.domain.keyed_heap import KeyedHeap
+from bergamotgap.domain.outcomes import Cancelled, Expired, NotRun
+
+# Part of the allowance that is guaranteed; the rest goes by urgency and deadline.
+GUARANTEED_PART = 0.75
+# Most service that a waiting flow may be owed, so that a flow that could not run for
+# a long time doesn't take all slots afterwards.
+MAX_LAG_MS = 1000.0
+URGENT_RANK = 0
+
+
+@dataclass(eq=False, slots=True)
+class Ticket:
+    """One request on its way to a slot; times are monotonic milliseconds.
+
+    `outcome` is set when it ends without a slot; `waiter` belongs to the caller.
+    """
+
+    entry: Entry
+    deadline_ms: int
+    start_by_ms: float
+    queued_ms: int
+    pool: str
+    mean_ms: float
+    started_ms: int | None = None
+    ended: bool = False
+    charged_ms: float = 0.0
+    outcome: NotRun | Expired | Cancelled | None = None
+    waiter: object = None
+
+    @property
+    def is_urgent(self) -> bool:
+        """Return whether the ticket belongs to the most urgent class."""
+        return self.entry.urgency.rank == URGENT_RANK
+
+
+@dataclass(eq=False, slots=True)
+class Flow:
+    """The requests of one entry in one pool; `share` is a part of the allowance."""
+
+    entry: Entry
+    share: float = 0.0
+    due_ms: float = 0.0
+    running: int = 0
+    is_blocked: bool = False
+    queue: KeyedHeap[Ticket] = field(default_factory=KeyedHeap)
+
+
+class PoolQueue:
+    """Waiting and running requests of one pool on this entry host."""
+
+    def __init__(self, pool: str, shares: Callable[[str], float]) -> None:
+        self.pool = pool
+        self.allowance = 0
+        self.headroom = 0
+        self.running = 0
+        self.running_urgent = 0
+        self.flows: dict[str, Flow] = {}
+        self._shares = shares
+        self._order: KeyedHeap[Flow] = KeyedHeap()
+        self._due: KeyedHeap[Flow] = KeyedHeap()
+        self.start_by: KeyedHeap[Ticket] = KeyedHeap()
+        self.urgent: KeyedHeap[Ticket] = KeyedHeap()
+
+    @property
+    def queued(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self.start_by)
+
+    @property
+    def free(self) -> int:
+        """Return the slots that may still be taken; negative after a shrink."""
+        return self.allowance - self.running
+
+    def free_for(self, rank: int) -> int:
+        """Return the slots free for a class; headroom is kept for the urgent one."""
+        return self.free - (0 if rank == URGENT_RANK else self.headroom)
+
+    def flow(self, entry: Entry) -> Flow:
+        """Return the flow of an entry, with the entry's current limits."""
+        flow = self.flows.get(entry.name)
+        if flow is None:
+            flow = self.flows[entry.name] = Flow(entry, self._shares(entry.name))
+        elif flow.entry is not entry:
+            flow.entry = entry
+            flow.share = self._shares(entry.name)
+        return flow
+
+    def refresh_shares(self) -> None:
+        """Take over the shares of a new catalogue."""
+        for name, flow in list(self.flows.items()):
+            if not flow.queue and not flow.running:
+                del self.flows[name]
+                continue
+            flow.share = self._shares(name)
+            if flow.queue and not flow.is_blocked:
+                self._index(flow)
+
+    def rate(self, flow: Flow) -> float:
+        """Return the guaranteed rate of a flow, in slots."""
+        guaranteed = GUARANTEED_PART * (self.allowance - self.headroom)
+        return max(0.0, guaranteed) * flow.share
+
+    def add(self, ticket: Ticket, now_ms: int) -> None:
+        """Queue a ticket."""
+        flow = self.flow(ticket.entry)
+        if not flow.queue:
+            flow.due_ms = max(flow.due_ms, float(now_ms))
+        flow.queue.set(ticket, ticket.deadline_ms)
+        self.start_by.set(ticket, ticket.start_by_ms)
+        if ticket.is_urgent:
+            self.urgent.set(ticket, ticket.queued_ms)
+        if not flow.is_blocked and flow.queue.is_first(ticket):
+            self._index(flow)
+
+    def remove(self, ticket: Ticket) -> None:
+        """Take a ticket out of the queue."""
+        flow = self.flows[ticket.entry.name]
+        was_first = flow.queue.is_first(ticket)
+        flow.queue.remove(ticket)
+        self.start_by.remove(ticket)
+        self.urgent.remove(ticket)
+        if was_first and not flow.is_blocked:
+            self._index(flow)
+
+    def _index(self, flow: Flow) -> None:
+        first = flow.queue.first()
+        if first is None:
+            self._order.remove(flow)
+            self._due.remove(flow)
+            return
+        self._order.set(flow, (flow.entry.urgency.rank, first[0]))
+        if flow.share > 0:
+            self._due.set(flow, flow.due_ms)
+        else:
+            self._due.remove(flow)
+
+    def block(self, flow: Flow) -> None:
+        """Leave a flow out of decisions while a limit outside the pool holds it."""
+        flow.is_blocked = True
+        self._order.remove(flow)
+        self._due.remove(flow)
+
+    def unblock(self, flow: Flow, now_ms: int) -> None:
+        """Let a flow take part again; it is owed nothing for the time between."""
+        flow.is_blocked = False
+        flow.due_ms = max(flow.due_ms, float(now_ms))
+        self._index(flow)
+
+    def choose(self, now_ms: int) -> tuple[Flow, bool] | None:
+        """Return the flow that gets the next slot and whether its share pays for it."""
+        if self.free <= 0:
+            return None
+        order = self._order.first()
+        if order is None:
+            return None
+        if self.free <= self.headroom:
+            if order[0][0] != URGENT_RANK:
+                return None
+            return order[1], order[1].due_ms <= now_ms
+        due = self._due.first()
+        if due is not None and due[0] <= now_ms:
+            return due[1], True
+        return order[1], False
+
+    def start(self, flow: Flow, is_charged: bool, now_ms: int) -> Ticket:
+        """Give a slot to the flow's first ticket."""
+        first = flow.queue.first()
+        assert first is not None
+        ticket = first[1]
+        rate = self.rate(flow)
+        if is_charged and flow.share > 0 and rate > 0:
+            flow.due_ms = max(flow.due_ms, now_ms - MAX_LAG_MS)
+            flow.due_ms += ticket.mean_ms / rate
+            ticket.charged_ms = ticket.mean_ms
+        self.occupy(ticket, flow, now_ms)
+        self.remove(ticket)
+        return ticket
+
+    def occupy(self, ticket: Ticket, flow: Flow, now_ms: int) -> None:
+        """Count a ticket as running."""
+        ticket.started_ms = now_ms
+        ticket.pool = self.pool
+        flow.running += 1
+        self.running += 1
+        self.running_urgent += ticket.is_urgent
+
+    def release(self, ticket: Ticket, now_ms: int) -> None:
+        """Free the slot and charge the share for the time that was really used."""
+        flow = self.flows[ticket.entry.name]
+        flow.running -= 1
+        self.running -= 1
+        self.running_urgent -= ticket.is_urgent
+        rate = self.rate(flow)
+        if ticket.charged_ms and ticket.started_ms is not None and rate > 0:
+            used_ms = now_ms - ticket.started_ms
+            flow.due_ms += (used_ms - ticket.charged_ms) / rate
+            if flow.queue and not flow.is_blocked:
+                self._index(flow)
--- /dev/null
+++ b/src/bergamotgap/domain/slots.py
@@ -0,0 +1,135 @@
+"""Divide slots among the live entry hosts by demand."""
+
+import math
+from collections import deque
+from collections.abc import Mapping, Sequence
+
+# A grant is used only after it has stood for this long, so that the hosts that give
+# slots up have seen the same digests before others use these slots. It covers two
+# digest intervals.
+HOLD_MS = 600
+# Least part of an equal share that a host without demand keeps.
+FLOOR_PART = 0.25
+# Places that can't be divided evenly rotate among hosts with this period.
+ROTATION_MS = 2000
+DEMAND_DECAY_MS = 2000
+
+
+def share_equally(total: int, nodes: Sequence[str], node: str, turn: int = 0) -> int:
+    """Return a node's equal share; the shares of all nodes add up to `total`."""
+    ordered = sorted(set(nodes) | {node})
+    place = (ordered.index(node) + turn) % len(ordered)
+    base, rest = divmod(total, len(ordered))
+    return base + (1 if place < rest else 0)
+
+
+def fill_demands(total: float, demands: Mapping[str, float]) -> dict[str, float]:
+    """Return the max-min fair division of `total`; what nobody needs is split equally.
+
+    A host gets its whole demand unless it asks for more than an equal part of what
+    the less demanding hosts leave over.
+    """
+    grants: dict[str, float] = {}
+    left = total
+    ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
+    for index, (node, demand) in enumerate(ordered):
+        grants[node] = min(demand, left / (len(ordered) - index))
+        left -= grants[node]
+    extra = left / len(grants) if grants else 0.0
+    return {node: grant + extra for node, grant in grants.items()}
+
+
+def round_grants(
+    total: int, grants: Mapping[str, float], turn: int = 0
+) -> dict[str, int]:
+    """Round to whole slots by largest remainder; the sum is `total`.
+
+    Equal remainders are ordered by node id, starting at another node each turn.
+    """
+    ordered = sorted(grants)
+    whole = {node: math.floor(grants[node] + 1e-9) for node in ordered}
+    missing = total - sum(whole.values())
+    count = len(ordered)
+
+    def rank(item: tuple[int, str]) -> tuple[float, int]:
+        index, node = item
+        return -round(grants[node] - whole[node], 6), (index + turn) % count
+
+    for _, node in sorted(enumerate(ordered), key=rank)[: max(0, missing)]:
+        whole[node] += 1
+    return whole
+
+
+def divide_slots(
+    total: int,
+    node: str,
+    demands: Mapping[str, float],
+    known: Sequence[str],
+    turn: int = 0,
+) -> int:
+    """Return the slots of `total` that `node` may use.
+
+    `demands` holds this node and its live peers; `known` also names silent nodes. A
+    node that hears at most half of the known nodes takes an equal share; otherwise
+    each silent node keeps the equal share that it may be using behind a cut.
+    """
+    everyone = sorted(set(known) | set(demands) | {node})
+    silent = [name for name in everyone if name not in demands and name != node]
+    if silent and 2 * (len(everyone) - len(silent)) <= len(everyone):
+        return share_equally(total, everyone, node, turn)
+    left = total - sum(share_equally(total, everyone, name, turn) for name in silent)
+    floor = FLOOR_PART * left / max(1, len(demands))
+    if left >= len(demands):
+        floor = max(1.0, floor)
+    wanted = {name: max(floor, min(demand, left)) for name, demand in demands.items()}
+    wanted.setdefault(node, floor)
+    return round_grants(left, fill_demands(left, wanted), turn)[node]
+
+
+class Allowance:
+    """Follow a changing grant: shrink at once, grow once it has stood for `hold_ms`."""
+
+    def __init__(self, hold_ms: int = HOLD_MS) -> None:
+        self._hold_ms = hold_ms
+        self._targets: deque[tuple[int, int]] = deque()
+        self.value = 0
+
+    def update(self, target: int, now_ms: int) -> int:
+        """Take in the newest grant and return the least one of the last `hold_ms`."""
+        while self._targets and self._targets[-1][1] > target:
+            self._targets.pop()
+        if not self._targets or self._targets[-1][1] < target:
+            self._targets.append((now_ms, target))
+        # A lower grant counts until the next higher one has stood long enough.
+        while len(self._targets) > 1 and (
+            self._targets[1][0] <= now_ms - self._hold_ms
+        ):
+            self._targets.popleft()
+        self.value = self._targets[0][1]
+        return self.value
+
+
+class SmoothedDemand:
+    """Demand by name that rises at once and falls slowly.
+
+    Peaks are held so that short gaps in demand move no slots between hosts.
+    """
+
+    def __init__(self, decay_ms: float = DEMAND_DECAY_MS) -> None:
+        self._decay_ms = decay_ms
+        self._updated_ms: int | None = None
+        self.values: dict[str, float] = {}
+
+    def update(self, raw: Mapping[str, float], now_ms: int) -> Mapping[str, float]:
+        """Take in the demand of this moment and return the smoothed one."""
+        elapsed_ms = now_ms - (now_ms if self._updated_ms is None else self._updated_ms)
+        self._updated_ms = now_ms
+        keep = math.exp(-elapsed_ms / self._decay_ms)
+        values: dict[str, float] = {}
+        for name in self.values.keys() | raw.keys():
+            now = raw.get(name, 0.0)
+            value = max(now, now + (self.values.get(name, 0.0) - now) * keep)
+            if value >= 0.01:
+                values[name] = value
+        self.values = values
+        return values
--- a/src/bergamotgap/node/admission.py
+++ b/src/bergamotgap/node/admission.py
@@ -1,15 +1,22 @@
 """Own the queues of requests that wait for a slot in a pool."""
 
-from collections import Counter
-from collections.abc import AsyncIterator, Callable, Mapping
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-from bergamotgap.domain.catalogue import Entry
+from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
+from bergamotgap.domain.catalogue import Catalogue, Entry
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.outcomes import Cancelled, Expired, NotRun
+from bergamotgap.domain.scheduler import Ticket
 from bergamotgap.node.membership import PeerView
 
+# How often late requests are dropped; also the longest time that a dropped request
+# keeps its caller waiting too long.
+SWEEP_MS = 50
+REFRESH_MS = 200
+
 
 class NotAdmittedError(Exception):
     """The request ended before it got a slot; it was not run."""
@@ -21,16 +28,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Slot:
-    """The right to run one task on some worker of `pool`."""
+    """The right to run one task on some worker of `pool`.
+
+    `pool` is the spare pool when the slot is borrowed. `granted_ms` is monotonic.
+    """
 
     pool: str
+    granted_ms: int = 0
 
 
 class Admission:
     """Decide which request runs next and how many run at once.
 
     `pool_capacity` tells the slots of a pool's routable workers; `live_peers` tells
-    the other entry hosts and their demand.
+    the other entry hosts and their demand; `known_nodes` also names silent ones.
+    `preempt(pool, count)` asks running tasks below the most urgent class to give way.
     """
 
     def __init__(
@@ -38,12 +50,22 @@
         clock: Clock,
         pool_capacity: Callable[[str], int],
         live_peers: Callable[[], list[PeerView]],
+        *,
+        node_id: str = "",
+        catalogue: Callable[[], Catalogue | None] = lambda: None,
+        known_nodes: Callable[[], Sequence[str]] = tuple,
+        preempt: Callable[[str, int], None] | None = None,
+        limits: AdmissionLimits | None = None,
     ) -> None:
         self._clock = clock
         self._pool_capacity = pool_capacity
         self._live_peers = live_peers
-        self._pools: Counter[str] = Counter()
-        self._owners: Counter[str] = Counter()
+        self._catalogue = catalogue
+        self._known_nodes = known_nodes
+        self._preempt = preempt
+        self._policy = AdmissionPolicy(
+            node_id, limits or AdmissionLimits(), _wake_waiter
+        )
 
     @asynccontextmanager
     async def admit(self, entry: Entry, deadline_at_ms: int) -> AsyncIterator[Slot]:
@@ -52,23 +74,83 @@
         Raises NotAdmittedError. Cancelling the waiting task takes the request out of
         its queue.
         """
-        if self._clock.monotonic_ms() >= deadline_at_ms:
-            raise NotAdmittedError(Expired())
-        self._pools[entry.pool] += 1
-        self._owners[entry.owner] += 1
+        now_ms = self._clock.monotonic_ms()
+        self._refresh_if_old(now_ms, entry.pool)
+        offered = self._policy.offer(entry, deadline_at_ms, now_ms)
+        if not isinstance(offered, Ticket):
+            raise NotAdmittedError(offered)
+        if offered.started_ms is None:
+            await self._wait(offered)
         try:
-            yield Slot(entry.pool)
+            yield Slot(offered.pool, offered.started_ms or 0)
         finally:
-            self._pools[entry.pool] -= 1
-            self._owners[entry.owner] -= 1
+            self._policy.release(offered, self._clock.monotonic_ms())
+
+    async def _wait(self, ticket: Ticket) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        ticket.waiter = waiter
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            # The slot may have been granted after the cancellation was requested.
+            if ticket.started_ms is not None:
+                self._policy.release(ticket, self._clock.monotonic_ms())
+            elif not ticket.ended:
+                self._policy.cancel(ticket)
+            raise
+        if ticket.outcome is not None:
+            raise NotAdmittedError(ticket.outcome)
 
     def note_run(self, entry: Entry, run_ms: float) -> None:
-        """Learn the measured run time of a finished task."""
+        """Learn the measured run time of a finished task, time in queues excluded."""
+        self._policy.note_run(entry, run_ms, self._clock.monotonic_ms())
 
     def pool_demand(self) -> Mapping[str, float]:
-        """Return running plus queued requests by pool."""
-        return dict(self._pools)
+        """Return running plus waiting and refused work by pool, in slots."""
+        return self._policy.pool_demand
 
     def owner_demand(self) -> Mapping[str, float]:
-        """Return running plus queued requests by owner."""
-        return dict(self._owners)
+        """Return running plus waiting requests by owner.
+
+        Entries near their part of `max_running` are listed as `entry/<name>`.
+        """
+        return self._policy.owner_demand
+
+    async def run(self) -> None:
+        """Drop late requests, divide slots anew and ask for preemption, for good."""
+        while True:
+            self.step()
+            await self._clock.sleep_ms(SWEEP_MS)
+
+    def step(self) -> None:
+        """Do one round of `run`."""
+        now_ms = self._clock.monotonic_ms()
+        self._refresh_if_old(now_ms)
+        self._policy.sweep(now_ms)
+        if self._preempt is not None:
+            for pool, count in self._policy.list_preemptions(now_ms):
+                self._preempt(pool, count)
+
+    def _refresh_if_old(self, now_ms: int, pool: str | None = None) -> None:
+        catalogue = self._catalogue()
+        if catalogue is not None:
+            self._policy.use_catalogue(catalogue)
+        last_ms = self._policy.refreshed_ms
+        is_new = pool is not None and pool not in self._policy.queues
+        if last_ms is not None and now_ms - last_ms < REFRESH_MS and not is_new:
+            return
+        if pool is not None:
+            self._policy.queue(pool)
+        self._policy.refresh(
+            now_ms,
+            self._clock.wall_ms(),
+            self._live_peers(),
+            self._known_nodes(),
+            self._pool_capacity,
+        )
+
+
+def _wake_waiter(ticket: Ticket) -> None:
+    waiter = ticket.waiter
+    if isinstance(waiter, asyncio.Future) and not waiter.done():
+        waiter.set_result(None)
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -12,6 +12,7 @@
 from bergamotgap.adapters.operator_http import OperatorApi
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.adapters.worker_http import HttpWorkerClient
+from bergamotgap.domain.admission import AdmissionLimits
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.control_state import ControlState
 from bergamotgap.domain.work_state import WorkState
@@ -53,7 +54,7 @@
             self._control, platform, self._clock, self._settings.batch_ms
         )
         workers = Workers(self._control, client, self._clock)
-        admission = Admission(self._clock, workers.pool_capacity, self._list_live_peers)
+        admission = self._build_admission(workers)
         self._membership = Membership(
             self._settings.node_id,
             self._clock,
@@ -71,6 +72,7 @@
         self._start(follow_platform(self._work, platform))
         self._start(workers.run())
         self._start(planner.run())
+        self._start(admission.run())
         caller_app = web.Application(client_max_size=self._settings.max_body_bytes)
         callers.add_routes(caller_app)
         await self._serve(caller_app, self._settings.caller_address)
@@ -86,6 +88,24 @@
         await self._stack.aclose()
         log.info("node stopped")
 
+    def _build_admission(self, workers: Workers) -> Admission:
+        return Admission(
+            self._clock,
+            workers.pool_capacity,
+            self._list_live_peers,
+            node_id=self._settings.node_id,
+            catalogue=lambda: self._control.state.catalogue,
+            known_nodes=self._list_known_nodes,
+            limits=AdmissionLimits(max_queue_ms=self._settings.max_queue_ms),
+        )
+
+    def _list_known_nodes(self) -> list[str]:
+        """Return known nodes that aren't leaving; the seeds until a peer is heard."""
+        known = self._membership.list_known() if self._membership else []
+        if not known:
+            return list(self._settings.peers)
+        return [peer.node_id for peer in known if not peer.is_leaving]
+
     def _list_live_peers(self) -> list[PeerView]:
         return self._membership.list_live() if self._membership else []
 
