--- /dev/null
+++ b/bench/division_shift.py
@@ -0,0 +1,108 @@
+"""Measure how far slots and quotas are exceeded while demand shifts between hosts.
+
+Each entry host decides by digests that are up to `DIGEST_MS` plus `DELAY_MS` old. All
+demand moves from one half of the entry hosts to the other every `SHIFT_MS`.
+"""
+
+from collections import deque
+
+from bench.flood_policy import NODES, Snapshot
+from bergamotgap.domain.division import Division
+from bergamotgap.domain.slots import Allowance
+
+TOTAL = 48
+DIGEST_MS = 250
+DELAY_MS = 50
+REFRESH_MS = 200
+SHIFT_MS = 5000
+# All hosts start at once here, before any has heard of the others' demand.
+WARM_UP_MS = 2000
+END_MS = 60_000
+STEP_MS = 10
+HIGH_DEMAND = 40.0
+RUN_MS = 300
+
+
+class Host:
+    """One entry host that uses all it may and has long enough a queue."""
+
+    def __init__(self, number: int, hold_ms: int) -> None:
+        self.number = number
+        self.name = f"entry-{number}"
+        self.division = Division(self.name)
+        self.allowance = Allowance(hold_ms)
+        self.ends_ms: deque[int] = deque()
+
+    def demand(self, now_ms: int) -> float:
+        """Return the demand of this moment."""
+        is_first_half = self.number < NODES // 2
+        is_first_turn = (now_ms // SHIFT_MS) % 2 == 0
+        return HIGH_DEMAND if is_first_half == is_first_turn else 0.0
+
+    def run(self, now_ms: int) -> None:
+        """End tasks and start new ones up to the allowance."""
+        while self.ends_ms and self.ends_ms[0] <= now_ms:
+            self.ends_ms.popleft()
+        while self.demand(now_ms) and len(self.ends_ms) < self.allowance.value:
+            self.ends_ms.append(now_ms + RUN_MS)
+
+
+def measure(hold_ms: int) -> dict[str, float]:
+    """Return the overshoot for one hold time of grants."""
+    hosts = [Host(number, hold_ms) for number in range(NODES)]
+    names = [host.name for host in hosts]
+    sent: dict[str, deque[tuple[int, Snapshot]]] = {name: deque() for name in names}
+    worst = {"allowances": 0, "running": 0}
+    over = steps = used = 0
+    for now_ms in range(0, END_MS, STEP_MS):
+        for host in hosts:
+            local_ms = now_ms + 30 * host.number
+            if local_ms % DIGEST_MS == 0:
+                values = dict(host.division.pool_demand)
+                snapshot = Snapshot(host.name, values, {})
+                sent[host.name].append((now_ms + DELAY_MS, snapshot))
+            if local_ms % REFRESH_MS == 0:
+                peers = [
+                    view(sent[name], now_ms) for name in names if name != host.name
+                ]
+                heard = [peer for peer in peers if peer is not None]
+                host.division.update_demand(now_ms, {"p": host.demand(now_ms)}, {})
+                host.division.update(now_ms, heard, names)
+                target = host.division.divide_pool("p", TOTAL)
+                host.allowance.update(target, now_ms)
+            host.run(now_ms)
+        if now_ms < WARM_UP_MS:
+            continue
+        allowed = sum(host.allowance.value for host in hosts)
+        running = sum(len(host.ends_ms) for host in hosts)
+        worst["allowances"] = max(worst["allowances"], allowed - TOTAL)
+        worst["running"] = max(worst["running"], running - TOTAL)
+        over += running > TOTAL
+        used += min(running, TOTAL)
+        steps += 1
+    return {
+        "most_allowances_above": worst["allowances"] / TOTAL,
+        "most_running_above": worst["running"] / TOTAL,
+        "part_of_time_above": over / steps,
+        "slots_in_use": used / steps / TOTAL,
+    }
+
+
+def view(sent: deque[tuple[int, Snapshot]], now_ms: int) -> Snapshot | None:
+    """Return the newest digest that has arrived."""
+    while len(sent) > 1 and sent[1][0] <= now_ms:
+        sent.popleft()
+    return sent[0][1] if sent and sent[0][0] <= now_ms else None
+
+
+def main() -> dict[str, dict[str, float]]:
+    """Print the table and return it."""
+    table = {f"hold {hold} ms": measure(hold) for hold in (0, 300, 600, 1200)}
+    for name, row in table.items():
+        cells = "  ".join(f"{key}={value:.3f}" for key, value in row.items())
+        print(f"{name}:  {cells}")
+    return table
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/flood_policy.py
@@ -0,0 +1,384 @@
+"""Compare the admission policy with first come, first served during floods.
+
+Entry hosts are policies in this process and time is a counter of milliseconds, since
+the policy is a pure decision. Each entry asks for `LOAD` of its guaranteed part of pool
+and quota; one entry also sends a flood of several times what all slots together can
+run. True run times differ from the declared ones by a factor of up to 2.5 either way.
+"""
+
+import heapq
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from bench.flood_catalogues import build_all
+from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
+from bergamotgap.domain.catalogue import Catalogue, Entry, Urgency
+from bergamotgap.domain.quotas import divide_shares
+from bergamotgap.domain.scheduler import GUARANTEED_PART, Ticket
+
+NODES = 7
+POOL_SLOTS = 48
+LOAD = 0.5
+FACTORS = (5, 10)
+WARM_UP_MS = 3000
+END_MS = 10_000
+DRAIN_MS = 60_000
+DIGEST_MS = 250
+SWEEP_MS = 50
+REFRESH_MS = 200
+RUN_SPREAD = 0.5
+TRUE_RUN_FACTORS = (0.4, 1.0, 2.5)
+SEED = 20_261_204
+
+MIN_KEPT = 0.95
+MIN_URGENT_IN_TIME = 0.99
+MAX_URGENT_START_MS = 1100
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """A digest as peers see it."""
+
+    node_id: str
+    pool_demand: Mapping[str, float]
+    owner_demand: Mapping[str, float]
+
+
+@dataclass
+class Job:
+    """One request and what became of it; the ticket is the policy's."""
+
+    entry: Entry
+    arrived_ms: int
+    run_ms: int
+    node: int
+    pool: str
+    ticket: Ticket | None = None
+    is_over: bool = False
+
+
+@dataclass
+class Tally:
+    """Counts by entry of requests that arrived after the warm-up."""
+
+    offered: Counter[str] = field(default_factory=Counter)
+    in_time: Counter[str] = field(default_factory=Counter)
+    preempted: Counter[str] = field(default_factory=Counter)
+    waits_ms: defaultdict[str, list[int]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    overshoot: Counter[str] = field(default_factory=Counter)
+    slot_ms: int = 0
+    measured_ms: int = END_MS - WARM_UP_MS
+
+    def ratio(self, name: str) -> float:
+        """Return the part of an entry's requests that ended in time."""
+        return self.in_time[name] / max(1, self.offered[name])
+
+
+class FirstCome:
+    """First come, first served in each pool, without admission."""
+
+    def __init__(self, catalogue: Catalogue, start: Callable[[Job, int], None]) -> None:
+        self._start = start
+        self._free = {pool.name: POOL_SLOTS for pool in catalogue.pools}
+        self._waiting: dict[str, deque[Job]] = defaultdict(deque)
+
+    def offer(self, job: Job, now_ms: int) -> None:
+        """Queue a request."""
+        self._waiting[job.pool].append(job)
+        self._pump(job.pool, now_ms)
+
+    def release(self, job: Job, now_ms: int) -> None:
+        """Free a slot."""
+        self._free[job.pool] += 1
+        self._pump(job.pool, now_ms)
+
+    def _pump(self, pool: str, now_ms: int) -> None:
+        waiting = self._waiting[pool]
+        while waiting and self._free[pool] > 0:
+            self._free[pool] -= 1
+            self._start(waiting.popleft(), now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Do nothing: the order never changes."""
+
+
+class Policies:
+    """The policies of all entry hosts, which exchange digests."""
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        start: Callable[[Job, int], None],
+        tally: Tally,
+        limits: AdmissionLimits,
+    ) -> None:
+        self._start = start
+        self._tally = tally
+        self._now_ms = 0
+        self._digests: list[Snapshot] = []
+        self.running: list[dict[int, Job]] = [{} for _ in range(NODES)]
+        self._quotas = {owner.name: owner.quota_slots for owner in catalogue.owners}
+        self.names = [f"entry-{number}" for number in range(NODES)]
+        self.nodes = [
+            AdmissionPolicy(name, limits, self._started) for name in self.names
+        ]
+        for node in self.nodes:
+            node.use_catalogue(catalogue)
+        self.tick(0)
+
+    def _started(self, ticket: Ticket) -> None:
+        if ticket.outcome is None and isinstance(ticket.waiter, Job):
+            self._run(ticket.waiter, ticket)
+
+    def _run(self, job: Job, ticket: Ticket) -> None:
+        job.ticket = ticket
+        job.pool = ticket.pool
+        self.running[job.node][id(job)] = job
+        self._start(job, self._now_ms)
+
+    def offer(self, job: Job, now_ms: int) -> None:
+        """Offer a request to its entry host."""
+        self._now_ms = now_ms
+        deadline_ms = now_ms + job.entry.deadline_ms
+        ticket = self.nodes[job.node].offer(job.entry, deadline_ms, now_ms)
+        if not isinstance(ticket, Ticket):
+            return
+        ticket.waiter = job
+        if ticket.started_ms is not None:
+            self._run(job, ticket)
+
+    def release(self, job: Job, now_ms: int) -> None:
+        """End a task at its entry host."""
+        self._now_ms = now_ms
+        assert job.ticket is not None and job.ticket.started_ms is not None
+        del self.running[job.node][id(job)]
+        node = self.nodes[job.node]
+        node.note_run(job.entry, now_ms - job.ticket.started_ms, now_ms)
+        node.release(job.ticket, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Exchange digests, divide slots, drop late requests, preempt."""
+        self._now_ms = now_ms
+        if now_ms % DIGEST_MS == 0:
+            self._digests = [
+                Snapshot(name, dict(node.pool_demand), dict(node.owner_demand))
+                for name, node in zip(self.names, self.nodes, strict=True)
+            ]
+        for number, node in enumerate(self.nodes):
+            # Entry hosts don't act in step.
+            local_ms = now_ms + 7 * number
+            if local_ms % REFRESH_MS == 0 or now_ms == 0:
+                peers = [d for d in self._digests if d.node_id != self.names[number]]
+                node.refresh(now_ms, now_ms, peers, self.names, lambda _: POOL_SLOTS)
+            if local_ms % SWEEP_MS == 0:
+                node.sweep(now_ms)
+                for pool, count in node.list_preemptions(now_ms):
+                    self._preempt(number, pool, count, now_ms)
+        self._measure_use(now_ms)
+
+    def _preempt(self, number: int, pool: str, count: int, now_ms: int) -> None:
+        victims = [
+            job
+            for job in self.running[number].values()
+            if job.pool == pool
+            and job.entry.urgency is not Urgency.URGENT
+            and job.ticket is not None
+            and job.ticket.is_lent
+        ]
+        for job in victims[-count:]:
+            # Counted as lost, though a checkpointed task would go on later.
+            job.is_over = True
+            self._tally.preempted[job.entry.name] += 1
+            self.release(job, now_ms)
+
+    def _measure_use(self, now_ms: int) -> None:
+        if not WARM_UP_MS <= now_ms < END_MS:
+            return
+        self._tally.slot_ms += sum(len(running) for running in self.running)
+        nodes = self.nodes
+        for pool in nodes[0].queues:
+            queues = [node.queues[pool] for node in nodes]
+            self._exceed("allowances", sum(q.allowance for q in queues) - POOL_SLOTS)
+            self._exceed("running", sum(q.running for q in queues) - POOL_SLOTS)
+        for owner, quota in self._quotas.items():
+            self._exceed("quota", sum(n.quotas.running[owner] for n in nodes) - quota)
+
+    def _exceed(self, name: str, excess: int) -> None:
+        overshoot = self._tally.overshoot
+        overshoot[name] = max(overshoot[name], excess)
+
+
+class Run:
+    """One run of a catalogue's load under one way to decide."""
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        is_policy: bool,
+        flood: Entry | None = None,
+        factor: int = 0,
+        limits: AdmissionLimits | None = None,
+    ) -> None:
+        self._catalogue = catalogue
+        self._random = np.random.default_rng(SEED)
+        self._ends: list[tuple[int, int, Job]] = []
+        self._sequence = 0
+        self.tally = Tally()
+        self._true_ms = pick_run_times(catalogue)
+        self._rates = self._list_rates(flood, factor)
+        if is_policy:
+            limits = limits or AdmissionLimits()
+            self._way: Policies | FirstCome = Policies(
+                catalogue, self._start, self.tally, limits
+            )
+        else:
+            self._way = FirstCome(catalogue, self._start)
+
+    def _list_rates(self, flood: Entry | None, factor: int) -> dict[str, float]:
+        """Return requests per millisecond by entry."""
+        catalogue = self._catalogue
+        shares = divide_shares(catalogue)
+        quotas = {owner.name: owner.quota_slots for owner in catalogue.owners}
+        weights: Counter[str] = Counter()
+        for entry in catalogue.entries:
+            weights[entry.owner] += entry.weight
+        rates = {}
+        for entry in catalogue.entries:
+            of_pool = GUARANTEED_PART * POOL_SLOTS * shares[entry.pool, entry.name]
+            of_quota = quotas[entry.owner] * entry.weight / weights[entry.owner]
+            slots = LOAD * min(of_pool, of_quota)
+            rates[entry.name] = slots / self._true_ms[entry.name]
+        if flood is not None:
+            fleet = POOL_SLOTS * len(self._catalogue.pools)
+            rates[flood.name] += factor * fleet / self._true_ms[flood.name]
+        return rates
+
+    def _start(self, job: Job, now_ms: int) -> None:
+        if job.arrived_ms >= WARM_UP_MS:
+            self.tally.waits_ms[job.entry.name].append(now_ms - job.arrived_ms)
+        self._sequence += 1
+        heapq.heappush(self._ends, (now_ms + job.run_ms, self._sequence, job))
+
+    def execute(self) -> Tally:
+        """Run to the end and return the counts."""
+        for now_ms in range(1, END_MS):
+            while self._ends and self._ends[0][0] <= now_ms:
+                self._end(heapq.heappop(self._ends)[2], now_ms)
+            self._way.tick(now_ms)
+            # Requests that can't end before the run does aren't counted as lost.
+            is_counted = now_ms >= WARM_UP_MS
+            for entry in self._catalogue.entries:
+                count = int(self._random.poisson(self._rates[entry.name]))
+                if is_counted:
+                    self.tally.offered[entry.name] += count
+                for _ in range(count):
+                    self._way.offer(self._build_job(entry, now_ms), now_ms)
+        now_ms = END_MS
+        while self._ends and now_ms < END_MS + DRAIN_MS:
+            while self._ends and self._ends[0][0] <= now_ms:
+                self._end(heapq.heappop(self._ends)[2], now_ms)
+            self._way.tick(now_ms)
+            now_ms += 1
+        return self.tally
+
+    def _build_job(self, entry: Entry, now_ms: int) -> Job:
+        spread = self._random.lognormal(-(RUN_SPREAD**2) / 2, RUN_SPREAD)
+        run_ms = max(1, round(self._true_ms[entry.name] * spread))
+        node = int(self._random.integers(NODES))
+        return Job(entry, now_ms, run_ms, node, entry.pool)
+
+    def _end(self, job: Job, now_ms: int) -> None:
+        if job.is_over:
+            return
+        job.is_over = True
+        self._way.release(job, now_ms)
+        is_late = now_ms > job.arrived_ms + job.entry.deadline_ms
+        if job.arrived_ms >= WARM_UP_MS and not is_late:
+            self.tally.in_time[job.entry.name] += 1
+
+
+def pick_run_times(catalogue: Catalogue) -> dict[str, float]:
+    """Return mean true run times by entry, in milliseconds."""
+    return {
+        entry.name: entry.run_ms * TRUE_RUN_FACTORS[index % len(TRUE_RUN_FACTORS)]
+        for index, entry in enumerate(catalogue.entries)
+    }
+
+
+def pick_flood(catalogue: Catalogue, urgency: Urgency) -> Entry:
+    """Return the entry of a class that shares its pool with most other entries."""
+    pools = Counter(entry.pool for entry in catalogue.entries)
+    candidates = [entry for entry in catalogue.entries if entry.urgency is urgency]
+    return max(candidates, key=lambda entry: pools[entry.pool])
+
+
+def summarize(
+    catalogue: Catalogue, flood: Entry, calm: Tally, flooded: Tally
+) -> dict[str, float]:
+    """Return what the other entries keep, and how urgent work fares."""
+    others = [e for e in catalogue.entries if e.name != flood.name]
+    urgent = [e.name for e in others if e.urgency is Urgency.URGENT]
+    waits = [wait for name in urgent for wait in flooded.waits_ms[name]]
+    own_waits = flooded.waits_ms[flood.name]
+    offered = sum(flooded.offered[name] for name in urgent)
+    in_time = sum(flooded.in_time[name] for name in urgent)
+    return {
+        "kept": min(flooded.ratio(e.name) / calm.ratio(e.name) for e in others),
+        "urgent_in_time": in_time / max(1, offered),
+        "urgent_start_p99_ms": float(np.percentile(waits or [0], 99)),
+        "flood_in_time": flooded.ratio(flood.name),
+        "flood_start_p99_ms": float(np.percentile(own_waits or [0], 99)),
+        "over_allowance": float(flooded.overshoot["allowances"]),
+        "over_running": float(flooded.overshoot["running"]),
+        "over_quota": float(flooded.overshoot["quota"]),
+        "preempted": float(sum(flooded.preempted.values())),
+    }
+
+
+def measure(name: str, catalogue: Catalogue) -> list[dict[str, float | str]]:
+    """Return one row per flood and way to decide."""
+    rows: list[dict[str, float | str]] = []
+    for is_policy in (True, False):
+        calm = Run(catalogue, is_policy).execute()
+        for urgency in (Urgency.BATCH, Urgency.URGENT):
+            flood = pick_flood(catalogue, urgency)
+            for factor in FACTORS:
+                flooded = Run(catalogue, is_policy, flood, factor).execute()
+                row = summarize(catalogue, flood, calm, flooded)
+                way = "policy" if is_policy else "first-come"
+                flood_name = f"{flood.name} x{factor}"
+                rows.append({"case": name, "way": way, "flood": flood_name, **row})
+    return rows
+
+
+def is_on_target(row: Mapping[str, float | str]) -> bool:
+    """Return whether a row meets the targets of the design page."""
+    return (
+        float(row["kept"]) >= MIN_KEPT
+        and float(row["urgent_in_time"]) >= MIN_URGENT_IN_TIME
+        and float(row["urgent_start_p99_ms"]) < MAX_URGENT_START_MS
+    )
+
+
+def main() -> list[dict[str, float | str]]:
+    """Print the table and return its rows."""
+    rows = [row for name, item in build_all().items() for row in measure(name, item)]
+    columns = list(rows[0])
+    print("  ".join(columns), " on_target")
+    for row in rows:
+        cells = [
+            f"{value:.3f}" if isinstance(value, float) else value
+            for value in row.values()
+        ]
+        verdict = "yes" if is_on_target(row) else "MISSED"
+        print("  ".join(cells), "", verdict if row["way"] == "policy" else "-")
+    return rows
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/headroom_price.py
@@ -0,0 +1,78 @@
+"""Measure what headroom for urgent work and preemption cost and what they give.
+
+All classes share one pool, the flood is of long batch tasks, and urgent work arrives
+within its share.
+"""
+
+import numpy as np
+
+from bench.flood_catalogues import build_mixed_catalogue
+from bench.flood_policy import (
+    POOL_SLOTS,
+    Run,
+    pick_flood,
+)
+from bergamotgap.domain.admission import AdmissionLimits
+from bergamotgap.domain.catalogue import Catalogue, Entry, Urgency
+
+NEVER_MS = 10**9
+LONG_RUN_MS = 5000
+FACTOR = 5
+VARIANTS = {
+    "no headroom, no preemption": AdmissionLimits(
+        headroom_part=0.0, preempt_after_ms=NEVER_MS
+    ),
+    "headroom 0.1, no preemption": AdmissionLimits(preempt_after_ms=NEVER_MS),
+    "headroom 0.2, no preemption": AdmissionLimits(
+        headroom_part=0.2, preempt_after_ms=NEVER_MS
+    ),
+    "headroom 0.3, no preemption": AdmissionLimits(
+        headroom_part=0.3, preempt_after_ms=NEVER_MS
+    ),
+    "no headroom, preemption": AdmissionLimits(headroom_part=0.0),
+    "headroom 0.1, preemption": AdmissionLimits(),
+    "headroom 0.2, preemption": AdmissionLimits(headroom_part=0.2),
+}
+
+
+def build_long_catalogue() -> Catalogue:
+    """Return the mixed catalogue with long batch tasks."""
+    base = build_mixed_catalogue()
+
+    def lengthen(entry: Entry) -> Entry:
+        if entry.urgency is not Urgency.BATCH:
+            return entry
+        return entry.model_copy(update={"run_ms": LONG_RUN_MS})
+
+    return base.model_copy(update={"entries": tuple(map(lengthen, base.entries))})
+
+
+def measure(limits: AdmissionLimits) -> dict[str, float]:
+    """Return how urgent work fares and how many slots do work."""
+    catalogue = build_long_catalogue()
+    flood = pick_flood(catalogue, Urgency.BATCH)
+    tally = Run(catalogue, True, flood, FACTOR, limits).execute()
+    urgent = [e.name for e in catalogue.entries if e.urgency is Urgency.URGENT]
+    waits = [wait for name in urgent for wait in tally.waits_ms[name]]
+    offered = sum(tally.offered[name] for name in urgent)
+    pools = len(catalogue.pools)
+    return {
+        "urgent_in_time": sum(tally.in_time[name] for name in urgent) / offered,
+        "urgent_start_p50_ms": float(np.percentile(waits, 50)),
+        "urgent_start_p99_ms": float(np.percentile(waits, 99)),
+        "slots_in_use": tally.slot_ms / tally.measured_ms / (POOL_SLOTS * pools),
+        "preempted": float(sum(tally.preempted.values())),
+    }
+
+
+def main() -> dict[str, dict[str, float]]:
+    """Print the table and return it."""
+    table = {name: measure(limits) for name, limits in VARIANTS.items()}
+    for name, row in table.items():
+        cells = "  ".join(f"{key}={value:.3f}" for key, value in row.items())
+        print(f"{name}:  {cells}")
+    return table
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bergamotgap/domain/admission.py
+++ b/src/bergamotgap/domain/admission.py
@@ -28,11 +28,14 @@
 class AdmissionLimits:
     """Settings of the policy.
 
-    `headroom_part` of the slots only run urgent work. `preempt_after_ms` is how long
-    an urgent request waits before less urgent tasks are asked to give way.
+    Urgent work that can't start within `urgent_queue_ms` is refused, so that it can be
+    tried elsewhere while there is time. `headroom_part` of the slots only run urgent
+    work. `preempt_after_ms` is how long an urgent request waits before less urgent
+    tasks are asked to give way.
     """
 
     max_queue_ms: int = 30_000
+    urgent_queue_ms: int = 1000
     headroom_part: float = 0.1
     preempt_after_ms: int = 300
     preempt_every_ms: int = 200
@@ -79,21 +82,25 @@
         self.quotas.ensure_limits(entry, self._division.divide_limit, now_ms)
         estimate = self._run_times[entry.name].estimate(entry, now_ms)
         needed_ms = estimate.needed_ms(deadline_ms - now_ms)
-        start_by_ms = min(deadline_ms - needed_ms, now_ms + self._limits.max_queue_ms)
+        is_urgent = entry.urgency.rank == URGENT_RANK
+        limits = self._limits
+        queue_ms = limits.max_queue_ms
+        if is_urgent:
+            queue_ms = min(queue_ms, limits.urgent_queue_ms)
+        start_by_ms = min(deadline_ms - needed_ms, now_ms + queue_ms)
         if start_by_ms < now_ms:
             return NotRun("deadline_too_short", f"the run takes about {needed_ms:g} ms")
         ticket = Ticket(
             entry, deadline_ms, start_by_ms, now_ms, entry.pool, estimate.mean_ms
         )
-        if self._can_start(queue, flow):
-            queue.add(ticket, now_ms)
-            self.quotas.count_queued(entry, 1)
-            self.pump(queue, now_ms)
-            return ticket
-        refusal = self._judge(queue, flow, ticket, now_ms)
+        refusal = None
+        if not self._can_start(queue, flow):
+            refusal = self._judge(queue, flow, ticket, now_ms)
         if refusal is None:
             queue.add(ticket, now_ms)
             self.quotas.count_queued(entry, 1)
+            # Also where a limit is full: the limit then knows that the flow waits.
+            self.pump(queue, now_ms)
             return ticket
         self._refused_ms[entry.pool] += estimate.mean_ms
         return ticket if self._borrow(ticket, now_ms) else refusal
@@ -128,9 +135,9 @@
         ahead = len(flow.queue)
         if first is not None and ticket.deadline_ms < first[0]:
             ahead = 0
-        rate = float(flow.running)
-        if not flow.is_blocked:
-            rate = max(rate, queue.rate(flow))
+        is_blocked = flow.is_blocked
+        assured = self.quotas.rate(flow.entry) if is_blocked else queue.rate(flow)
+        rate = max(assured, float(flow.running))
         return (ahead + 1) * ticket.mean_ms / max(rate, MIN_RATE)
 
     def _borrow(self, ticket: Ticket, now_ms: int) -> bool:
@@ -140,7 +147,7 @@
         spare = self.queue(self._spare)
         reserve = math.ceil(SPARE_RESERVE_PART * spare.allowance)
         free = spare.free_for(ticket.entry.urgency.rank) - reserve
-        if free <= 0 or spare.queued or self.quotas.find_full(ticket.entry):
+        if free <= 0 or self.quotas.find_full(ticket.entry):
             return False
         spare.occupy(ticket, spare.flow(ticket.entry), now_ms)
         self.quotas.occupy(ticket.entry)
@@ -240,7 +247,8 @@
     def list_preemptions(self, now_ms: int) -> list[tuple[str, int]]:
         """Return pools and how many less urgent tasks of each should give way.
 
-        Tasks within the guaranteed share of the other classes are left alone.
+        Only tasks in lent slots count (`Ticket.is_lent`): those that their entry's
+        guaranteed share paid for go on.
         """
         wanted = []
         for pool, queue in self.queues.items():
@@ -257,15 +265,12 @@
         first = queue.urgent.first()
         if first is None or now_ms - first[0] < self._limits.preempt_after_ms:
             return 0
-        excess = 0
-        waiting = 0
-        for flow in queue.flows.values():
-            if flow.entry.urgency.rank == URGENT_RANK:
-                waiting += 0 if flow.is_blocked else len(flow.queue)
-            else:
-                kept = math.ceil(queue.rate(flow)) if flow.share > 0 else 0
-                excess += max(0, flow.running - kept)
-        return min(waiting - max(0, queue.free), excess)
+        waiting = sum(
+            len(flow.queue)
+            for flow in queue.flows.values()
+            if flow.entry.urgency.rank == URGENT_RANK and not flow.is_blocked
+        )
+        return min(waiting - max(0, queue.free), queue.running_lent)
 
     # Division among entry hosts.
 
--- a/src/bergamotgap/domain/quotas.py
+++ b/src/bergamotgap/domain/quotas.py
@@ -5,6 +5,7 @@
 while the owner is at its limit, the entry that runs least for its weight goes first.
 """
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Callable
 
@@ -24,6 +25,7 @@
         self.running: Counter[str] = Counter()
         self.queued: Counter[str] = Counter()
         self._totals: dict[str, int] = {}
+        self._weights: Counter[str] = Counter()
         self._limits: dict[str, Allowance] = {}
         self._blocked: dict[str, KeyedHeap[BlockedFlow]] = {}
         self._places: dict[Flow, tuple[str, BlockedFlow]] = {}
@@ -31,8 +33,10 @@
     def set_totals(self, catalogue: Catalogue) -> None:
         """Take over the fleet-wide limits of a catalogue."""
         self._totals = {owner.name: owner.quota_slots for owner in catalogue.owners}
+        self._weights.clear()
         for entry in catalogue.entries:
             self._totals[entry_key(entry.name)] = entry.max_running
+            self._weights[entry.owner] += entry.weight
         for key in self._limits.keys() - self._totals.keys():
             del self._limits[key]
 
@@ -68,6 +72,14 @@
         allowance = self._limits.get(key)
         return None if allowance is None else allowance.value
 
+    def rate(self, entry: Entry) -> float:
+        """Return the slots assured to an entry while its owner is at its limit."""
+        part = entry.weight / max(self._weights[entry.owner], entry.weight)
+        owner = self.limit(entry.owner)
+        own = self.limit(entry_key(entry.name))
+        rate = math.inf if owner is None else owner * part
+        return rate if own is None else min(rate, own)
+
     def find_full(self, entry: Entry) -> str | None:
         """Return the key of the limit that forbids another task of the entry."""
         for key in (entry.owner, entry_key(entry.name)):
--- a/src/bergamotgap/domain/scheduler.py
+++ b/src/bergamotgap/domain/scheduler.py
@@ -13,8 +13,9 @@
 from bergamotgap.domain.keyed_heap import KeyedHeap
 from bergamotgap.domain.outcomes import Cancelled, Expired, NotRun
 
-# Part of the allowance that is guaranteed; the rest goes by urgency and deadline.
-GUARANTEED_PART = 0.75
+# Part of the allowance that is guaranteed; the rest goes by urgency and deadline. See
+# docs/decisions/scheduling.md for the figures of other parts.
+GUARANTEED_PART = 0.9
 # Most service that a waiting flow may be owed, so that a flow that could not run for
 # a long time doesn't take all slots afterwards.
 MAX_LAG_MS = 1000.0
@@ -45,15 +46,26 @@
         """Return whether the ticket belongs to the most urgent class."""
         return self.entry.urgency.rank == URGENT_RANK
 
+    @property
+    def is_lent(self) -> bool:
+        """Return whether the slot is not paid for by the entry's guaranteed share."""
+        return self.charged_ms == 0
+
 
 @dataclass(eq=False, slots=True)
 class Flow:
-    """The requests of one entry in one pool; `share` is a part of the allowance."""
+    """The requests of one entry in one pool; `share` is a part of the allowance.
+
+    `lent` counts running tasks in lent slots; `credited_ms` is until when their time
+    counts as service.
+    """
 
     entry: Entry
     share: float = 0.0
     due_ms: float = 0.0
     running: int = 0
+    lent: int = 0
+    credited_ms: int = 0
     is_blocked: bool = False
     queue: KeyedHeap[Ticket] = field(default_factory=KeyedHeap)
 
@@ -67,10 +79,12 @@
         self.headroom = 0
         self.running = 0
         self.running_urgent = 0
+        self.running_lent = 0
         self.flows: dict[str, Flow] = {}
         self._shares = shares
         self._order: KeyedHeap[Flow] = KeyedHeap()
-        self._due: KeyedHeap[Flow] = KeyedHeap()
+        self._urgent_due: KeyedHeap[Flow] = KeyedHeap()
+        self._other_due: KeyedHeap[Flow] = KeyedHeap()
         self.start_by: KeyedHeap[Ticket] = KeyedHeap()
         self.urgent: KeyedHeap[Ticket] = KeyedHeap()
 
@@ -85,8 +99,15 @@
         return self.allowance - self.running
 
     def free_for(self, rank: int) -> int:
-        """Return the slots free for a class; headroom is kept for the urgent one."""
-        return self.free - (0 if rank == URGENT_RANK else self.headroom)
+        """Return the slots free for a class; others leave the headroom to urgent work.
+
+        The headroom bounds the slots of the other classes rather than the free slots:
+        otherwise urgent work that holds all slots would shut the others out.
+        """
+        if rank == URGENT_RANK:
+            return self.free
+        others = self.running - self.running_urgent
+        return min(self.free, self.allowance - self.headroom - others)
 
     def flow(self, entry: Entry) -> Flow:
         """Return the flow of an entry, with the entry's current limits."""
@@ -94,19 +115,25 @@
         if flow is None:
             flow = self.flows[entry.name] = Flow(entry, self._shares(entry.name))
         elif flow.entry is not entry:
-            flow.entry = entry
-            flow.share = self._shares(entry.name)
+            self._replace_entry(flow, entry)
         return flow
 
+    def _replace_entry(self, flow: Flow, entry: Entry) -> None:
+        is_blocked = flow.is_blocked
+        self.block(flow)
+        flow.entry = entry
+        flow.share = self._shares(entry.name)
+        flow.is_blocked = is_blocked
+        if not is_blocked:
+            self._index(flow)
+
     def refresh_shares(self) -> None:
         """Take over the shares of a new catalogue."""
         for name, flow in list(self.flows.items()):
             if not flow.queue and not flow.running:
                 del self.flows[name]
                 continue
-            flow.share = self._shares(name)
-            if flow.queue and not flow.is_blocked:
-                self._index(flow)
+            self._replace_entry(flow, flow.entry)
 
     def rate(self, flow: Flow) -> float:
         """Return the guaranteed rate of a flow, in slots."""
@@ -136,22 +163,24 @@
             self._index(flow)
 
     def _index(self, flow: Flow) -> None:
+        """Enter a flow that isn't blocked by its first ticket and its due time."""
         first = flow.queue.first()
+        rank = flow.entry.urgency.rank
+        due = self._urgent_due if rank == URGENT_RANK else self._other_due
         if first is None:
             self._order.remove(flow)
-            self._due.remove(flow)
+            due.remove(flow)
             return
-        self._order.set(flow, (flow.entry.urgency.rank, first[0]))
+        self._order.set(flow, (rank, first[0]))
         if flow.share > 0:
-            self._due.set(flow, flow.due_ms)
-        else:
-            self._due.remove(flow)
+            due.set(flow, flow.due_ms)
 
     def block(self, flow: Flow) -> None:
         """Leave a flow out of decisions while a limit outside the pool holds it."""
         flow.is_blocked = True
         self._order.remove(flow)
-        self._due.remove(flow)
+        self._urgent_due.remove(flow)
+        self._other_due.remove(flow)
 
     def unblock(self, flow: Flow, now_ms: int) -> None:
         """Let a flow take part again; it is owed nothing for the time between."""
@@ -166,14 +195,17 @@
         order = self._order.first()
         if order is None:
             return None
-        if self.free <= self.headroom:
-            if order[0][0] != URGENT_RANK:
-                return None
-            return order[1], order[1].due_ms <= now_ms
-        due = self._due.first()
+        is_open_to_all = self.free_for(URGENT_RANK + 1) > 0
+        due = self._urgent_due.first()
+        if is_open_to_all:
+            other = self._other_due.first()
+            if due is None or (other is not None and other[0] < due[0]):
+                due = other
         if due is not None and due[0] <= now_ms:
             return due[1], True
-        return order[1], False
+        if is_open_to_all or order[0][0] == URGENT_RANK:
+            return order[1], False
+        return None
 
     def start(self, flow: Flow, is_charged: bool, now_ms: int) -> Ticket:
         """Give a slot to the flow's first ticket."""
@@ -181,6 +213,7 @@
         assert first is not None
         ticket = first[1]
         rate = self.rate(flow)
+        self._credit_lent(flow, now_ms)
         if is_charged and flow.share > 0 and rate > 0:
             flow.due_ms = max(flow.due_ms, now_ms - MAX_LAG_MS)
             flow.due_ms += ticket.mean_ms / rate
@@ -189,23 +222,42 @@
         self.remove(ticket)
         return ticket
 
+    def _credit_lent(self, flow: Flow, now_ms: int) -> None:
+        """Count lent service against what the flow is owed, but never beyond that.
+
+        Without this, an entry that holds many lent slots for long would be owed its
+        share on top, and would go before entries that have nothing.
+        """
+        elapsed_ms = now_ms - flow.credited_ms
+        flow.credited_ms = now_ms
+        rate = self.rate(flow)
+        if flow.lent and rate > 0 and flow.due_ms < now_ms:
+            credited_ms = flow.due_ms + elapsed_ms * flow.lent / rate
+            flow.due_ms = min(float(now_ms), credited_ms)
+
     def occupy(self, ticket: Ticket, flow: Flow, now_ms: int) -> None:
         """Count a ticket as running."""
+        self._credit_lent(flow, now_ms)
+        flow.lent += ticket.is_lent
         ticket.started_ms = now_ms
         ticket.pool = self.pool
         flow.running += 1
         self.running += 1
         self.running_urgent += ticket.is_urgent
+        self.running_lent += ticket.is_lent and not ticket.is_urgent
 
     def release(self, ticket: Ticket, now_ms: int) -> None:
         """Free the slot and charge the share for the time that was really used."""
         flow = self.flows[ticket.entry.name]
+        self._credit_lent(flow, now_ms)
+        flow.lent -= ticket.is_lent
         flow.running -= 1
         self.running -= 1
         self.running_urgent -= ticket.is_urgent
+        self.running_lent -= ticket.is_lent and not ticket.is_urgent
         rate = self.rate(flow)
         if ticket.charged_ms and ticket.started_ms is not None and rate > 0:
             used_ms = now_ms - ticket.started_ms
             flow.due_ms += (used_ms - ticket.charged_ms) / rate
-            if flow.queue and not flow.is_blocked:
-                self._index(flow)
+        if not flow.is_blocked:
+            self._index(flow)
--- a/src/bergamotgap/domain/slots.py
+++ b/src/bergamotgap/domain/slots.py
@@ -10,15 +10,16 @@
 HOLD_MS = 600
 # Least part of an equal share that a host without demand keeps.
 FLOOR_PART = 0.25
-# Places that can't be divided evenly rotate among hosts with this period.
+# Where there are fewer slots than hosts, they rotate among the hosts with this period.
 ROTATION_MS = 2000
-DEMAND_DECAY_MS = 2000
+DEMAND_DECAY_MS = 500
 
 
 def share_equally(total: int, nodes: Sequence[str], node: str, turn: int = 0) -> int:
     """Return a node's equal share; the shares of all nodes add up to `total`."""
     ordered = sorted(set(nodes) | {node})
-    place = (ordered.index(node) + turn) % len(ordered)
+    shift = turn if total < len(ordered) else 0
+    place = (ordered.index(node) + shift) % len(ordered)
     base, rest = divmod(total, len(ordered))
     return base + (1 if place < rest else 0)
 
@@ -44,16 +45,18 @@
 ) -> dict[str, int]:
     """Round to whole slots by largest remainder; the sum is `total`.
 
-    Equal remainders are ordered by node id, starting at another node each turn.
+    Equal remainders are ordered by node id. With fewer slots than nodes, the order
+    starts at another node each turn, so that every node gets a slot at times.
     """
     ordered = sorted(grants)
     whole = {node: math.floor(grants[node] + 1e-9) for node in ordered}
     missing = total - sum(whole.values())
     count = len(ordered)
+    shift = turn if total < count else 0
 
     def rank(item: tuple[int, str]) -> tuple[float, int]:
         index, node = item
-        return -round(grants[node] - whole[node], 6), (index + turn) % count
+        return -round(grants[node] - whole[node], 6), (index + shift) % count
 
     for _, node in sorted(enumerate(ordered), key=rank)[: max(0, missing)]:
         whole[node] += 1
@@ -69,14 +72,12 @@
 ) -> int:
     """Return the slots of `total` that `node` may use.
 
-    `demands` holds this node and its live peers; `known` also names silent nodes. A
-    node that hears at most half of the known nodes takes an equal share; otherwise
-    each silent node keeps the equal share that it may be using behind a cut.
+    `demands` holds this node and its live peers; `known` also names silent nodes. Each
+    silent node keeps the equal share that it may be using behind a cut, so that a node
+    that hears nobody has an equal share.
     """
     everyone = sorted(set(known) | set(demands) | {node})
     silent = [name for name in everyone if name not in demands and name != node]
-    if silent and 2 * (len(everyone) - len(silent)) <= len(everyone):
-        return share_equally(total, everyone, node, turn)
     left = total - sum(share_equally(total, everyone, name, turn) for name in silent)
     floor = FLOOR_PART * left / max(1, len(demands))
     if left >= len(demands):
--- a/src/bergamotgap/node/admission.py
+++ b/src/bergamotgap/node/admission.py
@@ -30,11 +30,13 @@
 class Slot:
     """The right to run one task on some worker of `pool`.
 
-    `pool` is the spare pool when the slot is borrowed. `granted_ms` is monotonic.
+    `pool` is the spare pool when the slot is borrowed. `granted_ms` is monotonic. A
+    task in a lent slot may be asked to give way to urgent work; others may not.
     """
 
     pool: str
     granted_ms: int = 0
+    is_lent: bool = False
 
 
 class Admission:
@@ -42,7 +44,8 @@
 
     `pool_capacity` tells the slots of a pool's routable workers; `live_peers` tells
     the other entry hosts and their demand; `known_nodes` also names silent ones.
-    `preempt(pool, count)` asks running tasks below the most urgent class to give way.
+    `preempt(pool, count)` asks so many running tasks in lent slots (`Slot.is_lent`),
+    below the most urgent class, to give way.
     """
 
     def __init__(
@@ -82,7 +85,7 @@
         if offered.started_ms is None:
             await self._wait(offered)
         try:
-            yield Slot(offered.pool, offered.started_ms or 0)
+            yield Slot(offered.pool, offered.started_ms or 0, offered.is_lent)
         finally:
             self._policy.release(offered, self._clock.monotonic_ms())
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,225 @@
+"""Waiting for slots, early refusal, borrowing and learning of run times."""
+
+import asyncio
+
+import pytest
+
+from bergamotgap.domain.admission import AdmissionLimits
+from bergamotgap.domain.catalogue import Catalogue, Entry
+from bergamotgap.domain.clock import ManualClock
+from bergamotgap.domain.outcomes import Expired, NotRun
+from bergamotgap.domain.run_times import MIN_SAMPLES, WINDOW_MS, WINDOWS, RunTimes
+from bergamotgap.node.admission import Admission, NotAdmittedError, Slot
+from tests.admission_cases import (
+    BATCH,
+    NORMAL,
+    SPARE,
+    URGENT,
+    Host,
+    build_catalogue,
+    build_entry,
+)
+
+
+class Case:
+    """An admission with tasks that hold their slots until told to end."""
+
+    def __init__(
+        self, catalogue: Catalogue | None = None, main: int = 2, buffer: int = 0
+    ) -> None:
+        self.clock = ManualClock()
+        self.slots = {"main": main, "buffer": buffer}
+        self.preempted: list[tuple[str, int]] = []
+        catalogue = catalogue or build_catalogue()
+        self.admission = Admission(
+            self.clock,
+            lambda pool: self.slots[pool],
+            list,
+            catalogue=lambda: catalogue,
+            preempt=lambda pool, count: self.preempted.append((pool, count)),
+            limits=AdmissionLimits(headroom_part=0.0),
+        )
+        self.held: list[Slot] = []
+        self.end = asyncio.Event()
+
+    async def hold(self, entry: Entry, within_ms: int = 10_000) -> None:
+        deadline_ms = self.clock.monotonic_ms() + within_ms
+        async with self.admission.admit(entry, deadline_ms) as slot:
+            self.held.append(slot)
+            await self.end.wait()
+
+    async def start(self, entry: Entry, within_ms: int = 10_000) -> asyncio.Task[None]:
+        task = asyncio.create_task(self.hold(entry, within_ms))
+        await asyncio.sleep(0)
+        return task
+
+    async def advance(self, duration_ms: int) -> None:
+        self.clock.advance_ms(duration_ms)
+        self.admission.step()
+        await asyncio.sleep(0)
+
+
+async def read_refusal(task: asyncio.Task[None]) -> object:
+    with pytest.raises(NotAdmittedError) as caught:
+        await task
+    return caught.value.outcome
+
+
+async def test_request_waits_for_a_released_slot() -> None:
+    """Guards against a waiting request that is never woken."""
+    case = Case()
+    first = await case.start(NORMAL)
+    await case.start(NORMAL)
+    await case.start(NORMAL)
+    assert len(case.held) == 2
+    first.cancel()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert len(case.held) == 3
+
+
+async def test_caller_that_goes_away_frees_its_place_or_slot() -> None:
+    """Guards against a slot that is lost when a grant and a cancellation race."""
+    case = Case(main=1)
+    first = await case.start(NORMAL)
+    second = await case.start(NORMAL)
+    gone = await case.start(NORMAL)
+    gone.cancel()
+    first.cancel()
+    # The first task frees its slot for the second, which is cancelled before it runs.
+    second.cancel()
+    await asyncio.gather(first, second, gone, return_exceptions=True)
+    await case.start(NORMAL)
+    assert len(case.held) == 2
+
+
+async def test_late_request_is_dropped_without_a_start() -> None:
+    """Guards against work that starts too late, and a caller left waiting."""
+    case = Case(main=1)
+    await case.start(NORMAL)
+    late = await case.start(NORMAL, within_ms=1000)
+    await case.advance(960)
+    outcome = await read_refusal(late)
+    assert isinstance(outcome, NotRun) and outcome.retry_after_ms is not None
+    expired = await case.start(NORMAL, within_ms=0)
+    assert isinstance(await read_refusal(expired), Expired)
+    assert len(case.held) == 1
+
+
+async def test_urgent_request_is_not_queued_beyond_its_start_bound() -> None:
+    """Guards against urgent work that waits in a queue instead of being refused."""
+    case = Case(main=1)
+    await case.start(URGENT)
+    urgent = await case.start(URGENT)
+    normal = await case.start(NORMAL)
+    await case.advance(1001)
+    assert urgent.done() and not normal.done()
+    assert isinstance(await read_refusal(urgent), NotRun)
+
+
+async def test_preemption_is_asked_for_a_waiting_urgent_request() -> None:
+    """Guards against urgent work that waits for long tasks in lent slots."""
+    case = Case()
+    await case.start(BATCH)
+    await case.start(BATCH)
+    await case.start(URGENT)
+    await case.advance(200)
+    assert case.preempted == []
+    await case.advance(200)
+    assert case.preempted == [("main", 1)]
+    assert [slot.is_lent for slot in case.held].count(True) == 1
+
+
+async def test_pool_without_workers_refuses_with_a_time_to_retry() -> None:
+    """Guards against requests that wait for workers that don't exist."""
+    case = Case(main=0)
+    outcome = await read_refusal(await case.start(NORMAL))
+    assert isinstance(outcome, NotRun) and outcome.code == "no_capacity"
+    assert outcome.retry_after_ms is not None
+
+
+def fill(host: Host, entry: Entry, within_ms: int) -> NotRun:
+    for _ in range(10_000):
+        offered = host.policy.offer(entry, host.now_ms + within_ms, host.now_ms)
+        if isinstance(offered, NotRun):
+            return offered
+    raise AssertionError("nothing was refused")
+
+
+def test_request_that_cannot_meet_its_deadline_is_refused_at_once() -> None:
+    """Guards against a queue that is longer than the deadlines allow."""
+    host = Host(build_catalogue())
+    refusal = fill(host, NORMAL, within_ms=2000)
+    assert refusal.code == "overloaded" and refusal.retry_after_ms is not None
+    queue = host.policy.queue("main")
+    assert 0 < queue.queued * 100 / queue.running <= 2000
+    # What another entry has queued isn't ahead of this one in its own share.
+    assert not isinstance(host.policy.offer(BATCH, 2000, 0), NotRun)
+
+
+def test_queue_length_is_bounded() -> None:
+    """Guards against memory that grows with a flood of patient requests."""
+    entry = build_entry("few", max_queued=5)
+    host = Host(build_catalogue(entry))
+    assert fill(host, entry, within_ms=1_000_000).code == "queue_full"
+    assert host.policy.queue("main").queued == 5
+
+
+def test_measured_run_times_replace_the_declared_one() -> None:
+    """Guards against refusals by declared run times, which are far from the truth."""
+    entry = build_entry("slow", run_ms=60_000)
+    host = Host(build_catalogue(entry))
+    host.offer(entry, within_ms=1000)
+    for _ in range(MIN_SAMPLES):
+        host.policy.note_run(entry, 5000, 0)
+    refusal = host.policy.offer(entry, 1000, 0)
+    assert isinstance(refusal, NotRun) and refusal.code == "deadline_too_short"
+    host.offer(entry, within_ms=10_000)
+
+
+def test_old_run_times_are_forgotten() -> None:
+    """Guards against an entry that is refused for good after a slow period."""
+    times = RunTimes()
+    entry = build_entry("entry", run_ms=100)
+    for number in range(100):
+        times.note(5000 if number >= 80 else 1000, 0)
+    estimate = times.estimate(entry, 0)
+    assert estimate.middle_ms == pytest.approx(1000, rel=0.02)
+    assert estimate.high_ms == pytest.approx(5000, rel=0.02)
+    assert estimate.needed_ms(10_000) == estimate.high_ms
+    assert estimate.needed_ms(3000) == estimate.middle_ms
+    assert not times.estimate(entry, WINDOWS * WINDOW_MS).is_measured
+
+
+def test_request_borrows_from_the_spare_pool_and_leaves_its_share() -> None:
+    """Guards against idle spare slots during a peak, and against their abuse."""
+    host = Host(build_catalogue(), slots={"main": 8, "buffer": 8})
+    fill(host, NORMAL, within_ms=500)
+    # A quarter is left for the pool's own entries, and the headroom for urgent work.
+    assert host.policy.queue("buffer").flow(NORMAL).running == 8 - 2 - 1
+    assert host.offer(SPARE).pool == "buffer"
+    assert host.policy.queue("buffer").queued == 0
+
+
+def test_nothing_is_borrowed_while_the_spare_pool_has_own_work_waiting() -> None:
+    """Guards against borrowers that come before the spare pool's own entries."""
+    host = Host(build_catalogue(), slots={"main": 1, "buffer": 4})
+    for _ in range(8):
+        host.offer(SPARE)
+    fill(host, NORMAL, within_ms=500)
+    assert host.policy.queue("buffer").flow(NORMAL).running == 0
+
+
+def test_waiting_request_borrows_before_it_is_dropped() -> None:
+    """Guards against a drop while the spare pool has a free slot."""
+    host = Host(build_catalogue(), slots={"main": 1, "buffer": 0})
+    host.offer(NORMAL)
+    waiting = host.offer(NORMAL, within_ms=5000)
+    host.slots["buffer"] = 8
+    for host.now_ms in (1000, 2000):
+        host.refresh()
+    host.now_ms = 4850
+    host.policy.sweep(host.now_ms)
+    assert waiting.started_ms == 4850 and waiting.pool == "buffer"
+    host.policy.release(waiting, 4900)
+    assert host.policy.queue("buffer").running == 0
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,252 @@
+"""Order, shares and cancellation in the queues."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bergamotgap.domain.admission import AdmissionLimits
+from bergamotgap.domain.catalogue import Entry
+from bergamotgap.domain.keyed_heap import MIN_GARBAGE, KeyedHeap
+from bergamotgap.domain.scheduler import GUARANTEED_PART, Ticket
+from tests.admission_cases import (
+    BATCH,
+    FAR_MS,
+    NORMAL,
+    SLOTS,
+    SPARE,
+    URGENT,
+    Host,
+    build_catalogue,
+)
+
+ENTRIES = (URGENT, NORMAL, BATCH, SPARE)
+OPERATIONS = st.lists(
+    st.one_of(
+        st.tuples(st.just("offer"), st.integers(0, 3), st.integers(0, 3000)),
+        st.tuples(st.just("cancel"), st.integers(0, 200), st.just(0)),
+        st.tuples(st.just("release"), st.integers(0, 200), st.just(0)),
+        st.tuples(st.just("advance"), st.integers(0, 700), st.just(0)),
+        st.tuples(st.just("resize"), st.integers(0, 10), st.integers(0, 6)),
+    ),
+    max_size=120,
+)
+
+
+class Checker(Host):
+    """Runs operations and checks every start and every end."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            build_catalogue(quota=5),
+            slots={"main": 6, "buffer": 4},
+            limits=AdmissionLimits(max_queue_ms=2000),
+        )
+        self.tickets: list[Ticket] = []
+        self.ends: Counter[Ticket] = Counter()
+        self.starts: Counter[Ticket] = Counter()
+
+    def apply(self, name: str, first: int, second: int) -> None:
+        running = [t for t in self.tickets if t.started_ms is not None and not t.ended]
+        waiting = [t for t in self.tickets if t.started_ms is None and not t.ended]
+        if name == "offer":
+            deadline_ms = self.now_ms + second
+            offered = self.policy.offer(ENTRIES[first], deadline_ms, self.now_ms)
+            if isinstance(offered, Ticket):
+                self.tickets.append(offered)
+        elif name == "cancel" and waiting:
+            ticket = waiting[first % len(waiting)]
+            self.policy.cancel(ticket)
+            self.ends[ticket] += 1
+        elif name == "release" and running:
+            ticket = running[first % len(running)]
+            self.ends[ticket] += 1
+            self.policy.release(ticket, self.now_ms)
+        elif name == "advance":
+            self.now_ms += first
+            self.policy.sweep(self.now_ms)
+        elif name == "resize":
+            self.slots = {"main": first, "buffer": second}
+            self.now_ms += 200
+            self.refresh()
+        self.check()
+
+    def check(self) -> None:
+        """Check what has started or ended since the last operation."""
+        for ticket in self.tickets:
+            if ticket.started_ms is not None and ticket not in self.starts:
+                self.starts[ticket] += 1
+                self.check_start(ticket)
+        for ticket in self.notified:
+            if ticket.outcome is not None:
+                self.ends[ticket] += 1
+                assert ticket.started_ms is None
+        self.notified.clear()
+        assert max(self.ends.values(), default=0) <= 1
+
+    def check_start(self, ticket: Ticket) -> None:
+        queue = self.policy.queues[ticket.pool]
+        assert queue.running <= queue.allowance
+        assert self.now_ms <= ticket.start_by_ms
+        assert ticket not in self.ends
+        if not ticket.is_urgent:
+            others = queue.running - queue.running_urgent
+            assert others <= queue.allowance - queue.headroom
+        limit = self.policy.quotas.limit(ticket.entry.owner)
+        assert limit is not None
+        assert self.policy.quotas.running[ticket.entry.owner] <= limit
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(operations=OPERATIONS)
+def test_every_request_ends_once_within_all_limits(
+    operations: list[tuple[str, int, int]],
+) -> None:
+    """Guards against starts above a limit and against lost or doubled requests."""
+    checker = Checker()
+    for operation in operations:
+        checker.apply(*operation)
+    for _ in range(len(checker.tickets)):
+        checker.apply("release", 0, 0)
+    checker.apply("advance", FAR_MS, 0)
+    assert all(checker.ends[ticket] == 1 for ticket in checker.tickets)
+    for queue in checker.policy.queues.values():
+        assert (queue.running, queue.running_urgent, queue.running_lent) == (0, 0, 0)
+        assert queue.queued == len(queue.urgent) == 0
+    assert not checker.policy.quotas.running and not checker.policy.quotas.queued
+
+
+def run_flooded(
+    victim: Entry, flood: Entry, run_ms: dict[str, int], end_ms: int
+) -> Counter[str]:
+    """Keep both entries waiting; return the slot time that each gets."""
+    host = Host(build_catalogue())
+    ends: list[tuple[int, Ticket]] = []
+    used: Counter[str] = Counter()
+    while host.now_ms < end_ms:
+        for entry in (flood, victim):
+            flow = host.policy.queue("main").flow(entry)
+            for _ in range(3 * SLOTS - len(flow.queue)):
+                host.offer(entry)
+        for ticket in host.notified:
+            name = ticket.entry.name
+            used[name] += run_ms[name]
+            ends.append((host.now_ms + run_ms[name], ticket))
+        host.notified.clear()
+        host.now_ms += 10
+        over = [end for end in ends if end[0] <= host.now_ms]
+        ends = [end for end in ends if end[0] > host.now_ms]
+        for _, ticket in over:
+            took_ms = run_ms[ticket.entry.name]
+            host.policy.note_run(ticket.entry, took_ms, host.now_ms)
+            host.policy.release(ticket, host.now_ms)
+    return used
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(
+    pair=st.sampled_from([(NORMAL, URGENT), (BATCH, URGENT), (BATCH, NORMAL)]),
+    victim_ms=st.integers(1, 60).map(lambda value: value * 10),
+    flood_ms=st.integers(1, 60).map(lambda value: value * 10),
+)
+def test_flood_of_a_more_urgent_class_leaves_the_share(
+    pair: tuple[Entry, Entry], victim_ms: int, flood_ms: int
+) -> None:
+    """Guards against strict order, which starves the less urgent entry."""
+    victim, flood = pair
+    end_ms = 20_000
+    run_ms = {victim.name: victim_ms, flood.name: flood_ms}
+    used = run_flooded(victim, flood, run_ms, end_ms)
+    queue = Host(build_catalogue()).policy.queue("main")
+    share = queue.flow(victim).share
+    guaranteed = GUARANTEED_PART * (SLOTS - 1) * share * end_ms
+    # One task per slot may be late, and the first runs are charged as declared.
+    assert used[victim.name] >= guaranteed - SLOTS * max(victim_ms, flood_ms, 100)
+
+
+def test_lent_share_is_taken_back_with_the_next_free_slot() -> None:
+    """Guards against an entry that waits until a flood has ended."""
+    host = Host(build_catalogue())
+    flood = [host.offer(URGENT) for _ in range(30)]
+    host.now_ms = 5000
+    late = host.offer(BATCH)
+    assert late.started_ms is None
+    host.policy.release(flood[0], 5001)
+    assert late.started_ms == 5001
+
+
+def test_order_is_urgency_and_then_deadline() -> None:
+    """Guards against lent slots that go to less urgent or later work."""
+    # Entries that the catalogue doesn't name have no share: only the order counts.
+    host = Host(build_catalogue(BATCH), slots={"main": 2, "buffer": 0})
+    running = [host.offer(URGENT), host.offer(URGENT)]
+    late = host.offer(URGENT, 30_000)
+    normal = host.offer(NORMAL, 10_000)
+    soon = host.offer(URGENT, 20_000)
+    order = []
+    for now_ms, ticket in enumerate([running[0], soon, late], start=1):
+        host.policy.release(ticket, now_ms)
+        order += [t for t in (late, normal, soon) if t.started_ms == now_ms]
+    assert order == [soon, late, normal]
+
+
+def test_cancelled_request_is_never_started() -> None:
+    """Guards against a slot for a caller that is gone."""
+    host = Host(build_catalogue())
+    tickets = [host.offer(NORMAL) for _ in range(40)]
+    waiting = [ticket for ticket in tickets if ticket.started_ms is None]
+    for ticket in waiting[:-1]:
+        host.policy.cancel(ticket)
+    host.notified.clear()
+    for ticket in tickets:
+        if ticket.started_ms == 0:
+            host.policy.release(ticket, 1)
+    assert host.notified == [waiting[-1]]
+
+
+@pytest.mark.fault("freeze", "queue")
+def test_request_past_its_time_is_not_started_after_a_pause() -> None:
+    """Guards against a start after a pause in which the deadline passed."""
+    host = Host(build_catalogue())
+    running = [host.offer(NORMAL) for _ in range(SLOTS - 1)]
+    late = host.offer(NORMAL, within_ms=1000)
+    host.now_ms = 60_000
+    host.policy.release(running[0], host.now_ms)
+    assert late.started_ms is None
+    assert late.outcome is not None and late.outcome.tag == "expired"
+
+
+def test_burst_of_cancellations_leaves_bounded_garbage() -> None:
+    """Guards against a heap that keeps every cancelled request."""
+    heap: KeyedHeap[str] = KeyedHeap()
+    names = [str(number) for number in range(5000)]
+    for number, name in enumerate(names):
+        heap.set(name, number)
+    for name in names[:-1]:
+        heap.remove(name)
+        assert heap.stored <= 2 * len(heap) + MIN_GARBAGE
+    first = heap.first()
+    assert first is not None and first[1] == names[-1]
+
+
+def test_batch_leaves_headroom_to_urgent_work() -> None:
+    """Guards against an urgent request that finds all slots taken by batch work."""
+    host = Host(build_catalogue())
+    batch = [host.offer(BATCH) for _ in range(30)]
+    assert sum(ticket.started_ms is not None for ticket in batch) == SLOTS - 1
+    assert host.offer(URGENT).started_ms is not None
+
+
+def test_preemption_is_asked_for_lent_slots_only() -> None:
+    """Guards against urgent work that waits for long tasks, and lost shares."""
+    host = Host(build_catalogue())
+    for _ in range(30):
+        host.offer(BATCH)
+    for _ in range(30):
+        host.offer(URGENT)
+    assert host.policy.list_preemptions(100) == []
+    lent = host.policy.queue("main").running_lent
+    assert 0 < lent < SLOTS - 1
+    assert host.policy.list_preemptions(400) == [("main", lent)]
+    assert host.policy.list_preemptions(401) == []
