--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -96,7 +96,11 @@
             node_id=self._settings.node_id,
             catalogue=lambda: self._control.state.catalogue,
             known_nodes=self._list_known_nodes,
-            limits=AdmissionLimits(max_queue_ms=self._settings.max_queue_ms),
+            limits=AdmissionLimits(
+                max_queue_ms=self._settings.max_queue_ms,
+                headroom_part=self._settings.headroom_part,
+                preempt_after_ms=self._settings.preempt_after_ms,
+            ),
         )
 
     def _list_known_nodes(self) -> list[str]:
--- a/src/bergamotgap/node/settings.py
+++ b/src/bergamotgap/node/settings.py
@@ -51,6 +51,8 @@
     max_body_bytes: int = Field(default=16 << 20, ge=1024, le=1 << 30)
     max_job_body_bytes: int = Field(default=64 << 10, ge=1024, le=512 << 10)
     max_queue_ms: int = Field(default=30_000, ge=10, le=3_600_000)
+    headroom_part: float = Field(default=0.1, ge=0, le=0.9)
+    preempt_after_ms: int = Field(default=300, ge=0, le=60_000)
     batch_ms: int = Field(default=5, ge=0, le=1000)
     shutdown_ms: int = Field(default=30_000, ge=0, le=3_600_000)
     progress_ms: int = Field(default=5000, ge=50, le=600_000)
