--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -19,6 +19,7 @@
 from bergamotgap.adapters.operator_http import OperatorApi
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.adapters.worker_http import HttpWorkerClient
+from bergamotgap.domain.admission import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue
 from bergamotgap.domain.clock import Clock
 from bergamotgap.node.admission import Admission
@@ -67,11 +68,10 @@
         )
         control = self._streams.control
         workers = Workers(control, client, self._clock)
-        admission = Admission(
-            self._clock, workers.pool_capacity, self._streams.list_live_peers
-        )
+        admission = self._build_admission(workers)
         await self._stack.enter_async_context(self._streams)
         self._start("workers", workers.run)
+        self._start("admission", admission.run)
         control_writer = self._streams.build_writer(control)
         self._start_planner(platform, control_writer, client, workers)
         placer = Placer(lambda: control.state, workers, admission)
@@ -100,6 +100,21 @@
         await self._stack.aclose()
         log.info("node stopped")
 
+    def _build_admission(self, workers: Workers) -> Admission:
+        return Admission(
+            self._clock,
+            workers.pool_capacity,
+            self._streams.list_live_peers,
+            node_id=self._settings.node_id,
+            catalogue=self._get_catalogue,
+            known_nodes=self._streams.membership.list_expected,
+            limits=AdmissionLimits(
+                max_queue_ms=self._settings.max_queue_ms,
+                headroom_part=self._settings.headroom_part,
+                preempt_after_ms=self._settings.preempt_after_ms,
+            ),
+        )
+
     def _start_planner(
         self,
         platform: HttpPlatform,
