--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from bench import roll_out
+from bench import forwarder, roll_out
 from bench.figures import Figure, print_figures, write_figures
 
 RESULTS = Path(__file__).parent / "results" / "latest.json"
 BENCHMARKS: dict[str, Callable[[], list[Figure]]] = {
     "roll_out": roll_out.main,
+    "forwarder": forwarder.main,
 }
 
 
--- a/src/bergamotgap/adapters/worker_http.py
+++ b/src/bergamotgap/adapters/worker_http.py
@@ -1,11 +1,21 @@
 """Workers over HTTP."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from typing import Any
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any, TypeVar
 
 import aiohttp
-
+import msgspec
+
+from bergamotgap.adapters.worker_connections import WorkerConnections
+from bergamotgap.adapters.worker_tasks import (
+    CONNECT_ERRORS,
+    CONNECT_TIMEOUT_S,
+    Exchange,
+    HttpTaskAnswer,
+    build_stream_timeout,
+    check_answer,
+)
 from bergamotgap.domain.clock import Clock
 from bergamotgap.ports.worker import (
     TaskFateUnknownError,
@@ -16,148 +26,159 @@
     WorkerUnreachableError,
 )
 
-CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 2000
-CHUNK_BYTES = 64 * 1024
+# A status on a kept connection that takes longer is asked again on a new one.
+STATUS_TIMEOUT_MS = 1000
 
-_CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
+P = TypeVar("P")
 
-class HttpTaskAnswer:
-    """A task's answer while it arrives over HTTP."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self._response = response
+class _Usage(msgspec.Struct):
+    cpus: float = 0.0
+    memory_mb: float = 0.0
 
-    @property
-    def is_failure(self) -> bool:
-        """Return whether the worker reports that the task failed."""
-        return self._response.status != 200
 
-    @property
-    def size(self) -> int | None:
-        """Return the announced length in bytes, if any."""
-        return self._response.content_length
+class _StatusPayload(msgspec.Struct):
+    worker: str
+    time_ms: int
+    boot_id: str
+    pool: str | None
+    epoch: int
+    state: str
+    slots: int
+    busy: int
+    usage: _Usage
+    usage_as_of_ms: int
 
-    @property
-    def busy(self) -> int | None:
-        """Return the worker's running tasks, as told with the answer."""
-        return _parse_busy(self._response)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises TaskFateUnknownError when it is cut short."""
-        try:
-            async for chunk in self._response.content.iter_chunked(CHUNK_BYTES):
-                yield chunk
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise TaskFateUnknownError(repr(error)) from error
+class _TaskPayload(msgspec.Struct):
+    state: str
+    size: int = 0
+    boot_id: str = ""
+    started: bool = True
+
+
+class _Refusal(msgspec.Struct):
+    code: str = "refused"
 
 
 class HttpWorkerClient:
-    """Talk to workers by address (`ip:port`)."""
+    """Talk to workers by address (`ip:port`).
+
+    Tasks use `connections`, statuses the kept connections of `pooled`; everything
+    that must not depend on a silent connection uses `fresh`, a session that opens a
+    new connection for each call.
+    """
 
     def __init__(
         self,
         pooled: aiohttp.ClientSession,
         fresh: aiohttp.ClientSession,
         clock: Clock,
+        connections: WorkerConnections | None = None,
     ) -> None:
-        # Status questions about a silent connection must not be queued on it, so
-        # they use a session that opens a new connection for each call.
         self._pooled = pooled
         self._fresh = fresh
         self._clock = clock
+        self._connections = connections or WorkerConnections()
+
+    async def close(self) -> None:
+        """Close the connections for tasks."""
+        await self._connections.close()
 
     async def fetch_status(self, address: str) -> WorkerStatus:
         """Ask a worker for its own state."""
-        payload = await self._call(self._pooled, "GET", address, "/v1/status")
-        usage = payload["usage"]
+        path = "/v1/status"
+        try:
+            payload = await self._call(
+                self._pooled, "GET", address, path, _StatusPayload, STATUS_TIMEOUT_MS
+            )
+        except TaskFateUnknownError:
+            # The kept connection may have gone silent while the worker is well.
+            payload = await self._call(
+                self._fresh, "GET", address, path, _StatusPayload
+            )
         return WorkerStatus(
-            worker=payload["worker"],
-            time_ms=payload["time_ms"],
+            worker=payload.worker,
+            time_ms=payload.time_ms,
             arrived_ms=self._clock.monotonic_ms(),
-            boot_id=payload["boot_id"],
-            pool=payload["pool"],
-            epoch=payload["epoch"],
-            state=payload["state"],
-            slots=payload["slots"],
-            busy=payload["busy"],
-            used_cpus=usage["cpus"],
-            used_memory_mb=usage["memory_mb"],
-            usage_as_of_ms=payload["usage_as_of_ms"],
+            boot_id=payload.boot_id,
+            pool=payload.pool,
+            epoch=payload.epoch,
+            state=payload.state,
+            slots=payload.slots,
+            busy=payload.busy,
+            used_cpus=payload.usage.cpus,
+            used_memory_mb=int(payload.usage.memory_mb),
+            usage_as_of_ms=payload.usage_as_of_ms,
         )
 
     async def assign(self, address: str, pool: str | None, epoch: int) -> None:
         """Tell a worker its pool and epoch; raises TaskRefusedError if it is stale."""
         body = {"pool": pool, "epoch": epoch}
-        await self._call(self._fresh, "PUT", address, "/v1/assignment", body)
+        await self._call(
+            self._fresh, "PUT", address, "/v1/assignment", dict[str, Any], body=body
+        )
 
-    @asynccontextmanager
-    async def run(
+    def run(
         self, address: str, order: TaskOrder, progress_ms: int
-    ) -> AsyncIterator[HttpTaskAnswer]:
+    ) -> AbstractAsyncContextManager[HttpTaskAnswer]:
         """Send a task; no progress within `progress_ms` raises TaskFateUnknownError."""
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_MS / 1000,
-            sock_read=progress_ms / 1000,
-        )
-        url = f"http://{address}/v1/tasks/{order.task}"
-        try:
-            response = await self._pooled.post(
-                url, data=order.body, headers=_order_headers(order), timeout=timeout
-            )
-        except _CONNECT_ERRORS as error:
-            raise WorkerUnreachableError(repr(error)) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise TaskFateUnknownError(repr(error)) from error
-        async with response:
-            _check_answer(response, order.task)
-            yield HttpTaskAnswer(response)
+        return Exchange(self._connections, address, order, progress_ms)
 
     async def fetch_task(self, address: str, task: str) -> TaskStatus:
         """Ask for a task over a new connection."""
-        payload = await self._call(self._fresh, "GET", address, f"/v1/tasks/{task}")
-        return _parse_task(payload)
+        path = f"/v1/tasks/{task}"
+        return _build_task(
+            await self._call(self._fresh, "GET", address, path, _TaskPayload)
+        )
 
     @asynccontextmanager
     async def fetch_result(
         self, address: str, task: str
     ) -> AsyncIterator[HttpTaskAnswer]:
-        """Stream the result of a finished task over a new connection."""
+        """Stream the result of a finished task over a new connection.
+
+        Raises TaskFateUnknownError when the worker has no such result.
+        """
         url = f"http://{address}/v1/tasks/{task}/result"
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_MS / 1000,
-            sock_read=CALL_TIMEOUT_MS / 1000,
-        )
         try:
-            response = await self._fresh.get(url, timeout=timeout)
-        except (aiohttp.ClientError, TimeoutError) as error:
+            response = await self._fresh.get(
+                url,
+                timeout=build_stream_timeout(CALL_TIMEOUT_MS),
+                headers={"Accept-Encoding": "identity"},
+            )
+        except CONNECT_ERRORS as error:
             raise WorkerUnreachableError(repr(error)) from error
-        async with response:
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise TaskFateUnknownError(repr(error)) from error
+        try:
             if response.status != 200:
                 raise TaskFateUnknownError(f"no result, status {response.status}")
-            _check_answer(response, task)
-            yield HttpTaskAnswer(response)
+            check_answer(response, task)
+            yield HttpTaskAnswer(response, lambda: None)
+        finally:
+            response.close()
 
     async def cancel(self, address: str, task: str) -> TaskStatus:
         """Refuse the task for good if it has not started; return what is known."""
-        path = f"/v1/tasks/{task}/cancel"
-        return _parse_task(await self._call(self._fresh, "POST", address, path))
+        return await self.control(address, task, "cancel")
 
     async def control(self, address: str, task: str, verb: str) -> TaskStatus:
         """Renew, checkpoint, throttle or stop a running task."""
         path = f"/v1/tasks/{task}/{verb}"
-        return _parse_task(await self._call(self._fresh, "POST", address, path))
+        return _build_task(
+            await self._call(self._fresh, "POST", address, path, _TaskPayload)
+        )
 
     async def drain(self, address: str) -> None:
         """Tell the worker to refuse new tasks."""
-        await self._call(self._fresh, "POST", address, "/v1/drain")
+        await self._call(self._fresh, "POST", address, "/v1/drain", dict[str, Any])
 
     async def reboot(self, address: str) -> None:
         """Tell the worker to restart."""
-        await self._call(self._fresh, "POST", address, "/v1/reboot")
+        await self._call(self._fresh, "POST", address, "/v1/reboot", dict[str, Any])
 
     async def _call(
         self,
@@ -165,61 +186,39 @@
         method: str,
         address: str,
         path: str,
+        payload_type: type[P],
+        timeout_ms: int = CALL_TIMEOUT_MS,
         body: dict[str, Any] | None = None,
-    ) -> dict[str, Any]:
+    ) -> P:
         timeout = aiohttp.ClientTimeout(
-            total=CALL_TIMEOUT_MS / 1000, sock_connect=CONNECT_TIMEOUT_MS / 1000
+            total=timeout_ms / 1000,
+            sock_connect=CONNECT_TIMEOUT_S,
         )
+        url = f"http://{address}{path}"
         try:
             async with session.request(
-                method, f"http://{address}{path}", json=body, timeout=timeout
+                method, url, json=body, timeout=timeout
             ) as response:
-                payload: dict[str, Any] = await response.json()
-                if response.status == 409:
-                    raise TaskRefusedError(payload["code"])
-                if response.status != 200:
-                    raise TaskFateUnknownError(f"status {response.status}")
-                return payload
-        except _CONNECT_ERRORS as error:
+                content = await response.read()
+                return _decode(response.status, content, payload_type)
+        except CONNECT_ERRORS as error:
             raise WorkerUnreachableError(repr(error)) from error
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
             raise TaskFateUnknownError(repr(error)) from error
 
 
-def _order_headers(order: TaskOrder) -> dict[str, str]:
-    headers = {
-        "Pool-Epoch": str(order.epoch),
-        "Lease-Ms": str(order.lease_ms),
-        "Entry": order.entry,
-        "Urgency": order.urgency,
-        "Cpus": str(order.cpus),
-        "Memory-Mb": str(order.memory_mb),
-        "Accelerators": str(order.accelerators),
-    }
-    if order.boot_id is not None:
-        headers["Boot-Id"] = order.boot_id
-    if order.start_before_ms is not None:
-        headers["Start-Before-Ms"] = str(order.start_before_ms)
-    return headers
-
-
-def _check_answer(response: aiohttp.ClientResponse, task: str) -> None:
-    refusal = response.headers.get("Task-Refused")
-    if refusal is not None:
-        raise TaskRefusedError(refusal, _parse_busy(response))
-    if response.headers.get("Task-Id") != task:
-        raise TaskFateUnknownError("the answer belongs to another task")
-
-
-def _parse_busy(response: aiohttp.ClientResponse) -> int | None:
-    value = response.headers.get("Worker-Busy", "")
-    return int(value) if value.isdigit() else None
+def _decode(status: int, content: bytes, payload_type: type[P]) -> P:
+    if status == 409:
+        raise TaskRefusedError(msgspec.json.decode(content, type=_Refusal).code)
+    if status != 200:
+        raise TaskFateUnknownError(f"status {status}")
+    return msgspec.json.decode(content, type=payload_type)
 
 
-def _parse_task(payload: dict[str, Any]) -> TaskStatus:
+def _build_task(payload: _TaskPayload) -> TaskStatus:
     return TaskStatus(
-        state=payload["state"],
-        size=payload["size"],
-        boot_id=payload["boot_id"],
-        started=payload["started"],
+        state=payload.state,
+        size=payload.size,
+        boot_id=payload.boot_id,
+        started=payload.started,
     )
--- a/src/bergamotgap/node/host_health.py
+++ b/src/bergamotgap/node/host_health.py
@@ -10,8 +10,11 @@
 from bergamotgap.node.workers import WorkerView
 from bergamotgap.ports.platform import HostDirectory, HostListing, PlatformError
 
-LIST_INTERVAL_MS = 1000
-# The platform counts as reachable while its list was fetched within this time.
+# One host is about 200 bytes of the list; reading it takes at most 5 KB/s.
+LIST_MS_PER_HOST = 40
+MIN_LIST_INTERVAL_MS = 2000
+# The platform counts as reachable while its list was fetched within this time and
+# one interval.
 FRESH_MS = 3000
 # Failed status calls in a row, one a second, before a host is recorded as down.
 DOWN_AFTER_FAILURES = 4
@@ -31,12 +34,20 @@
 class HostList:
     """Own the latest host list of the platform and the task that fetches it.
 
+    `observe` is given each new listing.
+
     The list lags. Listings that are older than the latest one are passed over, and
     the latest one stays in use while the platform can't be reached.
     """
 
-    def __init__(self, directory: HostDirectory, clock: Clock) -> None:
+    def __init__(
+        self,
+        directory: HostDirectory,
+        clock: Clock,
+        observe: Callable[[HostListing], None] = lambda listing: None,
+    ) -> None:
         self._directory = directory
+        self._observe = observe
         self._clock = clock
         self._as_of_ms = -1
         self._fetched_ms: int | None = None
@@ -46,10 +57,15 @@
 
     @property
     def is_fresh(self) -> bool:
-        """Return whether the platform answered within `FRESH_MS`."""
+        """Return whether the platform answered lately."""
         if self._fetched_ms is None:
             return False
-        return self._clock.monotonic_ms() - self._fetched_ms <= FRESH_MS
+        age_ms = self._clock.monotonic_ms() - self._fetched_ms
+        return age_ms <= FRESH_MS + self._interval_ms
+
+    @property
+    def _interval_ms(self) -> int:
+        return max(MIN_LIST_INTERVAL_MS, LIST_MS_PER_HOST * len(self._hosts))
 
     @property
     def hosts(self) -> Mapping[str, HostFacts]:
@@ -78,7 +94,7 @@
         """Fetch the list for good."""
         while True:
             await self.refresh()
-            await self._clock.sleep_ms(LIST_INTERVAL_MS)
+            await self._clock.sleep_ms(self._interval_ms)
 
     async def refresh(self) -> None:
         """Fetch the list once; keep the last one when that fails."""
@@ -94,6 +110,7 @@
     def _take(self, listing: HostListing) -> None:
         former = set(self._hosts) | set(self._absent)
         self._as_of_ms = listing.as_of_ms
+        self._observe(listing)
         self._hosts = {facts.host: facts for facts in listing.hosts}
         leaving = sum(facts.is_leaving for facts in listing.hosts)
         limit = MAX_LEAVING_PART * max(1, len(listing.hosts))
