--- /dev/null
+++ b/src/bergamotgap/adapters/job_http.py
@@ -0,0 +1,176 @@
+"""The callers' HTTP interface for jobs."""
+
+import base64
+import binascii
+from collections.abc import Awaitable, Callable
+from typing import Annotated
+
+import msgspec
+from aiohttp import web
+
+from bergamotgap.adapters.caller_auth import (
+    CatalogueSource,
+    build_problem,
+    find_caller,
+    find_entry,
+)
+from bergamotgap.domain.catalogue import Caller
+from bergamotgap.domain.work_items import Job
+from bergamotgap.node.jobs import Jobs
+from bergamotgap.node.requests import Results
+from bergamotgap.node.work_errors import RequestRefusedError
+from bergamotgap.ports.worker import TaskFateUnknownError
+
+MAX_REQUEST_ID_CHARS = 128
+# Room for the JSON around the body, which base64 makes a third longer.
+JSON_MARGIN_BYTES = 4096
+
+Handler = Callable[[web.Request, Caller], Awaitable[web.StreamResponse]]
+
+
+class JobOrder(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a job submission; `deadline_ms` is relative."""
+
+    entry: Annotated[str, msgspec.Meta(max_length=63)]
+    request_id: Annotated[
+        str, msgspec.Meta(min_length=1, max_length=MAX_REQUEST_ID_CHARS)
+    ]
+    body_base64: str = ""
+    deadline_ms: Annotated[int, msgspec.Meta(ge=1)] | None = None
+
+
+class JobApi:
+    """Serve jobs to callers; each caller sees only its own."""
+
+    def __init__(
+        self,
+        catalogue: CatalogueSource,
+        jobs: Jobs,
+        results: Results,
+        max_body_bytes: int,
+    ) -> None:
+        self._catalogue = catalogue
+        self._jobs = jobs
+        self._results = results
+        self._max_body_bytes = max_body_bytes
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add this interface's routes."""
+        app.router.add_post("/v1/jobs", self._guard(self._submit))
+        app.router.add_get("/v1/jobs/{job}", self._guard(self._get))
+        app.router.add_get("/v1/jobs/{job}/result", self._guard(self._get_result))
+        app.router.add_delete("/v1/jobs/{job}", self._guard(self._cancel))
+
+    def _guard(
+        self, handle: Handler
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        async def guarded(request: web.Request) -> web.StreamResponse:
+            caller = find_caller(request, self._catalogue())
+            if caller is None:
+                return build_problem(401, "unknown_key", "not_run")
+            try:
+                return await handle(request, caller)
+            except RequestRefusedError as error:
+                return build_problem(
+                    error.status, error.code, error.outcome, error.detail
+                )
+
+        return guarded
+
+    async def _submit(self, request: web.Request, caller: Caller) -> web.StreamResponse:
+        order = _parse_order(await self._read_bounded(request))
+        entry = find_entry(caller, self._catalogue(), order.entry)
+        if entry is None:
+            raise RequestRefusedError(404, "unknown_entry")
+        body = _decode_body(order.body_base64)
+        if len(body) > self._max_body_bytes:
+            raise RequestRefusedError(413, "body_too_large")
+        deadline_ms = order.deadline_ms or entry.deadline_ms
+        if deadline_ms > entry.deadline_ms:
+            detail = f"deadline_ms is above the entry's {entry.deadline_ms}"
+            raise RequestRefusedError(400, "deadline_too_long", detail=detail)
+        job = await self._jobs.accept(
+            caller.name, order.request_id, entry, body, deadline_ms
+        )
+        return web.json_response(
+            {"job": job},
+            status=202,
+            headers={"Outcome": "unknown", "Location": f"/v1/jobs/{job}"},
+        )
+
+    async def _read_bounded(self, request: web.Request) -> bytes:
+        limit = self._max_body_bytes * 4 // 3 + JSON_MARGIN_BYTES
+        if (request.content_length or 0) > limit:
+            raise RequestRefusedError(413, "body_too_large")
+        body = await request.read()
+        if len(body) > limit:
+            raise RequestRefusedError(413, "body_too_large")
+        return body
+
+    def _find(self, request: web.Request, caller: Caller) -> Job:
+        job = self._jobs.find(caller.name, request.match_info["job"])
+        if job is None:
+            # The same answer for a missing, a forgotten and another caller's job. A
+            # forgotten one may have run, so the outcome is not "not_run".
+            raise RequestRefusedError(404, "unknown_job", "unknown")
+        return job
+
+    async def _get(self, request: web.Request, caller: Caller) -> web.StreamResponse:
+        return _describe(self._find(request, caller))
+
+    async def _cancel(self, request: web.Request, caller: Caller) -> web.StreamResponse:
+        job = await self._jobs.cancel(self._find(request, caller))
+        return _describe(job, status=202 if job.ended is None else 200)
+
+    async def _get_result(
+        self, request: web.Request, caller: Caller
+    ) -> web.StreamResponse:
+        job = self._find(request, caller)
+        if job.ended is None:
+            raise RequestRefusedError(409, "not_ended", "unknown")
+        if job.ended.outcome == "failed":
+            raise RequestRefusedError(502, "work_failed", "failed", job.ended.reason)
+        response = web.StreamResponse(headers={"Outcome": job.ended.outcome})
+        try:
+            async with self._results.open(job.ended) as answer:
+                response.content_length = answer.size
+                await response.prepare(request)
+                async for chunk in answer.chunks():
+                    await response.write(chunk)
+        except TaskFateUnknownError:
+            # A result cut short must not look complete.
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+        await response.write_eof()
+        return response
+
+
+def _parse_order(body: bytes) -> JobOrder:
+    try:
+        return msgspec.json.decode(body, type=JobOrder)
+    except msgspec.DecodeError as error:
+        raise RequestRefusedError(400, "malformed_job", detail=str(error)) from error
+
+
+def _decode_body(encoded: str) -> bytes:
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except (binascii.Error, ValueError) as error:
+        detail = f"body_base64: {error}"
+        raise RequestRefusedError(400, "malformed_job", detail=detail) from error
+
+
+def _describe(job: Job, status: int = 200) -> web.Response:
+    ended = job.ended
+    payload = {
+        "job": job.job,
+        "entry": job.entry,
+        "state": "running" if ended is None else "ended",
+        "is_cancel_requested": job.is_cancel_requested,
+        "outcome": ended.outcome if ended else None,
+        "reason": ended.reason if ended else "",
+        "result_size": ended.result_size if ended else None,
+    }
+    outcome = ended.outcome if ended else "unknown"
+    return web.json_response(payload, status=status, headers={"Outcome": outcome})
--- a/src/bergamotgap/domain/work_state.py
+++ b/src/bergamotgap/domain/work_state.py
@@ -42,7 +42,10 @@
         jobs = self._data.jobs.values()
         claims = self._data.claims.values()
         self._job_ids = {job.key: job.job for job in jobs}
-        self._open = {job.job: None for job in jobs if job.ended is None}
+        self._open: dict[str, dict[str, None]] = {}
+        for job in jobs:
+            if job.ended is None:
+                self._note_open(job)
         self._outstanding = {c.key: None for c in claims if c.is_outstanding}
         self._forgetting: list[tuple[int, str, bool]] = [
             *(
@@ -71,7 +74,7 @@
     @property
     def open_count(self) -> int:
         """Return the number of accepted jobs without an outcome."""
-        return len(self._open)
+        return sum(len(jobs) for jobs in self._open.values())
 
     @property
     def log_ms(self) -> int:
@@ -103,9 +106,18 @@
         """Return the last claim on a key."""
         return self._data.claims.get(key)
 
+    @property
+    def owners(self) -> list[str]:
+        """Return the owners of open jobs; an empty name for released jobs."""
+        return list(self._open)
+
+    def list_jobs_of(self, owner: str) -> list[Job]:
+        """Return an owner's jobs without an outcome, in no certain order."""
+        return [self._data.jobs[job] for job in self._open.get(owner, ())]
+
     def list_open_jobs(self) -> list[Job]:
         """Return the jobs without an outcome, in no certain order."""
-        return [self._data.jobs[job] for job in self._open]
+        return [job for owner in self._open for job in self.list_jobs_of(owner)]
 
     def list_outstanding_claims(self) -> list[Claim]:
         """Return the claims whose fate is not recorded, in no certain order."""
@@ -158,7 +170,7 @@
         if key in self._data.claims:
             return Rejected("request_id_reused")
         log_ms = self._data.log_ms
-        self._data.jobs[record.job] = Job(
+        job = Job(
             job=record.job,
             key=key,
             caller=record.caller,
@@ -170,8 +182,9 @@
             keep_ms=record.keep_ms,
             owner=record.node,
         )
-        self._job_ids[key] = record.job
-        self._open[record.job] = None
+        self._data.jobs[job.job] = job
+        self._job_ids[key] = job.job
+        self._note_open(job)
         self._data.accepted += 1
         return Applied()
 
@@ -182,9 +195,10 @@
             return job
         if record.ownership != job.ownership + 1:
             return Rejected("stale_ownership", f"the job is at {job.ownership}")
-        self._data.jobs[job.job] = replace(
-            job, owner=record.node, ownership=record.ownership
-        )
+        self._note_closed(job)
+        job = replace(job, owner=record.node, ownership=record.ownership)
+        self._data.jobs[job.job] = job
+        self._note_open(job)
         return Applied()
 
     @_apply.register
@@ -272,7 +286,7 @@
         # The ended job itself keeps the key from now on.
         self._data.claims.pop(job.key, None)
         self._outstanding.pop(job.key, None)
-        del self._open[job.job]
+        self._note_closed(job)
         self._data.ended += 1
         return Applied()
 
@@ -309,6 +323,14 @@
         if claim.forget_at_ms is not None:
             heapq.heappush(self._forgetting, (claim.forget_at_ms, claim.key, False))
 
+    def _note_open(self, job: Job) -> None:
+        self._open.setdefault(job.owner, {})[job.job] = None
+
+    def _note_closed(self, job: Job) -> None:
+        del self._open[job.owner][job.job]
+        if not self._open[job.owner]:
+            del self._open[job.owner]
+
     def _is_job(self, key: str) -> bool:
         return key in self._job_ids
 
--- /dev/null
+++ b/src/bergamotgap/node/claims.py
@@ -0,0 +1,263 @@
+"""Claim attempts of non-idempotent work, run them and record how they ended."""
+
+import asyncio
+import base64
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.catalogue import Entry
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.folding import Rejected
+from bergamotgap.domain.outcomes import NotRun
+from bergamotgap.domain.records import AttemptNotRun, Claimed, Ended
+from bergamotgap.domain.work_items import Claim
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.admission import NotAdmittedError
+from bergamotgap.node.dispatch import build_order
+from bergamotgap.node.placement import Placement, Placer
+from bergamotgap.node.record_keeper import RecordKeeper
+from bergamotgap.node.streams import (
+    AppendRefusedError,
+    AppendUnknownError,
+    Stream,
+    StreamWriter,
+)
+from bergamotgap.node.task_runs import LEASE_MS, TaskEnd, TaskRunner
+
+# A claim is appended and dispatched within this time, or it lapses.
+CLAIM_WINDOW_MS = 5000
+MAX_ATTEMPTS = 4
+BACKOFF_MS = 100
+# How long an unreachable worker is asked before the outcome is recorded as unknown.
+PATIENCE_MS = 30_000
+# How long after its deadline a task that still runs is asked for its end.
+OVERTIME_MS = 60_000
+
+log = get_logger(__name__)
+
+
+class ClaimLostError(Exception):
+    """The fold refused the claim; `code` tells why."""
+
+    def __init__(self, code: str) -> None:
+        super().__init__(code)
+        self.code = code
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Non-idempotent work to run; `deadline_at_ms` is monotonic."""
+
+    key: str
+    job: str | None
+    ownership: int
+    entry: Entry
+    body: bytes
+    body_sha256: str
+    keep_ms: int
+    deadline_at_ms: int
+
+
+@dataclass(slots=True)
+class Activity:
+    """What its driver does with one piece of work at the moment.
+
+    `stage` is queued until something irrevocable begins, then claiming or running.
+    """
+
+    stage: str = "queued"
+    is_cancelled: bool = False
+    address: str = ""
+    task: str = ""
+    claimed: Claimed | None = None
+
+
+class Claims:
+    """Own the attempts that this node claimed."""
+
+    def __init__(
+        self,
+        node: str,
+        work: Stream[WorkState],
+        writer: StreamWriter,
+        keeper: RecordKeeper,
+        placer: Placer,
+        runner: TaskRunner,
+        clock: Clock,
+        find_address: Callable[[str], str | None],
+    ) -> None:
+        self._node = node
+        self._work = work
+        self._writer = writer
+        self._keeper = keeper
+        self._placer = placer
+        self._runner = runner
+        self._clock = clock
+        self.find_address = find_address
+        self._active: set[str] = set()
+
+    def is_active(self, claim: Claim) -> bool:
+        """Return whether this node still works on the claimed attempt."""
+        return claim.task in self._active
+
+    def release(self, task: str) -> None:
+        """Tell that the end of a started attempt is recorded, or left to others."""
+        self._active.discard(task)
+
+    async def run_work(self, work: Work, activity: Activity) -> TaskEnd:
+        """Claim and run attempts until one may have started; return its end.
+
+        Raises NotAdmittedError when no attempt started, and ClaimLostError. The caller
+        records the outcome and then releases the claimed task.
+        """
+        avoid: frozenset[str] = frozenset()
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            async with self._placer.place(
+                work.entry, work.deadline_at_ms, avoid
+            ) as placement:
+                end = await self._attempt(work, placement, activity)
+            if end.state != "not_run":
+                return end
+            activity.stage = "queued"
+            if activity.is_cancelled:
+                break
+            avoid |= {placement.host}
+            jitter_ms = secrets.randbelow(BACKOFF_MS)
+            await self._clock.sleep_ms(BACKOFF_MS * attempt + jitter_ms)
+        raise NotAdmittedError(NotRun("worker_refused", end.reason))
+
+    async def _attempt(
+        self, work: Work, placement: Placement, activity: Activity
+    ) -> TaskEnd:
+        lapse_ms = min(
+            self._clock.monotonic_ms() + CLAIM_WINDOW_MS, work.deadline_at_ms
+        )
+        claimed = self._build_claim(work, placement, lapse_ms)
+        activity.stage = "claiming"
+        activity.claimed = claimed
+        self._active.add(claimed.task)
+        try:
+            await self._append_claim(claimed, lapse_ms)
+            if activity.is_cancelled or self._clock.monotonic_ms() >= lapse_ms:
+                end = TaskEnd("not_run", "claim_lapsed")
+            else:
+                activity.stage = "running"
+                activity.address, activity.task = placement.address, claimed.task
+                end = await self._dispatch(work, placement, claimed)
+            if end.state == "not_run":
+                await self._record_not_run(claimed.key, claimed.attempt, end, work)
+                self.release(claimed.task)
+            return end
+        except BaseException:
+            self.release(claimed.task)
+            raise
+
+    def _build_claim(self, work: Work, placement: Placement, lapse_ms: int) -> Claimed:
+        known = self._work.state.find_claim(work.key)
+        return Claimed(
+            key=work.key,
+            job=work.job,
+            entry=work.entry.name,
+            body_sha256=work.body_sha256,
+            keep_ms=work.keep_ms,
+            node=self._node,
+            attempt=known.attempt + 1 if known is not None else 1,
+            worker=placement.host,
+            boot_id=placement.boot_id,
+            task=secrets.token_hex(12),
+            start_before_ms=placement.translate_ms(lapse_ms),
+            ownership=work.ownership,
+        )
+
+    async def _append_claim(self, claimed: Claimed, lapse_ms: int) -> None:
+        timeout_ms = max(1, lapse_ms - self._clock.monotonic_ms())
+        try:
+            effect = await self._writer.append(claimed, timeout_ms)
+        except (AppendRefusedError, AppendUnknownError) as error:
+            # Never dispatched, whatever became of the record: if it appears, it is an
+            # outstanding claim that nobody works on, and is resolved as such.
+            log.info("claim was not recorded", key=claimed.key, error=str(error))
+            raise NotAdmittedError(NotRun("platform_unavailable")) from error
+        if isinstance(effect, Rejected):
+            raise ClaimLostError(effect.code)
+
+    async def _dispatch(
+        self, work: Work, placement: Placement, claimed: Claimed
+    ) -> TaskEnd:
+        order = build_order(
+            work.entry,
+            placement,
+            work.body,
+            LEASE_MS,
+            task=claimed.task,
+            start_before_ms=claimed.start_before_ms,
+        )
+        started_ms = self._clock.monotonic_ms()
+        until_ms = work.deadline_at_ms + OVERTIME_MS
+        end = await self._runner.run_task(
+            placement.address, order, until_ms, PATIENCE_MS
+        )
+        if end.state == "done":
+            run_ms = self._clock.monotonic_ms() - started_ms
+            self._placer.note_success(work.entry, placement.host, run_ms)
+        elif end.state in ("not_run", "unknown"):
+            self._placer.note_failure(work.entry, placement.host, end.reason)
+        return end
+
+    async def _record_not_run(
+        self, key: str, attempt: int, end: TaskEnd, work: Work
+    ) -> None:
+        task = self._keeper.keep(AttemptNotRun(key, attempt, end.reason))
+        remaining_ms = max(0, work.deadline_at_ms - self._clock.monotonic_ms())
+        await asyncio.wait({task}, timeout=remaining_ms / 1000)
+        if not task.done():
+            # Without the record, a further claim can't take effect either.
+            raise NotAdmittedError(NotRun("platform_unavailable"))
+
+    async def resolve(self, claim: Claim, until_ms: int) -> TaskEnd:
+        """Find out at the named worker how a claimed attempt ended.
+
+        An attempt that did not start is fenced and recorded as not run. The end of a
+        started one is returned for the caller to record.
+        """
+        address = self.find_address(claim.worker)
+        if address is None:
+            return TaskEnd("unknown", "the worker left the fleet")
+        end = await self._runner.ask_task(
+            address, claim.task, claim.boot_id, until_ms, PATIENCE_MS
+        )
+        if end.state == "not_run":
+            record = AttemptNotRun(claim.key, claim.attempt, end.reason)
+            await self._keeper.append(record)
+        return end
+
+
+def build_ended(
+    end: TaskEnd, claim: Claim | Claimed, ownership: int, is_cancelled: bool = False
+) -> Ended:
+    """Return the record for a claimed attempt that started or may have."""
+    outcome = {"done": "done", "failed": "failed", "stopped": "failed"}.get(
+        end.state, "unknown"
+    )
+    if end.state == "stopped" and is_cancelled:
+        outcome = "cancelled"
+    reason = end.reason or ("" if end.state == "done" else end.state)
+    return Ended(
+        key=claim.key,
+        job=claim.job,
+        attempt=claim.attempt,
+        ownership=ownership,
+        outcome=outcome,
+        worker=claim.worker,
+        task=claim.task,
+        result_inline=encode_result(end),
+        result_size=end.size,
+        reason=reason,
+    )
+
+
+def encode_result(end: TaskEnd) -> str | None:
+    """Return the result as base64 if it is at hand."""
+    return None if end.result is None else base64.b64encode(end.result).decode()
--- /dev/null
+++ b/src/bergamotgap/node/job_runs.py
@@ -0,0 +1,242 @@
+"""Carry one owned job from the queue to its recorded outcome."""
+
+import asyncio
+import base64
+import secrets
+from collections.abc import Callable
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.catalogue import Entry
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.outcomes import Expired
+from bergamotgap.domain.records import Ended
+from bergamotgap.domain.work_items import Claim, Job
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.admission import NotAdmittedError
+from bergamotgap.node.claims import (
+    OVERTIME_MS,
+    PATIENCE_MS,
+    Activity,
+    ClaimLostError,
+    Claims,
+    Work,
+    build_ended,
+    encode_result,
+)
+from bergamotgap.node.dispatch import build_order
+from bergamotgap.node.log_clock import LogClock
+from bergamotgap.node.placement import Placer
+from bergamotgap.node.streams import Stream
+from bergamotgap.node.task_runs import LEASE_MS, TaskEnd, TaskRunner
+
+# Attempts of an idempotent job that a worker started, each on another host while
+# there is one.
+MAX_STARTED_ATTEMPTS = 3
+RETRY_MS = 250
+MAX_RETRY_MS = 5000
+# An idempotent job whose worker is silent this long is run elsewhere.
+IDEMPOTENT_PATIENCE_MS = 5000
+
+log = get_logger(__name__)
+
+
+class JobRunner:
+    """Run owned jobs; each call of `run` drives one job."""
+
+    def __init__(
+        self,
+        work: Stream[WorkState],
+        control: Callable[[], ControlState],
+        placer: Placer,
+        claims: Claims,
+        runner: TaskRunner,
+        log_clock: LogClock,
+        clock: Clock,
+    ) -> None:
+        self._work = work
+        self._control = control
+        self._placer = placer
+        self._claims = claims
+        self._runner = runner
+        self._log_clock = log_clock
+        self._clock = clock
+
+    async def run(self, job: Job, activity: Activity) -> Ended:
+        """Return the record of the job's outcome, which the caller appends."""
+        retries = 0
+        failures: list[str] = []
+        while True:
+            claim = self._work.state.find_claim(job.key)
+            if claim is not None and claim.is_outstanding:
+                ended = await self._resolve(job, claim, activity)
+            elif activity.is_cancelled:
+                ended = build_unstarted(job, "cancelled", "not_started")
+            else:
+                ended = await self._attempt(job, activity, failures)
+            if ended is not None:
+                return ended
+            activity.stage = "queued"
+            retries += 1
+            delay_ms = min(MAX_RETRY_MS, RETRY_MS * retries)
+            await self._clock.sleep_ms(delay_ms + secrets.randbelow(RETRY_MS))
+
+    async def _attempt(
+        self, job: Job, activity: Activity, failures: list[str]
+    ) -> Ended | None:
+        catalogue = self._control().catalogue
+        entry = catalogue.find_entry(job.entry) if catalogue is not None else None
+        if entry is None:
+            if catalogue is None:
+                return None
+            return build_unstarted(job, "not_run", "the entry left the catalogue")
+        if not fits_pool(self._control(), entry):
+            return build_unstarted(job, "not_run", "too_large for every worker")
+        deadline_at_ms = self._log_clock.to_monotonic_ms(job.deadline_at_ms)
+        try:
+            if entry.idempotent:
+                return await self._run_idempotent(
+                    job, entry, deadline_at_ms, activity, failures
+                )
+            return await self._run_claimed(job, entry, deadline_at_ms, activity)
+        except ClaimLostError as error:
+            log.info("claim refused", job=job.job, code=error.code)
+        except NotAdmittedError as error:
+            if isinstance(error.outcome, Expired):
+                return self._expire(job, failures)
+        return None
+
+    @staticmethod
+    def _expire(job: Job, failures: list[str]) -> Ended:
+        if failures:
+            # It did start, so "expired" would be wrong.
+            return build_unstarted(job, "failed", f"deadline; {failures[-1]}")
+        return build_unstarted(job, "expired", "deadline")
+
+    async def _run_claimed(
+        self, job: Job, entry: Entry, deadline_at_ms: int, activity: Activity
+    ) -> Ended | None:
+        work = Work(
+            key=job.key,
+            job=job.job,
+            ownership=job.ownership,
+            entry=entry,
+            body=base64.b64decode(job.body),
+            body_sha256=job.body_sha256,
+            keep_ms=job.keep_ms,
+            deadline_at_ms=deadline_at_ms,
+        )
+        end = await self._claims.run_work(work, activity)
+        assert activity.claimed is not None
+        self._claims.release(activity.claimed.task)
+        if end.state == "running":
+            return None
+        return build_ended(end, activity.claimed, job.ownership, activity.is_cancelled)
+
+    async def _resolve(
+        self, job: Job, claim: Claim, activity: Activity
+    ) -> Ended | None:
+        activity.stage = "running"
+        address = self._claims.find_address(claim.worker)
+        activity.address, activity.task = address or "", claim.task
+        overtime_at_ms = job.deadline_at_ms + OVERTIME_MS
+        is_overdue = self._log_clock.to_monotonic_ms(overtime_at_ms) <= (
+            self._clock.monotonic_ms()
+        )
+        if is_overdue or activity.is_cancelled:
+            await self._runner.stop_task(activity.address, claim.task)
+        renewing = asyncio.create_task(
+            self._runner.renew_lease(activity.address, claim.task)
+        )
+        try:
+            until_ms = self._clock.monotonic_ms() + PATIENCE_MS
+            end = await self._claims.resolve(claim, until_ms)
+        finally:
+            renewing.cancel()
+        if end.state in ("not_run", "running"):
+            return None
+        return build_ended(end, claim, job.ownership, activity.is_cancelled)
+
+    async def _run_idempotent(
+        self,
+        job: Job,
+        entry: Entry,
+        deadline_at_ms: int,
+        activity: Activity,
+        failures: list[str],
+    ) -> Ended | None:
+        avoid = frozenset(failure.partition(":")[0] for failure in failures)
+        async with self._placer.place(entry, deadline_at_ms, avoid) as placement:
+            body = base64.b64decode(job.body)
+            order = build_order(entry, placement, body, LEASE_MS)
+            activity.stage = "running"
+            activity.address, activity.task = placement.address, order.task
+            started_ms = self._clock.monotonic_ms()
+            end = await self._runner.run_task(
+                placement.address, order, deadline_at_ms, IDEMPOTENT_PATIENCE_MS
+            )
+        host = placement.host
+        if end.state == "done":
+            self._blame_failed_hosts(entry, failures, host)
+            run_ms = self._clock.monotonic_ms() - started_ms
+            self._placer.note_success(entry, host, run_ms)
+            return build_outcome(job, "done", end, host, order.task)
+        if end.state == "not_run":
+            # A refusal or a closed port is the worker's state, not the job's fault.
+            self._placer.note_failure(entry, host, end.reason)
+            return None
+        if activity.is_cancelled and end.state == "stopped":
+            return build_outcome(job, "cancelled", end, host, order.task, "started")
+        failures.append(f"{host}: {end.state} {end.reason}")
+        if end.state == "running":
+            await self._runner.stop_task(placement.address, order.task)
+            return build_outcome(job, "failed", end, host, order.task, "deadline")
+        if len(failures) < MAX_STARTED_ATTEMPTS:
+            return None
+        outcome = "unknown" if end.state == "unknown" else "failed"
+        return build_outcome(job, outcome, end, host, order.task, "; ".join(failures))
+
+    def _blame_failed_hosts(self, entry: Entry, failures: list[str], host: str) -> None:
+        # A job that fails everywhere says nothing about workers. Only success on
+        # another host shows that the earlier failures were the hosts' own.
+        for failure in failures:
+            failed_host, _, code = failure.partition(": ")
+            if failed_host != host:
+                self._placer.note_failure(entry, failed_host, code)
+
+
+def fits_pool(control: ControlState, entry: Entry) -> bool:
+    """Return whether some host of the entry's pool is large enough for a task.
+
+    An empty pool may yet receive any host, so it counts as large enough.
+    """
+    hosts = [host.facts for host in control.hosts.values() if host.pool == entry.pool]
+    return not hosts or any(
+        host.cpus >= entry.cpus
+        and host.memory_mb >= entry.memory_mb
+        and host.accelerators >= entry.accelerators
+        for host in hosts
+    )
+
+
+def build_unstarted(job: Job, outcome: str, reason: str) -> Ended:
+    """Return the record of a job that ends without a worker's answer."""
+    return build_outcome(job, outcome, TaskEnd("not_run"), "", "", reason)
+
+
+def build_outcome(
+    job: Job, outcome: str, end: TaskEnd, host: str, task: str, reason: str = ""
+) -> Ended:
+    """Return the record of an outcome without an outstanding claim."""
+    return Ended(
+        key=job.key,
+        job=job.job,
+        attempt=0,
+        ownership=job.ownership,
+        outcome=outcome,
+        worker=host,
+        task=task,
+        result_inline=encode_result(end),
+        result_size=end.size,
+        reason=reason,
+    )
--- /dev/null
+++ b/src/bergamotgap/node/jobs.py
@@ -0,0 +1,282 @@
+"""Accept jobs, drive the ones this node owns and keep their outcomes."""
+
+import asyncio
+import base64
+import hashlib
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.catalogue import Entry
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.folding import Applied, Effect, Rejected, Stamp
+from bergamotgap.domain.records import (
+    CancelRequested,
+    Ended,
+    JobAccepted,
+    JobTaken,
+    Record,
+)
+from bergamotgap.domain.work_items import Job, build_key
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.claims import Activity
+from bergamotgap.node.job_runs import JobRunner, fits_pool
+from bergamotgap.node.log_clock import LogClock
+from bergamotgap.node.record_keeper import RecordKeeper
+from bergamotgap.node.requests import compute_keep_ms
+from bergamotgap.node.streams import (
+    AppendRefusedError,
+    AppendUnknownError,
+    Stream,
+    StreamWriter,
+)
+from bergamotgap.node.task_runs import TaskRunner
+from bergamotgap.node.work_errors import RequestRefusedError
+
+APPEND_TIMEOUT_MS = 5000
+# Bounds the memory of one entry host: a job costs its body, twice for a moment.
+MAX_OWNED_JOBS = 5000
+JOB_ID_BYTES = 18
+RESTART_MS = 1000
+
+log = get_logger(__name__)
+
+
+@dataclass(slots=True)
+class _Driver:
+    job: Job
+    activity: Activity
+    task: "asyncio.Task[None]"
+    run: "asyncio.Task[Ended] | None" = None
+
+
+class Jobs:
+    """Own the jobs whose owner is this node."""
+
+    def __init__(
+        self,
+        node: str,
+        work: Stream[WorkState],
+        control: Callable[[], ControlState],
+        writer: StreamWriter,
+        keeper: RecordKeeper,
+        runner: JobRunner,
+        tasks: TaskRunner,
+        log_clock: LogClock,
+        clock: Clock,
+    ) -> None:
+        self._node = node
+        self._work = work
+        self._control = control
+        self._writer = writer
+        self._keeper = keeper
+        self._runner = runner
+        self._tasks = tasks
+        self._log_clock = log_clock
+        self._clock = clock
+        self._drivers: dict[str, _Driver] = {}
+        self._stopping: set[asyncio.Task[None]] = set()
+        self._is_leaving = False
+        work.observe(self._observe)
+
+    @property
+    def owned(self) -> int:
+        """Return the number of open jobs that this node drives."""
+        return len(self._drivers)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this node hands its jobs over."""
+        return self._is_leaving
+
+    async def accept(
+        self,
+        caller: str,
+        request_id: str,
+        entry: Entry,
+        body: bytes,
+        deadline_ms: int,
+    ) -> str:
+        """Make a job durable and return its id; a repeat returns the first one's id.
+
+        Raises RequestRefusedError.
+        """
+        key = build_key(caller, request_id)
+        digest = hashlib.sha256(body).hexdigest()
+        known = self._find_repeat(key, entry, digest)
+        if known is not None:
+            return known
+        self._check_acceptable(entry)
+        record = JobAccepted(
+            job=secrets.token_urlsafe(JOB_ID_BYTES),
+            caller=caller,
+            request_id=request_id,
+            entry=entry.name,
+            body=base64.b64encode(body).decode(),
+            body_sha256=digest,
+            deadline_ms=deadline_ms,
+            keep_ms=compute_keep_ms(self._control().catalogue, entry),
+            node=self._node,
+        )
+        effect = await self._append(record, "accept_unknown")
+        if isinstance(effect, Applied):
+            return record.job
+        known = self._find_repeat(key, entry, digest)
+        if known is None:
+            raise RequestRefusedError(409, effect.code, "not_run")
+        return known
+
+    def _find_repeat(self, key: str, entry: Entry, digest: str) -> str | None:
+        known = self._work.state.find_job_by_key(key)
+        is_reused = self._work.state.find_claim(key) is not None and known is None
+        if known is not None:
+            is_reused = (known.entry, known.body_sha256) != (entry.name, digest)
+        if is_reused:
+            raise RequestRefusedError(409, "request_id_reused", "not_run")
+        return known.job if known is not None else None
+
+    def _check_acceptable(self, entry: Entry) -> None:
+        if self._is_leaving:
+            raise RequestRefusedError(503, "leaving", "not_run")
+        if not fits_pool(self._control(), entry):
+            detail = f"no host of pool {entry.pool} has the declared size"
+            raise RequestRefusedError(422, "too_large", "not_run", detail)
+        if len(self._drivers) >= MAX_OWNED_JOBS:
+            raise RequestRefusedError(503, "too_many_jobs", "not_run")
+
+    async def _append(self, record: Record, unknown_code: str) -> Effect:
+        try:
+            return await self._writer.append(record, APPEND_TIMEOUT_MS)
+        except AppendRefusedError as error:
+            code, detail = "platform_unavailable", str(error)
+            raise RequestRefusedError(503, code, "not_run", detail) from error
+        except AppendUnknownError as error:
+            raise RequestRefusedError(
+                504, unknown_code, "unknown", str(error)
+            ) from error
+
+    def find(self, caller: str, job: str) -> Job | None:
+        """Return a caller's own job."""
+        known = self._work.state.find_job(job)
+        return known if known is not None and known.caller == caller else None
+
+    async def cancel(self, job: Job) -> Job:
+        """Make the cancellation of a job durable; return the job as it is then."""
+        if job.ended is None and not job.is_cancel_requested:
+            await self._append(CancelRequested(job.job), "cancel_unknown")
+        return self._work.state.find_job(job.job) or job
+
+    def _observe(self, stamp: Stamp, record: Record, effect: Effect) -> None:
+        self._log_clock.note(stamp)
+        if not isinstance(effect, Applied):
+            return
+        match record:
+            case JobAccepted(job=job, node=node) if node == self._node:
+                self._start(job)
+            case JobTaken(job=job, node=node):
+                self._stop(job)
+                if node == self._node:
+                    self._start(job)
+            case CancelRequested(job=job):
+                self._cancel_owned(job)
+            case Ended(job=str() as job):
+                self._stop(job)
+
+    def _start(self, name: str) -> None:
+        job = self._work.state.find_job(name)
+        if job is None:
+            return
+        activity = Activity(is_cancelled=job.is_cancel_requested)
+        task = asyncio.create_task(self._drive(name))
+        self._drivers[name] = _Driver(job, activity, task)
+
+    def _stop(self, name: str) -> None:
+        # Another node owns the job, or it ended: nothing of it is dispatched any more.
+        driver = self._drivers.pop(name, None)
+        if driver is None:
+            return
+        for task in (driver.run, driver.task):
+            if task is not None:
+                task.cancel()
+
+    def _cancel_owned(self, name: str) -> None:
+        driver = self._drivers.get(name)
+        if driver is None:
+            return
+        driver.activity.is_cancelled = True
+        if driver.activity.stage == "queued" and driver.run is not None:
+            driver.run.cancel()
+        elif driver.activity.stage == "running":
+            activity = driver.activity
+            stopping = asyncio.create_task(
+                self._tasks.stop_task(activity.address, activity.task)
+            )
+            self._stopping.add(stopping)
+            stopping.add_done_callback(self._stopping.discard)
+
+    async def _drive(self, name: str) -> None:
+        driver = self._drivers[name]
+        while True:
+            ended = await self._run_once(driver)
+            if ended is None:
+                continue
+            # While the platform is down, the outcome waits here.
+            effect = await self._keeper.append(ended)
+            if not isinstance(effect, Rejected) or effect.code in (
+                "already_ended",
+                "stale_ownership",
+                "unknown_job",
+            ):
+                return
+            log.warning("outcome refused", job=name, code=effect.code)
+
+    async def _run_once(self, driver: _Driver) -> Ended | None:
+        run = asyncio.create_task(self._runner.run(driver.job, driver.activity))
+        driver.run = run
+        await asyncio.wait({run})
+        if not run.cancelled() and run.exception() is None:
+            return run.result()
+        driver.activity.stage = "queued"
+        if not run.cancelled():
+            # An accepted job must not be lost to a fault in our own code.
+            log.error("job run failed", job=driver.job.job, error=repr(run.exception()))
+            await self._clock.sleep_ms(RESTART_MS)
+        return None
+
+    async def hand_over(self, timeout_ms: int) -> None:
+        """Release the jobs that are not dispatched and wait for the others.
+
+        Jobs that still run after the timeout are released too; their new owner finds
+        out about their claims at the workers.
+        """
+        self._is_leaving = True
+        drivers = list(self._drivers.values())
+        queued = [d for d in drivers if d.activity.stage == "queued"]
+        await self._release(queued)
+        rest = [d.task for d in self._drivers.values()]
+        if rest:
+            await asyncio.wait(rest, timeout=timeout_ms / 1000)
+        await self._release(list(self._drivers.values()))
+
+    async def _release(self, drivers: list[_Driver]) -> None:
+        for driver in drivers:
+            self._stop(driver.job.job)
+        records = [
+            JobTaken(d.job.job, "", d.job.ownership + 1)
+            for d in drivers
+            if not d.task.done()
+        ]
+        releases = [self._writer.append(r, APPEND_TIMEOUT_MS) for r in records]
+        results = await asyncio.gather(*releases, return_exceptions=True)
+        failed = sum(isinstance(result, Exception) for result in results)
+        if records:
+            log.info("jobs handed over", jobs=len(records), failed=failed)
+
+    async def stop(self) -> None:
+        """Stop all drivers without a record; other nodes take the jobs over."""
+        tasks = [driver.task for driver in self._drivers.values()]
+        for name in list(self._drivers):
+            self._stop(name)
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from bergamotgap.adapters.caller_http import CallerApi
+from bergamotgap.adapters.job_http import JobApi
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.operator_http import OperatorApi
 from bergamotgap.adapters.platform_http import HttpPlatform
@@ -22,6 +23,7 @@
 from bergamotgap.node.planner import Planner
 from bergamotgap.node.settings import Settings
 from bergamotgap.node.streams import Stream, StreamWriter, follow_platform
+from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
 
 CONNECTIONS_PER_WORKER = 64
@@ -40,6 +42,7 @@
         self._control = Stream("control", ControlState(), clock)
         self._work = Stream("work", WorkState(), clock)
         self._membership: Membership | None = None
+        self._parts: WorkParts | None = None
 
     async def __aenter__(self) -> Self:
         """Start serving."""
@@ -63,23 +66,51 @@
         placer = Placer(lambda: self._control.state, workers, admission)
         dispatcher = Dispatcher(placer, client, self._clock)
         planner = Planner(self._control, writer, platform, self._clock)
+        work_writer = StreamWriter(
+            self._work, platform, self._clock, self._settings.batch_ms
+        )
+        parts = WorkParts(
+            self._membership,
+            self._control,
+            self._work,
+            work_writer,
+            placer,
+            client,
+            self._clock,
+        )
+        self._parts = parts
         callers = CallerApi(
-            lambda: self._control.state.catalogue, dispatcher, self._clock
+            lambda: self._control.state.catalogue,
+            dispatcher,
+            parts.requests,
+            self._clock,
+        )
+        jobs = JobApi(
+            lambda: self._control.state.catalogue,
+            parts.jobs,
+            parts.results,
+            self._settings.max_job_body_bytes,
         )
         operators = OperatorApi(self._control, writer, self.dump, self.is_ready)
         self._start(follow_platform(self._control, platform))
         self._start(follow_platform(self._work, platform))
         self._start(workers.run())
         self._start(planner.run())
+        await self._stack.enter_async_context(parts)
         caller_app = web.Application(client_max_size=self._settings.max_body_bytes)
         callers.add_routes(caller_app)
+        jobs.add_routes(caller_app)
         await self._serve(caller_app, self._settings.caller_address)
         await self._serve(operators.build_app(), self._settings.operator_address)
         log.info("node started", caller_address=self._settings.caller_address)
         return self
 
     async def __aexit__(self, *exc: object) -> None:
-        """Stop tasks, then close connections."""
+        """Hand work over, stop tasks, then close connections."""
+        if self._membership is not None:
+            self._membership.announce_leaving()
+        if self._parts is not None:
+            await self._parts.leave(self._settings.shutdown_ms)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -124,4 +155,10 @@
                 "revision": state.revision,
                 "hosts": len(state.hosts),
             },
+            "work": {
+                "next_offset": self._work.next_offset,
+                "age_ms": self._work.age_ms,
+                "jobs_owned": self._parts.jobs.owned if self._parts else 0,
+                **self._work.state.counts,
+            },
         }
--- /dev/null
+++ b/src/bergamotgap/node/requests.py
@@ -0,0 +1,277 @@
+"""Non-idempotent synchronous requests: at most one run for a request id."""
+
+import asyncio
+import base64
+import hashlib
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.catalogue import Catalogue, Entry
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.outcomes import Expired, NotRun
+from bergamotgap.domain.records import Ended
+from bergamotgap.domain.work_items import Claim, build_key
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.admission import NotAdmittedError
+from bergamotgap.node.claims import Activity, ClaimLostError, Claims, Work, build_ended
+from bergamotgap.node.record_keeper import RecordKeeper
+from bergamotgap.node.streams import Stream
+from bergamotgap.node.work_errors import RequestRefusedError
+from bergamotgap.ports.worker import (
+    TaskAnswer,
+    TaskFateUnknownError,
+    WorkerClient,
+    WorkerError,
+    WorkerUnreachableError,
+)
+
+# An ended key is kept for the longest deadline plus this, so that a repeat sent at
+# the last moment of a deadline still finds the outcome.
+KEEP_MARGIN_MS = 600_000
+
+log = get_logger(__name__)
+
+
+def compute_keep_ms(catalogue: Catalogue | None, entry: Entry) -> int:
+    """Return how long the outcome of an entry's work is remembered."""
+    entries = catalogue.entries if catalogue is not None else (entry,)
+    return max(item.deadline_ms for item in entries) + KEEP_MARGIN_MS
+
+
+class StoredAnswer:
+    """A recorded answer in the form of one that arrives from a worker."""
+
+    def __init__(self, result: bytes, is_failure: bool) -> None:
+        self._result = result
+        self._is_failure = is_failure
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the task failed."""
+        return self._is_failure
+
+    @property
+    def size(self) -> int | None:
+        """Return the length in bytes."""
+        return len(self._result)
+
+    @property
+    def busy(self) -> int | None:
+        """Return None: no worker sent this answer."""
+        return None
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the whole result."""
+        if self._result:
+            yield self._result
+
+
+class Results:
+    """Open the results of ended work."""
+
+    def __init__(
+        self, client: WorkerClient, find_address: Callable[[str], str | None]
+    ) -> None:
+        self._client = client
+        self._find_address = find_address
+
+    @asynccontextmanager
+    async def open(self, ended: Ended) -> AsyncIterator[TaskAnswer]:
+        """Yield the answer; raises RequestRefusedError when there is none."""
+        if ended.outcome == "failed":
+            inline = base64.b64decode(ended.result_inline or "")
+            yield StoredAnswer(inline, is_failure=True)
+        elif ended.outcome != "done":
+            code = f"work_{ended.outcome}"
+            status = 504 if ended.outcome == "unknown" else 409
+            raise RequestRefusedError(status, code, ended.outcome, ended.reason)
+        elif ended.result_inline is not None:
+            yield StoredAnswer(base64.b64decode(ended.result_inline), is_failure=False)
+        else:
+            async with self._fetch(ended) as answer:
+                yield answer
+
+    @asynccontextmanager
+    async def _fetch(self, ended: Ended) -> AsyncIterator[TaskAnswer]:
+        address = self._find_address(ended.worker)
+        if address is None:
+            raise RequestRefusedError(410, "result_gone", "done")
+        is_open = False
+        try:
+            async with self._client.fetch_result(address, ended.task) as answer:
+                is_open = True
+                yield answer
+        except WorkerError as error:
+            if is_open:
+                raise
+            if isinstance(error, WorkerUnreachableError):
+                raise RequestRefusedError(503, "result_unreachable", "done") from error
+            raise RequestRefusedError(410, "result_gone", "done") from error
+
+
+@dataclass(slots=True)
+class _Driver:
+    body_sha256: str
+    entry: str
+    activity: Activity
+    task: "asyncio.Task[Ended]"
+    waiters: int = 0
+
+
+class Requests:
+    """Own the non-idempotent requests that this node carries out."""
+
+    def __init__(
+        self,
+        work: Stream[WorkState],
+        claims: Claims,
+        keeper: RecordKeeper,
+        results: Results,
+        catalogue: Callable[[], Catalogue | None],
+        clock: Clock,
+    ) -> None:
+        self._work = work
+        self._claims = claims
+        self._keeper = keeper
+        self._results = results
+        self._catalogue = catalogue
+        self._clock = clock
+        self._drivers: dict[str, _Driver] = {}
+
+    @asynccontextmanager
+    async def run(
+        self,
+        caller_name: str,
+        request_id: str,
+        entry: Entry,
+        body: bytes,
+        deadline_at_ms: int,
+    ) -> AsyncIterator[TaskAnswer]:
+        """Run a request at most once and yield its answer, also to repeats.
+
+        `deadline_at_ms` is monotonic. Raises NotAdmittedError when the request was not
+        run, TaskFateUnknownError when its outcome is not known, and
+        RequestRefusedError otherwise.
+        """
+        digest = hashlib.sha256(body).hexdigest()
+        key = build_key(caller_name, request_id)
+        ended = await self._find_end(key, entry, body, digest, deadline_at_ms)
+        if ended.outcome == "unknown":
+            raise TaskFateUnknownError(ended.reason)
+        async with self._results.open(ended) as answer:
+            yield answer
+
+    async def _find_end(
+        self, key: str, entry: Entry, body: bytes, digest: str, deadline_at_ms: int
+    ) -> Ended:
+        while True:
+            claim = self._check_repeat(key, entry, digest)
+            driver = self._drivers.get(key)
+            if claim is not None and claim.ended is not None:
+                return claim.ended
+            if driver is None and claim is not None and claim.is_outstanding:
+                await self._wait_for_growth(deadline_at_ms)
+                continue
+            if driver is None:
+                driver = self._start(key, entry, body, digest, deadline_at_ms)
+            try:
+                return await self._wait_for(driver, deadline_at_ms)
+            except ClaimLostError:
+                # Another entry host claimed the key first; its outcome is ours. A loss
+                # that the fold does not explain yet is awaited like one.
+                await asyncio.sleep(0)
+
+    def _check_repeat(self, key: str, entry: Entry, digest: str) -> Claim | None:
+        claim = self._work.state.find_claim(key)
+        driver = self._drivers.get(key)
+        expected = (entry.name, digest)
+        is_reused = self._work.state.find_job_by_key(key) is not None
+        if claim is not None:
+            is_reused |= (claim.entry, claim.body_sha256) != expected
+        if driver is not None:
+            is_reused |= (driver.entry, driver.body_sha256) != expected
+        if is_reused:
+            raise RequestRefusedError(409, "request_id_reused", "not_run")
+        return claim
+
+    async def _wait_for_growth(self, deadline_at_ms: int) -> None:
+        remaining_ms = deadline_at_ms - self._clock.monotonic_ms()
+        if remaining_ms <= 0:
+            raise TaskFateUnknownError("an earlier attempt has no outcome yet")
+        try:
+            async with asyncio.timeout(remaining_ms / 1000):
+                await self._work.wait_for_growth()
+        except TimeoutError:
+            raise TaskFateUnknownError(
+                "an earlier attempt has no outcome yet"
+            ) from None
+
+    def _start(
+        self, key: str, entry: Entry, body: bytes, digest: str, deadline_at_ms: int
+    ) -> _Driver:
+        work = Work(
+            key=key,
+            job=None,
+            ownership=0,
+            entry=entry,
+            body=body,
+            body_sha256=digest,
+            keep_ms=compute_keep_ms(self._catalogue(), entry),
+            deadline_at_ms=deadline_at_ms,
+        )
+        activity = Activity()
+        # The run outlives a caller that goes away: its outcome is recorded anyhow.
+        task = asyncio.create_task(self._drive(work, activity))
+        driver = _Driver(digest, entry.name, activity, task)
+        self._drivers[key] = driver
+        task.add_done_callback(lambda _: self._drivers.pop(key, None))
+        return driver
+
+    async def finish(self, timeout_ms: int) -> None:
+        """Wait for the requests in progress."""
+        tasks = [driver.task for driver in self._drivers.values()]
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_ms / 1000)
+
+    async def stop(self) -> None:
+        """Stop all drivers; their claims are resolved by other entry hosts."""
+        tasks = [driver.task for driver in self._drivers.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _drive(self, work: Work, activity: Activity) -> Ended:
+        end = await self._claims.run_work(work, activity)
+        assert activity.claimed is not None
+        ended = build_ended(end, activity.claimed, 0)
+        task = activity.claimed.task
+        if end.state == "running":
+            # A task that runs on long past its deadline has no outcome yet; the sweep
+            # of outstanding claims goes on asking for it.
+            self._claims.release(task)
+        else:
+            kept = self._keeper.keep(ended)
+            kept.add_done_callback(lambda _: self._claims.release(task))
+        return ended
+
+    async def _wait_for(self, driver: _Driver, deadline_at_ms: int) -> Ended:
+        remaining_ms = max(0, deadline_at_ms - self._clock.monotonic_ms())
+        driver.waiters += 1
+        try:
+            await asyncio.wait({driver.task}, timeout=remaining_ms / 1000)
+        finally:
+            driver.waiters -= 1
+            is_abandoned = driver.waiters == 0 and driver.activity.stage == "queued"
+            if is_abandoned:
+                driver.task.cancel()
+        if is_abandoned:
+            await asyncio.wait({driver.task})
+        if not driver.task.done():
+            raise TaskFateUnknownError("the deadline passed before the outcome")
+        if driver.task.cancelled():
+            if driver.activity.stage != "queued":
+                raise TaskFateUnknownError("this entry host stops")
+            raise NotAdmittedError(Expired() if is_abandoned else NotRun("leaving"))
+        return driver.task.result()
--- /dev/null
+++ b/src/bergamotgap/node/task_runs.py
@@ -0,0 +1,153 @@
+"""Run one task on one worker and find out how it ended."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from bergamotgap.domain.clock import Clock
+from bergamotgap.ports.worker import (
+    TaskFateUnknownError,
+    TaskOrder,
+    TaskRefusedError,
+    TaskStatus,
+    WorkerClient,
+    WorkerError,
+    WorkerUnreachableError,
+)
+
+PROGRESS_MS = 5000
+# A task outlives a pause of its owner by one lease; renewals at a third of it let two
+# be lost.
+LEASE_MS = 15_000
+RENEW_MS = 5000
+ASK_INTERVAL_MS = 500
+# Results up to this size are kept in the log record of the outcome.
+MAX_INLINE_BYTES = 16 << 10
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEnd:
+    """How a task ended.
+
+    `state` is done, failed, stopped, not_run (proven), running (at the end of the
+    time to ask) or unknown. `result` is None when it is larger than
+    `MAX_INLINE_BYTES` or was not received.
+    """
+
+    state: str
+    reason: str = ""
+    size: int = 0
+    result: bytes | None = None
+
+
+class TaskRunner:
+    """Send tasks to workers and resolve lost answers."""
+
+    def __init__(self, client: WorkerClient, clock: Clock) -> None:
+        self._client = client
+        self._clock = clock
+
+    async def run_task(
+        self, address: str, order: TaskOrder, until_ms: int, patience_ms: int
+    ) -> TaskEnd:
+        """Send a task once and return its end; `until_ms` is monotonic.
+
+        A worker that can't be asked for `patience_ms` makes the end unknown.
+        """
+        async with self._renewing(address, order.task):
+            try:
+                remaining_ms = max(0, until_ms - self._clock.monotonic_ms())
+                async with asyncio.timeout(remaining_ms / 1000):
+                    end = await self._send(address, order)
+            except TaskRefusedError as error:
+                # "duplicate" tells that this very task is known, so it may have run.
+                if error.code != "duplicate":
+                    return TaskEnd("not_run", error.code)
+                end = None
+            except WorkerUnreachableError:
+                return TaskEnd("not_run", "unreachable")
+            except (TaskFateUnknownError, TimeoutError):
+                end = None
+            if end is not None:
+                return end
+            return await self.ask_task(
+                address, order.task, order.boot_id, until_ms, patience_ms
+            )
+
+    async def _send(self, address: str, order: TaskOrder) -> TaskEnd | None:
+        async with self._client.run(address, order, PROGRESS_MS) as answer:
+            result = bytearray()
+            async for chunk in answer.chunks():
+                result += chunk
+                if len(result) > MAX_INLINE_BYTES:
+                    # The worker keeps the result; its status tells the size.
+                    return None
+            state = "failed" if answer.is_failure else "done"
+            return TaskEnd(state, "", len(result), bytes(result))
+
+    async def ask_task(
+        self,
+        address: str,
+        task: str,
+        boot_id: str | None,
+        until_ms: int,
+        patience_ms: int,
+    ) -> TaskEnd:
+        """Ask for a task over new connections until its end is known.
+
+        The question is `cancel`: it leaves a started task alone, and it fences one
+        that has not started, so that delayed bytes start nothing afterwards.
+        """
+        answered_ms = self._clock.monotonic_ms()
+        while True:
+            try:
+                status = await self._client.cancel(address, task)
+                answered_ms = self._clock.monotonic_ms()
+                end = _judge(status, boot_id)
+                if end is not None:
+                    return end
+                reason = "running"
+            except WorkerError as error:
+                reason = repr(error)
+            now_ms = self._clock.monotonic_ms()
+            if reason != "running" and now_ms - answered_ms >= patience_ms:
+                return TaskEnd("unknown", f"the worker does not answer: {reason}")
+            if now_ms >= until_ms:
+                return TaskEnd("running" if reason == "running" else "unknown", reason)
+            await self._clock.sleep_ms(ASK_INTERVAL_MS)
+
+    async def stop_task(self, address: str, task: str) -> None:
+        """Ask the worker to stop a running task; errors leave it running."""
+        try:
+            await self._client.control(address, task, "stop")
+        except WorkerError:
+            return
+
+    @asynccontextmanager
+    async def _renewing(self, address: str, task: str) -> AsyncIterator[None]:
+        renewing = asyncio.create_task(self.renew_lease(address, task))
+        try:
+            yield
+        finally:
+            renewing.cancel()
+
+    async def renew_lease(self, address: str, task: str) -> None:
+        """Renew a task's lease until cancelled."""
+        while True:
+            await self._clock.sleep_ms(RENEW_MS)
+            try:
+                await self._client.control(address, task, "renew")
+            except WorkerError:
+                # The next renewal or the task's own connection tells more.
+                continue
+
+
+def _judge(status: TaskStatus, boot_id: str | None) -> TaskEnd | None:
+    if boot_id is not None and status.boot_id != boot_id:
+        return TaskEnd("unknown", "the worker restarted")
+    if not status.started:
+        return TaskEnd("not_run", "cancelled")
+    if status.state in ("done", "failed", "stopped"):
+        return TaskEnd(status.state, "", status.size)
+    return None
--- /dev/null
+++ b/src/bergamotgap/node/work_parts.py
@@ -0,0 +1,121 @@
+"""Build the parts that carry jobs and non-idempotent requests, and stop them."""
+
+import asyncio
+import secrets
+from typing import Self
+
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.claims import Claims
+from bergamotgap.node.job_runs import JobRunner
+from bergamotgap.node.jobs import Jobs
+from bergamotgap.node.log_clock import LogClock
+from bergamotgap.node.placement import Placer
+from bergamotgap.node.record_keeper import RecordKeeper
+from bergamotgap.node.requests import Requests, Results
+from bergamotgap.node.streams import Stream, StreamWriter
+from bergamotgap.node.takeover import Members, Takeover, build_node_name
+from bergamotgap.node.task_runs import TaskRunner
+from bergamotgap.ports.worker import WorkerClient
+
+INCARNATION_BYTES = 6
+
+
+class WorkParts:
+    """Own everything that appends to the `work` stream; a context manager."""
+
+    def __init__(
+        self,
+        members: Members,
+        control: Stream[ControlState],
+        work: Stream[WorkState],
+        writer: StreamWriter,
+        placer: Placer,
+        client: WorkerClient,
+        clock: Clock,
+    ) -> None:
+        self._control = control
+        # A process that starts again must not take itself for the former one, whose
+        # claims and jobs it knows nothing of.
+        self.node = build_node_name(
+            members.node_id, secrets.token_hex(INCARNATION_BYTES)
+        )
+        self._keeper = RecordKeeper(writer, clock)
+        tasks = TaskRunner(client, clock)
+        log_clock = LogClock(clock)
+        self.claims = Claims(
+            self.node,
+            work,
+            writer,
+            self._keeper,
+            placer,
+            tasks,
+            clock,
+            self._find_address,
+        )
+        self.results = Results(client, self._find_address)
+        self.requests = Requests(
+            work,
+            self.claims,
+            self._keeper,
+            self.results,
+            lambda: control.state.catalogue,
+            clock,
+        )
+        runner = JobRunner(
+            work,
+            lambda: control.state,
+            placer,
+            self.claims,
+            tasks,
+            log_clock,
+            clock,
+        )
+        self.jobs = Jobs(
+            self.node,
+            work,
+            lambda: control.state,
+            writer,
+            self._keeper,
+            runner,
+            tasks,
+            log_clock,
+            clock,
+        )
+        self.takeover = Takeover(
+            self.node,
+            members,
+            work,
+            writer,
+            self._keeper,
+            self.claims,
+            clock,
+            lambda: self.jobs.is_leaving,
+        )
+        self._sweep: asyncio.Task[None] | None = None
+
+    def _find_address(self, host: str) -> str | None:
+        known = self._control.state.hosts.get(host)
+        return known.facts.address if known is not None else None
+
+    async def __aenter__(self) -> Self:
+        """Start to look for work of gone nodes."""
+        self._sweep = asyncio.create_task(self.takeover.run())
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop all work at once; other entry hosts take it over."""
+        if self._sweep is not None:
+            self._sweep.cancel()
+            await asyncio.gather(self._sweep, return_exceptions=True)
+        await self.takeover.stop()
+        await self.requests.stop()
+        await self.jobs.stop()
+        await self._keeper.stop()
+
+    async def leave(self, timeout_ms: int) -> None:
+        """Hand over what is not dispatched and wait for the rest."""
+        await self.jobs.hand_over(timeout_ms)
+        await self.requests.finish(timeout_ms)
+        await self._keeper.finish(timeout_ms)
