--- a/src/bergamotgap/node/job_runs.py
+++ b/src/bergamotgap/node/job_runs.py
@@ -210,13 +210,19 @@
 
     An empty pool may yet receive any host, so it counts as large enough.
     """
-    hosts = [host.facts for host in control.hosts.values() if host.pool == entry.pool]
-    return not hosts or any(
-        host.cpus >= entry.cpus
-        and host.memory_mb >= entry.memory_mb
-        and host.accelerators >= entry.accelerators
-        for host in hosts
-    )
+    is_empty = True
+    for host in control.hosts.values():
+        if host.pool != entry.pool:
+            continue
+        is_empty = False
+        facts = host.facts
+        if (
+            facts.cpus >= entry.cpus
+            and facts.memory_mb >= entry.memory_mb
+            and facts.accelerators >= entry.accelerators
+        ):
+            return True
+    return is_empty
 
 
 def build_unstarted(job: Job, outcome: str, reason: str) -> Ended:
--- a/src/bergamotgap/node/takeover.py
+++ b/src/bergamotgap/node/takeover.py
@@ -32,7 +32,10 @@
 RANK_STEP_MS = 2000
 # More records than this in one step mean that the fold is still catching up, and that
 # open work in it may have ended since.
-CATCHING_UP_RECORDS = 200
+CATCHING_UP_RECORDS = 1000
+# A longer gap between two steps means that this process was paused: what it last heard
+# of the others is then old because of itself.
+PAUSE_MS = 2000
 MAX_TAKEN_PER_STEP = 200
 MAX_RESOLVING = 32
 
@@ -84,6 +87,7 @@
         self._released_ms: dict[str, int] = {}
         self._resolving: dict[str, asyncio.Task[None]] = {}
         self._next_offset = 0
+        self._last_step_ms = clock.monotonic_ms()
 
     async def run(self) -> None:
         """Look for work of gone nodes for good."""
@@ -114,6 +118,9 @@
     def _note_live(self) -> None:
         # A leaving node still finishes its running work, so it counts as live here.
         now_ms = self._clock.monotonic_ms()
+        if now_ms - self._last_step_ms > PAUSE_MS:
+            self._last_live_ms = dict.fromkeys(self._last_live_ms, now_ms)
+        self._last_step_ms = now_ms
         for peer in self._members.list_known():
             if now_ms - peer.heard_ms <= PEER_LIVE_MS:
                 self._last_live_ms[peer.node_id] = now_ms
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -243,6 +243,21 @@
     assert ended.ownership == 2
 
 
+@pytest.mark.fault("freeze", "queue")
+async def test_thawed_host_does_not_take_what_its_peers_still_own(
+    fleet: FakeFleet,
+) -> None:
+    """Guards against a paused host that takes its own silence for its peers' death."""
+    await fleet.pass_ms(2000)
+    fleet.placers["a"].gate = asyncio.Event()
+    await fleet.submit("a", "tool-run")
+    fleet.live.clear()
+    await fleet.clock.pass_ms(60_000)
+    fleet.live.add("b")
+    await fleet.pass_ms(1000)
+    assert fleet.log.applied(JobTaken) == []
+
+
 @pytest.mark.fault("crash", "start")
 @pytest.mark.parametrize("name", ["a", "c"])
 async def test_open_jobs_finish_after_a_restart_of_everything(
--- /dev/null
+++ b/tests/test_work_processes.py
@@ -0,0 +1,180 @@
+"""Jobs and non-idempotent requests while real processes fail."""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import pytest
+
+from bergamotgap.domain.folding import Applied, Stamp
+from bergamotgap.domain.records import (
+    AttemptNotRun,
+    Claimed,
+    Record,
+    decode_batch,
+    unwrap_record,
+)
+from bergamotgap.domain.work_state import WorkState
+from tools.fleet import Fleet
+
+NIGHTLY = {"Authorization": "Bearer nightly-key"}
+LIMIT_S = 60
+RUN_MS = 1500
+
+
+@dataclass
+class Scene:
+    """A running fleet and its reader of the `work` stream."""
+
+    fleet: Fleet
+    session: aiohttp.ClientSession
+
+    async def request(self, node: int, request_id: str) -> tuple[int, bytes]:
+        """Send a non-idempotent request; status 0 when the connection breaks."""
+        url = f"http://{self.fleet.nodes[node].caller}/v1/requests/rollup-invoice"
+        headers = {**NIGHTLY, "Request-Id": request_id, "Deadline-Ms": "30000"}
+        try:
+            async with self.session.post(url, data=b"q3", headers=headers) as response:
+                return response.status, await response.read()
+        except aiohttp.ClientError:
+            return 0, b""
+
+    async def submit(self, node: int, request_id: str) -> tuple[int, dict[str, Any]]:
+        """Submit a non-idempotent job."""
+        url = f"http://{self.fleet.nodes[node].caller}/v1/jobs"
+        body = base64.b64encode(b"q3").decode()
+        order = {
+            "entry": "rollup-invoice",
+            "request_id": request_id,
+            "body_base64": body,
+        }
+        async with self.session.post(url, json=order, headers=NIGHTLY) as response:
+            return response.status, await response.json(content_type=None)
+
+    async def fold(self) -> tuple[WorkState, list[Record]]:
+        """Return the folded stream and the records that took effect."""
+        url = f"http://{self.fleet.platform_address}/streams/work/records?from=0"
+        async with self.session.get(url) as response:
+            pages = (await response.json())["records"]
+        state, applied = WorkState(), []
+        for page in pages:
+            for envelope in decode_batch(page["body"]):
+                record = unwrap_record(envelope)
+                stamp = Stamp(page["offset"], page["appended_ms"])
+                if isinstance(state.apply(stamp, record), Applied):
+                    applied.append(record)
+        return state, applied
+
+    async def wait_for_ends(self, jobs: int) -> None:
+        """Wait until so many jobs have an outcome."""
+        await poll(lambda: self._has_ends(jobs))
+
+    async def _has_ends(self, jobs: int) -> bool:
+        return (await self.fold())[0].ended >= jobs
+
+    async def wait_for_runs(self, runs: int) -> None:
+        """Wait until so many attempts are claimed."""
+        await poll(lambda: self._has_runs(runs))
+
+    async def _has_runs(self, runs: int) -> bool:
+        return await self.count_runs() >= runs
+
+    async def is_served(self, node: int) -> bool:
+        """Return whether a node serves non-idempotent requests."""
+        return (await self.request(node, f"warm-{node}"))[0] == 200
+
+    async def is_accepted(self, node: int, request_id: str) -> bool:
+        """Return whether a job is accepted now."""
+        return (await self.submit(node, request_id))[0] == 202
+
+    async def count_runs(self) -> int:
+        """Return the effective attempts whose fate is not "not run"."""
+        applied = (await self.fold())[1]
+        claims = sum(isinstance(record, Claimed) for record in applied)
+        return claims - sum(isinstance(record, AttemptNotRun) for record in applied)
+
+
+async def poll(is_met: Callable[[], Awaitable[bool]]) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while True:
+            if await is_met():
+                return
+            await asyncio.sleep(0.1)
+
+
+@asynccontextmanager
+async def stage() -> AsyncIterator[Scene]:
+    fleet = Fleet(
+        workers_per_pool=2, node_count=2, pools=("reconciliation",), run_ms=RUN_MS
+    )
+    async with fleet, aiohttp.ClientSession() as session:
+        assert await fleet.publish() == 200
+        await fleet.wait_until_ready()
+        scene = Scene(fleet, session)
+        # Workers are usable once each entry host has asked for their status.
+        await poll(lambda: scene.is_served(0))
+        await poll(lambda: scene.is_served(1))
+        yield scene
+
+
+@pytest.mark.processes
+@pytest.mark.fault("crash", "running")
+async def test_killed_host_loses_neither_request_nor_job() -> None:
+    """Guards against a second run or a lost outcome after an entry host died."""
+    async with stage() as scene:
+        before = await scene.count_runs()
+        first = asyncio.create_task(scene.request(0, "r"))
+        status, job = await scene.submit(0, "j")
+        assert status == 202
+        await scene.wait_for_runs(before + 2)
+        scene.fleet.kill("entry-1")
+        assert (await first)[0] == 0
+        assert await scene.request(1, "r") == (200, b"q3")
+        await scene.wait_for_ends(1)
+        state, _ = await scene.fold()
+        known = state.find_job(job["job"])
+        assert known is not None
+        assert known.ended is not None
+        assert known.ended.outcome == "done"
+        assert await scene.count_runs() == before + 2
+
+
+@pytest.mark.processes
+@pytest.mark.fault("freeze", "running")
+async def test_frozen_host_comes_back_to_a_job_it_lost() -> None:
+    """Guards against a second run or outcome by an owner that was paused."""
+    async with stage() as scene:
+        before = await scene.count_runs()
+        status, job = await scene.submit(0, "j")
+        assert status == 202
+        scene.fleet.freeze("entry-1")
+        await scene.wait_for_ends(1)
+        scene.fleet.thaw("entry-1")
+        # Served by the thawed host after it caught up with the stream.
+        assert await scene.request(0, "later") == (200, b"q3")
+        state, _ = await scene.fold()
+        known = state.find_job(job["job"])
+        assert known is not None
+        assert known.ended is not None
+        assert known.ended.outcome == "done"
+        assert (state.accepted, state.ended) == (1, 1)
+        assert await scene.count_runs() == before + 2
+
+
+@pytest.mark.processes
+@pytest.mark.fault("platform_slow", "accept")
+async def test_repeat_finds_a_job_whose_acceptance_had_no_answer() -> None:
+    """Guards against a second job when the platform answers too late."""
+    async with stage() as scene:
+        scene.fleet.freeze("platform")
+        status, problem = await scene.submit(0, "j")
+        assert (status, problem["code"]) == (504, "accept_unknown")
+        scene.fleet.thaw("platform")
+        await poll(lambda: scene.is_accepted(1, "j"))
+        await scene.wait_for_ends(1)
+        state, _ = await scene.fold()
+        assert (state.accepted, state.ended) == (1, 1)
