Measure the work stream; keep "never started" true across owners

JobTaken now carries may_have_run: set on a takeover from a gone owner and on the release of a job that may have started, and kept by the fold. Such a job ends as `unknown` instead. A job with a failed attempt of its own ends as `failed`. Ruled out: claims for idempotent jobs too, which would add a record to every attempt.

Failures of a job's attempts are noted against a worker only after another host ran the job; refusals are noted at once, and the refusing host is avoided by the next attempt.

--- /dev/null
+++ b/bench/work_stream.py
@@ -0,0 +1,288 @@
+"""Cost of the `work` stream: records, appends, latency, fold time and memory.
+
+The platform and worker stand-ins run in this process, on the loopback address.
+"""
+
+import asyncio
+import base64
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from hdrh.histogram import HdrHistogram
+
+from bergamotgap.adapters.logs import configure_logs
+from bergamotgap.adapters.platform_http import HttpPlatform
+from bergamotgap.domain.clock import SystemClock
+from bergamotgap.domain.folding import Stamp
+from bergamotgap.domain.records import (
+    CancelRequested,
+    Ended,
+    JobAccepted,
+    Record,
+    decode_batch,
+)
+from bergamotgap.domain.work_items import build_key
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.node import Node
+from bergamotgap.node.settings import build_settings
+from bergamotgap.node.streams import Stream, StreamWriter, follow_platform
+from stand_ins.platform import Platform
+from stand_ins.worker import Worker
+from tools.fleet import LOOPBACK, ROOT, pick_ports
+
+BATCHES_MS = (0, 2, 5, 10)
+WRITERS = 64
+APPENDS_PER_WRITER = 40
+WORK_ITEMS = 40
+# Evenly spaced records; the platform takes several hundred appends a second.
+PACED_PER_S = 500
+PACED_RECORDS = 500
+FOLDED_JOBS = 10_000
+JOB_BODY_BYTES = 1024
+KEY = {"Authorization": "Bearer nightly-key"}
+PAGE = 1000
+DOCUMENT = (ROOT / "catalogues" / "association.toml").read_text()
+
+
+@asynccontextmanager
+async def _serve(app: web.Application, port: int) -> AsyncIterator[str]:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, LOOPBACK, port).start()
+    try:
+        yield f"{LOOPBACK}:{port}"
+    finally:
+        await runner.cleanup()
+
+
+async def measure_appends(batch_ms: int) -> dict[str, float]:
+    """Append from many writers at once and from one; return rates and latencies."""
+    clock = SystemClock()
+    port = pick_ports(1)[0]
+    session = aiohttp.ClientSession()
+    async with _serve(Platform([], 3_600_000).build_app(), port) as address, session:
+        platform = HttpPlatform(session, f"http://{address}")
+        stream = Stream("work", WorkState(), clock)
+        writer = StreamWriter(stream, platform, clock, batch_ms)
+        follower = asyncio.create_task(follow_platform(stream, platform))
+        single = await _append_many(writer, 1)
+        offset, started = stream.next_offset, time.perf_counter()
+        many = await _append_many(writer, WRITERS)
+        elapsed = time.perf_counter() - started
+        appends = stream.next_offset - offset
+        records = WRITERS * APPENDS_PER_WRITER
+        paced_appends, paced = await _append_paced(writer, stream)
+        follower.cancel()
+        return {
+            "batch_ms": batch_ms,
+            "records_per_s": records / elapsed,
+            "appends_per_s": appends / elapsed,
+            "records_per_append": records / appends,
+            "p50_ms": many.get_value_at_percentile(50) / 1000,
+            "p99_ms": many.get_value_at_percentile(99) / 1000,
+            "one_writer_p50_ms": single.get_value_at_percentile(50) / 1000,
+            "paced_appends_per_s": paced_appends,
+            "paced_p50_ms": paced.get_value_at_percentile(50) / 1000,
+        }
+
+
+async def _append_paced(
+    writer: StreamWriter, stream: Stream[WorkState]
+) -> tuple[float, Any]:
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    offset, started = stream.next_offset, time.perf_counter()
+
+    async def append(number: int) -> None:
+        await asyncio.sleep(number / PACED_PER_S)
+        begun = time.perf_counter()
+        await writer.append(CancelRequested(f"p-{number}"), 10_000)
+        histogram.record_value(int((time.perf_counter() - begun) * 1e6))
+
+    await asyncio.gather(*(append(number) for number in range(PACED_RECORDS)))
+    elapsed = time.perf_counter() - started
+    return (stream.next_offset - offset) / elapsed, histogram
+
+
+async def _append_many(writer: StreamWriter, writers: int) -> Any:
+    histogram = HdrHistogram(1, 60_000_000, 3)
+
+    async def append(number: int) -> None:
+        for index in range(APPENDS_PER_WRITER):
+            started = time.perf_counter()
+            await writer.append(CancelRequested(f"{number}-{index}"), 10_000)
+            histogram.record_value(int((time.perf_counter() - started) * 1e6))
+
+    await asyncio.gather(*(append(number) for number in range(writers)))
+    return histogram
+
+
+async def measure_records() -> dict[str, dict[str, float]]:
+    """Run jobs and requests through one entry host; return records for each kind."""
+    ports = pick_ports(6)
+    hosts = [
+        {
+            "host": f"w-{pool}",
+            "address": f"{LOOPBACK}:{port}",
+            "data_centre": "riga-1",
+            "rack": "r1",
+            "cpus": 32.0,
+            "memory_mb": 65_536,
+            "accelerators": 0,
+            "slots": 64,
+            "connections": 64,
+            "pool": pool,
+            "state": "live",
+        }
+        for pool, port in (("reconciliation", ports[1]), ("miscellaneous", ports[5]))
+    ]
+    platform = Platform(hosts, 3_600_000).build_app()
+    workers = [Worker(host["host"], 64, run_ms=5).build_app() for host in hosts]
+    async with (
+        _serve(platform, ports[0]) as log_address,
+        _serve(workers[0], ports[1]),
+        _serve(workers[1], ports[5]),
+        Node(_build_settings(log_address, ports), SystemClock()),
+        aiohttp.ClientSession(headers=KEY) as session,
+    ):
+        callers = f"http://{LOOPBACK}:{ports[2]}/v1"
+        await _publish(session, f"http://{LOOPBACK}:{ports[3]}/v1/catalogue")
+        await _warm(session, callers)
+        log = f"http://{log_address}/streams/work/records"
+        results = {}
+        kinds = {
+            "non-idempotent request": _request,
+            "non-idempotent job": partial(_submit, "rollup-invoice"),
+            "idempotent job": partial(_submit, "tool-run"),
+        }
+        for kind, submit in kinds.items():
+            before = await _count(session, log)
+            await asyncio.gather(
+                *(submit(session, callers, f"{kind} {i}") for i in range(WORK_ITEMS))
+            )
+            await asyncio.sleep(1)
+            after = await _count(session, log)
+            after.subtract(before)
+            results[kind] = {name: count / WORK_ITEMS for name, count in after.items()}
+        return results
+
+
+def _build_settings(log_address: str, ports: list[int]) -> Any:
+    values: dict[str, object] = {
+        "node_id": "entry-1",
+        "data_centre": "riga-1",
+        "caller_address": f"{LOOPBACK}:{ports[2]}",
+        "operator_address": f"{LOOPBACK}:{ports[3]}",
+        "peer_address": f"{LOOPBACK}:{ports[4]}",
+        "platform_url": f"http://{log_address}",
+        "shutdown_ms": 1000,
+    }
+    return build_settings(values)
+
+
+async def _publish(session: aiohttp.ClientSession, url: str) -> None:
+    payload = {"base_revision": 0, "document": DOCUMENT, "operator": "bench"}
+    async with session.post(url, json=payload) as response:
+        response.raise_for_status()
+
+
+async def _warm(session: aiohttp.ClientSession, callers: str) -> None:
+    async with asyncio.timeout(30):
+        for number in range(1000):
+            if await _request(session, callers, f"warm-{number}") == 200:
+                # The last outcome is recorded just after its answer.
+                await asyncio.sleep(0.5)
+                return
+            await asyncio.sleep(0.1)
+
+
+async def _request(session: aiohttp.ClientSession, callers: str, name: str) -> int:
+    url, headers = f"{callers}/requests/rollup-invoice", {"Request-Id": name}
+    async with session.post(url, data=b"q3", headers=headers) as response:
+        await response.read()
+        return response.status
+
+
+async def _submit(
+    entry: str, session: aiohttp.ClientSession, callers: str, name: str
+) -> int:
+    body = base64.b64encode(b"q3").decode()
+    order = {"entry": entry, "request_id": name, "body_base64": body}
+    async with session.post(f"{callers}/jobs", json=order) as response:
+        return response.status
+
+
+async def _count(session: aiohttp.ClientSession, url: str) -> Counter[str]:
+    counts: Counter[str] = Counter()
+    offset = 0
+    while True:
+        query = {"from": str(offset), "max": str(PAGE)}
+        async with session.get(url, params=query) as response:
+            records = (await response.json())["records"]
+        for record in records:
+            counts["appends"] += 1
+            counts.update(envelope.kind for envelope in decode_batch(record["body"]))
+        if len(records) < PAGE:
+            return counts
+        offset += len(records)
+
+
+def measure_fold() -> dict[str, float]:
+    """Fold accepted and ended jobs; return time for each record and bytes kept."""
+    state = WorkState()
+    body = base64.b64encode(bytes(JOB_BODY_BYTES)).decode()
+    accepted = [
+        JobAccepted(f"j{i}", "c", str(i), "e", body, "0" * 64, 60_000, 660_000, "n/1")
+        for i in range(FOLDED_JOBS)
+    ]
+    ended = [
+        Ended(build_key("c", str(i)), f"j{i}", 0, 1, "done", "w", "t", "", 0, "")
+        for i in range(FOLDED_JOBS)
+    ]
+    accept_us = _time_fold(state, accepted)
+    encoded = state.encode()
+    started = time.perf_counter()
+    WorkState.decode(encoded)
+    decode_ms = (time.perf_counter() - started) * 1000
+    end_us = _time_fold(state, ended)
+    return {
+        "accept_us": accept_us,
+        "end_us": end_us,
+        "snapshot_bytes_per_open_job": len(encoded) / FOLDED_JOBS,
+        "snapshot_bytes_per_ended_job": len(state.encode()) / FOLDED_JOBS,
+        "restore_ms_for_10000_jobs": decode_ms,
+        "record_bytes": len(msgspec.json.encode(accepted[0])),
+    }
+
+
+def _time_fold(state: WorkState, records: list[Any]) -> float:
+    items: list[Record] = records
+    started = time.perf_counter()
+    for offset, record in enumerate(items):
+        state.apply(Stamp(offset, offset), record)
+    return (time.perf_counter() - started) / len(items) * 1e6
+
+
+def main() -> dict[str, Any]:
+    """Print a table of all figures and return them."""
+    configure_logs("error")
+    appends = [asyncio.run(measure_appends(batch_ms)) for batch_ms in BATCHES_MS]
+    records = asyncio.run(measure_records())
+    fold = measure_fold()
+    print(f"{WRITERS} writers, {APPENDS_PER_WRITER} records each")
+    for row in appends:
+        print("  " + "  ".join(f"{name}={value:.1f}" for name, value in row.items()))
+    for kind, counts in records.items():
+        print(f"{kind}: " + "  ".join(f"{k}={v:.2f}" for k, v in counts.items()))
+    print("fold: " + "  ".join(f"{name}={value:.1f}" for name, value in fold.items()))
+    return {"appends": appends, "records": records, "fold": fold}
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bergamotgap/domain/records.py
+++ b/src/bergamotgap/domain/records.py
@@ -134,11 +134,15 @@
 
 @dataclass(frozen=True, slots=True)
 class JobTaken:
-    """Another entry host takes over an open job; an empty `node` releases it."""
+    """Another entry host takes over an open job; an empty `node` releases it.
+
+    `may_have_run` tells that a former owner may have started the job.
+    """
 
     job: str
     node: str
     ownership: int
+    may_have_run: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bergamotgap/domain/work_items.py
+++ b/src/bergamotgap/domain/work_items.py
@@ -20,7 +20,8 @@
     """An accepted job; times are the log's, in milliseconds.
 
     `owner` is empty when nobody owns the job, `body` is base64 and empty once the job
-    ended.
+    ended. `may_have_run` tells that a former owner may have started it; for
+    non-idempotent work, the claim tells more.
     """
 
     job: str
@@ -34,6 +35,7 @@
     keep_ms: int
     owner: str
     ownership: int = 1
+    may_have_run: bool = False
     is_cancel_requested: bool = False
     ended: Ended | None = None
     forget_at_ms: int | None = None
--- a/src/bergamotgap/domain/work_state.py
+++ b/src/bergamotgap/domain/work_state.py
@@ -196,7 +196,12 @@
         if record.ownership != job.ownership + 1:
             return Rejected("stale_ownership", f"the job is at {job.ownership}")
         self._note_closed(job)
-        job = replace(job, owner=record.node, ownership=record.ownership)
+        job = replace(
+            job,
+            owner=record.node,
+            ownership=record.ownership,
+            may_have_run=job.may_have_run or record.may_have_run,
+        )
         self._data.jobs[job.job] = job
         self._note_open(job)
         return Applied()
--- a/src/bergamotgap/node/claims.py
+++ b/src/bergamotgap/node/claims.py
@@ -4,7 +4,7 @@
 import base64
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.catalogue import Entry
@@ -65,6 +65,7 @@
     """What its driver does with one piece of work at the moment.
 
     `stage` is queued until something irrevocable begins, then claiming or running.
+    `failures` are the ends of started attempts, `last_refusal` is a host to avoid.
     """
 
     stage: str = "queued"
@@ -72,6 +73,13 @@
     address: str = ""
     task: str = ""
     claimed: Claimed | None = None
+    failures: list[str] = field(default_factory=list)
+    last_refusal: str = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether some attempt may have started."""
+        return self.stage != "queued" or bool(self.failures)
 
 
 class Claims:
--- a/src/bergamotgap/node/job_runs.py
+++ b/src/bergamotgap/node/job_runs.py
@@ -65,15 +65,14 @@
     async def run(self, job: Job, activity: Activity) -> Ended:
         """Return the record of the job's outcome, which the caller appends."""
         retries = 0
-        failures: list[str] = []
         while True:
             claim = self._work.state.find_claim(job.key)
             if claim is not None and claim.is_outstanding:
                 ended = await self._resolve(job, claim, activity)
             elif activity.is_cancelled:
-                ended = build_unstarted(job, "cancelled", "not_started")
+                ended = self._end_unstarted(job, activity, "cancelled", "")
             else:
-                ended = await self._attempt(job, activity, failures)
+                ended = await self._attempt(job, activity)
             if ended is not None:
                 return ended
             activity.stage = "queued"
@@ -81,37 +80,48 @@
             delay_ms = min(MAX_RETRY_MS, RETRY_MS * retries)
             await self._clock.sleep_ms(delay_ms + secrets.randbelow(RETRY_MS))
 
-    async def _attempt(
-        self, job: Job, activity: Activity, failures: list[str]
-    ) -> Ended | None:
+    def _find_entry(self, job: Job) -> Entry | None:
         catalogue = self._control().catalogue
-        entry = catalogue.find_entry(job.entry) if catalogue is not None else None
+        return catalogue.find_entry(job.entry) if catalogue is not None else None
+
+    async def _attempt(self, job: Job, activity: Activity) -> Ended | None:
+        if self._control().catalogue is None:
+            return None
+        entry = self._find_entry(job)
         if entry is None:
-            if catalogue is None:
-                return None
-            return build_unstarted(job, "not_run", "the entry left the catalogue")
+            return self._end_unstarted(job, activity, "not_run", "unknown_entry")
         if not fits_pool(self._control(), entry):
-            return build_unstarted(job, "not_run", "too_large for every worker")
+            return self._end_unstarted(job, activity, "not_run", "too_large")
         deadline_at_ms = self._log_clock.to_monotonic_ms(job.deadline_at_ms)
         try:
             if entry.idempotent:
-                return await self._run_idempotent(
-                    job, entry, deadline_at_ms, activity, failures
-                )
+                return await self._run_idempotent(job, entry, deadline_at_ms, activity)
             return await self._run_claimed(job, entry, deadline_at_ms, activity)
         except ClaimLostError as error:
             log.info("claim refused", job=job.job, code=error.code)
         except NotAdmittedError as error:
             if isinstance(error.outcome, Expired):
-                return self._expire(job, failures)
+                return self._end_unstarted(job, activity, "expired", "deadline")
         return None
 
-    @staticmethod
-    def _expire(job: Job, failures: list[str]) -> Ended:
-        if failures:
-            # It did start, so "expired" would be wrong.
-            return build_unstarted(job, "failed", f"deadline; {failures[-1]}")
-        return build_unstarted(job, "expired", "deadline")
+    def _end_unstarted(
+        self, job: Job, activity: Activity, outcome: str, reason: str
+    ) -> Ended:
+        """Return the record of a job that is given up between attempts.
+
+        Outcomes that say "never started" are only for jobs that never were.
+        """
+        entry = self._find_entry(job)
+        is_claimed = entry is not None and not entry.idempotent
+        may_have_run = job.may_have_run and not is_claimed
+        if outcome == "cancelled":
+            is_unstarted = not activity.failures and not may_have_run
+            reason = "not_started" if is_unstarted else "may_have_started"
+        elif activity.failures:
+            outcome, reason = "failed", "; ".join([reason, *activity.failures])
+        elif may_have_run:
+            outcome, reason = "unknown", f"{reason}; a former owner may have started it"
+        return build_outcome(job, outcome, TaskEnd("not_run"), "", "", reason)
 
     async def _run_claimed(
         self, job: Job, entry: Entry, deadline_at_ms: int, activity: Activity
@@ -163,9 +173,10 @@
         entry: Entry,
         deadline_at_ms: int,
         activity: Activity,
-        failures: list[str],
     ) -> Ended | None:
-        avoid = frozenset(failure.partition(":")[0] for failure in failures)
+        failures = activity.failures
+        failed_hosts = [failure.partition(":")[0] for failure in failures]
+        avoid = frozenset([*failed_hosts, activity.last_refusal])
         async with self._placer.place(entry, deadline_at_ms, avoid) as placement:
             body = base64.b64decode(job.body)
             order = build_order(entry, placement, body, LEASE_MS)
@@ -184,6 +195,7 @@
         if end.state == "not_run":
             # A refusal or a closed port is the worker's state, not the job's fault.
             self._placer.note_failure(entry, host, end.reason)
+            activity.last_refusal = host
             return None
         if activity.is_cancelled and end.state == "stopped":
             return build_outcome(job, "cancelled", end, host, order.task, "started")
@@ -225,11 +237,6 @@
     return is_empty
 
 
-def build_unstarted(job: Job, outcome: str, reason: str) -> Ended:
-    """Return the record of a job that ends without a worker's answer."""
-    return build_outcome(job, outcome, TaskEnd("not_run"), "", "", reason)
-
-
 def build_outcome(
     job: Job, outcome: str, end: TaskEnd, host: str, task: str, reason: str = ""
 ) -> Ended:
--- a/src/bergamotgap/node/jobs.py
+++ b/src/bergamotgap/node/jobs.py
@@ -238,11 +238,14 @@
         await asyncio.wait({run})
         if not run.cancelled() and run.exception() is None:
             return run.result()
-        driver.activity.stage = "queued"
+        activity = driver.activity
         if not run.cancelled():
             # An accepted job must not be lost to a fault in our own code.
             log.error("job run failed", job=driver.job.job, error=repr(run.exception()))
+            if activity.stage != "queued":
+                activity.failures.append(f"{activity.address}: no outcome")
             await self._clock.sleep_ms(RESTART_MS)
+        activity.stage = "queued"
         return None
 
     async def hand_over(self, timeout_ms: int) -> None:
@@ -264,7 +267,7 @@
         for driver in drivers:
             self._stop(driver.job.job)
         records = [
-            JobTaken(d.job.job, "", d.job.ownership + 1)
+            JobTaken(d.job.job, "", d.job.ownership + 1, d.activity.may_have_run)
             for d in drivers
             if not d.task.done()
         ]
--- a/src/bergamotgap/node/takeover.py
+++ b/src/bergamotgap/node/takeover.py
@@ -93,7 +93,11 @@
         """Look for work of gone nodes for good."""
         while True:
             await self._clock.sleep_ms(STEP_MS)
-            await self.step()
+            try:
+                await self.step()
+            except Exception:
+                # Without this loop, the work of dead nodes would stay open for ever.
+                log.exception("takeover step failed")
 
     async def stop(self) -> None:
         """Stop the resolutions in progress."""
@@ -182,7 +186,9 @@
         return sum(_weigh(work, peer.node_id) > mine for peer in peers)
 
     async def _take(self, job: Job) -> None:
-        record = JobTaken(job.job, self._node, job.ownership + 1)
+        # A released job's former owner told whether it had started.
+        may_have_run = job.owner != ""
+        record = JobTaken(job.job, self._node, job.ownership + 1, may_have_run)
         try:
             effect = await self._writer.append(record, APPEND_TIMEOUT_MS)
         except (AppendRefusedError, AppendUnknownError) as error:
--- a/src/bergamotgap/node/work_parts.py
+++ b/src/bergamotgap/node/work_parts.py
@@ -20,6 +20,9 @@
 from bergamotgap.ports.worker import WorkerClient
 
 INCARNATION_BYTES = 6
+# A platform that is down must not hold up a shutdown; outcomes that are not recorded
+# then are found again at the workers.
+LAST_RECORDS_MS = 5000
 
 
 class WorkParts:
@@ -116,6 +119,7 @@
 
     async def leave(self, timeout_ms: int) -> None:
         """Hand over what is not dispatched and wait for the rest."""
-        await self.jobs.hand_over(timeout_ms)
-        await self.requests.finish(timeout_ms)
-        await self._keeper.finish(timeout_ms)
+        await asyncio.gather(
+            self.jobs.hand_over(timeout_ms), self.requests.finish(timeout_ms)
+        )
+        await self._keeper.finish(min(timeout_ms, LAST_RECORDS_MS))
--- a/tests/fakes_work.py
+++ b/tests/fakes_work.py
@@ -144,7 +144,8 @@
         self.orders: list[tuple[str, TaskOrder]] = []
         self.refusals: dict[str, str] = {}
         self.unreachable: set[str] = set()
-        self.fails = False
+        self.failing: set[str] = set()
+        self.renewals = 0
         self.gate: asyncio.Event | None = None
         self.loses_order = False
         self.loses_answer = False
@@ -184,7 +185,7 @@
         if self.gate is not None:
             await self.gate.wait()
         if task.state == "running":
-            task.state = "failed" if self.fails else "done"
+            task.state = "failed" if address in self.failing else "done"
         if self.loses_answer or task.state == "stopped":
             raise TaskFateUnknownError("silent")
         yield StoredAnswer(task.result, task.state == "failed")
@@ -202,6 +203,7 @@
     async def control(self, address: str, task: str, verb: str) -> TaskStatus:
         self._check(address)
         known = self.tasks.get((address, task))
+        self.renewals += verb == "renew"
         if known is not None and verb == "stop":
             known.state = "stopped"
         return await self.cancel(address, task)
@@ -295,9 +297,8 @@
         """Start an entry host from the log's beginning, or from a snapshot."""
         state = WorkState() if snapshot is None else WorkState.decode(snapshot)
         stream = Stream("work", state, self.clock)
+        # A snapshot holds everything up to now, so that only later records follow.
         skipped = 0 if snapshot is None else len(self.log.records)
-        stream.fold_records(tuple(self.log.records[:0]))
-        stream._next_offset = skipped
         placer = FakePlacer(self.clock, self.workers)
         members = FakeMembers(name, self.clock, self.live)
         parts = WorkParts(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -199,7 +199,8 @@
     repeat = asyncio.create_task(fleet.request("b"))
     assert await drive(fleet, repeat) == b"x"
     assert fleet.workers.starts[b"x"] == 1
-    await asyncio.gather(run, return_exceptions=True)
+    with pytest.raises(TaskFateUnknownError):
+        await run
 
 
 @pytest.mark.fault("crash", "reboot")
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -7,8 +7,10 @@
 import pytest
 
 from bergamotgap.domain.records import Claimed, Ended, JobAccepted, JobTaken
+from bergamotgap.node import record_keeper
+from bergamotgap.node.task_runs import RENEW_MS
 from bergamotgap.node.work_errors import RequestRefusedError
-from tests.fakes_work import FakeFleet, settle
+from tests.fakes_work import HOSTS, FakeFleet, settle
 
 
 @pytest.fixture
@@ -91,7 +93,7 @@
     fleet: FakeFleet,
 ) -> None:
     """Guards against endless attempts and against ejecting workers for a bad job."""
-    fleet.workers.fails = True
+    fleet.workers.failing = set(HOSTS)
     job = await fleet.submit("a", "tool-run")
     assert await finish(fleet, job) == "failed"
     ended = fleet.log.reader.state.find_job(job)
@@ -102,6 +104,17 @@
     assert fleet.placers["a"].failures == []
 
 
+@pytest.mark.fault("worker_fails_everything", "running")
+async def test_failure_is_the_hosts_when_another_host_succeeds(
+    fleet: FakeFleet,
+) -> None:
+    """Guards against a bad worker that nobody learns of from its failed jobs."""
+    fleet.workers.failing = {"w1"}
+    job = await fleet.submit("a", "tool-run")
+    assert await finish(fleet, job) == "done"
+    assert [host for host, _ in fleet.placers["a"].failures] == ["w1"]
+
+
 async def test_job_that_fits_no_host_is_refused_at_once(fleet: FakeFleet) -> None:
     """Guards against accepting a job that can never run."""
     large = fleet.entry("rollup-invoice").model_copy(update={"cpus": 512.0})
@@ -146,12 +159,52 @@
 
 async def test_job_that_waits_past_its_deadline_expires(fleet: FakeFleet) -> None:
     """Guards against a job that stays open for ever, or runs after its deadline."""
-    fleet.workers.refusals = dict.fromkeys(("w1", "w2", "w3"), "busy")
+    fleet.workers.refusals = dict.fromkeys(HOSTS, "busy")
     job = await fleet.submit("a", "tool-run")
     assert await finish(fleet, job) == "expired"
     assert not fleet.workers.starts
 
 
+@pytest.mark.fault("crash", "running")
+@pytest.mark.parametrize(
+    ("is_started", "is_killed", "expected"),
+    [
+        (True, True, "unknown"),
+        (True, False, "unknown"),
+        (False, True, "unknown"),
+        (False, False, "expired"),
+    ],
+)
+async def test_job_that_an_owner_may_have_started_does_not_expire(
+    fleet: FakeFleet, is_started: bool, is_killed: bool, expected: str
+) -> None:
+    """Guards against "never started" for a job that a former owner started."""
+    fleet.workers.gate = fleet.placers["b"].gate = asyncio.Event()
+    if not is_started:
+        fleet.placers["a"].gate = fleet.workers.gate
+    job = await fleet.submit("a", "tool-run")
+    await settle()
+    if is_killed:
+        await fleet.kill("a")
+    else:
+        await fleet.nodes["a"].leave(10)
+    await fleet.pass_ms(40_000)
+    fleet.placers["b"].gate.set()
+    assert await finish(fleet, job) == expected
+
+
+async def test_job_that_failed_before_its_deadline_does_not_expire(
+    fleet: FakeFleet,
+) -> None:
+    """Guards against "never started" after an attempt that started."""
+    fleet.workers.failing = {"w1"}
+    fleet.workers.refusals = {"w2": "busy", "w3": "busy"}
+    job = await fleet.submit("a", "tool-run")
+    await settle()
+    fleet.workers.refusals["w1"] = "busy"
+    assert await finish(fleet, job) == "failed"
+
+
 @pytest.mark.fault("platform_down", "outcome_record")
 async def test_outcome_waits_for_the_platform(fleet: FakeFleet) -> None:
     """Guards against an outcome lost because it could not be recorded at once."""
@@ -190,6 +243,54 @@
     assert taken.node.startswith("b/")
 
 
+@pytest.mark.fault("crash", "queue")
+async def test_each_job_of_a_dead_host_is_taken_by_one_of_several(
+    fleet: FakeFleet,
+) -> None:
+    """Guards against all live hosts racing for every job, and against one for all."""
+    fleet.start("c")
+    fleet.start("d")
+    fleet.placers["a"].gate = asyncio.Event()
+    jobs = [await fleet.submit("a", "tool-run", request_id=f"r{i}") for i in range(40)]
+    await settle()
+    await fleet.kill("a")
+    assert [await finish(fleet, job) for job in jobs] == ["done"] * 40
+    tries = [r for r, _ in fleet.log.effects if isinstance(r, JobTaken)]
+    assert len(tries) == 40
+    assert {record.node[0] for record in tries} == {"b", "c", "d"}
+
+
+@pytest.mark.fault("lapsed_lease", "running")
+async def test_lease_is_renewed_while_the_job_runs(fleet: FakeFleet) -> None:
+    """Guards against a worker that stops a long job whose owner is alive."""
+    fleet.workers.gate = asyncio.Event()
+    await fleet.submit("a", "rollup-invoice")
+    for expected in range(1, 4):
+        await fleet.pass_ms(RENEW_MS + 500)
+        assert fleet.workers.renewals >= expected
+    fleet.workers.gate.set()
+
+
+@pytest.mark.fault("platform_down", "outcome_record")
+async def test_kept_outcomes_leave_large_results_to_the_worker(
+    fleet: FakeFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against memory that grows with the results during an outage."""
+    monkeypatch.setattr(record_keeper, "MAX_KEPT_RESULT_BYTES", 100)
+    fleet.workers.answer_bytes = b"y" * 90
+    fleet.workers.before_order = lambda: setattr(fleet.log, "is_down", True)
+    job = await fleet.submit("a", "tool-run")
+    await fleet.pass_ms(2000)
+    fleet.log.is_down = False
+    assert await finish(fleet, job) == "done"
+    known = fleet.nodes["b"].jobs.find("nightly", job)
+    assert known is not None
+    assert known.ended is not None
+    assert known.ended.result_inline is None
+    async with fleet.nodes["b"].results.open(known.ended) as answer:
+        assert b"".join([c async for c in answer.chunks()]) == b"y" * 90
+
+
 @pytest.mark.fault("crash", "running")
 async def test_outstanding_claim_is_resolved_before_anything_else(
     fleet: FakeFleet,
@@ -207,6 +308,19 @@
     assert len(fleet.log.applied(Claimed)) == 1
 
 
+@pytest.mark.fault("crash", "running")
+async def test_new_owner_stops_a_cancelled_job(fleet: FakeFleet) -> None:
+    """Guards against a cancellation that is lost with the owner."""
+    fleet.workers.gate = asyncio.Event()
+    job = await fleet.submit("a", "rollup-invoice")
+    await settle()
+    await fleet.kill("a")
+    known = fleet.nodes["b"].jobs.find("nightly", job)
+    assert known is not None
+    await fleet.nodes["b"].jobs.cancel(known)
+    assert await finish(fleet, job) == "cancelled"
+
+
 @pytest.mark.fault("freeze", "dispatch")
 async def test_dispatch_of_a_former_owner_starts_nothing(fleet: FakeFleet) -> None:
     """Guards against a frozen owner whose bytes arrive after the takeover."""
--- a/tests/test_work_fold.py
+++ b/tests/test_work_fold.py
@@ -56,7 +56,7 @@
             ),
             *(jobs, nodes),
         ),
-        st.builds(JobTaken, jobs, nodes, number),
+        st.builds(JobTaken, jobs, nodes, number, st.booleans()),
         st.builds(
             lambda job, node, attempt, own: Claimed(
                 keys[job], job, "e", "d", keep, node, attempt, "w", "b", "t", 5, own
@@ -173,8 +173,8 @@
 def test_stale_owner_neither_claims_nor_ends() -> None:
     """Guards against a former owner that goes on after a takeover."""
     state = WorkState()
-    apply_all(state, accept("j1"), JobTaken("j1", "n2", 2))
-    stale = [claim("j1", 1, "n1", 1), end("j1", 0, 1), JobTaken("j1", "n3", 2)]
+    apply_all(state, accept("j1"), JobTaken("j1", "n2", 2, False))
+    stale = [claim("j1", 1, "n1", 1), end("j1", 0, 1), JobTaken("j1", "n3", 2, False)]
     assert {e.code for e in apply_all(state, *stale) if isinstance(e, Rejected)} == {
         "stale_ownership"
     }
