Bound the results and bodies that the fold holds

Cause: results of up to 16 KiB were kept for at least 10 minutes without a bound on their total, and so were the bodies of open jobs; every entry host holds both.

New jobs are refused as not run while the open bodies exceed 64 MiB. Ruled out: a bound by count (results differ by a factor of 16,000 in size).

--- a/src/bergamotgap/domain/work_items.py
+++ b/src/bergamotgap/domain/work_items.py
@@ -38,6 +38,7 @@
     may_have_run: bool = False
     is_cancel_requested: bool = False
     ended: Ended | None = None
+    ended_offset: int = -1
     forget_at_ms: int | None = None
 
 
@@ -61,6 +62,7 @@
     start_before_ms: int
     is_not_run: bool = False
     ended: Ended | None = None
+    ended_offset: int = -1
     forget_at_ms: int | None = None
 
     @property
--- a/src/bergamotgap/domain/work_state.py
+++ b/src/bergamotgap/domain/work_state.py
@@ -1,6 +1,5 @@
 """State of jobs and claims, folded from the `work` stream."""
 
-import heapq
 from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from typing import Self
@@ -18,6 +17,7 @@
     Record,
 )
 from bergamotgap.domain.work_items import NEVER_STARTED, Claim, Job, build_key
+from bergamotgap.domain.work_retention import Retention
 
 
 @dataclass(slots=True)
@@ -47,19 +47,9 @@
             if job.ended is None:
                 self._note_open(job)
         self._outstanding = {c.key: None for c in claims if c.is_outstanding}
-        self._forgetting: list[tuple[int, str, bool]] = [
-            *(
-                (j.forget_at_ms, j.job, True)
-                for j in jobs
-                if j.forget_at_ms is not None
-            ),
-            *(
-                (c.forget_at_ms, c.key, False)
-                for c in claims
-                if c.forget_at_ms is not None
-            ),
-        ]
-        heapq.heapify(self._forgetting)
+        self._retention = Retention(self._data.jobs, self._data.claims)
+        self._body_bytes = sum(len(job.body) for job in jobs)
+        self._offset = 0
 
     @property
     def accepted(self) -> int:
@@ -76,6 +66,11 @@
         """Return the number of accepted jobs without an outcome."""
         return sum(len(jobs) for jobs in self._open.values())
 
+    @property
+    def body_bytes(self) -> int:
+        """Return the size of all open jobs' bodies, as base64."""
+        return self._body_bytes
+
     @property
     def log_ms(self) -> int:
         """Return the latest time stamp of the log."""
@@ -91,6 +86,8 @@
             "jobs_kept": len(self._data.jobs),
             "claims_kept": len(self._data.claims),
             "claims_outstanding": len(self._outstanding),
+            "body_bytes": self._body_bytes,
+            "result_bytes": self._retention.result_bytes,
         }
 
     def find_job(self, job: str) -> Job | None:
@@ -136,24 +133,10 @@
         """Fold one record in; records come in offset order."""
         # The log's clock may step back; forgetting must not depend on that.
         self._data.log_ms = max(self._data.log_ms, stamp.appended_ms)
-        self._forget()
-        return self._apply(record)
-
-    def _forget(self) -> None:
-        while self._forgetting and self._forgetting[0][0] <= self._data.log_ms:
-            due_ms, name, is_job = heapq.heappop(self._forgetting)
-            if is_job:
-                self._forget_job(name, due_ms)
-                continue
-            claim = self._data.claims.get(name)
-            if claim is not None and claim.forget_at_ms == due_ms:
-                del self._data.claims[name]
-
-    def _forget_job(self, name: str, due_ms: int) -> None:
-        job = self._data.jobs.get(name)
-        if job is not None and job.forget_at_ms == due_ms:
-            del self._data.jobs[name]
+        self._offset = stamp.offset
+        for job in self._retention.forget(self._data.log_ms):
             del self._job_ids[job.key]
+        return self._apply(record)
 
     @singledispatchmethod
     def _apply(self, record: Record) -> Effect:
@@ -185,6 +168,7 @@
         self._data.jobs[job.job] = job
         self._job_ids[key] = job.job
         self._note_open(job)
+        self._body_bytes += len(job.body)
         self._data.accepted += 1
         return Applied()
 
@@ -284,10 +268,16 @@
         if refusal is not None:
             return refusal
         forget_at_ms = self._data.log_ms + job.keep_ms
-        self._data.jobs[job.job] = replace(
-            job, ended=record, body="", forget_at_ms=forget_at_ms
+        self._body_bytes -= len(job.body)
+        job = replace(
+            job,
+            ended=record,
+            ended_offset=self._offset,
+            body="",
+            forget_at_ms=forget_at_ms,
         )
-        heapq.heappush(self._forgetting, (forget_at_ms, job.job, True))
+        self._data.jobs[job.job] = job
+        self._retention.keep(job)
         # The ended job itself keeps the key from now on.
         self._data.claims.pop(job.key, None)
         self._outstanding.pop(job.key, None)
@@ -305,7 +295,10 @@
         if refusal is not None:
             return refusal
         forget_at_ms = self._data.log_ms + claim.keep_ms
-        self._settle_claim(replace(claim, ended=record, forget_at_ms=forget_at_ms))
+        claim = replace(
+            claim, ended=record, ended_offset=self._offset, forget_at_ms=forget_at_ms
+        )
+        self._settle_claim(claim)
         return Applied()
 
     @staticmethod
@@ -325,8 +318,7 @@
     def _settle_claim(self, claim: Claim) -> None:
         self._data.claims[claim.key] = claim
         self._outstanding.pop(claim.key, None)
-        if claim.forget_at_ms is not None:
-            heapq.heappush(self._forgetting, (claim.forget_at_ms, claim.key, False))
+        self._retention.keep(claim)
 
     def _note_open(self, job: Job) -> None:
         self._open.setdefault(job.owner, {})[job.job] = None
@@ -346,3 +338,7 @@
         if job.ended is not None:
             return Rejected("already_ended", job.ended.outcome)
         return job
+
+
+def _size_result(item: Job | Claim) -> int:
+    return len(item.ended.result_inline or "") if item.ended is not None else 0
--- a/src/bergamotgap/node/jobs.py
+++ b/src/bergamotgap/node/jobs.py
@@ -38,6 +38,8 @@
 APPEND_TIMEOUT_MS = 5000
 # Bounds the memory of one entry host: a job costs its body, twice for a moment.
 MAX_OWNED_JOBS = 5000
+# Every entry host holds the bodies of all open jobs, whoever owns them.
+MAX_BODY_BYTES = 64 << 20
 JOB_ID_BYTES = 18
 RESTART_MS = 1000
 
@@ -143,7 +145,8 @@
         if not fits_pool(self._control(), entry):
             detail = f"no host of pool {entry.pool} has the declared size"
             raise RequestRefusedError(422, "too_large", "not_run", detail)
-        if len(self._drivers) >= MAX_OWNED_JOBS:
+        is_full = self._work.state.body_bytes >= MAX_BODY_BYTES
+        if is_full or len(self._drivers) >= MAX_OWNED_JOBS:
             raise RequestRefusedError(503, "too_many_jobs", "not_run")
 
     async def _append(self, record: Record, unknown_code: str) -> Effect:
--- a/tests/test_work_fold.py
+++ b/tests/test_work_fold.py
@@ -1,10 +1,12 @@
 """The fold of jobs and claims under any order of records."""
 
 from collections import Counter
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bergamotgap.domain import work_retention
 from bergamotgap.domain.folding import Applied, Rejected, Stamp
 from bergamotgap.domain.records import (
     AttemptNotRun,
@@ -66,7 +68,7 @@
         st.builds(lambda job, n: AttemptNotRun(keys[job], n, "refused"), work, number),
         st.builds(
             lambda job, attempt, own, outcome: Ended(
-                keys[job], job, attempt, own, outcome, "w", "t", None, 0, ""
+                keys[job], job, attempt, own, outcome, "w", "t", outcome, 0, ""
             ),
             *(work, st.sampled_from([0, 1, 2]), number, outcomes),
         ),
@@ -93,7 +95,11 @@
     history: list[tuple[int, WorkRecord]], cut: int
 ) -> None:
     """Guards against nodes that differ after a restart, also while forgetting."""
-    cut = min(cut, len(history))
+    with patch.object(work_retention, "MAX_RESULT_BYTES", 7):
+        _check_restart(history, min(cut, len(history)))
+
+
+def _check_restart(history: list[tuple[int, WorkRecord]], cut: int) -> None:
     whole = WorkState()
     fold(whole, history, 0)
     first = WorkState()
@@ -104,6 +110,9 @@
     assert second.encode() == whole.encode()
     assert second.counts == whole.counts
     assert whole.accepted == whole.ended + whole.open_count
+    assert whole.counts["result_bytes"] <= 7
+    jobs = whole.list_open_jobs()
+    assert whole.body_bytes == sum(len(job.body) for job in jobs)
 
 
 @settings(derandomize=True, max_examples=600, deadline=None)
