--- a/src/bergamotgap/node/job_runs.py
+++ b/src/bergamotgap/node/job_runs.py
@@ -91,7 +91,7 @@
         if entry is None:
             return self._end_unstarted(job, activity, "not_run", "unknown_entry")
         if not fits_pool(self._control(), entry):
-            return self._end_unstarted(job, activity, "not_run", "too_large")
+            return self._end_unstarted(job, activity, "not_run", "does_not_fit")
         deadline_at_ms = self._log_clock.to_monotonic_ms(job.deadline_at_ms)
         try:
             if entry.idempotent:
--- a/src/bergamotgap/node/jobs.py
+++ b/src/bergamotgap/node/jobs.py
@@ -144,7 +144,7 @@
             raise RequestRefusedError(503, "leaving", "not_run")
         if not fits_pool(self._control(), entry):
             detail = f"no host of pool {entry.pool} has the declared size"
-            raise RequestRefusedError(422, "too_large", "not_run", detail)
+            raise RequestRefusedError(422, "does_not_fit", "not_run", detail)
         is_full = self._work.state.body_bytes >= MAX_BODY_BYTES
         if is_full or len(self._drivers) >= MAX_OWNED_JOBS:
             raise RequestRefusedError(503, "too_many_jobs", "not_run")
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -121,7 +121,7 @@
     large = fleet.entry("rollup-invoice").model_copy(update={"cpus": 512.0})
     with pytest.raises(RequestRefusedError) as refused:
         await fleet.nodes["a"].jobs.accept("nightly", "r", large, b"", 1000)
-    assert refused.value.code == "too_large"
+    assert refused.value.code == "does_not_fit"
     assert not fleet.log.records
 
 
