--- a/src/bergamotgap/node/jobs.py
+++ b/src/bergamotgap/node/jobs.py
@@ -38,6 +38,8 @@
 APPEND_TIMEOUT_MS = 5000
 # Bounds the memory of one entry host: a job costs its body, twice for a moment.
 MAX_OWNED_JOBS = 5000
+# Every entry host holds the bodies of all open jobs, whoever owns them.
+MAX_BODY_BYTES = 64 << 20
 JOB_ID_BYTES = 18
 RESTART_MS = 1000
 
@@ -142,8 +144,9 @@
             raise RequestRefusedError(503, "leaving", "not_run")
         if not fits_pool(self._control(), entry):
             detail = f"no host of pool {entry.pool} has the declared size"
-            raise RequestRefusedError(422, "too_large", "not_run", detail)
-        if len(self._drivers) >= MAX_OWNED_JOBS:
+            raise RequestRefusedError(422, "does_not_fit", "not_run", detail)
+        is_full = self._work.state.body_bytes >= MAX_BODY_BYTES
+        if is_full or len(self._drivers) >= MAX_OWNED_JOBS:
             raise RequestRefusedError(503, "too_many_jobs", "not_run")
 
     async def _append(self, record: Record, unknown_code: str) -> Effect:
@@ -184,6 +187,16 @@
             case Ended(job=str() as job):
                 self._stop(job)
 
+    def reconcile(self) -> None:
+        """Drive exactly the owned jobs, also after the state was loaded as a whole."""
+        # Records that a loaded snapshot covers reach no observer.
+        owned = {job.job for job in self._work.state.list_jobs_of(self._node)}
+        for name in self._drivers.keys() - owned:
+            self._stop(name)
+        if not self._is_leaving:
+            for name in owned - self._drivers.keys():
+                self._start(name)
+
     def _start(self, name: str) -> None:
         job = self._work.state.find_job(name)
         if job is None:
@@ -238,11 +251,14 @@
         await asyncio.wait({run})
         if not run.cancelled() and run.exception() is None:
             return run.result()
-        driver.activity.stage = "queued"
+        activity = driver.activity
         if not run.cancelled():
             # An accepted job must not be lost to a fault in our own code.
             log.error("job run failed", job=driver.job.job, error=repr(run.exception()))
+            if activity.stage != "queued":
+                activity.failures.append(f"{activity.address}: no outcome")
             await self._clock.sleep_ms(RESTART_MS)
+        activity.stage = "queued"
         return None
 
     async def hand_over(self, timeout_ms: int) -> None:
@@ -264,7 +280,7 @@
         for driver in drivers:
             self._stop(driver.job.job)
         records = [
-            JobTaken(d.job.job, "", d.job.ownership + 1)
+            JobTaken(d.job.job, "", d.job.ownership + 1, d.activity.may_have_run)
             for d in drivers
             if not d.task.done()
         ]
--- a/src/bergamotgap/node/takeover.py
+++ b/src/bergamotgap/node/takeover.py
@@ -32,7 +32,10 @@
 RANK_STEP_MS = 2000
 # More records than this in one step mean that the fold is still catching up, and that
 # open work in it may have ended since.
-CATCHING_UP_RECORDS = 200
+CATCHING_UP_RECORDS = 1000
+# A longer gap between two steps means that this process was paused: what it last heard
+# of the others is then old because of itself.
+PAUSE_MS = 2000
 MAX_TAKEN_PER_STEP = 200
 MAX_RESOLVING = 32
 
@@ -70,6 +73,7 @@
         keeper: RecordKeeper,
         claims: Claims,
         clock: Clock,
+        reconcile: Callable[[], None] = lambda: None,
         is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self._node = node
@@ -79,17 +83,23 @@
         self._keeper = keeper
         self._claims = claims
         self._clock = clock
+        self._reconcile = reconcile
         self._is_leaving = is_leaving
         self._last_live_ms: dict[str, int] = {}
         self._released_ms: dict[str, int] = {}
         self._resolving: dict[str, asyncio.Task[None]] = {}
         self._next_offset = 0
+        self._last_step_ms = clock.monotonic_ms()
 
     async def run(self) -> None:
         """Look for work of gone nodes for good."""
         while True:
             await self._clock.sleep_ms(STEP_MS)
-            await self.step()
+            try:
+                await self.step()
+            except Exception:
+                # Without this loop, the work of dead nodes would stay open for ever.
+                log.exception("takeover step failed")
 
     async def stop(self) -> None:
         """Stop the resolutions in progress."""
@@ -102,6 +112,7 @@
         """Take jobs over and start to settle claims that are due now."""
         grown = self._work.next_offset - self._next_offset
         self._next_offset = self._work.next_offset
+        self._reconcile()
         self._note_live()
         if grown > CATCHING_UP_RECORDS or self._is_leaving():
             return
@@ -114,6 +125,9 @@
     def _note_live(self) -> None:
         # A leaving node still finishes its running work, so it counts as live here.
         now_ms = self._clock.monotonic_ms()
+        if now_ms - self._last_step_ms > PAUSE_MS:
+            self._last_live_ms = dict.fromkeys(self._last_live_ms, now_ms)
+        self._last_step_ms = now_ms
         for peer in self._members.list_known():
             if now_ms - peer.heard_ms <= PEER_LIVE_MS:
                 self._last_live_ms[peer.node_id] = now_ms
@@ -175,7 +189,9 @@
         return sum(_weigh(work, peer.node_id) > mine for peer in peers)
 
     async def _take(self, job: Job) -> None:
-        record = JobTaken(job.job, self._node, job.ownership + 1)
+        # A released job's former owner told whether it had started.
+        may_have_run = job.owner != ""
+        record = JobTaken(job.job, self._node, job.ownership + 1, may_have_run)
         try:
             effect = await self._writer.append(record, APPEND_TIMEOUT_MS)
         except (AppendRefusedError, AppendUnknownError) as error:
