--- a/src/bergamotgap/node/membership.py
+++ b/src/bergamotgap/node/membership.py
@@ -126,6 +126,15 @@
         """Return all known peers, live or not, without this node."""
         return list(self._peers.values())
 
+    def list_expected(self) -> list[str]:
+        """Return who may serve besides this node: peers that are not long gone.
+
+        Until a peer is heard, the addresses in the settings stand for the peers.
+        """
+        if not self._peers:
+            return list(self._seeds)
+        return [peer.node_id for peer in self._peers.values() if not peer.is_leaving]
+
     def list_live(self) -> list[PeerView]:
         """Return live peers that are not leaving, without this node."""
         return [
@@ -233,9 +242,11 @@
             except PeerError as error:
                 log.debug("heartbeat failed", address=address, error=str(error))
             silent_ms = self._clock.monotonic_ms() - answered_ms
-            if address not in self._seeds and silent_ms > FORGET_MS:
+            if silent_ms > FORGET_MS:
                 self._forget(address)
-                return
+                if address not in self._seeds:
+                    del self._tasks[address]
+                    return
             jitter = self._random.uniform(1 - JITTER, 1 + JITTER)
             await self._clock.sleep_ms(self._interval_ms(data_centre) * jitter)
 
@@ -246,8 +257,10 @@
         return max(REMOTE_INTERVAL_MS, 1000 * remote / MAX_REMOTE_PER_SECOND)
 
     def _forget(self, address: str) -> None:
-        self._tasks.pop(address, None)
         gone = [name for name, at in self._contacts.items() if at == address]
         for name in gone:
             del self._contacts[name]
-            self._peers.pop(name, None)
+            peer = self._peers.get(name)
+            # A peer that still calls us is not gone: only our calls fail.
+            if peer is not None and not self._is_heard(peer):
+                del self._peers[name]
--- a/src/bergamotgap/node/workers.py
+++ b/src/bergamotgap/node/workers.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Collection
-from contextlib import suppress
 from dataclasses import dataclass, replace
 
 from bergamotgap.adapters.logs import get_logger
@@ -12,7 +11,7 @@
 from bergamotgap.domain.health import HealthTracker
 from bergamotgap.domain.routing import estimate_load
 from bergamotgap.node.streams import Stream
-from bergamotgap.ports.platform import HostDirectory, HostListing, PlatformError
+from bergamotgap.ports.platform import HostListing
 from bergamotgap.ports.worker import (
     TaskRefusedError,
     WorkerClient,
@@ -35,9 +34,6 @@
 # The host list may name a host as leaving that is not. After this time the worker's
 # own word is trusted again.
 LISTED_LEAVING_MS = 60_000
-# One host is about 200 bytes of the list; reading it takes at most 5 KB/s.
-LISTING_MS_PER_HOST = 40
-MIN_LISTING_MS = 2000
 
 log = get_logger(__name__)
 
@@ -72,10 +68,10 @@
 
 
 class Workers:
-    """Own the views of all workers and the tasks that refresh them.
+    """Own the views of all workers and the task that refreshes them.
 
-    `directory` is the platform's host list; without it only the workers' own word and
-    refused connections tell that a worker is leaving.
+    The workers' own word, the host list given to `note_listing` and refused
+    connections together tell that a worker is leaving.
     """
 
     def __init__(
@@ -83,13 +79,11 @@
         control: Stream[ControlState],
         client: WorkerClient,
         clock: Clock,
-        directory: HostDirectory | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self._control = control
         self._client = client
         self._clock = clock
-        self._directory = directory
         self._rng = rng or random.Random()
         self._views: dict[str, WorkerView] = {}
         self._polls: set[asyncio.Task[None]] = set()
@@ -132,7 +126,7 @@
             and status.state == "serving"
             and status.epoch == host.epoch
             and status.pool == host.pool
-            and host.draining_in is None
+            and host.is_serving
             and not self._is_listed_leaving(view)
         )
 
@@ -211,12 +205,6 @@
 
     async def run(self) -> None:
         """Refresh all views for good."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._run_polls())
-            if self._directory is not None:
-                group.create_task(self._run_listings(self._directory))
-
-    async def _run_polls(self) -> None:
         try:
             while True:
                 self._start_due_polls()
@@ -304,11 +292,3 @@
         view.next_poll_ms = 0
         view.note_busy(0)
         self._routable.clear()
-
-    async def _run_listings(self, directory: HostDirectory) -> None:
-        while True:
-            with suppress(PlatformError):
-                self.note_listing(await directory.list_hosts())
-            count = len(self._control.state.hosts)
-            wait_ms = max(MIN_LISTING_MS, count * LISTING_MS_PER_HOST)
-            await self._clock.sleep_ms(wait_ms * self._rng.uniform(0.8, 1.2))
