--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,17 +1,14 @@
 """Accepted jobs end exactly once, whatever fails (P6)."""
 
 import asyncio
-from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 import pytest
 
-from bergamotgap.domain.records import Claimed, Ended, JobAccepted, JobTaken
-from bergamotgap.domain.work_state import WorkState
-from bergamotgap.node import record_keeper
-from bergamotgap.node.task_runs import RENEW_MS
+from bergamotgap.domain.records import Ended, JobAccepted
 from bergamotgap.node.work_errors import RequestRefusedError
 from tests.fakes_work import HOSTS, FakeFleet, settle
+from tests.job_cases import assert_counts, finish
 
 
 @pytest.fixture
@@ -25,28 +22,6 @@
         await fleet.kill(name)
 
 
-def assert_counts(fleet: FakeFleet) -> None:
-    """Every accepted job is open or has exactly one outcome, on every node."""
-    jobs = Counter(r.job for r in fleet.log.applied(Ended) if isinstance(r, Ended))
-    assert not [job for job, count in jobs.items() if count != 1]
-    for follower in fleet.log.followers:
-        counts = follower.state.counts
-        assert counts["accepted"] == counts["ended"] + counts["open"]
-
-
-async def wait_for(fleet: FakeFleet, is_met: Callable[[], bool]) -> None:
-    for _ in range(400):
-        if is_met():
-            return
-        await fleet.pass_ms(500)
-    raise AssertionError("the state was not reached")
-
-
-async def finish(fleet: FakeFleet, job: str) -> str | None:
-    await wait_for(fleet, lambda: fleet.outcome(job) is not None)
-    return fleet.outcome(job)
-
-
 @pytest.mark.parametrize("entry", ["tool-run", "rollup-invoice"])
 async def test_job_is_done_once_and_a_repeat_is_the_same_job(
     fleet: FakeFleet, entry: str
@@ -228,218 +203,6 @@
     assert len(fleet.log.applied(Ended)) == 1
 
 
-@pytest.mark.fault("crash", "queue")
-@pytest.mark.parametrize("entry", ["tool-run", "rollup-invoice"])
-async def test_queued_jobs_of_a_dead_host_are_taken_over(
-    fleet: FakeFleet, entry: str
-) -> None:
-    """Guards against accepted jobs that die with their owner."""
-    fleet.placers["a"].gate = asyncio.Event()
-    job = await fleet.submit("a", entry)
-    await settle()
-    await fleet.kill("a")
-    assert await finish(fleet, job) == "done"
-    (taken,) = fleet.log.applied(JobTaken)
-    assert isinstance(taken, JobTaken)
-    assert taken.node.startswith("b/")
-
-
-@pytest.mark.fault("crash", "queue")
-async def test_each_job_of_a_dead_host_is_taken_by_one_of_several(
-    fleet: FakeFleet,
-) -> None:
-    """Guards against all live hosts racing for every job, and against one for all."""
-    fleet.start("c")
-    fleet.start("d")
-    fleet.placers["a"].gate = asyncio.Event()
-    jobs = [await fleet.submit("a", "tool-run", request_id=f"r{i}") for i in range(40)]
-    await settle()
-    await fleet.kill("a")
-    assert [await finish(fleet, job) for job in jobs] == ["done"] * 40
-    tries = [r for r, _ in fleet.log.effects if isinstance(r, JobTaken)]
-    assert len(tries) == 40
-    assert {record.node[0] for record in tries} == {"b", "c", "d"}
-
-
-@pytest.mark.fault("lapsed_lease", "running")
-async def test_lease_is_renewed_while_the_job_runs(fleet: FakeFleet) -> None:
-    """Guards against a worker that stops a long job whose owner is alive."""
-    fleet.workers.gate = asyncio.Event()
-    await fleet.submit("a", "rollup-invoice")
-    for expected in range(1, 4):
-        await fleet.pass_ms(RENEW_MS + 500)
-        assert fleet.workers.renewals >= expected
-    fleet.workers.gate.set()
-
-
-@pytest.mark.fault("platform_down", "outcome_record")
-async def test_kept_outcomes_leave_large_results_to_the_worker(
-    fleet: FakeFleet, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against memory that grows with the results during an outage."""
-    monkeypatch.setattr(record_keeper, "MAX_KEPT_RESULT_BYTES", 100)
-    fleet.workers.answer_bytes = b"y" * 90
-    fleet.workers.before_order = lambda: setattr(fleet.log, "is_down", True)
-    job = await fleet.submit("a", "tool-run")
-    await fleet.pass_ms(2000)
-    fleet.log.is_down = False
-    assert await finish(fleet, job) == "done"
-    known = fleet.nodes["b"].jobs.find("nightly", job)
-    assert known is not None
-    assert known.ended is not None
-    assert known.ended.result_inline is None
-    async with fleet.nodes["b"].results.open(known.ended) as answer:
-        assert b"".join([c async for c in answer.chunks()]) == b"y" * 90
-
-
-@pytest.mark.fault("crash", "running")
-async def test_outstanding_claim_is_resolved_before_anything_else(
-    fleet: FakeFleet,
-) -> None:
-    """Guards against a new owner that runs a claimed job a second time."""
-    fleet.workers.gate = asyncio.Event()
-    job = await fleet.submit("a", "rollup-invoice")
-    await settle()
-    await fleet.kill("a")
-    await fleet.pass_ms(10_000)
-    assert fleet.outcome(job) is None
-    next(iter(fleet.workers.tasks.values())).state = "done"
-    assert await finish(fleet, job) == "done"
-    assert fleet.workers.starts[b"x"] == 1
-    assert len(fleet.log.applied(Claimed)) == 1
-
-
-@pytest.mark.fault("crash", "running")
-async def test_new_owner_stops_a_cancelled_job(fleet: FakeFleet) -> None:
-    """Guards against a cancellation that is lost with the owner."""
-    fleet.workers.gate = asyncio.Event()
-    job = await fleet.submit("a", "rollup-invoice")
-    await settle()
-    await fleet.kill("a")
-    known = fleet.nodes["b"].jobs.find("nightly", job)
-    assert known is not None
-    await fleet.nodes["b"].jobs.cancel(known)
-    assert await finish(fleet, job) == "cancelled"
-
-
-@pytest.mark.fault("freeze", "dispatch")
-async def test_dispatch_of_a_former_owner_starts_nothing(fleet: FakeFleet) -> None:
-    """Guards against a frozen owner whose bytes arrive after the takeover."""
-    fleet.workers.loses_order = True
-    fleet.workers.before_order = lambda: fleet.workers.unreachable.add("w1")
-    job = await fleet.submit("a", "rollup-invoice")
-    await settle()
-    fleet.freeze("a")
-    fleet.workers.loses_order = False
-    fleet.workers.before_order = lambda: None
-    fleet.workers.unreachable.clear()
-    host, order = fleet.workers.orders[0]
-    assert await finish(fleet, job) == "done"
-    with pytest.raises(Exception, match="cancelled"):
-        fleet.workers.start(host, order)
-    assert fleet.workers.starts[b"x"] == 1
-
-
-@pytest.mark.fault("freeze", "running")
-async def test_thawed_owner_stops_and_its_outcome_does_not_count(
-    fleet: FakeFleet,
-) -> None:
-    """Guards against two outcomes when a frozen owner comes back."""
-    fleet.workers.gate = asyncio.Event()
-    job = await fleet.submit("a", "tool-run")
-    await settle()
-    fleet.freeze("a")
-    await wait_for(fleet, lambda: len(fleet.log.applied(JobTaken)) == 1)
-    assert fleet.nodes["a"].jobs.owned == 0
-    fleet.workers.gate.set()
-    assert await finish(fleet, job) == "done"
-    (ended,) = fleet.log.applied(Ended)
-    assert isinstance(ended, Ended)
-    assert ended.ownership == 2
-
-
-@pytest.mark.fault("freeze", "queue")
-async def test_thawed_host_does_not_take_what_its_peers_still_own(
-    fleet: FakeFleet,
-) -> None:
-    """Guards against a paused host that takes its own silence for its peers' death."""
-    await fleet.pass_ms(2000)
-    fleet.placers["a"].gate = asyncio.Event()
-    await fleet.submit("a", "tool-run")
-    fleet.live.clear()
-    await fleet.clock.pass_ms(60_000)
-    fleet.live.add("b")
-    await fleet.pass_ms(1000)
-    assert fleet.log.applied(JobTaken) == []
-
-
-@pytest.mark.fault("cut_from_platform", "snapshot")
-async def test_jobs_are_driven_after_a_snapshot_covered_their_records(
-    fleet: FakeFleet,
-) -> None:
-    """Guards against an owned job that no driver learns of, and one driven for ever."""
-    stream = fleet.streams["a"]
-    fleet.placers["a"].gate = asyncio.Event()
-    lost = await fleet.submit("a", "tool-run", request_id="lost")
-    fleet.log.followers.remove(stream)
-    taken = JobTaken(lost, fleet.nodes["b"].node, 2, True)
-    accepted = JobAccepted(
-        "j", "nightly", "r", "tool-run", "", "d", 30_000, 1000, fleet.nodes["a"].node
-    )
-    for record in (taken, accepted):
-        await fleet.log.append(record, 1000)
-    fleet.placers["a"].gate = None
-    snapshot = WorkState.decode(fleet.log.reader.state.encode())
-    assert stream.load(snapshot, len(fleet.log.records))
-    fleet.log.followers.append(stream)
-    assert await finish(fleet, "j") == "done"
-    assert await finish(fleet, lost) == "done"
-    assert fleet.workers.starts[b"x"] == 1
-
-
-@pytest.mark.fault("crash", "start")
-@pytest.mark.parametrize("name", ["a", "c"])
-async def test_open_jobs_finish_after_a_restart_of_everything(
-    fleet: FakeFleet, name: str
-) -> None:
-    """Guards against jobs lost when no process that knew them is left."""
-    fleet.placers["a"].gate = asyncio.Event()
-    jobs = [
-        await fleet.submit("a", entry, request_id=entry)
-        for entry in ("tool-run", "rollup-invoice")
-    ]
-    for node in ("a", "b"):
-        await fleet.kill(node)
-    fleet.start(name, snapshot=fleet.log.reader.state.encode())
-    assert [await finish(fleet, job) for job in jobs] == ["done", "done"]
-
-
-@pytest.mark.fault("crash", "shutdown")
-async def test_leaving_host_hands_its_queue_over_and_finishes_the_rest(
-    fleet: FakeFleet,
-) -> None:
-    """Guards against jobs that wait for the death of a host that shuts down."""
-    fleet.workers.gate = asyncio.Event()
-    running = await fleet.submit("a", "rollup-invoice", request_id="running")
-    await settle()
-    fleet.placers["a"].gate = asyncio.Event()
-    queued = await fleet.submit("a", "tool-run", request_id="queued")
-    await settle()
-    leaving = asyncio.create_task(fleet.nodes["a"].leave(5_000))
-    await settle()
-    await fleet.pass_ms(3000)
-    takers = [
-        r.node[:1] for r in fleet.log.applied(JobTaken) if isinstance(r, JobTaken)
-    ]
-    assert takers == ["", "b"]
-    fleet.workers.gate.set()
-    await asyncio.wait({leaving})
-    assert await finish(fleet, queued) == "done"
-    assert await finish(fleet, running) == "done"
-    with pytest.raises(RequestRefusedError):
-        await fleet.submit("a", "tool-run", request_id="late")
-
-
 async def test_job_of_another_caller_looks_missing(fleet: FakeFleet) -> None:
     """Guards against a caller that learns of another caller's job."""
     job = await fleet.submit("a", "tool-run")
