Serve all operator routes with problems, diffs and progress

Cause: operators could only publish and dump; a malformed body gave a traceback, and the loser of a race got no diff.

The interface is split into the catalogue, waves, fleet views and problems; every error is problem+json with a stable code and the header Outcome. The state dump is built in node/dump.py.

--- a/src/bergamotgap/adapters/operator_http.py
+++ b/src/bergamotgap/adapters/operator_http.py
@@ -1,76 +1,101 @@
 """The operators' HTTP interface."""
 
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
 
-from bergamotgap.adapters.caller_auth import build_problem
+from bergamotgap.adapters.fleet_views import describe_hosts, describe_pools
+from bergamotgap.adapters.operator_catalogue import CatalogueRoutes
+from bergamotgap.adapters.operator_problems import answer_problems, read_limit
+from bergamotgap.adapters.operator_waves import WaveRoutes
+from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.control_state import ControlState
-from bergamotgap.domain.folding import Rejected
-from bergamotgap.domain.records import CataloguePublished
-from bergamotgap.node.streams import (
-    AppendRefusedError,
-    AppendUnknownError,
-    Stream,
-)
+from bergamotgap.node.streams import Stream
 from bergamotgap.node.writer import StreamWriter
+from bergamotgap.ports.worker import WorkerStatus
 
-APPEND_TIMEOUT_MS = 10_000
+# A document of the largest size, with each of its characters escaped once.
+MAX_BODY_BYTES = (1 << 20) + (64 << 10)
+
+
+def list_no_jobs() -> Mapping[str, Any]:
+    """Return the answer of a node that keeps no jobs."""
+    return {"counts": {}, "recent": []}
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSources:
+    """Where the operators' interface reads what it shows.
+
+    `list_nodes` gives this entry host and its peers; `read_status` the last status
+    of a worker; `list_jobs` gives `counts` by state and `recent`, the newest first.
+    """
+
+    control: Stream[ControlState]
+    writer: StreamWriter
+    clock: Clock
+    dump: Callable[[], Mapping[str, Any]]
+    is_ready: Callable[[], bool]
+    list_nodes: Callable[[], list[dict[str, Any]]]
+    read_status: Callable[[str], WorkerStatus | None]
+    list_jobs: Callable[[], Mapping[str, Any]] = list_no_jobs
 
 
 class OperatorApi:
-    """Serve operators: catalogue, state dump, health."""
-
-    def __init__(
-        self,
-        control: Stream[ControlState],
-        control_writer: StreamWriter,
-        dump: Any,
-        is_ready: Any,
-    ) -> None:
-        self._control = control
-        self._writer = control_writer
-        self._dump = dump
-        self._is_ready = is_ready
+    """Serve operators: catalogue, waves, views of the fleet, state dump, health."""
+
+    def __init__(self, sources: OperatorSources) -> None:
+        self._sources = sources
 
     def build_app(self) -> web.Application:
         """Return the application."""
-        app = web.Application(client_max_size=1 << 20)
-        app.router.add_get("/v1/catalogue", self._get_catalogue)
-        app.router.add_post("/v1/catalogue", self._publish)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[answer_problems]
+        )
+        sources = self._sources
+        CatalogueRoutes(sources.control, sources.writer).add_to(app)
+        WaveRoutes(sources.control, sources.writer).add_to(app)
+        app.router.add_get("/v1/pools", self._get_pools)
+        app.router.add_get("/v1/hosts", self._get_hosts)
+        app.router.add_get("/v1/nodes", self._get_nodes)
+        app.router.add_get("/v1/jobs", self._get_jobs)
         app.router.add_get("/v1/dump", self._get_dump)
-        app.router.add_get("/healthz", self._live)
-        app.router.add_get("/readyz", self._ready)
+        app.router.add_get("/healthz", self._get_health)
+        app.router.add_get("/readyz", self._get_readiness)
         return app
 
-    async def _get_catalogue(self, request: web.Request) -> web.Response:
-        state = self._control.state
-        revision = state.revisions.get(state.revision)
-        document = revision.document if revision else ""
-        return web.json_response({"revision": state.revision, "document": document})
-
-    async def _publish(self, request: web.Request) -> web.Response:
-        payload = await request.json()
-        base = int(payload["base_revision"])
-        record = CataloguePublished(
-            base + 1, base, payload["document"], payload["operator"]
+    async def _get_pools(self, request: web.Request) -> web.Response:
+        pools = describe_pools(self._sources.control.state)
+        return web.json_response({"pools": pools})
+
+    async def _get_hosts(self, request: web.Request) -> web.Response:
+        """Answer with all hosts, or those of the query's `pool`."""
+        hosts = describe_hosts(
+            self._sources.control.state,
+            self._sources.read_status,
+            self._sources.clock.monotonic_ms(),
         )
-        try:
-            effect = await self._writer.append(record, APPEND_TIMEOUT_MS)
-        except AppendRefusedError as error:
-            return build_problem(503, "platform_unavailable", "not_run", str(error))
-        except AppendUnknownError as error:
-            return build_problem(504, "publish_unknown", "unknown", str(error))
-        if isinstance(effect, Rejected):
-            return build_problem(409, effect.code, "not_run", effect.detail)
-        return web.json_response({"revision": base + 1})
+        pool = request.query.get("pool")
+        shown = [host for host in hosts if pool is None or host["pool"] == pool]
+        return web.json_response({"hosts": shown})
+
+    async def _get_nodes(self, request: web.Request) -> web.Response:
+        return web.json_response({"nodes": self._sources.list_nodes()})
+
+    async def _get_jobs(self, request: web.Request) -> web.Response:
+        limit = read_limit(request)
+        jobs = self._sources.list_jobs()
+        recent = list(jobs["recent"])[:limit]
+        return web.json_response({"counts": dict(jobs["counts"]), "recent": recent})
 
     async def _get_dump(self, request: web.Request) -> web.Response:
-        return web.json_response(self._dump())
+        return web.json_response(self._sources.dump())
 
-    async def _live(self, request: web.Request) -> web.Response:
+    async def _get_health(self, request: web.Request) -> web.Response:
         return web.json_response({"live": True})
 
-    async def _ready(self, request: web.Request) -> web.Response:
-        is_ready = self._is_ready()
+    async def _get_readiness(self, request: web.Request) -> web.Response:
+        is_ready = self._sources.is_ready()
         return web.json_response({"ready": is_ready}, status=200 if is_ready else 503)
--- /dev/null
+++ b/src/bergamotgap/adapters/operator_problems.py
@@ -0,0 +1,103 @@
+"""Errors of the operators' interface, as problem+json with stable codes."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from aiohttp import web
+from pydantic import BaseModel, ValidationError
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.problems import list_field_problems
+
+DEFAULT_LIST_LIMIT = 50
+MAX_LIST_LIMIT = 1000
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+M = TypeVar("M", bound=BaseModel)
+
+log = get_logger(__name__)
+
+
+class ProblemError(Exception):
+    """A call is answered with a problem; `outcome` tells whether it took effect."""
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        detail: str = "",
+        outcome: str = "not_run",
+        **members: Any,
+    ) -> None:
+        super().__init__(f"{code}: {detail}")
+        self.status = status
+        self.code = code
+        self.detail = detail
+        self.outcome = outcome
+        self.members = members
+
+    def build_response(self) -> web.Response:
+        """Return the answer."""
+        payload = {
+            "type": "about:blank",
+            "status": self.status,
+            "code": self.code,
+            "detail": self.detail,
+            **self.members,
+        }
+        return web.json_response(
+            payload,
+            status=self.status,
+            content_type="application/problem+json",
+            headers={"Outcome": self.outcome},
+        )
+
+
+@web.middleware
+async def answer_problems(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Turn every error into problem+json; unexpected ones are logged."""
+    try:
+        return await handler(request)
+    except ProblemError as error:
+        return error.build_response()
+    except web.HTTPException as error:
+        if error.status < 400:
+            raise
+        code = (error.reason or "error").lower().replace(" ", "_")
+        response = ProblemError(error.status, code, error.text or "").build_response()
+        if "Allow" in error.headers:
+            response.headers["Allow"] = error.headers["Allow"]
+        return response
+    except Exception:
+        log.exception("operator call failed", method=request.method, path=request.path)
+        # The call may have appended a record before it failed.
+        outcome = "not_run" if request.method == "GET" else "unknown"
+        return ProblemError(500, "internal_error", "", outcome).build_response()
+
+
+async def read_body(request: web.Request, model: type[M]) -> M:
+    """Return the checked JSON body; raises ProblemError with all field errors."""
+    body = await request.read()
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as error:
+        found = list_field_problems(model, error)
+    problems = [str(problem) for problem in found]
+    raise ProblemError(400, "malformed_body", "; ".join(problems), problems=problems)
+
+
+def read_limit(request: web.Request) -> int:
+    """Return the query's `limit`, within bounds."""
+    text = request.query.get("limit", str(DEFAULT_LIST_LIMIT))
+    limit = read_number(text, "limit", MAX_LIST_LIMIT)
+    if limit == 0:
+        raise ProblemError(400, "malformed_number", "limit: value 0: at least 1")
+    return limit
+
+
+def read_number(text: str, name: str, highest: int) -> int:
+    """Return a number from 0 to `highest`."""
+    if text.isascii() and text.isdigit() and len(text) <= 18 and int(text) <= highest:
+        return int(text)
+    detail = f"{name}: value {text[:40]!r}: allowed: a whole number 0 to {highest}"
+    raise ProblemError(400, "malformed_number", detail)
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -15,7 +15,7 @@
     build_request_middleware,
     serve_metrics,
 )
-from bergamotgap.adapters.operator_http import OperatorApi
+from bergamotgap.adapters.operator_http import OperatorApi, OperatorSources
 from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.adapters.worker_http import HttpWorkerClient
@@ -24,6 +24,7 @@
 from bergamotgap.domain.work_state import WorkState
 from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
+from bergamotgap.node.dump import DumpSources, build_dump, list_nodes, read_status
 from bergamotgap.node.following import Follower
 from bergamotgap.node.gauges import register_fleet_gauges, register_stream_gauges
 from bergamotgap.node.membership import Membership, PeerView
@@ -83,11 +84,8 @@
         self._start("workers", workers.run)
         self._start("planner", self._planner.run)
         await self._serve_callers(dispatcher)
-        operators = OperatorApi(self._control, writer, self.dump, self.is_ready)
         self._register_gauges(writer)
-        operator_app = operators.build_app()
-        operator_app.router.add_get("/metrics", serve_metrics)
-        await self._serve(operator_app, self._settings.operator_address)
+        await self._serve_operators(writer, workers, admission)
         log.info("node started", caller_address=self._settings.caller_address)
         return self
 
@@ -169,6 +167,35 @@
         callers.add_routes(app)
         await self._serve(app, self._settings.caller_address)
 
+    async def _serve_operators(
+        self, writer: StreamWriter, workers: Workers, admission: Admission
+    ) -> None:
+        sources = DumpSources(
+            clock=self._clock,
+            control=self._control,
+            followers=self._followers,
+            membership=self._membership,
+            platform=self._platform,
+            workers=workers,
+            admission=admission,
+            is_ready=self.is_ready,
+        )
+        self._dump_sources = sources
+        operators = OperatorApi(
+            OperatorSources(
+                control=self._control,
+                writer=writer,
+                clock=self._clock,
+                dump=self.dump,
+                is_ready=self.is_ready,
+                list_nodes=lambda: list_nodes(sources),
+                read_status=lambda host: read_status(workers, host),
+            )
+        )
+        app = operators.build_app()
+        app.router.add_get("/metrics", serve_metrics)
+        await self._serve(app, self._settings.operator_address)
+
     def _register_gauges(self, writer: StreamWriter) -> None:
         register_stream_gauges(
             self._metrics, (self._control, self._work), [("control", writer)]
@@ -217,35 +244,4 @@
 
     def dump(self) -> dict[str, Any]:
         """Return what this process believes and how old each belief is."""
-        now_ms = self._clock.monotonic_ms()
-        state = self._control.state
-        return {
-            "node_id": self._settings.node_id,
-            "incarnation_ms": self._info.incarnation_ms,
-            "is_ready": self.is_ready(),
-            "platform": {
-                "is_reachable": self._platform.is_reachable,
-                "age_ms": now_ms - self._platform.changed_ms,
-            },
-            "streams": {
-                follower.stream.name: {
-                    "next_offset": follower.stream.next_offset,
-                    "age_ms": follower.stream.age_ms,
-                    "source": follower.source,
-                    "halt_reason": follower.stream.halt_reason,
-                }
-                for follower in self._followers
-            },
-            "peers": [
-                {
-                    "node_id": peer.node_id,
-                    "is_live": self._membership.is_live(peer.node_id),
-                    "age_ms": now_ms - peer.heard_ms,
-                    "catalogue_revision": peer.catalogue_revision,
-                    "control_offset": peer.control_offset,
-                }
-                for peer in self._membership.list_known()
-            ],
-            "catalogue_revision": state.revision,
-            "hosts": len(state.hosts),
-        }
+        return build_dump(self._dump_sources)
