Add the operators' commands and generate the flags of serve

Cause: the binary had only `serve`, with 8 of 17 settings as flags.

Commands: catalogue check, publish, show, diff and history; maintenance declare, list and cancel; status; dump. Tables by default, JSON for programs, documented exit codes. A publication or wave with an unknown outcome is looked up before anything is said. The options of `serve` are generated from Settings, so they can't drift; values are checked by Settings alone, so every wrong setting gives the same one line with name, value and allowed range, and exit code 2. Equal addresses, a peer list that contains the process itself and an unspecified peer address are refused.

Ruled out: typed typer options, whose errors are boxes of several lines that name only the first wrong value.

With the address check disabled, and with a check that ignores unspecified addresses, the tests of the settings failed.

--- /dev/null
+++ b/src/bergamotgap/cli/documents.py
@@ -0,0 +1,67 @@
+"""Catalogue files, with the header comment that names a file's revision."""
+
+import os
+import re
+from pathlib import Path
+
+from bergamotgap.cli.exits import EXIT_REFUSED, EXIT_USAGE, CommandError
+from bergamotgap.domain.catalogue import (
+    MAX_CATALOGUE_BYTES,
+    Catalogue,
+    CatalogueError,
+    parse_catalogue,
+)
+
+HEADER = re.compile(r"\A# revision: (\d{1,9})[ \t]*(?:\r?\n|\Z)")
+
+
+def read_document(file: Path) -> str:
+    """Return a file's text, with its line ends; raises CommandError."""
+    try:
+        with file.open("rb") as opened:
+            # One byte above the limit is enough for the check to refuse the file.
+            content = opened.read(2 * MAX_CATALOGUE_BYTES)
+        return content.decode()
+    except OSError as error:
+        detail = f"{file}: {error.strerror}"
+        raise CommandError(EXIT_USAGE, "unreadable_file", detail) from error
+    except UnicodeDecodeError as error:
+        detail = f"{file}: byte {error.start}: not UTF-8"
+        raise CommandError(EXIT_REFUSED, "invalid_catalogue", detail) from error
+
+
+def write_document(file: Path, text: str) -> None:
+    """Replace a file at once, so that a full disk can't leave half of it."""
+    temporary = file.with_name(f".{file.name}.{os.getpid()}")
+    try:
+        temporary.write_bytes(text.encode())
+        temporary.replace(file)
+    except OSError as error:
+        temporary.unlink(missing_ok=True)
+        detail = f"{file}: not written: {error.strerror}"
+        raise CommandError(EXIT_USAGE, "unwritable_file", detail) from error
+
+
+def split_header(text: str) -> tuple[int | None, str]:
+    """Return the revision that the header names, if any, and the rest."""
+    match = HEADER.match(text)
+    if match is None:
+        return None, text
+    return int(match.group(1)), text[match.end() :]
+
+
+def join_header(revision: int, document: str) -> str:
+    """Return the document with a header that names its revision."""
+    return f"# revision: {revision}\n{document}"
+
+
+def parse_document(document: str, file: Path) -> Catalogue:
+    """Check a document; raises CommandError with all problems, a line for each."""
+    try:
+        return parse_catalogue(document, str(file))
+    except CatalogueError as error:
+        problems = [str(problem) for problem in error.problems]
+        payload = {"file": str(file), "problems": problems}
+        raise CommandError(
+            EXIT_REFUSED, "invalid_catalogue", str(error), payload
+        ) from error
--- /dev/null
+++ b/src/bergamotgap/cli/exits.py
@@ -0,0 +1,38 @@
+"""Exit codes of the commands, and the error that carries one."""
+
+from collections.abc import Mapping
+from typing import Any
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_UNKNOWN = 4
+
+EXIT_CODES_HELP = (
+    "Exit codes: 0 done; 1 refused or invalid; 2 wrong usage or setting; "
+    "3 entry host not reachable, nothing was changed; "
+    "4 outcome unknown or not confirmed in time."
+)
+
+
+class CommandError(Exception):
+    """A command ends with an exit code; `code` is stable, `detail` is for people.
+
+    `text` is printed to standard output before the detail, such as a diff.
+    """
+
+    def __init__(
+        self,
+        exit_code: int,
+        code: str,
+        detail: str,
+        payload: Mapping[str, Any] | None = None,
+        text: str = "",
+    ) -> None:
+        super().__init__(detail)
+        self.exit_code = exit_code
+        self.code = code
+        self.detail = detail
+        self.payload = dict(payload or {})
+        self.text = text
--- a/src/bergamotgap/cli/main.py
+++ b/src/bergamotgap/cli/main.py
@@ -2,14 +2,23 @@
 
 import typer
 
-from bergamotgap.cli.serve import serve
+from bergamotgap.cli import catalogue, maintenance
+from bergamotgap.cli.exits import EXIT_CODES_HELP
+from bergamotgap.cli.serve import build_serve
+from bergamotgap.cli.status import dump, status
 
 app = typer.Typer(
     name="bergamotgap",
     help="Manage fleet capacity and maintenance.",
+    epilog=EXIT_CODES_HELP,
     no_args_is_help=True,
+    pretty_exceptions_show_locals=False,
 )
-app.command()(serve)
+app.command(name="serve")(build_serve())
+app.add_typer(catalogue.app, name="catalogue")
+app.add_typer(maintenance.app, name="maintenance")
+app.command(epilog=EXIT_CODES_HELP)(status)
+app.command(epilog=EXIT_CODES_HELP)(dump)
 
 
 @app.callback()
--- /dev/null
+++ b/src/bergamotgap/cli/operator.py
@@ -0,0 +1,28 @@
+"""Who is running a command."""
+
+import getpass
+from typing import Annotated
+
+import typer
+
+from bergamotgap.cli.exits import EXIT_USAGE, CommandError
+
+OperatorOption = Annotated[
+    str | None,
+    typer.Option(
+        "--operator",
+        envvar="BERGAMOTGAP_OPERATOR",
+        help="your name in the history; the login name by default",
+    ),
+]
+
+
+def name_operator(given: str | None) -> str:
+    """Return the given name or the login name; raises CommandError without either."""
+    if given:
+        return given
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError) as error:
+        detail = "the login name is not known; pass --operator NAME"
+        raise CommandError(EXIT_USAGE, "no_operator", detail) from error
--- /dev/null
+++ b/src/bergamotgap/cli/publishing.py
@@ -0,0 +1,139 @@
+"""Publish a document, find out what became of it, and wait until it is in force."""
+
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from bergamotgap.cli.client import (
+    Answer,
+    OperatorClient,
+    OutcomeUnknownError,
+    build_refusal,
+)
+from bergamotgap.cli.exits import EXIT_REFUSED, EXIT_UNKNOWN, CommandError
+from bergamotgap.domain.document_diff import build_diff
+
+POLL_S = 0.5
+# The record may still reach the log after the entry host gave up on it.
+LOOKUP_ATTEMPTS = 20
+CONFLICT = 409
+
+
+def publish_document(
+    client: OperatorClient, document: str, base: int, operator: str
+) -> int:
+    """Publish and return the revision; raises CommandError.
+
+    When the outcome is unknown, the revision is looked up before anything is said.
+    """
+    body = {"base_revision": base, "document": document, "operator": operator}
+    try:
+        answer = client.change("POST", "/v1/catalogue", body)
+    except OutcomeUnknownError as error:
+        found = _look_up(client, base + 1)
+        if found is None:
+            raise _build_unknown(base, error.detail) from error
+        if found["document"] == document and found["operator"] == operator:
+            return base + 1
+        current = client.get("/v1/catalogue")
+        raise _build_conflict(current, document, base) from error
+    if answer.status == CONFLICT and answer.code == "revision_conflict":
+        return _judge_conflict(answer)
+    if not answer.is_ok:
+        raise build_refusal(answer)
+    return int(answer.payload["revision"])
+
+
+def _look_up(client: OperatorClient, revision: int) -> dict[str, Any] | None:
+    for _ in range(LOOKUP_ATTEMPTS):
+        try:
+            answer = client.fetch(f"/v1/catalogue/{revision}")
+        except CommandError:
+            answer = None
+        if answer is not None and answer.is_ok:
+            found: dict[str, Any] = answer.payload
+            return found
+        time.sleep(POLL_S)
+    return None
+
+
+def _build_unknown(base: int, detail: str) -> CommandError:
+    text = (
+        f"it is not known whether the publication took effect, and no revision "
+        f"{base + 1} was found: {detail}; look again with `catalogue show {base + 1}`, "
+        f"at another entry host if need be, before you publish again"
+    )
+    return CommandError(EXIT_UNKNOWN, "outcome_unknown", text)
+
+
+def _build_conflict(current: dict[str, Any], document: str, base: int) -> CommandError:
+    revision = current["revision"]
+    old_name = f"revision {revision}, in force"
+    new_name = f"refused, based on revision {base}"
+    payload = {
+        "revision_in_force": revision,
+        "operator_in_force": current["operator"],
+        "diff": build_diff(current["document"], document, old_name, new_name),
+    }
+    return _build_race_error(payload)
+
+
+def _judge_conflict(answer: Answer) -> int:
+    """Return the revision in force if it has the same text; else raise."""
+    if answer.payload["diff"] == "":
+        return int(answer.payload["revision_in_force"])
+    raise _build_race_error(answer.payload)
+
+
+def _build_race_error(payload: dict[str, Any]) -> CommandError:
+    revision = payload["revision_in_force"]
+    detail = (
+        f"refused: revision {revision} by {payload['operator_in_force']} is in force; "
+        f"bring the changes above into it and publish with --base {revision}"
+    )
+    text = payload["diff"]
+    return CommandError(EXIT_REFUSED, "revision_conflict", detail, payload, text)
+
+
+def wait_until_in_force(
+    client: OperatorClient, revision: int, timeout_s: float
+) -> tuple[str, ...]:
+    """Return all live entry hosts once each reports the revision or a later one.
+
+    Raises CommandError that names those which don't when the time is over.
+    """
+    deadline_s = time.monotonic() + timeout_s
+    while True:
+        reported, missing = _read_nodes(client, revision)
+        if reported and not missing:
+            return reported
+        if time.monotonic() >= deadline_s:
+            break
+        time.sleep(POLL_S)
+    detail = (
+        f"revision {revision} is accepted, but after {timeout_s:g} s not reported by "
+        f"{', '.join(missing) or client.server}"
+    )
+    payload = {"revision": revision, "in_force_on": reported, "missing": missing}
+    raise CommandError(EXIT_UNKNOWN, "not_in_force_everywhere", detail, payload)
+
+
+def _read_nodes(
+    client: OperatorClient, revision: int
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the live entry hosts that report the revision, and the others."""
+    try:
+        nodes = client.get("/v1/nodes")["nodes"]
+    except CommandError:
+        # The revision is accepted, so an entry host that is gone is no refusal.
+        return (), ()
+    return _split_nodes(nodes, revision)
+
+
+def _split_nodes(
+    nodes: Iterable[dict[str, Any]], revision: int
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    live = [node for node in nodes if node["is_live"]]
+    has = {n["node_id"]: n["catalogue_revision"] >= revision for n in live}
+    reported = tuple(name for name, is_there in has.items() if is_there)
+    return reported, tuple(name for name, is_there in has.items() if not is_there)
--- a/src/bergamotgap/cli/serve.py
+++ b/src/bergamotgap/cli/serve.py
@@ -1,58 +1,104 @@
 """The `serve` command: run one entry host."""
 
 import asyncio
+import inspect
+import json
 import signal
-from typing import Annotated
+from collections.abc import Callable
+from typing import Annotated, Any
 
 import typer
-import uvloop
-
-from bergamotgap.adapters.logs import configure_logs
-from bergamotgap.domain.clock import SystemClock
-from bergamotgap.node.node import Node
-from bergamotgap.node.settings import Settings, SettingsError, build_settings
-
-EXIT_USAGE = 2
-
-
-def serve(
-    node_id: Annotated[str, typer.Option(envvar="BERGAMOTGAP_NODE_ID")],
-    data_centre: Annotated[str, typer.Option(envvar="BERGAMOTGAP_DATA_CENTRE")],
-    caller_address: Annotated[str, typer.Option(envvar="BERGAMOTGAP_CALLER_ADDRESS")],
-    operator_address: Annotated[
-        str, typer.Option(envvar="BERGAMOTGAP_OPERATOR_ADDRESS")
-    ],
-    peer_address: Annotated[str, typer.Option(envvar="BERGAMOTGAP_PEER_ADDRESS")],
-    platform_url: Annotated[str, typer.Option(envvar="BERGAMOTGAP_PLATFORM_URL")],
-    peers: Annotated[
-        str, typer.Option(envvar="BERGAMOTGAP_PEERS", help="ip:port,ip:port,...")
-    ] = "",
-    log_level: Annotated[str, typer.Option(envvar="BERGAMOTGAP_LOG_LEVEL")] = "info",
-) -> None:
-    """Run one entry host until SIGTERM or SIGINT."""
-    values: dict[str, object] = {
-        "node_id": node_id,
-        "data_centre": data_centre,
-        "caller_address": caller_address,
-        "operator_address": operator_address,
-        "peer_address": peer_address,
-        "platform_url": platform_url,
-        "peers": tuple(part for part in peers.split(",") if part),
-        "log_level": log_level,
-    }
+from pydantic.fields import FieldInfo
+
+from bergamotgap.cli.exits import EXIT_USAGE
+from bergamotgap.node.settings import (
+    Settings,
+    SettingsError,
+    build_settings,
+    name_flag,
+    name_variable,
+)
+
+HELP = """Run one entry host until SIGTERM or SIGINT.
+
+Every setting is a flag and an environment variable. SIGUSR1 logs a state dump.
+
+Example: bergamotgap serve --node-id entry-1 --data-centre riga-1
+--caller-address 10.0.0.1:7000 --operator-address 10.0.0.1:7001
+--peer-address 10.0.0.1:7002 --platform-url http://10.0.0.9:8000
+--peers 10.0.0.2:7002,10.0.0.3:7002
+"""
+
+
+def build_serve() -> Callable[..., None]:
+    """Return the command, with one option for each field of Settings."""
+
+    def serve(**values: str | None) -> None:
+        _serve({name: value for name, value in values.items() if value is not None})
+
+    parameters = [
+        _build_parameter(name, field) for name, field in Settings.model_fields.items()
+    ]
+    serve.__doc__ = HELP
+    serve.__annotations__ = {p.name: p.annotation for p in parameters}
+    serve.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
+    return serve
+
+
+def _build_parameter(name: str, field: FieldInfo) -> inspect.Parameter:
+    # Values stay text here, so that all problems are reported in one way, by Settings.
+    default = "required" if field.is_required() else _format_default(field.default)
+    option = typer.Option(
+        name_flag(name),
+        envvar=name_variable(name),
+        help=field.description,
+        show_default=default,
+        metavar="VALUE",
+    )
+    return inspect.Parameter(
+        name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=None,
+        annotation=Annotated[str | None, option],
+    )
+
+
+def _format_default(value: Any) -> str:
+    return ",".join(value) or "none" if isinstance(value, tuple) else str(value)
+
+
+def _serve(values: dict[str, str]) -> None:
+    checked: dict[str, object] = dict(values)
+    if "peers" in values:
+        parts = (part.strip() for part in values["peers"].split(","))
+        checked["peers"] = tuple(part for part in parts if part)
     try:
-        settings = build_settings(values)
+        settings = build_settings(checked)
     except SettingsError as error:
         typer.echo(f"bergamotgap: {error}", err=True)
         raise typer.Exit(EXIT_USAGE) from error
+    # The operators' commands must not pay for loading the entry host.
+    import uvloop
+
+    from bergamotgap.adapters.logs import configure_logs
+
     configure_logs(settings.log_level, node=settings.node_id)
     uvloop.run(_run(settings))
 
 
 async def _run(settings: Settings) -> None:
+    from bergamotgap.adapters.logs import get_logger
+    from bergamotgap.domain.clock import SystemClock
+    from bergamotgap.node.node import Node
+
+    log = get_logger(__name__)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    async with Node(settings, SystemClock()):
+    async with Node(settings, SystemClock()) as node:
+        loop.add_signal_handler(
+            signal.SIGUSR1,
+            lambda: log.info("state dump", dump=json.dumps(node.dump())),
+        )
         await stop.wait()
--- a/src/bergamotgap/node/settings.py
+++ b/src/bergamotgap/node/settings.py
@@ -1,33 +1,56 @@
 """Settings of one entry host process, checked at start."""
 
 import ipaddress
-from typing import Annotated
+from typing import Annotated, Any, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from bergamotgap.domain.problems import Problem, list_field_problems
+
 MAX_PORT = 65_535
+ENVIRONMENT_PREFIX = "BERGAMOTGAP_"
+ADDRESS_RANGE = f"must be IP:PORT with a numeric IP address and a port 1 to {MAX_PORT}"
 
+Endpoint = tuple[ipaddress.IPv4Address | ipaddress.IPv6Address, int]
 
-def _check_address(value: str) -> str:
+
+def parse_address(value: str) -> Endpoint:
+    """Return IP address and port of IP:PORT or [IP]:PORT; raises ValueError."""
     host, _, port = value.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
     try:
-        ipaddress.ip_address(host.strip("[]"))
+        ip = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+        number = int(port) if port.isascii() and port.isdigit() else 0
     except ValueError:
-        raise ValueError("must be IP:PORT with a numeric IP address") from None
-    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"port must be a number from 1 to {MAX_PORT}")
+        raise ValueError(ADDRESS_RANGE) from None
+    if (ip.version == 6) != is_bracketed or not 0 < number <= MAX_PORT:
+        raise ValueError(ADDRESS_RANGE)
+    return ip, number
+
+
+def _check_address(value: str) -> str:
+    parse_address(value)
     return value
 
 
 def _check_url(value: str) -> str:
+    try:
+        parse_address(value.removeprefix("http://").rstrip("/"))
+    except ValueError:
+        raise ValueError(f"{ADDRESS_RANGE}, after http://") from None
     if not value.startswith("http://"):
         raise ValueError("must be http://IP:PORT")
-    _check_address(value.removeprefix("http://").rstrip("/"))
     return value
 
 
-Address = Annotated[str, AfterValidator(_check_address)]
-Url = Annotated[str, AfterValidator(_check_url)]
+Address = Annotated[
+    str, AfterValidator(_check_address), Field(json_schema_extra={"format": "IP:PORT"})
+]
+Url = Annotated[
+    str,
+    AfterValidator(_check_url),
+    Field(json_schema_extra={"format": "http://IP:PORT"}),
+]
 NodeId = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
@@ -40,41 +63,125 @@
 
     model_config = ConfigDict(frozen=True, extra="forbid")
 
-    node_id: NodeId
-    data_centre: NodeId
-    rack: NodeId = "rack-1"
-    caller_address: Address
-    operator_address: Address
-    peer_address: Address
-    platform_url: Url
-    peers: tuple[Address, ...] = ()
-    max_body_bytes: int = Field(default=16 << 20, ge=1024, le=1 << 30)
-    max_job_body_bytes: int = Field(default=64 << 10, ge=1024, le=512 << 10)
-    max_queue_ms: int = Field(default=30_000, ge=10, le=3_600_000)
-    batch_ms: int = Field(default=5, ge=0, le=1000)
-    shutdown_ms: int = Field(default=30_000, ge=0, le=3_600_000)
-    progress_ms: int = Field(default=5000, ge=50, le=600_000)
-    snapshot_records: int = Field(default=2000, ge=10, le=1_000_000)
-    snapshot_age_ms: int = Field(default=1_200_000, ge=1000, le=86_400_000)
-    log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
+    node_id: NodeId = Field(description="unique name of this entry host")
+    data_centre: NodeId = Field(description="data centre that this host is in")
+    rack: NodeId = Field(default="rack-1", description="rack that this host is in")
+    caller_address: Address = Field(description="IP:PORT to listen on for callers")
+    operator_address: Address = Field(description="IP:PORT to listen on for operators")
+    peer_address: Address = Field(
+        description="IP:PORT to listen on for the other entry hosts, which call it"
+    )
+    platform_url: Url = Field(description="http://IP:PORT of the platform")
+    peers: tuple[Address, ...] = Field(
+        default=(),
+        description="peer addresses of other entry hosts, IP:PORT,IP:PORT,...",
+    )
+    max_body_bytes: int = Field(
+        default=16 << 20, ge=1024, le=1 << 30, description="largest request body"
+    )
+    max_job_body_bytes: int = Field(
+        default=64 << 10, ge=1024, le=512 << 10, description="largest body of a job"
+    )
+    max_queue_ms: int = Field(
+        default=30_000, ge=10, le=3_600_000, description="longest wait in a queue"
+    )
+    batch_ms: int = Field(
+        default=5, ge=0, le=1000, description="time in which records are batched"
+    )
+    shutdown_ms: int = Field(
+        default=30_000, ge=0, le=3_600_000, description="longest time to finish work"
+    )
+    progress_ms: int = Field(
+        default=5000,
+        ge=50,
+        le=600_000,
+        description="time without progress after which a connection is abandoned",
+    )
+    snapshot_records: int = Field(
+        default=2000, ge=10, le=1_000_000, description="records between snapshots"
+    )
+    snapshot_age_ms: int = Field(
+        default=1_200_000,
+        ge=1000,
+        le=86_400_000,
+        description="age of a snapshot, at most a third of the log's retention",
+    )
+    log_level: Literal["debug", "info", "warning", "error"] = Field(
+        default="info", description="debug, info, warning or error"
+    )
+
+
+def name_flag(field: str) -> str:
+    """Return the flag of a setting."""
+    return f"--{field.replace('_', '-')}"
+
+
+def name_variable(field: str) -> str:
+    """Return the environment variable of a setting."""
+    return f"{ENVIRONMENT_PREFIX}{field.upper()}"
 
 
 def build_settings(values: dict[str, object]) -> Settings:
     """Check the values; raises SettingsError with one line for all problems."""
     try:
-        return Settings.model_validate(values)
+        settings = Settings.model_validate(values)
     except ValidationError as error:
-        problems = [_describe_problem(dict(item)) for item in error.errors()]
-        raise SettingsError("; ".join(problems)) from error
+        raise _build_error(list_field_problems(Settings, error)) from error
+    problems = _list_address_problems(settings)
+    if problems:
+        raise _build_error(problems)
+    return settings
 
 
-def _describe_problem(item: dict[str, object]) -> str:
-    location = item["loc"]
-    path = (
-        ".".join(str(part) for part in location)
-        if isinstance(location, tuple)
-        else str(location)
+def _build_error(problems: list[Problem]) -> SettingsError:
+    return SettingsError("; ".join(_describe_problem(problem) for problem in problems))
+
+
+def _describe_problem(problem: Problem) -> str:
+    name, bracket, rest = problem.path.partition("[")
+    return (
+        f"setting {name_flag(name)}{bracket}{rest}: "
+        f"value {problem.value}: {problem.allowed}"
     )
-    name = path.replace("_", "-")
-    message = str(item["msg"]).removeprefix("Value error, ")
-    return f"setting --{name}: value {item.get('input')!r}: {message}"
+
+
+def _list_address_problems(settings: Settings) -> list[Problem]:
+    """Return addresses that name the same endpoint twice."""
+    problems: list[Problem] = []
+    if parse_address(settings.peer_address)[0].is_unspecified:
+        allowed = "must be an address that other entry hosts can call"
+        problems.append(_build_problem("peer_address", settings.peer_address, allowed))
+    taken: list[tuple[str, Endpoint]] = []
+    for name, value in _list_addresses(settings):
+        endpoint = parse_address(value)
+        equal = next((n for n, e in taken if _is_same(e, endpoint)), None)
+        if equal is not None:
+            allowed = f"must differ from {_describe_address(equal)}"
+            problems.append(_build_problem(name, value, allowed))
+        taken.append((name, endpoint))
+    return problems
+
+
+def _list_addresses(settings: Settings) -> list[tuple[str, str]]:
+    own: list[tuple[str, Any]] = [
+        (name, getattr(settings, name))
+        for name in ("caller_address", "operator_address", "peer_address")
+    ]
+    platform = settings.platform_url.removeprefix("http://").rstrip("/")
+    peers = [(f"peers[{i}]", value) for i, value in enumerate(settings.peers)]
+    return [*own, ("platform_url", platform), *peers]
+
+
+def _is_same(one: Endpoint, other: Endpoint) -> bool:
+    is_any = one[0].is_unspecified or other[0].is_unspecified
+    return one[1] == other[1] and (one[0] == other[0] or is_any)
+
+
+def _describe_address(name: str) -> str:
+    if name == "peer_address":
+        return f"{name_flag(name)}, which is this process"
+    return name_flag(name)
+
+
+def _build_problem(name: str, value: str, allowed: str) -> Problem:
+    return Problem(name, repr(value), allowed)
