Test the operators' commands against lost answers and races

Cause: the commands promise to look an unknown publication up and to name hosts without the revision; nothing proved it.

The tests run the commands against entry hosts' operator interfaces in another thread, on an in-memory platform.

--- a/tests/operator_hosts.py
+++ b/tests/operator_hosts.py
@@ -97,9 +97,10 @@
             request.transport.abort()
             return web.Response()
         self.lost_answers -= 1
-        response = await handler(request)
-        request.transport.abort()
-        return response
+        try:
+            return await handler(request)
+        finally:
+            request.transport.abort()
 
     async def append(self, *records: Record) -> None:
         """Append records as another entry host would."""
