Build the one-file program offline with shiv

Cause: the target `binary` asked a package index for packages that are installed already, and nothing showed that the result runs, or runs as one process.

tools/binary.py copies the locked distributions from the environment and packs them. Ruled out: PyInstaller one-file, which runs as a child of its bootloader (measured earlier, not repeated); shiv on the whole environment, which holds 380 MB with the development tools; compiled modules in the archive, which shiv leaves out.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 	$(BIN)/python -m tools.fault_matrix --write docs/fault-matrix.md
 
 binary: install
-	$(BIN)/shiv -q -c bergamotgap -o dist/bergamotgap --compressed -r requirements-run.lock . --no-deps
+	$(BIN)/python -m tools.binary --output dist/bergamotgap
 
 proto: install
 	$(BIN)/python -m grpc_tools.protoc -I proto --python_out=src/bergamotgap/adapters/proto \
--- /dev/null
+++ b/tools/binary.py
@@ -0,0 +1,85 @@
+"""Build the one-file program from the packages that `make install` installed.
+
+`python -m tools.binary --output dist/bergamotgap` needs no network: it copies the
+distributions of `requirements-run.lock` from the running environment, adds the
+project's own package and packs them with shiv, which leaves compiled modules out.
+"""
+
+import importlib.metadata
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+ROOT = Path(__file__).resolve().parent.parent
+LOCK = ROOT / "requirements-run.lock"
+PACKAGE = ROOT / "src" / "bergamotgap"
+ENTRY_POINT = "bergamotgap.cli.main:main"
+PYTHON = f"/usr/bin/env python3.{sys.version_info.minor}"
+# Parts of installed packages that the program never loads.
+LEFT_OUT = re.compile(r"(^|/)(tests?|__pycache__)/|\.(pyi|pyx|pxd|c|h)$")
+
+
+class BuildError(Exception):
+    """The environment does not hold what the lock file names."""
+
+
+def copy_distributions(target: Path, lock: Path = LOCK) -> None:
+    """Copy the files of all locked distributions; raises BuildError."""
+    for line in lock.read_text().split():
+        name, _, version = line.partition("==")
+        try:
+            distribution = importlib.metadata.distribution(name)
+        except importlib.metadata.PackageNotFoundError as error:
+            raise BuildError(f"{name} is not installed; run `make install`") from error
+        if distribution.version != version:
+            found = distribution.version
+            raise BuildError(f"{name}: {found} is installed, but {version} is locked")
+        for file in distribution.files or ():
+            _copy_file(Path(str(distribution.locate_file(file))), str(file), target)
+
+
+def _copy_file(source: Path, name: str, target: Path) -> None:
+    # Names that begin with `..` are scripts for the environment's bin directory.
+    if name.startswith("..") or LEFT_OUT.search(name):
+        return
+    copy = target / name
+    copy.parent.mkdir(parents=True, exist_ok=True)
+    shutil.copyfile(source, copy)
+
+
+def build(output: Path) -> None:
+    """Build the program; raises BuildError."""
+    output.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as directory:
+        target = Path(directory) / "site-packages"
+        copy_distributions(target)
+        ignored = shutil.ignore_patterns("__pycache__")
+        shutil.copytree(PACKAGE, target / "bergamotgap", ignore=ignored)
+        command = [
+            *[sys.executable, "-m", "shiv", "--compressed", "--reproducible"],
+            *["--python", PYTHON, "--entry-point", ENTRY_POINT],
+            *["--site-packages", str(target), "--output-file", str(output)],
+        ]
+        subprocess.run(command, check=True)
+
+
+def main(
+    output: Annotated[Path, typer.Option(help="file to write")] = ROOT
+    / "dist"
+    / "bergamotgap",
+) -> None:
+    """Build the one-file program."""
+    try:
+        build(output)
+    except BuildError as error:
+        sys.exit(f"binary: {error}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
