--- a/src/bergamotgap/adapters/operator_appends.py
+++ b/src/bergamotgap/adapters/operator_appends.py
@@ -15,6 +15,7 @@
     "invalid_catalogue": 422,
     "unknown_wave": 404,
     "unknown_host": 422,
+    "empty_wave": 422,
 }
 
 
--- a/src/bergamotgap/adapters/operator_waves.py
+++ b/src/bergamotgap/adapters/operator_waves.py
@@ -1,7 +1,7 @@
 """Operators' routes for maintenance waves."""
 
 import re
-from typing import Annotated, Self
+from typing import Annotated, Any, Self
 
 from aiohttp import web
 from pydantic import BaseModel, ConfigDict, Field, model_validator
@@ -9,7 +9,8 @@
 from bergamotgap.adapters.operator_appends import append_accepted
 from bergamotgap.adapters.operator_catalogue import OperatorName
 from bergamotgap.adapters.operator_problems import ProblemError, read_body
-from bergamotgap.adapters.wave_views import WaveView, describe_wave, list_waves
+from bergamotgap.adapters.wave_views import describe_wave
+from bergamotgap.domain.control_data import Wave
 from bergamotgap.domain.control_state import ControlState
 from bergamotgap.domain.records import WaveCancelled, WaveDeclared
 from bergamotgap.node.streams import Stream
@@ -55,18 +56,19 @@
         app.router.add_delete("/v1/waves/{wave}", self._cancel)
 
     async def _list(self, request: web.Request) -> web.Response:
-        views = list_waves(self._control.state).values()
-        described = [self._describe(view) for view in views]
+        waves = self._control.state.waves.values()
+        described = [self._describe(wave) for wave in waves]
         return web.json_response({"waves": described})
 
     async def _get(self, request: web.Request) -> web.Response:
-        view = list_waves(self._control.state).get(request.match_info["wave"])
-        if view is None:
-            raise ProblemError(404, "unknown_wave", request.match_info["wave"])
-        return web.json_response(self._describe(view))
-
-    def _describe(self, view: WaveView) -> dict[str, object]:
-        return describe_wave(view, self._control.state.hosts)
+        name = request.match_info["wave"]
+        wave = self._control.state.waves.get(name)
+        if wave is None:
+            raise ProblemError(404, "unknown_wave", name[:80])
+        return web.json_response(self._describe(wave))
+
+    def _describe(self, wave: Wave) -> dict[str, Any]:
+        return describe_wave(wave, self._control.state.hosts)
 
     async def _declare(self, request: web.Request) -> web.Response:
         body = await read_body(request, WaveBody)
--- a/src/bergamotgap/node/dump.py
+++ b/src/bergamotgap/node/dump.py
@@ -1,6 +1,6 @@
 """State dump: what one entry host believes and how old each belief is."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -27,6 +27,7 @@
     workers: Workers
     admission: Any
     is_ready: Callable[[], bool]
+    describe_work: Callable[[], Mapping[str, int]]
 
 
 def build_dump(sources: DumpSources) -> dict[str, Any]:
@@ -47,6 +48,7 @@
         "hosts": describe_hosts(
             state, lambda host: read_status(sources.workers, host), now_ms
         ),
+        "work": dict(sources.describe_work()),
         "admission": _dump_admission(sources.admission),
     }
 
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from bergamotgap.adapters.caller_http import CallerApi
+from bergamotgap.adapters.job_http import JobApi
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.metrics import (
     Metrics,
@@ -19,6 +20,7 @@
 from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.adapters.worker_http import HttpWorkerClient
+from bergamotgap.domain.catalogue import Catalogue
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.control_state import ControlState
 from bergamotgap.domain.work_state import WorkState
@@ -32,10 +34,12 @@
 from bergamotgap.node.placement import Placer
 from bergamotgap.node.planner import Planner
 from bergamotgap.node.platform_health import PlatformHealth
+from bergamotgap.node.recent_jobs import RecentJobs
 from bergamotgap.node.settings import Settings
 from bergamotgap.node.snapshots import SnapshotWriter
 from bergamotgap.node.streams import Stream
 from bergamotgap.node.supervision import supervise
+from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
 from bergamotgap.node.writer import StreamWriter
 from bergamotgap.ports.peer import PeerInfo
@@ -57,6 +61,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._control = Stream("control", ControlState(), clock)
         self._work = Stream("work", WorkState(), clock)
+        self._recent_jobs = RecentJobs(self._work)
         self._info = PeerInfo(
             node_id=settings.node_id,
             incarnation_ms=clock.wall_ms(),
@@ -81,10 +86,21 @@
         self._planner = Planner(self._control, writer, http_platform, self._clock)
         placer = Placer(lambda: self._control.state, workers, admission)
         dispatcher = Dispatcher(placer, client, self._clock)
+        work_writer = self._build_writer(self._work)
+        self._parts = WorkParts(
+            self._membership,
+            self._control,
+            self._work,
+            work_writer,
+            placer,
+            client,
+            self._clock,
+        )
         self._start("workers", workers.run)
         self._start("planner", self._planner.run)
+        await self._stack.enter_async_context(self._parts)
         await self._serve_callers(dispatcher)
-        self._register_gauges(writer)
+        self._register_gauges(writer, work_writer)
         await self._serve_operators(writer, workers, admission)
         log.info("node started", caller_address=self._settings.caller_address)
         return self
@@ -158,13 +174,20 @@
 
     async def _serve_callers(self, dispatcher: Dispatcher) -> None:
         callers = CallerApi(
-            lambda: self._control.state.catalogue, dispatcher, self._clock
+            self._get_catalogue, dispatcher, self._parts.requests, self._clock
+        )
+        jobs = JobApi(
+            self._get_catalogue,
+            self._parts.jobs,
+            self._parts.results,
+            self._settings.max_job_body_bytes,
         )
         app = web.Application(
             client_max_size=self._settings.max_body_bytes,
             middlewares=[build_request_middleware(self._metrics)],
         )
         callers.add_routes(app)
+        jobs.add_routes(app)
         await self._serve(app, self._settings.caller_address)
 
     async def _serve_operators(
@@ -179,6 +202,7 @@
             workers=workers,
             admission=admission,
             is_ready=self.is_ready,
+            describe_work=self._describe_work,
         )
         self._dump_sources = sources
         operators = OperatorApi(
@@ -190,15 +214,24 @@
                 is_ready=self.is_ready,
                 list_nodes=lambda: list_nodes(sources),
                 read_status=lambda host: read_status(workers, host),
+                list_jobs=self._recent_jobs.describe,
             )
         )
         app = operators.build_app()
         app.router.add_get("/metrics", serve_metrics)
         await self._serve(app, self._settings.operator_address)
 
-    def _register_gauges(self, writer: StreamWriter) -> None:
+    def _get_catalogue(self) -> Catalogue | None:
+        return self._control.state.catalogue
+
+    def _describe_work(self) -> dict[str, int]:
+        return {"jobs_owned": self._parts.jobs.owned, **self._work.state.counts}
+
+    def _register_gauges(self, control: StreamWriter, work: StreamWriter) -> None:
         register_stream_gauges(
-            self._metrics, (self._control, self._work), [("control", writer)]
+            self._metrics,
+            (self._control, self._work),
+            [("control", control), ("work", work)],
         )
         register_fleet_gauges(
             self._metrics,
--- a/src/bergamotgap/node/streams.py
+++ b/src/bergamotgap/node/streams.py
@@ -202,12 +202,13 @@
         self._grown.set()
         self._grown = asyncio.Event()
 
-    async def wait_for_growth(self, timeout_ms: int) -> None:
-        """Wait until further records are folded, or the timeout."""
+    async def wait_for_growth(self, timeout_ms: int) -> bool:
+        """Wait until further records are folded; return False at the timeout."""
         try:
             await asyncio.wait_for(self._grown.wait(), timeout_ms / 1000)
         except TimeoutError:
-            return
+            return False
+        return True
 
     def expect(self, record_id: str) -> "asyncio.Future[Effect]":
         """Return a future of the effect that the fold gives to a record."""
--- a/tests/test_operator_http.py
+++ b/tests/test_operator_http.py
@@ -2,15 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 import pytest
 
 from bergamotgap.adapters import operator_appends
-from bergamotgap.adapters.wave_views import describe_wave, list_waves
-from bergamotgap.domain.control_state import HostState
+from bergamotgap.adapters.wave_views import describe_wave
+from bergamotgap.domain.control_data import HostState, Wave
 from tests.fakes_platform import FakePlatform
 from tests.operator_hosts import DOCUMENT, OperatorHost, host_seen
 
@@ -210,41 +210,34 @@
         assert (await call(host, "GET", "/readyz")).status == 200
 
 
-async def test_a_wave_of_a_pool_names_its_hosts() -> None:
-    """Guards against waves that take hosts of another pool."""
+async def test_a_wave_takes_the_hosts_of_its_pool_and_is_cancelled() -> None:
+    """Guards against waves that take hosts of another pool, or never end."""
     async with OperatorHost() as host:
         await publish(host, DOCUMENT, 0)
         await host.append(host_seen("previews-1"), host_seen("audits-1", "audits"))
         body = {"wave": "wave-1", "operator": "ilze", "pool": "previews"}
-        await call(host, "POST", "/v1/waves", body)
-        [append] = host.platform.streams["control"][-1:]
-        assert '"WaveDeclared"' in append.body
-        assert '"hosts":["previews-1"]' in append.body
-
-
-@dataclass(frozen=True)
-class Wave:
-    hosts: tuple[str, ...]
-    done: frozenset[str]
-    is_cancelled: bool = False
-
-
-@dataclass
-class StateWithWaves:
-    waves: dict[str, Wave] = field(default_factory=dict)
+        assert (await call(host, "POST", "/v1/waves", body)).status == 201
+        again = await call(host, "POST", "/v1/waves", body)
+        assert (again.status, again.payload["code"]) == (409, "known_wave")
+        shown = (await call(host, "GET", "/v1/waves/wave-1")).payload
+        assert shown["hosts"] == {"previews-1": "waiting"}
+        assert shown["state"] == "open"
+        assert (await call(host, "DELETE", "/v1/waves/wave-1")).status == 200
+        [listed] = (await call(host, "GET", "/v1/waves")).payload["waves"]
+        assert listed["state"] == "cancelled"
+        missing = await call(host, "DELETE", "/v1/waves/wave-2")
+        assert (missing.status, missing.payload["code"]) == (404, "unknown_wave")
 
 
 def test_the_progress_of_a_wave_is_shown() -> None:
     """Guards against progress that hides hosts still to be maintained."""
-    wave = Wave(("a", "b", "c", "d"), frozenset({"a"}))
     hosts = {
         "a": HostState(host_seen("a"), "previews", 1),
         "b": HostState(host_seen("b"), "previews", 1, draining_in="wave-1"),
         "c": HostState(host_seen("c"), "previews", 1, draining_in="wave-2"),
     }
-    views = list_waves(StateWithWaves({"wave-1": wave}))  # type: ignore[arg-type]
-    shown = describe_wave(views["wave-1"], hosts)
-    assert shown["state"] == "open"
+    wave = Wave("wave-1", ("a", "b", "c", "d"), "ilze", 0, 0, done=("a",))
+    shown = describe_wave(wave, hosts)
     assert shown["hosts"] == {
         "a": "done",
         "b": "draining",
