--- a/src/bergamotgap/node/dump.py
+++ b/src/bergamotgap/node/dump.py
@@ -1,17 +1,19 @@
 """State dump: what one entry host believes and how old each belief is."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from bergamotgap.adapters.fleet_views import describe_hosts, describe_nodes
+from bergamotgap.adapters.operator_http import OperatorSources
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.control_state import ControlState
 from bergamotgap.node.following import Follower
-from bergamotgap.node.membership import Membership
 from bergamotgap.node.platform_health import PlatformHealth
-from bergamotgap.node.streams import Stream
+from bergamotgap.node.recent_jobs import RecentJobs
+from bergamotgap.node.stream_parts import StreamParts
+from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
+from bergamotgap.node.writer import StreamWriter
 from bergamotgap.ports.worker import WorkerStatus
 
 
@@ -20,55 +22,65 @@
     """The parts of a node whose beliefs are dumped."""
 
     clock: Clock
-    control: Stream[ControlState]
-    followers: Sequence[Follower[Any]]
-    membership: Membership
-    platform: PlatformHealth
+    streams: StreamParts
     workers: Workers
     admission: Any
+    work: WorkParts
     is_ready: Callable[[], bool]
-    describe_work: Callable[[], Mapping[str, int]]
+
+
+def build_operator_sources(
+    sources: DumpSources, writer: StreamWriter
+) -> OperatorSources:
+    """Return where the operators' interface reads what it shows."""
+    return OperatorSources(
+        control=sources.streams.control,
+        writer=writer,
+        clock=sources.clock,
+        dump=lambda: build_dump(sources),
+        is_ready=sources.is_ready,
+        list_nodes=lambda: _list_nodes(sources),
+        read_status=lambda host: _read_status(sources.workers, host),
+        list_jobs=RecentJobs(sources.streams.work).describe,
+    )
 
 
 def build_dump(sources: DumpSources) -> dict[str, Any]:
     """Return the dump; all ages are in milliseconds."""
     now_ms = sources.clock.monotonic_ms()
-    state = sources.control.state
+    streams = sources.streams
+    state = streams.control.state
+    own, *peers = _list_nodes(sources)
     return {
-        "node_id": sources.membership.node_id,
-        "incarnation_ms": sources.membership.info.incarnation_ms,
+        **own,
         "wall_ms": sources.clock.wall_ms(),
         "is_ready": sources.is_ready(),
-        "is_leaving": sources.membership.is_leaving,
-        "platform": _dump_platform(sources.platform, now_ms),
-        "streams": {f.stream.name: _dump_stream(f) for f in sources.followers},
-        "peers": list_nodes(sources)[1:],
-        "catalogue_revision": state.revision,
+        "is_planner": streams.is_planner(),
+        "platform": _dump_platform(streams.platform, now_ms),
+        "streams": {f.stream.name: _dump_stream(f) for f in streams.followers},
+        "peers": peers,
         "plan_revision": state.plan_revision,
         "hosts": describe_hosts(
-            state, lambda host: read_status(sources.workers, host), now_ms
+            state, lambda host: _read_status(sources.workers, host), now_ms
         ),
-        "work": dict(sources.describe_work()),
+        "work": {"jobs_owned": sources.work.jobs.owned, **streams.work.state.counts},
         "admission": _dump_admission(sources.admission),
     }
 
 
-def list_nodes(sources: DumpSources) -> list[dict[str, Any]]:
-    """Return this entry host and its peers, as the operators' interface shows them."""
-    offsets = {
-        f"{follower.stream.name}_offset": follower.stream.next_offset
-        for follower in sources.followers
-    }
-    own = {
-        "catalogue_revision": sources.control.state.revision,
-        **offsets,
-        "is_platform_reachable": sources.platform.is_reachable,
+def _list_nodes(sources: DumpSources) -> list[dict[str, Any]]:
+    """Return this entry host, then its peers."""
+    streams = sources.streams
+    own: Mapping[str, Any] = {
+        "catalogue_revision": streams.control.state.revision,
+        "control_offset": streams.control.next_offset,
+        "work_offset": streams.work.next_offset,
+        "is_platform_reachable": streams.platform.is_reachable,
     }
-    return describe_nodes(sources.membership, own, sources.clock.monotonic_ms())
+    return describe_nodes(streams.membership, own, sources.clock.monotonic_ms())
 
 
-def read_status(workers: Workers, host: str) -> WorkerStatus | None:
-    """Return the last status that a worker gave."""
+def _read_status(workers: Workers, host: str) -> WorkerStatus | None:
     return workers.view(host).status
 
 
--- /dev/null
+++ b/src/bergamotgap/node/stream_parts.py
@@ -0,0 +1,155 @@
+"""Build the parts that keep the streams up to date: platform, peers, snapshots."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import AsyncExitStack
+from typing import Any, Self
+
+from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.following import Follower
+from bergamotgap.node.membership import Membership, PeerView
+from bergamotgap.node.peer_service import PeerService, build_relay
+from bergamotgap.node.planner import choose_planner
+from bergamotgap.node.platform_health import PlatformHealth
+from bergamotgap.node.settings import Settings
+from bergamotgap.node.snapshots import SnapshotWriter
+from bergamotgap.node.streams import Stream
+from bergamotgap.node.supervision import supervise
+from bergamotgap.node.writer import StreamWriter
+from bergamotgap.ports.peer import PeerInfo
+from bergamotgap.ports.platform import PlatformLog
+
+DemandSource = Callable[[], Mapping[str, float]]
+
+
+class StreamParts:
+    """Own both streams, the exchange with peers and the tasks that follow and save."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: PlatformLog,
+        pool_demand: DemandSource,
+        owner_demand: DemandSource,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._pool_demand = pool_demand
+        self._stack = AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.control = Stream("control", ControlState(), clock)
+        self.work = Stream("work", WorkState(), clock)
+        self.platform = PlatformHealth(platform, clock)
+        self.info = PeerInfo(
+            node_id=settings.node_id,
+            incarnation_ms=clock.wall_ms(),
+            peer_address=settings.peer_address,
+            operator_address=settings.operator_address,
+            data_centre=settings.data_centre,
+        )
+        self.peer_client = GrpcPeerClient()
+        self.service = PeerService(
+            self.info,
+            {"control": self.control, "work": self.work},
+            self.platform,
+            pool_demand,
+            owner_demand,
+        )
+        self.membership = Membership(
+            self.info,
+            settings.peers,
+            self.peer_client,
+            clock,
+            self.service.build_digest,
+            self.service.note_digest,
+        )
+        self.service.attach(self.membership)
+        self.followers: tuple[Follower[Any], ...] = (
+            self._build_follower(self.control, ControlState.decode),
+            self._build_follower(self.work, WorkState.decode),
+        )
+
+    def _build_follower(self, stream: Stream[Any], decode: Any) -> Follower[Any]:
+        return Follower(
+            stream,
+            decode,
+            self.platform,
+            self.peer_client,
+            self.membership,
+            self._clock,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Listen to peers, exchange heartbeats and follow the streams."""
+        await self._stack.enter_async_context(self.peer_client)
+        await self._stack.enter_async_context(
+            PeerServer(self.service, self._settings.peer_address)
+        )
+        await self._stack.enter_async_context(self.membership)
+        self._start("platform probe", self.platform.run)
+        for follower in self.followers:
+            self._start(f"follow {follower.stream.name}", follower.run)
+            snapshots = SnapshotWriter(
+                follower.stream,
+                self.platform,
+                self._clock,
+                self._settings.snapshot_records,
+                self._settings.snapshot_age_ms,
+            )
+            self._start(f"snapshot {follower.stream.name}", snapshots.run)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop following, then close the exchange with peers."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+    def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(supervise(name, run), name=name))
+
+    def build_writer(self, stream: Stream[Any]) -> StreamWriter:
+        """Return a writer that falls back to appending through a peer."""
+        relay = build_relay(self.membership, self.peer_client)
+        return StreamWriter(
+            stream, self.platform, self._clock, self._settings.batch_ms, relay
+        )
+
+    def list_live_peers(self) -> list[PeerView]:
+        """Return live peers that are not leaving, without this node."""
+        return self.membership.list_live()
+
+    def sum_pool_demand(self) -> Mapping[str, float]:
+        """Return the demand of this node and its live peers, in slots by pool."""
+        total = Counter(self._pool_demand())
+        for peer in self.list_live_peers():
+            total.update(peer.pool_demand)
+        return total
+
+    def is_planner(self) -> bool:
+        """Return whether this node plans.
+
+        The live entry host with the lowest id plans, among those that reach the
+        platform.
+        """
+        can_plan = self.platform.is_reachable and not self.membership.is_leaving
+        reaching = [
+            peer.node_id
+            for peer in self.list_live_peers()
+            if peer.is_platform_reachable
+        ]
+        return choose_planner(self.info.node_id, can_plan, reaching)
+
+    @property
+    def is_up_to_date(self) -> bool:
+        """Return whether both streams were read to their ends and go on."""
+        return all(
+            follower.is_caught_up and follower.stream.halt_reason is None
+            for follower in self.followers
+        )
