--- a/src/bergamotgap/adapters/fleet_views.py
+++ b/src/bergamotgap/adapters/fleet_views.py
@@ -1,11 +1,12 @@
 """What the operators' interface shows of pools, hosts and entry hosts."""
 
-import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from bergamotgap.domain.budget import count_needed
 from bergamotgap.domain.catalogue import Catalogue, Pool
-from bergamotgap.domain.control_state import ControlState, HostState
+from bergamotgap.domain.control_data import HostState, count_serving
+from bergamotgap.domain.control_state import ControlState
 from bergamotgap.node.membership import Membership, PeerView
 from bergamotgap.ports.worker import WorkerStatus
 
@@ -29,17 +30,16 @@
 
 def _describe_pool(catalogue: Catalogue, pool: Pool, hosts: list[HostState]) -> View:
     entries = catalogue.list_pool_entries(pool.name)
-    budget = max((entry.availability for entry in entries), default=0.0)
     return {
         "pool": pool.name,
         "is_spare": pool.spare,
         "min_hosts": pool.min_hosts,
         "max_hosts": pool.max_hosts,
         "hosts": len(hosts),
-        "serving": sum(_name_host_state(host) == "serving" for host in hosts),
+        "serving": count_serving(hosts),
         "draining": sum(host.draining_in is not None for host in hosts),
         "down": sum(host.is_down for host in hosts),
-        "must_serve": math.ceil(round(budget * len(hosts), 6)),
+        "must_serve": count_needed(catalogue, pool.name, len(hosts)),
         "slots": sum(host.facts.slots for host in hosts),
         "entries": [entry.name for entry in entries],
     }
--- a/src/bergamotgap/cli/catalogue.py
+++ b/src/bergamotgap/cli/catalogue.py
@@ -102,7 +102,9 @@
         write_document(file, join_header(revision, document))
     report: dict[str, object] = {"revision": revision}
     if output == Output.TABLE:
-        typer.echo(f"revision {revision} is accepted")
+        is_new = revision == chosen + 1
+        told = "is accepted" if is_new else "has the same text already"
+        typer.echo(f"revision {revision} {told}")
     if wait:
         hosts = wait_until_in_force(client, revision, timeout_s)
         report["in_force_on"] = list(hosts)
--- a/tests/test_cli_operator.py
+++ b/tests/test_cli_operator.py
@@ -67,6 +67,8 @@
     desk.file.write_text(f"# revision: 1\n{edit(5)}")
     assert "+weight = 5" in desk.run("catalogue", "diff", str(desk.file)).stdout
     assert desk.publish().stdout == "revision 2 is accepted\n"
+    again = desk.publish("--base", "0")
+    assert again.stdout == "revision 2 has the same text already\n"
     # The file can be edited and published again.
     assert desk.file.read_text() == f"# revision: 2\n{edit(5)}"
     assert desk.host.stream.state.revisions[2].document == edit(5)
