--- a/src/bergamotgap/adapters/job_http.py
+++ b/src/bergamotgap/adapters/job_http.py
@@ -14,12 +14,13 @@
     find_caller,
     find_entry,
 )
+from bergamotgap.adapters.caller_http import send_answer
 from bergamotgap.domain.catalogue import Caller
 from bergamotgap.domain.work_items import Job
+from bergamotgap.node.dispatch import Answer
 from bergamotgap.node.jobs import Jobs
 from bergamotgap.node.requests import Results
 from bergamotgap.node.work_errors import RequestRefusedError
-from bergamotgap.ports.worker import TaskFateUnknownError
 
 MAX_REQUEST_ID_CHARS = 128
 # Room for the JSON around the body, which base64 makes a third longer.
@@ -130,20 +131,9 @@
             raise RequestRefusedError(409, "not_ended", "unknown")
         if job.ended.outcome == "failed":
             raise RequestRefusedError(502, "work_failed", "failed", job.ended.reason)
-        response = web.StreamResponse(headers={"Outcome": job.ended.outcome})
-        try:
-            async with self._results.open(job.ended) as answer:
-                response.content_length = answer.size
-                await response.prepare(request)
-                async for chunk in answer.chunks():
-                    await response.write(chunk)
-        except TaskFateUnknownError:
-            # A result cut short must not look complete.
-            if request.transport is not None:
-                request.transport.abort()
-            return response
-        await response.write_eof()
-        return response
+        async with self._results.open(job.ended) as answer:
+            whole = Answer(answer.size, b"", answer.chunks())
+            return await send_answer(request, whole, None)
 
 
 def _parse_order(body: bytes) -> JobOrder:
--- a/src/bergamotgap/cli/serve.py
+++ b/src/bergamotgap/cli/serve.py
@@ -1,6 +1,7 @@
 """The `serve` command: run one entry host."""
 
 import asyncio
+import gc
 import inspect
 import json
 import signal
@@ -19,6 +20,8 @@
     name_variable,
 )
 
+# Objects allocated between two collections; requests reach the default of 700 often.
+GC_ALLOCATIONS = 20_000
 HELP = """Run one entry host until SIGTERM or SIGINT.
 
 Every setting is a flag and an environment variable. SIGUSR1 logs a state dump.
@@ -101,4 +104,9 @@
             signal.SIGUSR1,
             lambda: log.info("state dump", dump=json.dumps(node.dump())),
         )
+        # What was built at start lives as long as the process. Left out of later
+        # collections, it costs requests no pauses.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_ALLOCATIONS)
         await stop.wait()
--- a/src/bergamotgap/node/dispatch.py
+++ b/src/bergamotgap/node/dispatch.py
@@ -1,42 +1,310 @@
 """Carry one idempotent request from admission to the whole answer."""
 
+import random
 import secrets
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
 
 from bergamotgap.domain.catalogue import Entry
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.outcomes import Expired, Failed, NotRun, Outcome, Unknown
+from bergamotgap.domain.retries import NOT_STARTED_CODES, RetryBudget, RetryPlan
+from bergamotgap.node.admission import NotAdmittedError
 from bergamotgap.node.placement import Placement, Placer
-from bergamotgap.ports.worker import TaskAnswer, TaskOrder, WorkerClient
+from bergamotgap.node.resolution import TaskEnd, TaskResolver
+from bergamotgap.ports.worker import (
+    TaskFateUnknownError,
+    TaskOrder,
+    TaskRefusedError,
+    WorkerAnswer,
+    WorkerClient,
+    WorkerError,
+    WorkerUnreachableError,
+)
 
 PROGRESS_MS = 5000
+MIN_PROGRESS_MS = 50
+# Answers up to this size are complete before their first byte goes to the caller, so
+# that one that is cut short can still be fetched or run again.
+HELD_BYTES = 64 * 1024
+MAX_REASON_CHARS = 500
+RETRY_AFTER_MS = 1000
+# Time for a result that is fetched near the request's deadline.
+FETCH_MS = 1000
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A successful answer: `head` is all of it when there is no `rest`.
+
+    `size` is the whole length in bytes, if known. `rest` raises TaskFateUnknownError
+    when the answer is cut short.
+    """
+
+    size: int | None
+    head: bytes
+    rest: AsyncIterator[bytes] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Request(Generic[T]):
+    """One request while it is dispatched."""
+
+    entry: Entry
+    body: bytes
+    deadline_at_ms: int
+    plan: RetryPlan
+    send: Callable[[Answer], Awaitable[T]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent(Generic[T]):
+    """What sending an answer to the caller gave."""
+
+    result: T
+
+
+class RequestEndedError(Exception):
+    """The request ended without an answer."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome.tag)
+        self.outcome = outcome
+
+
+class _AttemptError(Exception):
+    """An attempt gave no answer; `outcome` is reported if there is no other."""
+
+    def __init__(
+        self, host: str, code: str, outcome: Outcome, has_started: bool
+    ) -> None:
+        super().__init__(code)
+        self.host = host
+        self.code = code
+        self.outcome = outcome
+        self.has_started = has_started
 
 
 class Dispatcher:
     """Run idempotent requests on workers."""
 
-    def __init__(self, placer: Placer, client: WorkerClient, clock: Clock) -> None:
+    def __init__(
+        self,
+        placer: Placer,
+        client: WorkerClient,
+        clock: Clock,
+        progress_ms: int = PROGRESS_MS,
+        rng: random.Random | None = None,
+    ) -> None:
         self._placer = placer
         self._client = client
         self._clock = clock
+        self._progress_ms = progress_ms
+        self._rng = rng or random.Random()
+        self._budget = RetryBudget()
+        self._resolver = TaskResolver(client, clock, self._rng)
+
+    async def close(self) -> None:
+        """Wait for cancellations in progress."""
+        await self._resolver.close()
 
-    @asynccontextmanager
     async def run(
-        self, entry: Entry, body: bytes, deadline_at_ms: int
-    ) -> AsyncIterator[TaskAnswer]:
-        """Run a request and yield the answer while it arrives.
+        self,
+        entry: Entry,
+        body: bytes,
+        deadline_at_ms: int,
+        send: Callable[[Answer], Awaitable[T]],
+    ) -> T:
+        """Run a request, send its answer with `send` and return what that gives.
 
-        Raises NotAdmittedError or a WorkerError; `deadline_at_ms` is monotonic.
+        An answer that is still arriving is sent while slot and connection are held.
+        Raises RequestEndedError; `deadline_at_ms` is monotonic. Cancelling takes the
+        request out of its queue or cancels its task at the worker.
         """
+        if not entry.idempotent:
+            raise ValueError(f"entry {entry.name} is not idempotent")
+        self._budget.note_request(entry.name)
+        plan = RetryPlan(entry, deadline_at_ms, self._budget, self._rng)
+        request = _Request(entry, body, deadline_at_ms, plan, send)
+        avoid: frozenset[str] = frozenset()
+        last: Outcome | None = None
+        while True:
+            try:
+                answer = await self._attempt(request, avoid)
+            except NotAdmittedError as error:
+                # A former attempt that may have run is told, not the refusal after it.
+                raise RequestEndedError(last or error.outcome) from error
+            except _AttemptError as error:
+                last = await self._plan_next(plan, error, last)
+                avoid |= {error.host}
+            else:
+                break
+        return answer.result if isinstance(answer, _Sent) else await send(answer)
+
+    async def _plan_next(
+        self, plan: RetryPlan, error: _AttemptError, last: Outcome | None
+    ) -> Outcome | None:
+        """Wait before the next attempt, or raise RequestEndedError.
+
+        Returns the outcome to report if no later attempt may have run.
+        """
+        now_ms = self._clock.monotonic_ms()
+        if error.has_started:
+            last = error.outcome
+            wait_ms = plan.after_failure(now_ms)
+        else:
+            wait_ms = plan.after_refusal(now_ms)
+        if wait_ms is None:
+            raise RequestEndedError(last or error.outcome) from error
+        await self._clock.sleep_ms(wait_ms)
+        return last
+
+    async def _attempt(
+        self, request: _Request[T], avoid: frozenset[str]
+    ) -> Answer | _Sent[T]:
+        """Run the request on one worker; raises NotAdmittedError or _AttemptError."""
+        deadline_at_ms = request.deadline_at_ms
+        placing = self._placer.place(request.entry, deadline_at_ms, avoid)
+        async with placing as placement:
+            order = build_order(
+                request.entry,
+                placement,
+                request.body,
+                max(1, deadline_at_ms - self._clock.monotonic_ms()),
+                start_before_ms=placement.translate_ms(deadline_at_ms),
+            )
+            try:
+                return await self._run_order(request, placement, order)
+            except _AttemptError:
+                raise
+            except BaseException:
+                self._resolver.abandon(placement.address, order.task)
+                raise
+
+    async def _run_order(
+        self, request: _Request[T], placement: Placement, order: TaskOrder
+    ) -> Answer | _Sent[T]:
+        entry, host = request.entry, placement.host
         started_ms = self._clock.monotonic_ms()
-        async with self._placer.place(entry, deadline_at_ms) as placement:
-            order = build_order(entry, placement, body, deadline_at_ms - started_ms)
+        progress_ms = self._limit_progress_ms(order)
+        begun: Answer | None = None
+        try:
             async with self._client.run(
-                placement.address, order, PROGRESS_MS
+                placement.address, order, progress_ms
             ) as answer:
-                yield answer
-            run_ms = self._clock.monotonic_ms() - started_ms
-            self._placer.note_success(entry, placement.host, run_ms)
+                begun = await self._begin(answer, request.deadline_at_ms)
+                self._placer.note_answer(host, answer.busy, answer.boot_id)
+                if answer.is_failure:
+                    reason = begun.head.decode(errors="replace")[:MAX_REASON_CHARS]
+                    raise self._fail(entry, placement, "failed", Failed(reason))
+                run_ms = self._clock.monotonic_ms() - started_ms
+                self._placer.note_success(entry, host, run_ms)
+                # A whole answer is sent once slot and connection are given back.
+                return begun if begun.rest is None else _Sent(await request.send(begun))
+        except TaskRefusedError as error:
+            self._note_refusal(entry, placement, error)
+        except WorkerUnreachableError as error:
+            self._placer.note_failure(entry, host, "unreachable")
+            raise _not_started(placement, "unreachable") from error
+        except TaskFateUnknownError:
+            if begun is not None:
+                # The caller has got the first byte, so nothing else may be sent.
+                self._placer.note_failure(entry, host, "cut_short")
+                raise
+        return await self._recover(request, placement, order, started_ms)
+
+    async def _begin(self, answer: WorkerAnswer, until_ms: int) -> Answer:
+        """Read an answer up to `HELD_BYTES`, or to its end if that comes first."""
+        head = await answer.read(HELD_BYTES)
+        while not answer.is_complete and len(head) < HELD_BYTES:
+            if self._clock.monotonic_ms() > until_ms:
+                raise TaskFateUnknownError("the answer arrives too slowly")
+            head += await answer.read(HELD_BYTES)
+        if answer.is_complete:
+            return Answer(len(head), head)
+        return Answer(answer.size, head, answer.chunks())
+
+    def _limit_progress_ms(self, order: TaskOrder) -> int:
+        # Half of the time left, so that the other half is enough to ask for the
+        # task's end and fetch its result when the connection has gone silent.
+        return min(self._progress_ms, max(MIN_PROGRESS_MS, order.lease_ms // 2))
+
+    def _note_refusal(
+        self, entry: Entry, placement: Placement, error: TaskRefusedError
+    ) -> None:
+        """Raise _AttemptError if the refusal proves that the task has not started."""
+        self._placer.note_answer(placement.host, error.busy, error.boot_id)
+        if error.code in NOT_STARTED_CODES:
+            self._placer.note_failure(entry, placement.host, error.code)
+            raise _not_started(placement, error.code) from error
+
+    async def _recover(
+        self,
+        request: _Request[T],
+        placement: Placement,
+        order: TaskOrder,
+        started_ms: int,
+    ) -> Answer | _Sent[T]:
+        """Ask the worker for a task whose answer was lost; raises _AttemptError."""
+        entry, address = request.entry, placement.address
+        end = await self._resolver.resolve(
+            address, order.task, placement.boot_id, request.deadline_at_ms
+        )
+        if end is TaskEnd.DONE:
+            return await self._fetch(request, placement, order, started_ms)
+        if end is TaskEnd.NOT_STARTED:
+            self._placer.note_failure(entry, placement.host, "lost")
+            raise _not_started(placement, "worker_lost_order")
+        if end in (TaskEnd.FAILED, TaskEnd.STOPPED):
+            raise self._fail(entry, placement, end, Failed(f"the task {end}"))
+        self._resolver.abandon(address, order.task)
+        reason = "the worker can't tell how the task ended"
+        if end is TaskEnd.RUNNING:
+            reason = "the task was still running at the deadline"
+        raise self._fail(entry, placement, "lost", Unknown(reason))
+
+    async def _fetch(
+        self,
+        request: _Request[T],
+        placement: Placement,
+        order: TaskOrder,
+        started_ms: int,
+    ) -> Answer | _Sent[T]:
+        """Fetch the result of a finished task; raises _AttemptError."""
+        now_ms = self._clock.monotonic_ms()
+        until_ms = max(request.deadline_at_ms, now_ms + FETCH_MS)
+        begun: Answer | None = None
+        try:
+            async with self._client.fetch_result(
+                placement.address, order.task
+            ) as answer:
+                begun = await self._begin(answer, until_ms)
+                run_ms = now_ms - started_ms
+                self._placer.note_success(request.entry, placement.host, run_ms)
+                return begun if begun.rest is None else _Sent(await request.send(begun))
+        except WorkerError as error:
+            if begun is not None:
+                raise
+            lost = Unknown("the task ran, but its result can't be fetched")
+            raise self._fail(request.entry, placement, "result_lost", lost) from error
+
+    def _fail(
+        self, entry: Entry, placement: Placement, code: str, outcome: Outcome
+    ) -> _AttemptError:
+        self._placer.note_failure(entry, placement.host, code)
+        return _AttemptError(placement.host, code, outcome, has_started=True)
+
+
+def _not_started(placement: Placement, code: str) -> _AttemptError:
+    outcome: Outcome = Expired() if code == "too_late" else _refused(code)
+    return _AttemptError(placement.host, code, outcome, has_started=False)
+
+
+def _refused(code: str) -> NotRun:
+    return NotRun(code, "workers refused the task before its start", RETRY_AFTER_MS)
 
 
 def build_order(
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from bergamotgap.adapters.caller_http import CallerApi
+from bergamotgap.adapters.caller_http import CallerApi, build_middleware
 from bergamotgap.adapters.job_http import JobApi
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.metrics import (
@@ -18,7 +18,9 @@
 )
 from bergamotgap.adapters.operator_http import OperatorApi
 from bergamotgap.adapters.platform_http import HttpPlatform
+from bergamotgap.adapters.worker_connections import WorkerConnections, open_session
 from bergamotgap.adapters.worker_http import HttpWorkerClient
+from bergamotgap.domain.admission import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue
 from bergamotgap.domain.clock import Clock
 from bergamotgap.node.admission import Admission
@@ -29,13 +31,21 @@
 from bergamotgap.node.placement import Placer
 from bergamotgap.node.planner import Planner
 from bergamotgap.node.settings import Settings
+from bergamotgap.node.shutdown import RequestGate, shut_down
 from bergamotgap.node.stream_parts import StreamParts
 from bergamotgap.node.supervision import supervise
 from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
 from bergamotgap.node.writer import StreamWriter
 
+# Connections that a worker takes from all entry hosts together. Each entry host keeps
+# one of its part for statuses.
 CONNECTIONS_PER_WORKER = 64
+MIN_TASK_CONNECTIONS = 4
+# New connections that ask about lost answers, to all workers together.
+FRESH_CONNECTIONS = 512
+# Requests had their time before the listeners close; this is for what is left.
+CLOSE_TIMEOUT_S = 1.0
 
 log = get_logger(__name__)
 
@@ -50,15 +60,13 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._metrics = Metrics()
         self._stack.callback(self._metrics.close)
+        self._gate = RequestGate()
 
     async def __aenter__(self) -> Self:
         """Start serving."""
-        pooled = await self._open_session(
-            aiohttp.TCPConnector(limit=0, limit_per_host=CONNECTIONS_PER_WORKER)
-        )
-        fresh = await self._open_session(aiohttp.TCPConnector(force_close=True))
+        pooled = await self._stack.enter_async_context(open_session(0))
         platform = HttpPlatform(pooled, self._settings.platform_url)
-        client = HttpWorkerClient(pooled, fresh, self._clock)
+        client = await self._open_worker_client(pooled)
         self._streams = StreamParts(
             self._settings,
             platform,
@@ -68,14 +76,17 @@
         )
         control = self._streams.control
         workers = Workers(control, client, self._clock)
-        admission = Admission(
-            self._clock, workers.pool_capacity, self._streams.list_live_peers
-        )
+        admission = self._build_admission(workers)
         await self._stack.enter_async_context(self._streams)
         self._start("workers", workers.run)
+        self._start("admission", admission.run)
         control_writer = self._streams.build_writer(control)
         self._start_planner(platform, control_writer, client, workers)
-        placer = Placer(lambda: control.state, workers, admission)
+        placer = Placer(
+            lambda: control.state, workers, admission, self._settings.data_centre
+        )
+        dispatcher = Dispatcher(placer, client, self._clock, self._settings.progress_ms)
+        self._stack.push_async_callback(dispatcher.close)
         work_writer = self._streams.build_writer(self._streams.work)
         self._work = WorkParts(
             self._streams.membership,
@@ -87,7 +98,7 @@
             self._clock,
         )
         await self._stack.enter_async_context(self._work)
-        await self._serve_callers(Dispatcher(placer, client, self._clock))
+        await self._serve_callers(dispatcher)
         self._register_gauges({"control": control_writer, "work": work_writer})
         self._dump_sources = DumpSources(
             clock=self._clock,
@@ -102,13 +113,35 @@
         return self
 
     async def __aexit__(self, *exc: object) -> None:
-        """Stop tasks, then close connections."""
+        """Let requests finish, stop tasks, then close connections."""
+        await shut_down(
+            self._gate,
+            self._streams.membership.announce_leaving,
+            self._work.leave,
+            self._clock,
+            self._settings.shutdown_ms,
+        )
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._stack.aclose()
         log.info("node stopped")
 
+    def _build_admission(self, workers: Workers) -> Admission:
+        return Admission(
+            self._clock,
+            workers.pool_capacity,
+            self._streams.list_live_peers,
+            node_id=self._settings.node_id,
+            catalogue=self._get_catalogue,
+            known_nodes=self._streams.membership.list_expected,
+            limits=AdmissionLimits(
+                max_queue_ms=self._settings.max_queue_ms,
+                headroom_part=self._settings.headroom_part,
+                preempt_after_ms=self._settings.preempt_after_ms,
+            ),
+        )
+
     def _start_planner(
         self,
         platform: HttpPlatform,
@@ -116,7 +149,7 @@
         client: HttpWorkerClient,
         workers: Workers,
     ) -> None:
-        host_list = HostList(platform, self._clock)
+        host_list = HostList(platform, self._clock, workers.note_listing)
         planner = Planner(
             self._streams.control,
             writer,
@@ -143,7 +176,10 @@
         )
         app = web.Application(
             client_max_size=self._settings.max_body_bytes,
-            middlewares=[build_request_middleware(self._metrics)],
+            middlewares=[
+                build_request_middleware(self._metrics),
+                build_middleware(self._gate),
+            ],
         )
         callers.add_routes(app)
         jobs.add_routes(app)
@@ -175,18 +211,25 @@
     def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(asyncio.create_task(supervise(name, run), name=name))
 
-    async def _open_session(
-        self, connector: aiohttp.TCPConnector
-    ) -> aiohttp.ClientSession:
-        session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        return await self._stack.enter_async_context(session)
+    async def _open_worker_client(
+        self, pooled: aiohttp.ClientSession
+    ) -> HttpWorkerClient:
+        fresh = await self._stack.enter_async_context(
+            open_session(FRESH_CONNECTIONS, is_reusing=False)
+        )
+        share = CONNECTIONS_PER_WORKER // (len(self._settings.peers) + 1)
+        connections = WorkerConnections(max(MIN_TASK_CONNECTIONS, share - 1))
+        client = HttpWorkerClient(pooled, fresh, self._clock, connections)
+        self._stack.push_async_callback(client.close)
+        return client
 
     async def _serve(self, app: web.Application, address: str) -> None:
         host, _, port = address.rpartition(":")
         runner = web.AppRunner(
             app,
             access_log=None,
-            shutdown_timeout=self._settings.shutdown_ms / 1000,
+            handler_cancellation=True,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
         )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
@@ -198,6 +241,7 @@
             self._get_catalogue() is not None
             and self._streams.is_up_to_date
             and not self._streams.membership.is_leaving
+            and not self._gate.is_leaving
         )
 
     def dump(self) -> dict[str, Any]:
--- a/src/bergamotgap/node/settings.py
+++ b/src/bergamotgap/node/settings.py
@@ -85,6 +85,15 @@
     max_queue_ms: int = Field(
         default=30_000, ge=10, le=3_600_000, description="longest wait in a queue"
     )
+    headroom_part: float = Field(
+        default=0.1, ge=0, le=0.9, description="part of the slots kept for urgent work"
+    )
+    preempt_after_ms: int = Field(
+        default=300,
+        ge=0,
+        le=60_000,
+        description="wait of urgent work after which less urgent tasks give way",
+    )
     batch_ms: int = Field(
         default=5, ge=0, le=1000, description="time in which records are batched"
     )
--- a/src/bergamotgap/ports/worker.py
+++ b/src/bergamotgap/ports/worker.py
@@ -61,10 +61,13 @@
 class TaskRefusedError(WorkerError):
     """The worker refused the task before its start; `code` tells why."""
 
-    def __init__(self, code: str, busy: int | None = None) -> None:
+    def __init__(
+        self, code: str, busy: int | None = None, boot_id: str | None = None
+    ) -> None:
         super().__init__(code)
         self.code = code
         self.busy = busy
+        self.boot_id = boot_id
 
 
 class WorkerUnreachableError(WorkerError):
@@ -94,6 +97,21 @@
         """Yield the body; raises TaskFateUnknownError when it is cut short."""
 
 
+class WorkerAnswer(TaskAnswer, Protocol):
+    """A task's answer while it arrives from its worker."""
+
+    @property
+    def boot_id(self) -> str | None:
+        """Return the worker's boot id, as told with the answer."""
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the whole body was read."""
+
+    async def read(self, limit_bytes: int) -> bytes:
+        """Return the next part; raises TaskFateUnknownError when it is cut short."""
+
+
 class WorkerClient(Protocol):
     """Talk to workers by address."""
 
@@ -105,7 +123,7 @@
 
     def run(
         self, address: str, order: TaskOrder, progress_ms: int
-    ) -> AbstractAsyncContextManager[TaskAnswer]:
+    ) -> AbstractAsyncContextManager[WorkerAnswer]:
         """Send a task; no progress within `progress_ms` raises TaskFateUnknownError."""
 
     async def fetch_task(self, address: str, task: str) -> TaskStatus:
@@ -113,7 +131,7 @@
 
     def fetch_result(
         self, address: str, task: str
-    ) -> AbstractAsyncContextManager[TaskAnswer]:
+    ) -> AbstractAsyncContextManager[WorkerAnswer]:
         """Stream the result of a finished task over a new connection."""
 
     async def cancel(self, address: str, task: str) -> TaskStatus:
--- /dev/null
+++ b/tests/test_request_shutdown.py
@@ -0,0 +1,97 @@
+"""A graceful shutdown cuts off no request in progress (P8)."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from aiohttp import web
+
+from bergamotgap.domain.clock import ManualClock
+from bergamotgap.node.shutdown import GRACE_MS, RequestGate, shut_down
+from tests.request_harness import FakeWorker, Front, echo, wait_for
+from tools.fleet import Fleet
+
+
+async def hand_over(timeout_ms: int) -> None:
+    """Have nothing to hand over."""
+
+
+async def test_new_requests_are_refused_while_old_ones_finish() -> None:
+    """Guards against requests that are cut off, or taken, by a node that stops."""
+    release = asyncio.Event()
+
+    async def behave(worker: FakeWorker, request: web.Request, task: str) -> Any:
+        await release.wait()
+        return await echo(worker, request, task)
+
+    worker = FakeWorker(behave)
+    announced: list[bool] = []
+    async with Front(worker, progress_ms=5000) as front:
+        old = asyncio.create_task(front.request(b"old"))
+        await wait_for(lambda: worker.transports)
+        stop = asyncio.create_task(
+            shut_down(
+                front.gate,
+                lambda: announced.append(True),
+                hand_over,
+                ManualClock(),
+                20_000,
+            )
+        )
+        await wait_for(lambda: not front.gate.is_open)
+        assert announced == [True]
+        async with front.open() as response:
+            assert response.status == 503
+            assert response.headers["Outcome"] == "not_run"
+            assert response.headers["Connection"] == "close"
+            assert (await response.json())["code"] == "shutting_down"
+        assert not stop.done()
+        release.set()
+        assert await old == (200, "done", b"old")
+        assert await stop
+
+
+async def test_requests_are_still_taken_in_grace_time() -> None:
+    """Guards against refusals before the balancer has noticed the readiness."""
+    async with Front(FakeWorker()) as front:
+        front.gate.announce()
+        async with front.open() as response:
+            assert response.status == 200
+            assert response.headers["Connection"] == "close"
+
+
+async def test_shutdown_is_bounded() -> None:
+    """Guards against a node that never exits because one request never ends."""
+    gate = RequestGate()
+    gate.enter()
+    assert not await shut_down(gate, lambda: None, hand_over, ManualClock(), 10)
+
+
+@pytest.mark.processes
+async def test_request_in_progress_finishes_after_sigterm() -> None:
+    """Guards against a rolling restart that cuts off requests."""
+    # The task runs for longer than the grace time, so that it is still in progress
+    # when new requests are refused.
+    fleet = Fleet("vestfjord", 1, 1, run_ms=GRACE_MS + 1000, pools=("case-bundles",))
+    body = b"bundle" * 50_000
+    async with fleet:
+        assert await fleet.publish() == 200
+        await fleet.wait_until_ready()
+        await fleet.wait_until_assigned()
+        node = fleet.nodes[0]
+        request = asyncio.create_task(send_until_run(fleet, body))
+        await wait_for(fleet.read_starts)
+        fleet.terminate(node.name)
+        assert await request == body
+        process = fleet.processes[node.name]
+        assert await asyncio.to_thread(process.wait, 20) == 0
+
+
+async def send_until_run(fleet: Fleet, body: bytes) -> bytes:
+    """Send a request until workers are known, and return its answer."""
+    while True:
+        answer = await fleet.calls.send_request("case-bundle", body, key="clerk-key")
+        if answer.status == 200:
+            return answer.body
+        assert answer.outcome == "not_run"
+        await asyncio.sleep(0.1)
