--- a/src/bergamotgap/cli/serve.py
+++ b/src/bergamotgap/cli/serve.py
@@ -99,6 +99,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # Without a handler the signal would end a process that is still starting.
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("no state to dump yet"))
     async with Node(settings, SystemClock()) as node:
         loop.add_signal_handler(
             signal.SIGUSR1,
