--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -25,6 +25,7 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
+from bergamotgap.node.dump import DumpSources, build_dump, build_operator_sources
 from bergamotgap.node.gauges import register_fleet_gauges, register_stream_gauges
 from bergamotgap.node.host_health import HostList
 from bergamotgap.node.placement import Placer
@@ -99,6 +100,14 @@
         await self._stack.enter_async_context(self._work)
         await self._serve_callers(dispatcher)
         self._register_gauges({"control": control_writer, "work": work_writer})
+        self._dump_sources = DumpSources(
+            clock=self._clock,
+            streams=self._streams,
+            workers=workers,
+            admission=admission,
+            work=self._work,
+            is_ready=self.is_ready,
+        )
         await self._serve_operators(control_writer)
         log.info("node started", caller_address=self._settings.caller_address)
         return self
@@ -177,8 +186,8 @@
         await self._serve(app, self._settings.caller_address)
 
     async def _serve_operators(self, writer: StreamWriter) -> None:
-        operators = OperatorApi(self._streams.control, writer, self.dump, self.is_ready)
-        app = operators.build_app()
+        sources = build_operator_sources(self._dump_sources, writer)
+        app = OperatorApi(sources).build_app()
         app.router.add_get("/metrics", serve_metrics)
         await self._serve(app, self._settings.operator_address)
 
@@ -237,40 +246,4 @@
 
     def dump(self) -> dict[str, Any]:
         """Return what this process believes and how old each belief is."""
-        now_ms = self._clock.monotonic_ms()
-        streams = self._streams
-        return {
-            "node_id": self._settings.node_id,
-            "incarnation_ms": streams.info.incarnation_ms,
-            "is_ready": self.is_ready(),
-            "is_planner": streams.is_planner(),
-            "platform": {
-                "is_reachable": streams.platform.is_reachable,
-                "age_ms": now_ms - streams.platform.changed_ms,
-            },
-            "streams": {
-                follower.stream.name: {
-                    "next_offset": follower.stream.next_offset,
-                    "age_ms": follower.stream.age_ms,
-                    "source": follower.source,
-                    "halt_reason": follower.stream.halt_reason,
-                }
-                for follower in streams.followers
-            },
-            "peers": [
-                {
-                    "node_id": peer.node_id,
-                    "is_live": streams.membership.is_live(peer.node_id),
-                    "age_ms": now_ms - peer.heard_ms,
-                    "catalogue_revision": peer.catalogue_revision,
-                    "control_offset": peer.control_offset,
-                }
-                for peer in streams.membership.list_known()
-            ],
-            "catalogue_revision": streams.control.state.revision,
-            "hosts": len(streams.control.state.hosts),
-            "work": {
-                "jobs_owned": self._work.jobs.owned,
-                **streams.work.state.counts,
-            },
-        }
+        return build_dump(self._dump_sources)
--- /dev/null
+++ b/src/bergamotgap/node/recent_jobs.py
@@ -0,0 +1,60 @@
+"""What operators see of jobs: counts, jobs that ended lately and open jobs."""
+
+import heapq
+from collections import deque
+from collections.abc import Mapping
+from typing import Any
+
+from bergamotgap.domain.folding import Applied, Effect, Stamp
+from bergamotgap.domain.records import Ended, Record
+from bergamotgap.domain.work_items import Job
+from bergamotgap.domain.work_state import WorkState
+from bergamotgap.node.streams import Stream
+
+# Each of ended and open jobs; the newest are listed.
+MAX_LISTED = 500
+
+
+class RecentJobs:
+    """Remember which jobs ended while this process followed the stream."""
+
+    def __init__(self, work: Stream[WorkState]) -> None:
+        self._work = work
+        self._ended: deque[str] = deque(maxlen=MAX_LISTED)
+        work.observe(self._note)
+
+    def _note(self, stamp: Stamp, record: Record, effect: Effect) -> None:
+        if not isinstance(record, Ended) or not isinstance(effect, Applied):
+            return
+        if record.job is not None:
+            self._ended.append(record.job)
+
+    def describe(self) -> Mapping[str, Any]:
+        """Return counts, and jobs with the newest accepted one first."""
+        state = self._work.state
+        listed = heapq.nlargest(MAX_LISTED, state.list_open_jobs(), key=_get_age)
+        for name in self._ended:
+            job = state.find_job(name)
+            if job is not None:
+                listed.append(job)
+        listed.sort(key=_get_age, reverse=True)
+        return {"counts": state.counts, "recent": [_describe(job) for job in listed]}
+
+
+def _get_age(job: Job) -> tuple[int, str]:
+    return job.accepted_ms, job.job
+
+
+def _describe(job: Job) -> dict[str, Any]:
+    """Return a job without its body and its request id."""
+    ended = job.ended
+    return {
+        "job": job.job,
+        "caller": job.caller,
+        "entry": job.entry,
+        "owner": job.owner,
+        "accepted_ms": job.accepted_ms,
+        "deadline_at_ms": job.deadline_at_ms,
+        "outcome": ended.outcome if ended is not None else None,
+        "reason": ended.reason if ended is not None else None,
+    }
