Start a request at once when none waits in its pool

Cause: of the processor time of a request, queueing and starting it in an empty queue took about a tenth, and the counter beside the histogram of requests a twentieth (found by profiling an entry host).

Ruled out: caching the names of entries' demands, since joining two strings costs as little as a cache.

The count of requests is now read from the histogram.

--- a/src/bergamotgap/adapters/metrics.py
+++ b/src/bergamotgap/adapters/metrics.py
@@ -35,19 +35,18 @@
             ],
         )
         self._meter = self._provider.get_meter("bergamotgap")
-        self._requests = self._meter.create_counter(
-            f"{PREFIX}requests_total",
-            description="Caller requests by entry and outcome",
-        )
         self._durations = self._meter.create_histogram(
             f"{PREFIX}request_duration_ms",
             description="Time from request to whole answer",
         )
 
     def note_request(self, entry: str, outcome: str, duration_ms: float) -> None:
-        """Count a finished request of a caller."""
-        self._requests.add(1, {"entry": entry, "outcome": outcome})
-        self._durations.record(duration_ms, {"entry": entry})
+        """Count a finished request of a caller.
+
+        One histogram also counts the requests: a counter beside it would double the
+        cost, which is a noticeable part of a request.
+        """
+        self._durations.record(duration_ms, {"entry": entry, "outcome": outcome})
 
     def observe_gauge(
         self, name: str, description: str, read: Callable[[], Iterable[Reading]]
--- a/src/bergamotgap/domain/admission.py
+++ b/src/bergamotgap/domain/admission.py
@@ -98,7 +98,13 @@
             entry, deadline_ms, start_by_ms, now_ms, entry.pool, estimate.mean_ms
         )
         refusal = None
-        if not self._can_start(queue, flow):
+        can_start = self._can_start(queue, flow)
+        if can_start and not queue.queued:
+            queue.start_at_once(flow, ticket, now_ms)
+            self.quotas.occupy(entry)
+            self._notify(ticket)
+            return ticket
+        if not can_start:
             refusal = self._judge(queue, flow, ticket, now_ms)
         if refusal is None:
             queue.add(ticket, now_ms)
--- a/src/bergamotgap/domain/scheduler.py
+++ b/src/bergamotgap/domain/scheduler.py
@@ -212,6 +212,19 @@
         first = flow.queue.first()
         assert first is not None
         ticket = first[1]
+        self._begin(flow, ticket, is_charged, now_ms)
+        self.remove(ticket)
+        return ticket
+
+    def start_at_once(self, flow: Flow, ticket: Ticket, now_ms: int) -> None:
+        """Give a free slot to a ticket while no other waits in this queue.
+
+        The same as `add` and `start`, without the work on the heaps.
+        """
+        flow.due_ms = max(flow.due_ms, float(now_ms))
+        self._begin(flow, ticket, flow.due_ms <= now_ms, now_ms)
+
+    def _begin(self, flow: Flow, ticket: Ticket, is_charged: bool, now_ms: int) -> None:
         rate = self.rate(flow)
         self._credit_lent(flow, now_ms)
         if is_charged and flow.share > 0 and rate > 0:
@@ -219,8 +232,6 @@
             flow.due_ms += ticket.mean_ms / rate
             ticket.charged_ms = ticket.mean_ms
         self.occupy(ticket, flow, now_ms)
-        self.remove(ticket)
-        return ticket
 
     def _credit_lent(self, flow: Flow, now_ms: int) -> None:
         """Count lent service against what the flow is owed, but never beyond that.
