--- a/src/bergamotgap/adapters/caller_auth.py
+++ b/src/bergamotgap/adapters/caller_auth.py
@@ -3,7 +3,6 @@
 import hashlib
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -16,43 +15,20 @@
 CatalogueSource = Callable[[], Catalogue | None]
 
 
-@dataclass(frozen=True, slots=True)
-class _Index:
-    """Callers by key digest and entries by name, of one catalogue."""
-
-    catalogue: Catalogue
-    callers: dict[str, Caller]
-    entries: dict[str, Entry]
-
-
-_index: _Index | None = None
-
-
-def _index_of(catalogue: Catalogue) -> _Index:
-    # A search through all callers for each request would cost more than the rest of
-    # its checks; only one catalogue is in force at a time.
-    global _index
-    if _index is None or _index.catalogue is not catalogue:
-        callers = {caller.key_sha256: caller for caller in catalogue.callers}
-        entries = {entry.name: entry for entry in catalogue.entries}
-        _index = _Index(catalogue, callers, entries)
-    return _index
-
-
 def find_caller(request: web.Request, catalogue: Catalogue | None) -> Caller | None:
     """Return the caller whose key the request carries."""
     value = request.headers.get("Authorization", "")
     if catalogue is None or not value.startswith(BEARER) or len(value) > MAX_KEY_CHARS:
         return None
     key = value[len(BEARER) :].encode(errors="surrogateescape")
-    return _index_of(catalogue).callers.get(hashlib.sha256(key).hexdigest())
+    return catalogue.find_caller_by_key(hashlib.sha256(key).hexdigest())
 
 
 def find_entry(caller: Caller, catalogue: Catalogue | None, name: str) -> Entry | None:
     """Return the entry if the caller may use it."""
     if catalogue is None or name not in caller.entries:
         return None
-    return _index_of(catalogue).entries.get(name)
+    return catalogue.find_entry(name)
 
 
 def build_problem(
