End tasks of any entry host in long drains and releases

Cause: the planner's `tasks_on` was wired as empty, so a drain or release with a long task waited until the reboot after 600 s, or for good. A planner's own registry would hold only the tasks that it sent itself.

Ruled out: lists in the peers' digests, which cost every node all the time and lack the tasks of dead entry hosts.

The worker now lists its running tasks (`GET /v1/tasks`), and the planner asks once a host has waited for 30 s. Only idempotent entries are checkpointed, since a paused task holds no slot and is ended by the reboot or move that follows.

Checked: with `end_tasks` returning at once, test_release_that_waits_too_long_ends_the_tasks and test_reboot_waits_for_tasks_and_then_ends_them fail.

--- a/src/bergamotgap/adapters/worker_http.py
+++ b/src/bergamotgap/adapters/worker_http.py
@@ -18,6 +18,7 @@
 )
 from bergamotgap.domain.clock import Clock
 from bergamotgap.ports.worker import (
+    ListedTask,
     TaskFateUnknownError,
     TaskOrder,
     TaskRefusedError,
@@ -59,6 +60,16 @@
     started: bool = True
 
 
+class _ListedTask(msgspec.Struct):
+    task: str
+    entry: str = ""
+    urgency: str = ""
+
+
+class _ListPayload(msgspec.Struct):
+    tasks: list[_ListedTask]
+
+
 class _Refusal(msgspec.Struct):
     code: str = "refused"
 
@@ -127,6 +138,14 @@
         """Send a task; no progress within `progress_ms` raises TaskFateUnknownError."""
         return Exchange(self._connections, address, order, progress_ms)
 
+    async def list_tasks(self, address: str) -> list[ListedTask]:
+        """Ask for the running tasks, paused ones included."""
+        path = "/v1/tasks"
+        payload = await self._call(self._fresh, "GET", address, path, _ListPayload)
+        return [
+            ListedTask(item.task, item.entry, item.urgency) for item in payload.tasks
+        ]
+
     async def fetch_task(self, address: str, task: str) -> TaskStatus:
         """Ask for a task over a new connection."""
         path = f"/v1/tasks/{task}"
--- a/src/bergamotgap/node/maintenance.py
+++ b/src/bergamotgap/node/maintenance.py
@@ -12,7 +12,7 @@
 from bergamotgap.domain.control_state import ControlState, HostState
 from bergamotgap.domain.records import DrainStarted, HostMaintained
 from bergamotgap.domain.waves import choose_drains
-from bergamotgap.node.worker_steps import Append, TasksOn, end_tasks, is_applied
+from bergamotgap.node.worker_steps import Append, end_tasks, is_applied
 from bergamotgap.node.workers import WorkerView
 from bergamotgap.ports.worker import WorkerClient, WorkerError, WorkerStatus
 
@@ -34,7 +34,6 @@
         append: Append,
         client: WorkerClient,
         view: Callable[[str], WorkerView],
-        tasks_on: TasksOn,
         is_planner: Callable[[], bool],
         clock: Clock,
     ) -> None:
@@ -42,7 +41,6 @@
         self._append = append
         self._client = client
         self._view = view
-        self._tasks_on = tasks_on
         self._is_planner = is_planner
         self._clock = clock
 
@@ -100,8 +98,8 @@
             log.info("rebooting", host=host.facts.host, wave=host.draining_in)
             await self._client.reboot(address)
             return
-        tasks = self._tasks_on(host.facts.host)
-        await end_tasks(self._client, address, tasks, waited_ms)
+        catalogue = self._control().catalogue
+        await end_tasks(self._client, address, catalogue, waited_ms)
 
     async def _return_to_service(self, host: HostState, status: WorkerStatus) -> None:
         assert host.draining_in is not None
--- a/src/bergamotgap/node/moves.py
+++ b/src/bergamotgap/node/moves.py
@@ -20,7 +20,7 @@
     choose_receiver,
 )
 from bergamotgap.domain.records import HostAssigned, HostReleased
-from bergamotgap.node.worker_steps import Append, TasksOn, end_tasks, is_applied
+from bergamotgap.node.worker_steps import Append, end_tasks, is_applied
 from bergamotgap.node.workers import WorkerView
 from bergamotgap.ports.worker import WorkerClient, WorkerError
 
@@ -42,7 +42,6 @@
         view: Callable[[str], WorkerView],
         is_usable: Callable[[HostState], bool],
         pool_demand: Callable[[], Mapping[str, float]],
-        tasks_on: TasksOn,
         is_planner: Callable[[], bool],
         clock: Clock,
     ) -> None:
@@ -52,7 +51,6 @@
         self._view = view
         self._is_usable = is_usable
         self._pool_demand = pool_demand
-        self._tasks_on = tasks_on
         self._is_planner = is_planner
         self._clock = clock
         self._shortage = ShortageTimer()
@@ -89,8 +87,8 @@
                 return
             if status.busy > 0:
                 waited_ms = self._clock.wall_ms() - host.changed_ms
-                tasks = self._tasks_on(name)
-                await end_tasks(self._client, address, tasks, waited_ms)
+                catalogue = self._control().catalogue
+                await end_tasks(self._client, address, catalogue, waited_ms)
             elif status.state == "serving":
                 await self._assign(host)
         except WorkerError as error:
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -148,7 +148,6 @@
             client,
             workers.view,
             self._streams.sum_pool_demand,
-            lambda host: (),
             lambda: host_list.is_fresh and self._streams.is_planner(),
             self._clock,
         )
--- a/src/bergamotgap/node/planner.py
+++ b/src/bergamotgap/node/planner.py
@@ -17,7 +17,6 @@
     AppendUnknownError,
     Stream,
 )
-from bergamotgap.node.worker_steps import TasksOn
 from bergamotgap.node.workers import WorkerView
 from bergamotgap.node.writer import StreamWriter
 from bergamotgap.ports.worker import WorkerClient
@@ -44,7 +43,6 @@
         client: WorkerClient,
         view: Callable[[str], WorkerView],
         pool_demand: Callable[[], Mapping[str, float]],
-        tasks_on: TasksOn,
         is_planner: Callable[[], bool],
         clock: Clock,
     ) -> None:
@@ -59,7 +57,6 @@
             self._append,
             client,
             view,
-            tasks_on,
             is_planner,
             clock,
         )
@@ -70,7 +67,6 @@
             view,
             self.is_usable,
             pool_demand,
-            tasks_on,
             is_planner,
             clock,
         )
--- a/src/bergamotgap/ports/worker.py
+++ b/src/bergamotgap/ports/worker.py
@@ -1,6 +1,6 @@
 """What the node needs from workers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import Protocol
@@ -54,6 +54,15 @@
     started: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ListedTask:
+    """A running task in a worker's own list, whichever entry host sent it."""
+
+    task: str
+    entry: str
+    urgency: str
+
+
 class WorkerError(Exception):
     """Base of the worker port's errors."""
 
@@ -126,6 +135,9 @@
     ) -> AbstractAsyncContextManager[WorkerAnswer]:
         """Send a task; no progress within `progress_ms` raises TaskFateUnknownError."""
 
+    async def list_tasks(self, address: str) -> Sequence[ListedTask]:
+        """Ask for the running tasks, paused ones included."""
+
     async def fetch_task(self, address: str, task: str) -> TaskStatus:
         """Ask for a task over a new connection."""
 
--- a/stand_ins/tasks.py
+++ b/stand_ins/tasks.py
@@ -24,7 +24,10 @@
     """
 
     state: str
+    task_id: str = ""
     epoch: int = 0
+    entry: str = ""
+    urgency: str = ""
     body: bytes = b""
     size: int = 0
     remaining_ms: float = 0
@@ -52,7 +55,7 @@
     def __init__(self, results_kept: int) -> None:
         self.results_kept = results_kept
         self._tasks: dict[str, Task] = {}
-        self._running: dict[int, Task] = {}
+        self._running: dict[str, Task] = {}
         self._with_result: deque[Task] = deque()
         self._runners: set[asyncio.Task[None]] = set()
 
@@ -60,6 +63,10 @@
         """Return a task that is known."""
         return self._tasks.get(task_id)
 
+    def list_running(self) -> list[tuple[str, Task]]:
+        """Return the running tasks, paused ones included, with their ids."""
+        return list(self._running.items())
+
     def refuse(self, task_id: str) -> None:
         """Make sure that an unknown task never starts."""
         self._tasks.setdefault(task_id, Task(state="refused"))
@@ -81,8 +88,9 @@
         size = order.result_bytes
         task.size = len(task.body) if size is None else size
         task.holds_slot = True
+        task.task_id = task_id
         self._tasks[task_id] = task
-        self._running[id(task)] = task
+        self._running[task_id] = task
         self.renew(task)
         runner = asyncio.create_task(self._run(task, slots))
         self._runners.add(runner)
@@ -125,7 +133,7 @@
         if task.state != "running":
             return
         task.state = state
-        del self._running[id(task)]
+        del self._running[task.task_id]
         task.holds_slot = False
         task.has_result = state == "done"
         if task.has_result:
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -58,6 +58,7 @@
     boot_id: str | None = Field(default=None, alias="Boot-Id")
     start_before_ms: int | None = Field(default=None, alias="Start-Before-Ms")
     entry: str = Field(default="", alias="Entry")
+    urgency: str = Field(default="", alias="Urgency")
     cpus: Annotated[float, Field(alias="Cpus", ge=0)] = 1.0
     memory_mb: Annotated[int, Field(alias="Memory-Mb", ge=0)] = 0
 
@@ -89,6 +90,7 @@
         self._faults.add_to(app)
         app.router.add_get("/v1/status", self._get_status)
         app.router.add_put("/v1/assignment", self._assign)
+        app.router.add_get("/v1/tasks", self._list_tasks)
         app.router.add_post("/v1/tasks/{task}", self._run)
         app.router.add_get("/v1/tasks/{task}", self._get_task)
         app.router.add_get("/v1/tasks/{task}/result", self._get_result)
@@ -194,6 +196,8 @@
         task = Task(
             state="running",
             epoch=self._epoch,
+            entry=order.entry,
+            urgency=order.urgency,
             body=body,
             remaining_ms=0 if is_failing else run_ms,
             lease_ms=order.lease_ms,
@@ -239,6 +243,13 @@
         }
         return web.json_response(body, headers=self._answer_headers(task_id))
 
+    async def _list_tasks(self, request: web.Request) -> web.Response:
+        tasks = [
+            {"task": task_id, "entry": task.entry, "urgency": task.urgency}
+            for task_id, task in self._tasks.list_running()
+        ]
+        return web.json_response({"boot_id": self._boot_id, "tasks": tasks})
+
     async def _get_task(self, request: web.Request) -> web.Response:
         return self._describe(request.match_info["task"])
 
--- a/tests/fakes_control.py
+++ b/tests/fakes_control.py
@@ -19,7 +19,6 @@
 from bergamotgap.node.host_health import HostList
 from bergamotgap.node.planner import Planner
 from bergamotgap.node.streams import Stream
-from bergamotgap.node.worker_steps import RunningTask
 from bergamotgap.node.workers import WorkerView
 from bergamotgap.node.writer import StreamWriter
 from bergamotgap.ports.platform import (
@@ -28,6 +27,7 @@
     PlatformUnavailableError,
 )
 from bergamotgap.ports.worker import (
+    ListedTask,
     TaskRefusedError,
     TaskStatus,
     WorkerStatus,
@@ -49,6 +49,7 @@
             f'[[entries]]\nname = "run-{name}"\nowner = "team"\npool = "{name}"\n'
             'urgency = "normal"\nidempotent = true\ndeadline_ms = 1000\nrun_ms = 10\n'
             f"cpus = 1.0\nmemory_mb = 64\navailability = {availability}\n"
+            "checkpointable = true\n"
         )
     return "callers = []\n" + "\n".join(parts)
 
@@ -119,6 +120,7 @@
     is_silent: bool = False
     is_deaf: bool = False
     calls: list[str] = field(default_factory=list)
+    tasks: list[ListedTask] = field(default_factory=list)
 
 
 class FakeWorkers:
@@ -155,12 +157,17 @@
             worker.pool, worker.epoch = pool, epoch
         worker.calls.append(f"assign {pool} {epoch}")
 
+    async def list_tasks(self, address: str) -> list[ListedTask]:
+        """Return the running tasks that a test has set."""
+        return list(self._find(address).tasks)
+
     async def control(self, address: str, task: str, verb: str) -> TaskStatus:
         """End the task on `stop`."""
         worker = self._find(address)
         worker.calls.append(f"{verb} {task}")
         if verb == "stop":
             worker.busy -= 1
+            worker.tasks = [item for item in worker.tasks if item.task != task]
         return TaskStatus("stopped", 0, "boot", started=True)
 
     async def drain(self, address: str) -> None:
@@ -249,7 +256,6 @@
         self.platform = FakePlatform(log, self.clock)
         self.workers = FakeWorkers(log)
         self.demand: dict[str, float] = {}
-        self.tasks: dict[str, list[RunningTask]] = {}
         self.is_planner = True
         self.take_over()
 
@@ -269,7 +275,6 @@
             self.workers,  # type: ignore[arg-type]
             self.workers.view,
             lambda: self.demand,
-            lambda host: self.tasks.get(host, []),
             lambda: self.is_planner and self.host_list.is_fresh,
             self.clock,
         )
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -9,6 +9,8 @@
     HostReleased,
     HostUp,
 )
+from bergamotgap.node.worker_steps import CHECKPOINT_AFTER_MS, STOP_AFTER_MS
+from bergamotgap.ports.worker import ListedTask
 from tests.fakes_control import Site, build_log, write_catalogue
 
 PEAK_SLOTS = 80.0
@@ -137,3 +139,22 @@
     assert ours.missed == static.missed == greedy.missed == 0
     assert ours.spare_host_seconds < static.spare_host_seconds / 2
     assert ours.moves < greedy.moves / 4
+
+
+@pytest.mark.fault("crash", "move_release")
+async def test_release_that_waits_too_long_ends_the_tasks(site: Site) -> None:
+    """Guards against a released host held for good by tasks of other entry hosts."""
+    for worker in site.workers.by_host.values():
+        worker.busy = 1
+        worker.tasks = [ListedTask("t", "run-spare", "batch")]
+    await site.step(5)
+    released = list_hosts_of(site, None)
+    workers = [site.workers.by_host[name] for name in released]
+    assert not {"checkpoint t", "stop t"} & {c for w in workers for c in w.calls}
+    site.clock.advance_ms(CHECKPOINT_AFTER_MS)
+    await site.step()
+    assert all(worker.calls[-1] == "checkpoint t" for worker in workers)
+    site.clock.advance_ms(STOP_AFTER_MS)
+    await site.step(2)
+    assert all("stop t" in worker.calls for worker in workers)
+    assert all(site.state.hosts[name].pool is not None for name in released)
--- a/tests/test_planner_maintenance.py
+++ b/tests/test_planner_maintenance.py
@@ -5,7 +5,7 @@
 from bergamotgap.domain.budget import count_needed
 from bergamotgap.domain.control_data import count_serving, list_pool
 from bergamotgap.domain.records import DrainStarted, HostDown, HostUp, WaveDeclared
-from bergamotgap.node.worker_steps import RunningTask
+from bergamotgap.ports.worker import ListedTask
 from tests.fakes_control import Site, build_log
 
 
@@ -99,7 +99,8 @@
     name = list_draining(site)[0]
     worker = site.workers.by_host[name]
     worker.busy = 1
-    site.tasks[name] = [RunningTask("t", is_checkpointable=True)]
+    # Sent by another entry host, so that only the worker knows of it.
+    worker.tasks = [ListedTask("t", f"run-{name.partition('-')[0]}", "normal")]
     await site.step(10)
     assert worker.calls == ["drain"]
     site.clock.advance_ms(30_000)
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -11,12 +11,14 @@
 from bergamotgap.adapters.worker_http import HttpWorkerClient
 from bergamotgap.domain.clock import SystemClock
 from bergamotgap.ports.worker import (
+    ListedTask,
     TaskFateUnknownError,
     TaskOrder,
     TaskRefusedError,
     WorkerUnreachableError,
 )
 from tests.request_harness import FakeWorker, echo
+from tests.stand_in_api import LONG, open_worker
 
 ORDER = TaskOrder("t1", "report", "normal", 1, "boot-1", None, 1000, 1, 1, 0, b"body")
 
@@ -146,3 +148,20 @@
         for _ in range(2):
             assert (await client.fetch_status(address)).boot_id == "b"
         assert seen[0] is seen[1] and seen[2] is not seen[1]
+
+
+async def test_running_tasks_are_listed_for_any_entry_host() -> None:
+    """Guards against a drain that can't find the tasks of other entry hosts."""
+    async with open_worker(pause_ms=3_600_000) as api, AsyncExitStack() as stack:
+        client = await open_client(stack)
+        running = asyncio.create_task(
+            api.run("t", LONG, Entry="audit-export", Urgency="batch")
+        )
+        await api.wait_for("/v1/status", busy=1)
+        listed = [ListedTask("t", "audit-export", "batch")]
+        assert await client.list_tasks(api.address) == listed
+        await client.control(api.address, "t", "checkpoint")
+        assert await client.list_tasks(api.address) == listed
+        await client.control(api.address, "t", "stop")
+        assert await client.list_tasks(api.address) == []
+        await running
