Register running tasks and preempt for waiting urgent requests

Cause: `Admission(preempt=...)` was None in the node, so an urgent request waited for tasks much longer than its deadline and was refused.

The placer lists each task under its id, which is now chosen with the worker. Its quota stays in use, so that its return can't exceed it.

Ruled out: counting lent slots only. With declared run times far too short, the share of a batch entry pays for all its slots, and none is lent. Ruled out: a checkpoint of non-idempotent tasks, because a paused task ends when its host moves.

--- a/src/bergamotgap/domain/admission.py
+++ b/src/bergamotgap/domain/admission.py
@@ -171,14 +171,34 @@
         """Free the slot of a started ticket and start what waits for it."""
         ticket.ended = True
         entry = ticket.entry
-        queue = self.queues[ticket.pool]
-        queue.release(ticket, now_ms)
+        queue = self.queue(ticket.pool)
+        if not ticket.is_paused:
+            queue.release(ticket, now_ms)
         self.quotas.release(entry)
-        self.quotas.update_blocked(queue.flows[entry.name])
+        self.quotas.update_blocked(queue.flow(entry))
         for key in (entry_key(entry.name), entry.owner):
             self._unblock(key, now_ms)
         self.pump(queue, now_ms)
 
+    def pause(self, ticket: Ticket, now_ms: int) -> None:
+        """Free the slot of a started ticket for a time; its quotas stay in use."""
+        if ticket.ended or ticket.is_paused:
+            return
+        queue = self.queues[ticket.pool]
+        queue.release(ticket, now_ms)
+        # The share has been charged for the time so far.
+        ticket.charged_ms = 0.0
+        ticket.is_paused = True
+        self.pump(queue, now_ms)
+
+    def resume(self, ticket: Ticket, now_ms: int) -> None:
+        """Count a paused ticket's slot again, above the allowance if need be."""
+        if ticket.ended or not ticket.is_paused:
+            return
+        ticket.is_paused = False
+        queue = self.queue(ticket.pool)
+        queue.occupy(ticket, queue.flow(ticket.entry), now_ms)
+
     def _unblock(self, key: str, now_ms: int) -> None:
         limit = self.quotas.limit(key)
         while limit is None or self.quotas.running[key] < limit:
@@ -251,8 +271,7 @@
     def list_preemptions(self, now_ms: int) -> list[tuple[str, int]]:
         """Return pools and how many less urgent tasks of each should give way.
 
-        Only tasks in lent slots count (`Ticket.is_lent`): those that their entry's
-        guaranteed share paid for go on.
+        Only slots beyond an entry's guaranteed share count, lent ones among them.
         """
         wanted = []
         for pool, queue in self.queues.items():
@@ -274,7 +293,14 @@
             for flow in queue.flows.values()
             if flow.entry.urgency.rank == URGENT_RANK and not flow.is_blocked
         )
-        return min(waiting - max(0, queue.free), queue.running_lent)
+        preemptable = sum(map(queue.count_preemptable, queue.flows.values()))
+        return min(waiting - max(0, queue.free), preemptable)
+
+    def count_preemptable(self, pool: str, entry: str) -> int:
+        """Return the slots that an entry holds beyond its guaranteed share."""
+        queue = self.queues.get(pool)
+        flow = queue.flows.get(entry) if queue is not None else None
+        return queue.count_preemptable(flow) if queue and flow else 0
 
     # Division among entry hosts.
 
--- a/src/bergamotgap/domain/scheduler.py
+++ b/src/bergamotgap/domain/scheduler.py
@@ -6,6 +6,7 @@
 rest of the slots goes by urgency class and then deadline.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -40,6 +41,7 @@
     charged_ms: float = 0.0
     outcome: NotRun | Expired | Cancelled | None = None
     waiter: object = None
+    is_paused: bool = False
 
     @property
     def is_urgent(self) -> bool:
@@ -140,6 +142,16 @@
         guaranteed = GUARANTEED_PART * (self.allowance - self.headroom)
         return max(0.0, guaranteed) * flow.share
 
+    def count_preemptable(self, flow: Flow) -> int:
+        """Return the slots that a flow holds beyond its guaranteed share.
+
+        Lent slots and those above the guaranteed rate: declared run times may be far
+        too short, and then a flow's share pays for more slots than its rate.
+        """
+        if flow.entry.urgency.rank == URGENT_RANK:
+            return 0
+        return max(flow.lent, flow.running - math.ceil(self.rate(flow)))
+
     def add(self, ticket: Ticket, now_ms: int) -> None:
         """Queue a ticket."""
         flow = self.flow(ticket.entry)
--- a/src/bergamotgap/node/admission.py
+++ b/src/bergamotgap/node/admission.py
@@ -30,13 +30,18 @@
 class Slot:
     """The right to run one task on some worker of `pool`.
 
-    `pool` is the spare pool when the slot is borrowed. `granted_ms` is monotonic. A
-    task in a lent slot may be asked to give way to urgent work; others may not.
+    `pool` is the spare pool when the slot is borrowed. `granted_ms` is monotonic.
+    Tasks in lent slots are the first that are asked to give way to urgent work.
     """
 
     pool: str
-    granted_ms: int = 0
-    is_lent: bool = False
+    granted_ms: int
+    ticket: Ticket
+
+    @property
+    def is_lent(self) -> bool:
+        """Return whether the entry's guaranteed share did not pay for the slot."""
+        return self.ticket.is_lent
 
 
 class Admission:
@@ -44,8 +49,8 @@
 
     `pool_capacity` tells the slots of a pool's routable workers; `live_peers` tells
     the other entry hosts and their demand; `known_nodes` also names silent ones.
-    `preempt(pool, count)` asks so many running tasks in lent slots (`Slot.is_lent`),
-    below the most urgent class, to give way.
+    `preempt(pool, count)` asks so many running tasks below the most urgent class,
+    those in lent slots (`Slot.is_lent`) first, to give way.
     """
 
     def __init__(
@@ -85,7 +90,7 @@
         if offered.started_ms is None:
             await self._wait(offered)
         try:
-            yield Slot(offered.pool, offered.started_ms or 0, offered.is_lent)
+            yield Slot(offered.pool, offered.started_ms or 0, offered)
         finally:
             self._policy.release(offered, self._clock.monotonic_ms())
 
@@ -104,6 +109,18 @@
         if ticket.outcome is not None:
             raise NotAdmittedError(ticket.outcome)
 
+    def pause(self, slot: Slot) -> None:
+        """Give a held slot to others for a time, while its task is paused."""
+        self._policy.pause(slot.ticket, self._clock.monotonic_ms())
+
+    def resume(self, slot: Slot) -> None:
+        """Count a paused slot as held again."""
+        self._policy.resume(slot.ticket, self._clock.monotonic_ms())
+
+    def count_preemptable(self, pool: str, entry: str) -> int:
+        """Return the slots that an entry holds beyond its guaranteed share."""
+        return self._policy.count_preemptable(pool, entry)
+
     def note_run(self, entry: Entry, run_ms: float) -> None:
         """Learn the measured run time of a finished task, time in queues excluded."""
         self._policy.note_run(entry, run_ms, self._clock.monotonic_ms())
--- a/src/bergamotgap/node/claims.py
+++ b/src/bergamotgap/node/claims.py
@@ -174,7 +174,7 @@
             attempt=known.attempt + 1 if known is not None else 1,
             worker=placement.host,
             boot_id=placement.boot_id,
-            task=secrets.token_hex(12),
+            task=placement.task,
             start_before_ms=placement.translate_ms(lapse_ms),
             ownership=work.ownership,
         )
@@ -199,7 +199,6 @@
             placement,
             work.body,
             LEASE_MS,
-            task=claimed.task,
             start_before_ms=claimed.start_before_ms,
         )
         started_ms = self._clock.monotonic_ms()
--- a/src/bergamotgap/node/dispatch.py
+++ b/src/bergamotgap/node/dispatch.py
@@ -1,7 +1,6 @@
 """Carry one idempotent request from admission to the whole answer."""
 
 import random
-import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -312,12 +311,11 @@
     placement: Placement,
     body: bytes,
     lease_ms: int,
-    task: str | None = None,
     start_before_ms: int | None = None,
 ) -> TaskOrder:
-    """Return the order for a placed task; a random task id unless one is given."""
+    """Return the order for a placed task."""
     return TaskOrder(
-        task=task or secrets.token_hex(12),
+        task=placement.task,
         entry=entry.name,
         urgency=entry.urgency,
         epoch=placement.epoch,
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -29,6 +29,8 @@
 from bergamotgap.node.host_health import HostList
 from bergamotgap.node.placement import Placer
 from bergamotgap.node.planner import Planner
+from bergamotgap.node.preemption import Preemptor
+from bergamotgap.node.running_tasks import RunningTasks
 from bergamotgap.node.settings import Settings
 from bergamotgap.node.shutdown import RequestGate, shut_down
 from bergamotgap.node.stream_parts import StreamParts
@@ -75,14 +77,26 @@
         )
         control = self._streams.control
         workers = Workers(control, client, self._clock)
-        admission = self._build_admission(workers)
+        running = RunningTasks()
+        preemptor = Preemptor(
+            running,
+            client,
+            self._clock,
+            lambda pool, entry: admission.count_preemptable(pool, entry),
+        )
+        self._stack.push_async_callback(preemptor.close)
+        admission = self._build_admission(workers, preemptor)
         await self._stack.enter_async_context(self._streams)
         self._start("workers", workers.run)
         self._start("admission", admission.run)
         control_writer = self._streams.build_writer(control)
         self._start_planner(platform, control_writer, client, workers)
         placer = Placer(
-            lambda: control.state, workers, admission, self._settings.data_centre
+            lambda: control.state,
+            workers,
+            admission,
+            self._settings.data_centre,
+            running=running,
         )
         dispatcher = Dispatcher(placer, client, self._clock, self._settings.progress_ms)
         self._stack.push_async_callback(dispatcher.close)
@@ -118,7 +132,7 @@
         await self._stack.aclose()
         log.info("node stopped")
 
-    def _build_admission(self, workers: Workers) -> Admission:
+    def _build_admission(self, workers: Workers, preemptor: Preemptor) -> Admission:
         return Admission(
             self._clock,
             workers.pool_capacity,
@@ -126,6 +140,7 @@
             node_id=self._settings.node_id,
             catalogue=self._get_catalogue,
             known_nodes=self._streams.membership.list_expected,
+            preempt=preemptor.preempt,
             limits=AdmissionLimits(
                 max_queue_ms=self._settings.max_queue_ms,
                 headroom_part=self._settings.headroom_part,
--- a/src/bergamotgap/node/placement.py
+++ b/src/bergamotgap/node/placement.py
@@ -1,10 +1,11 @@
 """Give a task a slot and a worker."""
 
 import random
+import secrets
 import sys
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import TracebackType
 
 from bergamotgap.domain.catalogue import Entry
@@ -14,6 +15,7 @@
 from bergamotgap.domain.retries import NOT_STARTED_CODES
 from bergamotgap.domain.routing import choose_worker
 from bergamotgap.node.admission import Admission, NotAdmittedError, Slot
+from bergamotgap.node.running_tasks import RunningTask, RunningTasks
 from bergamotgap.node.workers import Workers, WorkerView
 from bergamotgap.ports.worker import WorkerStatus
 
@@ -25,7 +27,7 @@
     """A worker chosen for one task, with the values that fence the task.
 
     `worker_time_ms` is the worker's clock in its last status, which arrived at
-    `arrived_ms` of our monotonic clock.
+    `arrived_ms` of our monotonic clock. `task` is the id under which the task runs.
     """
 
     host: str
@@ -35,6 +37,7 @@
     boot_id: str
     worker_time_ms: int
     arrived_ms: int
+    task: str = field(default_factory=lambda: secrets.token_hex(12))
 
     def translate_ms(self, monotonic_ms: int) -> int:
         """Return our monotonic time on the worker's clock; never too late."""
@@ -58,7 +61,19 @@
     A class, because a generator costs several microseconds more for each request.
     """
 
-    __slots__ = ("_candidate", "_choose", "_entry", "_health", "_is_probe", "_slot")
+    __slots__ = (
+        "_admission",
+        "_candidate",
+        "_choose",
+        "_entry",
+        "_health",
+        "_is_away",
+        "_is_probe",
+        "_item",
+        "_running",
+        "_slot",
+        "_slot_held",
+    )
 
     def __init__(
         self,
@@ -66,12 +81,17 @@
         slot: AbstractAsyncContextManager[Slot],
         choose: Callable[[str], Candidate],
         health: HealthTracker,
+        admission: Admission,
+        running: RunningTasks,
     ) -> None:
         self._entry = entry
         self._slot = slot
         self._choose = choose
         self._health = health
+        self._admission = admission
+        self._running = running
         self._is_probe = False
+        self._is_away = False
 
     async def __aenter__(self) -> Placement:
         """Wait for the slot, then choose the worker."""
@@ -83,8 +103,9 @@
             raise
         self._candidate = candidate
         self._reserve(candidate)
+        self._slot_held = slot
         facts = candidate.host.facts
-        return Placement(
+        placement = Placement(
             host=facts.host,
             address=facts.address,
             pool=slot.pool,
@@ -93,6 +114,18 @@
             worker_time_ms=candidate.status.time_ms,
             arrived_ms=candidate.status.arrived_ms,
         )
+        self._item = RunningTask(
+            task=placement.task,
+            host=facts.host,
+            address=facts.address,
+            pool=slot.pool,
+            entry=self._entry,
+            is_lent=slot.is_lent,
+            started_ms=slot.granted_ms,
+            holder=self,
+        )
+        self._running.add(self._item)
+        return placement
 
     async def __aexit__(
         self,
@@ -101,28 +134,52 @@
         trace: TracebackType | None,
     ) -> None:
         """Give back the room, then the slot."""
-        self._release(self._candidate)
+        self._running.remove(self._item)
+        # The registry's item and this object refer to each other.
+        del self._item
+        if not self._is_away:
+            self._free_room(self._candidate.view)
+        self._is_away = True
+        if self._is_probe:
+            self._health.end_probe(self._candidate.name)
         await self._slot.__aexit__(kind, error, trace)
 
+    def give_way(self) -> None:
+        """Give back the slot and the room while the task is paused."""
+        if self._is_away:
+            return
+        self._is_away = True
+        view = self._candidate.view
+        self._free_room(view)
+        view.busy = max(0, view.busy - 1)
+        self._admission.pause(self._slot_held)
+
+    def take_back(self) -> None:
+        """Count the slot and the room as taken again, unless the task has ended."""
+        if not self._slot_held.ticket.is_paused or self._slot_held.ticket.ended:
+            return
+        self._is_away = False
+        self._take_room(self._candidate.view)
+        self._admission.resume(self._slot_held)
+
     def _reserve(self, candidate: Candidate) -> None:
-        view = candidate.view
+        self._take_room(candidate.view)
+        candidate.view.sent_since_report += 1
+        self._is_probe = self._health.is_ejected(candidate.name)
+        if self._is_probe:
+            self._health.begin_probe(candidate.name)
+
+    def _take_room(self, view: WorkerView) -> None:
         view.running += 1
-        view.sent_since_report += 1
         view.reserved_cpus += self._entry.cpus
         view.reserved_memory_mb += self._entry.memory_mb
         view.reserved_accelerators += self._entry.accelerators
-        self._is_probe = self._health.is_ejected(candidate.name)
-        if self._is_probe:
-            self._health.begin_probe(candidate.name)
 
-    def _release(self, candidate: Candidate) -> None:
-        view = candidate.view
+    def _free_room(self, view: WorkerView) -> None:
         view.running -= 1
         view.reserved_cpus -= self._entry.cpus
         view.reserved_memory_mb -= self._entry.memory_mb
         view.reserved_accelerators -= self._entry.accelerators
-        if self._is_probe:
-            self._health.end_probe(candidate.name)
 
 
 class Placer:
@@ -138,12 +195,14 @@
         admission: Admission,
         data_centre: str = "",
         rng: random.Random | None = None,
+        running: RunningTasks | None = None,
     ) -> None:
         self._control = control
         self._workers = workers
         self._admission = admission
         self._data_centre = data_centre
         self._rng = rng or random.Random()
+        self._running = running or RunningTasks()
         self._groups: dict[str, tuple[list[HostState], list[list[Candidate]]]] = {}
 
     def place(
@@ -162,6 +221,8 @@
             slot,
             lambda pool: self._choose(entry, pool, avoid),
             self._workers.health,
+            self._admission,
+            self._running,
         )
 
     def _choose(self, entry: Entry, pool: str, avoid: frozenset[str]) -> Candidate:
