Fence drains and reboots with the worker's boot id

Cause: a planner that was paused between a worker's status and its call could drain or reboot a host that another planner had maintained meanwhile. A host drained that way is in no wave, so nothing brings it back.

Ruled out: asking `is_planner` again, which was done already; the pause can come after it. A worker accepts calls without the header, as it does orders.

--- a/src/bergamotgap/adapters/worker_http.py
+++ b/src/bergamotgap/adapters/worker_http.py
@@ -191,13 +191,27 @@
             await self._call(self._fresh, "POST", address, path, _TaskPayload)
         )
 
-    async def drain(self, address: str) -> None:
-        """Tell the worker to refuse new tasks."""
-        await self._call(self._fresh, "POST", address, "/v1/drain", dict[str, Any])
+    async def drain(self, address: str, boot_id: str) -> None:
+        """Tell the worker to refuse new tasks.
 
-    async def reboot(self, address: str) -> None:
-        """Tell the worker to restart."""
-        await self._call(self._fresh, "POST", address, "/v1/reboot", dict[str, Any])
+        Raises TaskRefusedError `wrong_boot` when it has restarted since.
+        """
+        await self._maintain(address, "drain", boot_id)
+
+    async def reboot(self, address: str, boot_id: str) -> None:
+        """Tell the worker to restart; raises as `drain` does."""
+        await self._maintain(address, "reboot", boot_id)
+
+    async def _maintain(self, address: str, verb: str, boot_id: str) -> None:
+        headers = {"Boot-Id": boot_id}
+        await self._call(
+            self._fresh,
+            "POST",
+            address,
+            f"/v1/{verb}",
+            dict[str, Any],
+            headers=headers,
+        )
 
     async def _call(
         self,
@@ -208,6 +222,7 @@
         payload_type: type[P],
         timeout_ms: int = CALL_TIMEOUT_MS,
         body: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
     ) -> P:
         timeout = aiohttp.ClientTimeout(
             total=timeout_ms / 1000,
@@ -216,7 +231,7 @@
         url = f"http://{address}{path}"
         try:
             async with session.request(
-                method, url, json=body, timeout=timeout
+                method, url, json=body, headers=headers, timeout=timeout
             ) as response:
                 content = await response.read()
                 return _decode(response.status, content, payload_type)
--- a/src/bergamotgap/node/maintenance.py
+++ b/src/bergamotgap/node/maintenance.py
@@ -2,6 +2,8 @@
 
 Each step follows from the folded state and the worker's own status, so that another
 planner can go on at any point. A drain is in the log before the worker hears of it.
+Drains and reboots name the boot id of that status: a planner that was paused after the
+status must not drain or reboot a host that another one has maintained since.
 """
 
 import asyncio
@@ -89,14 +91,14 @@
     async def _empty_and_reboot(self, host: HostState, status: WorkerStatus) -> None:
         address = host.facts.address
         if status.state == "serving":
-            await self._client.drain(address)
+            await self._client.drain(address, status.boot_id)
             return
         if status.state != "draining":
             return
         waited_ms = self._clock.wall_ms() - host.changed_ms
         if status.busy == 0 or waited_ms >= REBOOT_AFTER_MS:
             log.info("rebooting", host=host.facts.host, wave=host.draining_in)
-            await self._client.reboot(address)
+            await self._client.reboot(address, status.boot_id)
             return
         catalogue = self._control().catalogue
         await end_tasks(self._client, address, catalogue, waited_ms)
--- a/src/bergamotgap/ports/worker.py
+++ b/src/bergamotgap/ports/worker.py
@@ -152,8 +152,11 @@
     async def control(self, address: str, task: str, verb: str) -> TaskStatus:
         """Renew, checkpoint, throttle or stop a running task."""
 
-    async def drain(self, address: str) -> None:
-        """Tell the worker to refuse new tasks."""
+    async def drain(self, address: str, boot_id: str) -> None:
+        """Tell the worker to refuse new tasks.
 
-    async def reboot(self, address: str) -> None:
-        """Tell the worker to restart."""
+        Raises TaskRefusedError `wrong_boot` when it has restarted since.
+        """
+
+    async def reboot(self, address: str, boot_id: str) -> None:
+        """Tell the worker to restart; raises as `drain` does."""
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -283,12 +283,19 @@
         else:
             self._tasks.stop(task)
 
+    def _is_of_another_boot(self, request: web.Request) -> bool:
+        return request.headers.get("Boot-Id", self._boot_id) != self._boot_id
+
     async def _drain(self, request: web.Request) -> web.Response:
+        if self._is_of_another_boot(request):
+            return web.json_response({"code": "wrong_boot"}, status=REFUSED)
         if self._state != "rebooting":
             self._state = "draining"
         return web.json_response({})
 
     async def _reboot(self, request: web.Request) -> web.Response:
+        if self._is_of_another_boot(request):
+            return web.json_response({"code": "wrong_boot"}, status=REFUSED)
         if self._state != "rebooting":
             self._state = "rebooting"
             # The boot id changes together with the loss of the tasks, because an
--- a/tests/fakes_control.py
+++ b/tests/fakes_control.py
@@ -170,15 +170,21 @@
             worker.tasks = [item for item in worker.tasks if item.task != task]
         return TaskStatus("stopped", 0, "boot", started=True)
 
-    async def drain(self, address: str) -> None:
-        """Refuse new tasks from now on."""
+    def _find_booted(self, address: str, boot_id: str) -> FakeWorker:
         worker = self._find(address)
+        if boot_id != f"boot-{worker.boot}":
+            raise TaskRefusedError("wrong_boot")
+        return worker
+
+    async def drain(self, address: str, boot_id: str) -> None:
+        """Refuse new tasks from now on."""
+        worker = self._find_booted(address, boot_id)
         worker.state = "draining"
         worker.calls.append("drain")
 
-    async def reboot(self, address: str) -> None:
+    async def reboot(self, address: str, boot_id: str) -> None:
         """Come back with a new boot id."""
-        worker = self._find(address)
+        worker = self._find_booted(address, boot_id)
         worker.state, worker.busy = "serving", 0
         worker.boot += 1
         worker.calls.append("reboot")
@@ -264,6 +270,11 @@
         """Return the folded state."""
         return self.platform.log.state
 
+    def find_host(self, address: str) -> str:
+        """Return the name of the host at an address."""
+        hosts = self.state.hosts.items()
+        return next(name for name, host in hosts if host.facts.address == address)
+
     def take_over(self) -> None:
         """Replace the planner by a new one without memory."""
         writer = StreamWriter(self.platform.stream, self.platform, self.clock, 0)  # type: ignore[arg-type]
--- a/tests/test_planner_maintenance.py
+++ b/tests/test_planner_maintenance.py
@@ -5,7 +5,7 @@
 from bergamotgap.domain.budget import count_needed
 from bergamotgap.domain.control_data import count_serving, list_pool
 from bergamotgap.domain.records import DrainStarted, HostDown, HostUp, WaveDeclared
-from bergamotgap.ports.worker import ListedTask
+from bergamotgap.ports.worker import ListedTask, WorkerStatus
 from tests.fakes_control import Site, build_log
 
 
@@ -130,3 +130,30 @@
     assert isinstance(site.platform.appended[0], DrainStarted)
     assert list_draining(site) == []
     assert all(worker.calls == [] for worker in site.workers.by_host.values())
+
+
+@pytest.mark.fault("freeze", "drain")
+@pytest.mark.fault("freeze", "reboot")
+@pytest.mark.parametrize("call", ["drain", "reboot"])
+async def test_paused_planner_leaves_a_maintained_host_alone(call: str) -> None:
+    """Guards against a second drain or reboot by a planner that read an old status."""
+    site = build_site()
+    if call == "reboot":
+        await site.step()
+    fetch_status = site.workers.fetch_status
+    maintained: list[str] = []
+
+    async def fetch_then_pause(address: str) -> WorkerStatus:
+        status = await fetch_status(address)
+        # While this planner is paused, another one drains and reboots the host.
+        worker = site.workers.by_host[site.find_host(address)]
+        worker.state, worker.boot = "serving", worker.boot + 1
+        maintained.append(address)
+        return status
+
+    site.workers.fetch_status = fetch_then_pause  # type: ignore[method-assign]
+    await site.step()
+    workers = [site.workers.by_host[site.find_host(name)] for name in maintained]
+    assert workers != []
+    assert all(worker.calls.count(call) == 0 for worker in workers)
+    assert all(worker.state == "serving" for worker in workers)
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -165,3 +165,20 @@
         await client.control(api.address, "t", "stop")
         assert await client.list_tasks(api.address) == []
         await running
+
+
+@pytest.mark.fault("freeze", "drain")
+@pytest.mark.fault("freeze", "reboot")
+async def test_drain_and_reboot_of_a_former_boot_are_refused() -> None:
+    """Guards against calls that reach a host after its maintenance has ended."""
+    async with open_worker(reboot_ms=0) as api, AsyncExitStack() as stack:
+        client = await open_client(stack)
+        former = (await client.fetch_status(api.address)).boot_id
+        await client.drain(api.address, former)
+        await client.reboot(api.address, former)
+        await api.wait_for("/v1/status", state="serving")
+        for call in (client.drain, client.reboot):
+            with pytest.raises(TaskRefusedError, match="wrong_boot"):
+                await call(api.address, former)
+        status = await client.fetch_status(api.address)
+        assert status.state == "serving"
