Measure run times from the slot's grant, without pauses

Cause: run times were measured from the sending of the order. That left out the queue already, but also the claim that a held slot waits for; for a lost answer it counted the time until the loss was noticed, and a task that gave way would count its pause.

The time now runs from `granted_ms` of the slot. Runs that were paused, or whose answer was lost, are not learned, because their true length is not known. Ruled out: taking the 1 s for which a slot counts as free as the length of the pause; the worker decides.

--- a/src/bergamotgap/node/claims.py
+++ b/src/bergamotgap/node/claims.py
@@ -201,13 +201,12 @@
             LEASE_MS,
             start_before_ms=claimed.start_before_ms,
         )
-        started_ms = self._clock.monotonic_ms()
         until_ms = work.deadline_at_ms + OVERTIME_MS
         end = await self._runner.run_task(
             placement.address, order, until_ms, PATIENCE_MS
         )
         if end.state == "done":
-            run_ms = self._clock.monotonic_ms() - started_ms
+            run_ms = placement.measure_run_ms(self._clock.monotonic_ms())
             self._placer.note_success(work.entry, placement.host, run_ms)
         elif end.state in ("not_run", "unknown"):
             self._placer.note_failure(work.entry, placement.host, end.reason)
--- a/src/bergamotgap/node/dispatch.py
+++ b/src/bergamotgap/node/dispatch.py
@@ -187,7 +187,6 @@
         self, request: _Request[T], placement: Placement, order: TaskOrder
     ) -> Answer | _Sent[T]:
         entry, host = request.entry, placement.host
-        started_ms = self._clock.monotonic_ms()
         progress_ms = self._limit_progress_ms(order)
         begun: Answer | None = None
         try:
@@ -199,7 +198,7 @@
                 if answer.is_failure:
                     reason = begun.head.decode(errors="replace")[:MAX_REASON_CHARS]
                     raise self._fail(entry, placement, "failed", Failed(reason))
-                run_ms = self._clock.monotonic_ms() - started_ms
+                run_ms = placement.measure_run_ms(self._clock.monotonic_ms())
                 self._placer.note_success(entry, host, run_ms)
                 # A whole answer is sent once slot and connection are given back.
                 return begun if begun.rest is None else _Sent(await request.send(begun))
@@ -213,7 +212,7 @@
                 # The caller has got the first byte, so nothing else may be sent.
                 self._placer.note_failure(entry, host, "cut_short")
                 raise
-        return await self._recover(request, placement, order, started_ms)
+        return await self._recover(request, placement, order)
 
     async def _begin(self, answer: WorkerAnswer, until_ms: int) -> Answer:
         """Read an answer up to `HELD_BYTES`, or to its end if that comes first."""
@@ -245,7 +244,6 @@
         request: _Request[T],
         placement: Placement,
         order: TaskOrder,
-        started_ms: int,
     ) -> Answer | _Sent[T]:
         """Ask the worker for a task whose answer was lost; raises _AttemptError."""
         entry, address = request.entry, placement.address
@@ -253,7 +251,7 @@
             address, order.task, placement.boot_id, request.deadline_at_ms
         )
         if end is TaskEnd.DONE:
-            return await self._fetch(request, placement, order, started_ms)
+            return await self._fetch(request, placement, order)
         if end is TaskEnd.NOT_STARTED:
             self._placer.note_failure(entry, placement.host, "lost")
             raise _not_started(placement, "worker_lost_order")
@@ -270,7 +268,6 @@
         request: _Request[T],
         placement: Placement,
         order: TaskOrder,
-        started_ms: int,
     ) -> Answer | _Sent[T]:
         """Fetch the result of a finished task; raises _AttemptError."""
         now_ms = self._clock.monotonic_ms()
@@ -281,8 +278,8 @@
                 placement.address, order.task
             ) as answer:
                 begun = await self._begin(answer, until_ms)
-                run_ms = now_ms - started_ms
-                self._placer.note_success(request.entry, placement.host, run_ms)
+                # When the task ended before its answer was lost is not known.
+                self._placer.note_success(request.entry, placement.host, None)
                 return begun if begun.rest is None else _Sent(await request.send(begun))
         except WorkerError as error:
             if begun is not None:
--- a/src/bergamotgap/node/job_runs.py
+++ b/src/bergamotgap/node/job_runs.py
@@ -182,14 +182,13 @@
             order = build_order(entry, placement, body, LEASE_MS)
             activity.stage = "running"
             activity.address, activity.task = placement.address, order.task
-            started_ms = self._clock.monotonic_ms()
             end = await self._runner.run_task(
                 placement.address, order, deadline_at_ms, IDEMPOTENT_PATIENCE_MS
             )
         host = placement.host
         if end.state == "done":
             self._blame_failed_hosts(entry, failures, host)
-            run_ms = self._clock.monotonic_ms() - started_ms
+            run_ms = placement.measure_run_ms(self._clock.monotonic_ms())
             self._placer.note_success(entry, host, run_ms)
             return build_outcome(job, "done", end, host, order.task)
         if end.state == "not_run":
--- a/src/bergamotgap/node/placement.py
+++ b/src/bergamotgap/node/placement.py
@@ -28,6 +28,7 @@
 
     `worker_time_ms` is the worker's clock in its last status, which arrived at
     `arrived_ms` of our monotonic clock. `task` is the id under which the task runs.
+    The slot was granted at `granted_ms` of our monotonic clock.
     """
 
     host: str
@@ -38,6 +39,15 @@
     worker_time_ms: int
     arrived_ms: int
     task: str = field(default_factory=lambda: secrets.token_hex(12))
+    granted_ms: int = 0
+    was_paused: Callable[[], bool] = lambda: False
+
+    def measure_run_ms(self, now_ms: int) -> int | None:
+        """Return the time since the slot was granted, so without the queue.
+
+        None for a task that gave way: how long it was paused is not known.
+        """
+        return None if self.was_paused() else now_ms - self.granted_ms
 
     def translate_ms(self, monotonic_ms: int) -> int:
         """Return our monotonic time on the worker's clock; never too late."""
@@ -73,6 +83,7 @@
         "_running",
         "_slot",
         "_slot_held",
+        "_was_paused",
     )
 
     def __init__(
@@ -92,6 +103,7 @@
         self._running = running
         self._is_probe = False
         self._is_away = False
+        self._was_paused = False
 
     async def __aenter__(self) -> Placement:
         """Wait for the slot, then choose the worker."""
@@ -113,6 +125,8 @@
             boot_id=candidate.status.boot_id,
             worker_time_ms=candidate.status.time_ms,
             arrived_ms=candidate.status.arrived_ms,
+            granted_ms=slot.granted_ms,
+            was_paused=self._get_was_paused,
         )
         self._item = RunningTask(
             task=placement.task,
@@ -148,12 +162,15 @@
         """Give back the slot and the room while the task is paused."""
         if self._is_away:
             return
-        self._is_away = True
+        self._is_away = self._was_paused = True
         view = self._candidate.view
         self._free_room(view)
         view.busy = max(0, view.busy - 1)
         self._admission.pause(self._slot_held)
 
+    def _get_was_paused(self) -> bool:
+        return self._was_paused
+
     def take_back(self) -> None:
         """Count the slot and the room as taken again, unless the task has ended."""
         if not self._slot_held.ticket.is_paused or self._slot_held.ticket.ended:
@@ -280,10 +297,11 @@
 
         return [rate_free, rate_other, rate_usable, rate_any]
 
-    def note_success(self, entry: Entry, host: str, run_ms: float) -> None:
-        """Learn that a task ended well after `run_ms`."""
+    def note_success(self, entry: Entry, host: str, run_ms: float | None) -> None:
+        """Learn that a task ended well after `run_ms`, if that is known."""
         self._workers.health.note_success(entry.name, host)
-        self._admission.note_run(entry, run_ms)
+        if run_ms is not None:
+            self._admission.note_run(entry, run_ms)
 
     def note_failure(self, entry: Entry, host: str, code: str) -> None:
         """Learn that a task failed at a host, or that the host refused it.
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,7 +1,9 @@
 """Work goes to workers that can take it, and not to those that fail it."""
 
+import asyncio
 import random
 from collections import Counter
+from contextlib import AsyncExitStack
 from dataclasses import replace
 
 import pytest
@@ -14,6 +16,7 @@
 from bergamotgap.domain.routing import choose_worker, estimate_load
 from bergamotgap.node.admission import Admission, NotAdmittedError
 from bergamotgap.node.placement import Placer
+from bergamotgap.node.running_tasks import RunningTasks
 from bergamotgap.node.streams import Stream
 from bergamotgap.node.workers import LISTED_LEAVING_MS, Workers
 from bergamotgap.ports.platform import HostListing
@@ -61,8 +64,14 @@
         rng = random.Random(7)
         self.workers = Workers(self.control, self.client, self.clock, rng=rng)
         admission = Admission(self.clock, self.workers.pool_capacity, list)
+        self.running = RunningTasks()
         self.placer = Placer(
-            lambda: self.control.state, self.workers, admission, "dc-1", rng
+            lambda: self.control.state,
+            self.workers,
+            admission,
+            "dc-1",
+            rng,
+            self.running,
         )
         entry = parse_catalogue(DOCUMENT).find_entry("report")
         assert entry is not None
@@ -266,3 +275,30 @@
     with pytest.raises(NotAdmittedError) as caught:
         await world.place()
     assert caught.value.outcome.tag == "not_run"
+
+
+async def test_run_times_leave_out_the_queue_and_pauses() -> None:
+    """Guards against queues that lengthen the learned run times, and so themselves."""
+    world = World()
+    await world.refresh()
+    async with AsyncExitStack() as stack:
+        places = [world.placer.place(world.entry, 1 << 40) for _ in range(49)]
+        for place in places[:48]:
+            placement = await stack.enter_async_context(place)
+        waiting = asyncio.create_task(places[48].__aenter__())
+        await asyncio.sleep(0)
+        world.clock.advance_ms(5000)
+        assert placement.measure_run_ms(world.clock.monotonic_ms()) == 5000
+        item = world.running.list_pool(POOL)[-1]
+        view = world.workers.view(item.host)
+        running = view.running
+        item.holder.give_way()
+        late = await waiting
+        world.clock.advance_ms(30)
+        assert late.measure_run_ms(world.clock.monotonic_ms()) == 30
+        assert placement.measure_run_ms(world.clock.monotonic_ms()) is None
+        item.holder.take_back()
+        assert view.running - running == (late.host == item.host)
+        await places[48].__aexit__(None, None, None)
+    assert world.running.list_all() == []
+    assert all(world.workers.view(name).running == 0 for name in POOL_NAMES)
