Learn sizes of tasks and limit those far above them

Cause: declared sizes were believed for good. A task that used several times its size took a host's processors from the others, and further tasks were placed beside it.

The worker lists the use of each task with its lag; an entry host asks one worker each 500 ms about its own tasks of 2 s and longer. Ruled out: use by task in every status, which costs control traffic for tasks the reader can't act on.

--- a/src/bergamotgap/adapters/worker_http.py
+++ b/src/bergamotgap/adapters/worker_http.py
@@ -64,6 +64,8 @@
     task: str
     entry: str = ""
     urgency: str = ""
+    cpus: float | None = None
+    memory_mb: float | None = None
 
 
 class _ListPayload(msgspec.Struct):
@@ -143,7 +145,8 @@
         path = "/v1/tasks"
         payload = await self._call(self._fresh, "GET", address, path, _ListPayload)
         return [
-            ListedTask(item.task, item.entry, item.urgency) for item in payload.tasks
+            ListedTask(item.task, item.entry, item.urgency, item.cpus, item.memory_mb)
+            for item in payload.tasks
         ]
 
     async def fetch_task(self, address: str, task: str) -> TaskStatus:
--- /dev/null
+++ b/src/bergamotgap/domain/sizes.py
@@ -0,0 +1,75 @@
+"""Learned sizes of tasks by entry, from measured use."""
+
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from bergamotgap.domain.catalogue import Entry
+
+# Declared sizes are far from the truth: they count until so many tasks were measured.
+MIN_SAMPLES = 10
+# Older measurements are dropped after so many, so that a new version of an entry's
+# program is learned; the last estimate stays until the next MIN_SAMPLES.
+MAX_SAMPLES = 1000
+PERCENTILE = 90.0
+SIGNIFICANT_FIGURES = 2
+COUNTER_BYTES = 4
+MAX_MILLI_CPUS = 1024 * 1000
+MAX_MEMORY_MB = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Processors and megabytes of one task."""
+
+    cpus: float
+    memory_mb: float
+
+
+class _Measured:
+    """Measurements of one entry and the estimate from them."""
+
+    def __init__(self) -> None:
+        self.estimate: Size | None = None
+        self._clear()
+
+    def _clear(self) -> None:
+        self._milli_cpus = _build_histogram(MAX_MILLI_CPUS)
+        self._memory_mb = _build_histogram(MAX_MEMORY_MB)
+        self._count = 0
+
+    def note(self, size: Size) -> None:
+        if self._count >= MAX_SAMPLES:
+            self._clear()
+        self._count += 1
+        milli_cpus = min(max(1, int(size.cpus * 1000)), MAX_MILLI_CPUS)
+        self._milli_cpus.record_value(milli_cpus)
+        memory_mb = min(max(1, int(size.memory_mb)), MAX_MEMORY_MB)
+        self._memory_mb.record_value(memory_mb)
+        if self._count >= MIN_SAMPLES:
+            self.estimate = Size(
+                self._milli_cpus.get_value_at_percentile(PERCENTILE) / 1000,
+                float(self._memory_mb.get_value_at_percentile(PERCENTILE)),
+            )
+
+
+class Sizes:
+    """Sizes of all entries, as this entry host measured them."""
+
+    def __init__(self) -> None:
+        self._measured: dict[str, _Measured] = {}
+
+    def note(self, entry: Entry, size: Size) -> None:
+        """Record the measured size of one task."""
+        self._measured.setdefault(entry.name, _Measured()).note(size)
+
+    def estimate(self, entry: Entry) -> Size:
+        """Return the high quantile, or the declared size until it is measured."""
+        measured = self._measured.get(entry.name)
+        if measured is None or measured.estimate is None:
+            return Size(entry.cpus, entry.memory_mb)
+        return measured.estimate
+
+
+def _build_histogram(highest: int) -> HdrHistogram:
+    return HdrHistogram(1, highest, SIGNIFICANT_FIGURES, word_size=COUNTER_BYTES)
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -23,6 +23,7 @@
 from bergamotgap.domain.admission import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.sizes import Sizes
 from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
 from bergamotgap.node.gauges import register_fleet_gauges, register_stream_gauges
@@ -35,6 +36,7 @@
 from bergamotgap.node.shutdown import RequestGate, shut_down
 from bergamotgap.node.stream_parts import StreamParts
 from bergamotgap.node.supervision import supervise
+from bergamotgap.node.usage import UsageWatch
 from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
 from bergamotgap.node.writer import StreamWriter
@@ -77,7 +79,7 @@
         )
         control = self._streams.control
         workers = Workers(control, client, self._clock)
-        running = RunningTasks()
+        running, sizes = RunningTasks(), Sizes()
         preemptor = Preemptor(
             running,
             client,
@@ -89,6 +91,8 @@
         await self._stack.enter_async_context(self._streams)
         self._start("workers", workers.run)
         self._start("admission", admission.run)
+        usage = UsageWatch(running, client, self._clock, sizes)
+        self._start("usage", usage.run)
         control_writer = self._streams.build_writer(control)
         self._start_planner(platform, control_writer, client, workers)
         placer = Placer(
@@ -97,6 +101,7 @@
             admission,
             self._settings.data_centre,
             running=running,
+            sizes=sizes,
         )
         dispatcher = Dispatcher(placer, client, self._clock, self._settings.progress_ms)
         self._stack.push_async_callback(dispatcher.close)
--- a/src/bergamotgap/node/placement.py
+++ b/src/bergamotgap/node/placement.py
@@ -14,6 +14,7 @@
 from bergamotgap.domain.outcomes import NotRun
 from bergamotgap.domain.retries import NOT_STARTED_CODES
 from bergamotgap.domain.routing import choose_worker
+from bergamotgap.domain.sizes import Size, Sizes
 from bergamotgap.node.admission import Admission, NotAdmittedError, Slot
 from bergamotgap.node.running_tasks import RunningTask, RunningTasks
 from bergamotgap.node.workers import Workers, WorkerView
@@ -81,6 +82,7 @@
         "_is_probe",
         "_item",
         "_running",
+        "_size",
         "_slot",
         "_slot_held",
         "_was_paused",
@@ -94,6 +96,7 @@
         health: HealthTracker,
         admission: Admission,
         running: RunningTasks,
+        size: Size,
     ) -> None:
         self._entry = entry
         self._slot = slot
@@ -101,6 +104,7 @@
         self._health = health
         self._admission = admission
         self._running = running
+        self._size = size
         self._is_probe = False
         self._is_away = False
         self._was_paused = False
@@ -188,14 +192,14 @@
 
     def _take_room(self, view: WorkerView) -> None:
         view.running += 1
-        view.reserved_cpus += self._entry.cpus
-        view.reserved_memory_mb += self._entry.memory_mb
+        view.reserved_cpus += self._size.cpus
+        view.reserved_memory_mb += self._size.memory_mb
         view.reserved_accelerators += self._entry.accelerators
 
     def _free_room(self, view: WorkerView) -> None:
         view.running -= 1
-        view.reserved_cpus -= self._entry.cpus
-        view.reserved_memory_mb -= self._entry.memory_mb
+        view.reserved_cpus -= self._size.cpus
+        view.reserved_memory_mb -= self._size.memory_mb
         view.reserved_accelerators -= self._entry.accelerators
 
 
@@ -213,6 +217,7 @@
         data_centre: str = "",
         rng: random.Random | None = None,
         running: RunningTasks | None = None,
+        sizes: Sizes | None = None,
     ) -> None:
         self._control = control
         self._workers = workers
@@ -220,6 +225,7 @@
         self._data_centre = data_centre
         self._rng = rng or random.Random()
         self._running = running or RunningTasks()
+        self._sizes = sizes or Sizes()
         self._groups: dict[str, tuple[list[HostState], list[list[Candidate]]]] = {}
 
     def place(
@@ -240,6 +246,7 @@
             self._workers.health,
             self._admission,
             self._running,
+            self._sizes.estimate(entry),
         )
 
     def _choose(self, entry: Entry, pool: str, avoid: frozenset[str]) -> Candidate:
@@ -271,6 +278,7 @@
         self, entry: Entry, avoid: frozenset[str]
     ) -> list[Callable[[Candidate], float | None]]:
         health = self._workers.health
+        size = self._sizes.estimate(entry)
 
         def rate_any(item: Candidate) -> float | None:
             return item.view.load if _can_ever_fit(entry, item.host) else None
@@ -291,7 +299,7 @@
 
         def rate_free(item: Candidate) -> float | None:
             view = item.view
-            if view.load >= item.slots or not _fits_now(entry, item.host, view):
+            if view.load >= item.slots or not _fits_now(entry, size, item.host, view):
                 return None
             return rate_other(item)
 
@@ -336,10 +344,10 @@
     )
 
 
-def _fits_now(entry: Entry, host: HostState, view: WorkerView) -> bool:
+def _fits_now(entry: Entry, size: Size, host: HostState, view: WorkerView) -> bool:
     facts = host.facts
     return (
-        entry.cpus + view.reserved_cpus <= facts.cpus
-        and entry.memory_mb + view.reserved_memory_mb <= facts.memory_mb
+        size.cpus + view.reserved_cpus <= facts.cpus
+        and size.memory_mb + view.reserved_memory_mb <= facts.memory_mb
         and entry.accelerators + view.reserved_accelerators <= facts.accelerators
     )
--- a/src/bergamotgap/node/running_tasks.py
+++ b/src/bergamotgap/node/running_tasks.py
@@ -23,6 +23,8 @@
 
     `is_lent` tells that the entry's guaranteed share did not pay for the slot;
     `is_asked` that the task is being asked to give way, or has been for good.
+    `is_measured` tells that its use was learned; `limits` are the steps that were taken
+    because of it, and `next_limit_ms` is the earliest time of the next one.
     """
 
     task: str
@@ -34,6 +36,9 @@
     started_ms: int
     holder: Holder
     is_asked: bool = False
+    is_measured: bool = False
+    limits: tuple[str, ...] = ()
+    next_limit_ms: int = 0
 
 
 class RunningTasks:
--- a/src/bergamotgap/node/workers.py
+++ b/src/bergamotgap/node/workers.py
@@ -48,7 +48,7 @@
     busy: int = 0
     sent_since_report: int = 0
     reserved_cpus: float = 0.0
-    reserved_memory_mb: int = 0
+    reserved_memory_mb: float = 0.0
     reserved_accelerators: int = 0
     is_unreachable: bool = False
     is_refusing: bool = False
--- a/src/bergamotgap/ports/worker.py
+++ b/src/bergamotgap/ports/worker.py
@@ -56,11 +56,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedTask:
-    """A running task in a worker's own list, whichever entry host sent it."""
+    """A running task in a worker's own list, whichever entry host sent it.
+
+    `cpus` and `memory_mb` are its use, which the worker reports with a lag; None until
+    then.
+    """
 
     task: str
     entry: str
     urgency: str
+    cpus: float | None = None
+    memory_mb: float | None = None
 
 
 class WorkerError(Exception):
--- a/stand_ins/tasks.py
+++ b/stand_ins/tasks.py
@@ -40,9 +40,20 @@
     cpus: float = 0.0
     memory_mb: int = 0
     has_result: bool = False
+    usage: list[tuple[float, float, int]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def note_usage(self) -> None:
+        """Remember the present use, which is reported with a lag."""
+        self.usage.append((_monotonic_ms(), self.cpus * self.speed, self.memory_mb))
+
+    def find_usage(self, lag_ms: int) -> tuple[float | None, int | None]:
+        """Return processors and megabytes as of `lag_ms` ago, None before the start."""
+        limit_ms = _monotonic_ms() - lag_ms
+        known = [item for item in self.usage if item[0] <= limit_ms]
+        return known[-1][1:] if known else (None, None)
+
     @property
     def started(self) -> bool:
         """Return whether the task ever started."""
@@ -89,6 +100,7 @@
         task.size = len(task.body) if size is None else size
         task.holds_slot = True
         task.task_id = task_id
+        task.note_usage()
         self._tasks[task_id] = task
         self._running[task_id] = task
         self.renew(task)
@@ -104,6 +116,7 @@
     def throttle(self, task: Task) -> None:
         """Let the task go on at half its speed, with half its processors."""
         task.speed = THROTTLED_SPEED
+        task.note_usage()
         task.changed.set()
 
     def checkpoint(self, task: Task, pause_ms: int) -> None:
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -244,10 +244,11 @@
         return web.json_response(body, headers=self._answer_headers(task_id))
 
     async def _list_tasks(self, request: web.Request) -> web.Response:
-        tasks = [
-            {"task": task_id, "entry": task.entry, "urgency": task.urgency}
-            for task_id, task in self._tasks.list_running()
-        ]
+        tasks = []
+        for task_id, task in self._tasks.list_running():
+            cpus, memory_mb = task.find_usage(self._settings.usage_lag_ms)
+            names = {"task": task_id, "entry": task.entry, "urgency": task.urgency}
+            tasks.append({**names, "cpus": cpus, "memory_mb": memory_mb})
         return web.json_response({"boot_id": self._boot_id, "tasks": tasks})
 
     async def _get_task(self, request: web.Request) -> web.Response:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,6 +14,7 @@
 from bergamotgap.domain.health import FIRST_EJECTION_MS, HealthTracker
 from bergamotgap.domain.hosts import HostFacts
 from bergamotgap.domain.routing import choose_worker, estimate_load
+from bergamotgap.domain.sizes import Sizes
 from bergamotgap.node.admission import Admission, NotAdmittedError
 from bergamotgap.node.placement import Placer
 from bergamotgap.node.running_tasks import RunningTasks
@@ -64,7 +65,7 @@
         rng = random.Random(7)
         self.workers = Workers(self.control, self.client, self.clock, rng=rng)
         admission = Admission(self.clock, self.workers.pool_capacity, list)
-        self.running = RunningTasks()
+        self.running, self.sizes = RunningTasks(), Sizes()
         self.placer = Placer(
             lambda: self.control.state,
             self.workers,
@@ -72,6 +73,7 @@
             "dc-1",
             rng,
             self.running,
+            self.sizes,
         )
         entry = parse_catalogue(DOCUMENT).find_entry("report")
         assert entry is not None
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -152,7 +152,8 @@
 
 async def test_running_tasks_are_listed_for_any_entry_host() -> None:
     """Guards against a drain that can't find the tasks of other entry hosts."""
-    async with open_worker(pause_ms=3_600_000) as api, AsyncExitStack() as stack:
+    settings = {"pause_ms": 3_600_000, "usage_lag_ms": 3_600_000}
+    async with open_worker(**settings) as api, AsyncExitStack() as stack:
         client = await open_client(stack)
         running = asyncio.create_task(
             api.run("t", LONG, Entry="audit-export", Urgency="batch")
