--- a/src/bergamotgap/adapters/worker_http.py
+++ b/src/bergamotgap/adapters/worker_http.py
@@ -18,6 +18,7 @@
 )
 from bergamotgap.domain.clock import Clock
 from bergamotgap.ports.worker import (
+    ListedTask,
     TaskFateUnknownError,
     TaskOrder,
     TaskRefusedError,
@@ -59,6 +60,18 @@
     started: bool = True
 
 
+class _ListedTask(msgspec.Struct):
+    task: str
+    entry: str = ""
+    urgency: str = ""
+    cpus: float | None = None
+    memory_mb: float | None = None
+
+
+class _ListPayload(msgspec.Struct):
+    tasks: list[_ListedTask]
+
+
 class _Refusal(msgspec.Struct):
     code: str = "refused"
 
@@ -127,6 +140,15 @@
         """Send a task; no progress within `progress_ms` raises TaskFateUnknownError."""
         return Exchange(self._connections, address, order, progress_ms)
 
+    async def list_tasks(self, address: str) -> list[ListedTask]:
+        """Ask for the running tasks, paused ones included."""
+        path = "/v1/tasks"
+        payload = await self._call(self._fresh, "GET", address, path, _ListPayload)
+        return [
+            ListedTask(item.task, item.entry, item.urgency, item.cpus, item.memory_mb)
+            for item in payload.tasks
+        ]
+
     async def fetch_task(self, address: str, task: str) -> TaskStatus:
         """Ask for a task over a new connection."""
         path = f"/v1/tasks/{task}"
@@ -172,13 +194,27 @@
             await self._call(self._fresh, "POST", address, path, _TaskPayload)
         )
 
-    async def drain(self, address: str) -> None:
-        """Tell the worker to refuse new tasks."""
-        await self._call(self._fresh, "POST", address, "/v1/drain", dict[str, Any])
+    async def drain(self, address: str, boot_id: str) -> None:
+        """Tell the worker to refuse new tasks.
 
-    async def reboot(self, address: str) -> None:
-        """Tell the worker to restart."""
-        await self._call(self._fresh, "POST", address, "/v1/reboot", dict[str, Any])
+        Raises TaskRefusedError `wrong_boot` when it has restarted since.
+        """
+        await self._maintain(address, "drain", boot_id)
+
+    async def reboot(self, address: str, boot_id: str) -> None:
+        """Tell the worker to restart; raises as `drain` does."""
+        await self._maintain(address, "reboot", boot_id)
+
+    async def _maintain(self, address: str, verb: str, boot_id: str) -> None:
+        headers = {"Boot-Id": boot_id}
+        await self._call(
+            self._fresh,
+            "POST",
+            address,
+            f"/v1/{verb}",
+            dict[str, Any],
+            headers=headers,
+        )
 
     async def _call(
         self,
@@ -189,6 +225,7 @@
         payload_type: type[P],
         timeout_ms: int = CALL_TIMEOUT_MS,
         body: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
     ) -> P:
         timeout = aiohttp.ClientTimeout(
             total=timeout_ms / 1000,
@@ -197,7 +234,7 @@
         url = f"http://{address}{path}"
         try:
             async with session.request(
-                method, url, json=body, timeout=timeout
+                method, url, json=body, headers=headers, timeout=timeout
             ) as response:
                 content = await response.read()
                 return _decode(response.status, content, payload_type)
--- a/src/bergamotgap/node/claims.py
+++ b/src/bergamotgap/node/claims.py
@@ -174,7 +174,7 @@
             attempt=known.attempt + 1 if known is not None else 1,
             worker=placement.host,
             boot_id=placement.boot_id,
-            task=secrets.token_hex(12),
+            task=placement.task,
             start_before_ms=placement.translate_ms(lapse_ms),
             ownership=work.ownership,
         )
@@ -199,16 +199,14 @@
             placement,
             work.body,
             LEASE_MS,
-            task=claimed.task,
             start_before_ms=claimed.start_before_ms,
         )
-        started_ms = self._clock.monotonic_ms()
         until_ms = work.deadline_at_ms + OVERTIME_MS
         end = await self._runner.run_task(
             placement.address, order, until_ms, PATIENCE_MS
         )
         if end.state == "done":
-            run_ms = self._clock.monotonic_ms() - started_ms
+            run_ms = placement.measure_run_ms(self._clock.monotonic_ms())
             self._placer.note_success(work.entry, placement.host, run_ms)
         elif end.state in ("not_run", "unknown"):
             self._placer.note_failure(work.entry, placement.host, end.reason)
--- a/src/bergamotgap/node/maintenance.py
+++ b/src/bergamotgap/node/maintenance.py
@@ -2,6 +2,8 @@
 
 Each step follows from the folded state and the worker's own status, so that another
 planner can go on at any point. A drain is in the log before the worker hears of it.
+Drains and reboots name the boot id of that status: a planner that was paused after the
+status must not drain or reboot a host that another one has maintained since.
 """
 
 import asyncio
@@ -12,7 +14,7 @@
 from bergamotgap.domain.control_state import ControlState, HostState
 from bergamotgap.domain.records import DrainStarted, HostMaintained
 from bergamotgap.domain.waves import choose_drains
-from bergamotgap.node.worker_steps import Append, TasksOn, end_tasks, is_applied
+from bergamotgap.node.worker_steps import Append, end_tasks, is_applied
 from bergamotgap.node.workers import WorkerView
 from bergamotgap.ports.worker import WorkerClient, WorkerError, WorkerStatus
 
@@ -34,7 +36,6 @@
         append: Append,
         client: WorkerClient,
         view: Callable[[str], WorkerView],
-        tasks_on: TasksOn,
         is_planner: Callable[[], bool],
         clock: Clock,
     ) -> None:
@@ -42,7 +43,6 @@
         self._append = append
         self._client = client
         self._view = view
-        self._tasks_on = tasks_on
         self._is_planner = is_planner
         self._clock = clock
 
@@ -91,17 +91,17 @@
     async def _empty_and_reboot(self, host: HostState, status: WorkerStatus) -> None:
         address = host.facts.address
         if status.state == "serving":
-            await self._client.drain(address)
+            await self._client.drain(address, status.boot_id)
             return
         if status.state != "draining":
             return
         waited_ms = self._clock.wall_ms() - host.changed_ms
         if status.busy == 0 or waited_ms >= REBOOT_AFTER_MS:
             log.info("rebooting", host=host.facts.host, wave=host.draining_in)
-            await self._client.reboot(address)
+            await self._client.reboot(address, status.boot_id)
             return
-        tasks = self._tasks_on(host.facts.host)
-        await end_tasks(self._client, address, tasks, waited_ms)
+        catalogue = self._control().catalogue
+        await end_tasks(self._client, address, catalogue, waited_ms)
 
     async def _return_to_service(self, host: HostState, status: WorkerStatus) -> None:
         assert host.draining_in is not None
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -23,6 +23,7 @@
 from bergamotgap.domain.admission import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.sizes import Sizes
 from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
 from bergamotgap.node.dump import DumpSources, build_dump, build_operator_sources
@@ -30,10 +31,13 @@
 from bergamotgap.node.host_health import HostList
 from bergamotgap.node.placement import Placer
 from bergamotgap.node.planner import Planner
+from bergamotgap.node.preemption import Preemptor
+from bergamotgap.node.running_tasks import RunningTasks
 from bergamotgap.node.settings import Settings
 from bergamotgap.node.shutdown import RequestGate, shut_down
 from bergamotgap.node.stream_parts import StreamParts
 from bergamotgap.node.supervision import supervise
+from bergamotgap.node.usage import UsageWatch
 from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
 from bergamotgap.node.writer import StreamWriter
@@ -76,14 +80,29 @@
         )
         control = self._streams.control
         workers = Workers(control, client, self._clock)
-        admission = self._build_admission(workers)
+        running, sizes = RunningTasks(), Sizes()
+        preemptor = Preemptor(
+            running,
+            client,
+            self._clock,
+            lambda pool, entry: admission.count_preemptable(pool, entry),
+        )
+        self._stack.push_async_callback(preemptor.close)
+        admission = self._build_admission(workers, preemptor)
         await self._stack.enter_async_context(self._streams)
         self._start("workers", workers.run)
         self._start("admission", admission.run)
+        usage = UsageWatch(running, client, self._clock, sizes)
+        self._start("usage", usage.run)
         control_writer = self._streams.build_writer(control)
         self._start_planner(platform, control_writer, client, workers)
         placer = Placer(
-            lambda: control.state, workers, admission, self._settings.data_centre
+            lambda: control.state,
+            workers,
+            admission,
+            self._settings.data_centre,
+            running=running,
+            sizes=sizes,
         )
         dispatcher = Dispatcher(placer, client, self._clock, self._settings.progress_ms)
         self._stack.push_async_callback(dispatcher.close)
@@ -127,7 +146,7 @@
         await self._stack.aclose()
         log.info("node stopped")
 
-    def _build_admission(self, workers: Workers) -> Admission:
+    def _build_admission(self, workers: Workers, preemptor: Preemptor) -> Admission:
         return Admission(
             self._clock,
             workers.pool_capacity,
@@ -135,6 +154,7 @@
             node_id=self._settings.node_id,
             catalogue=self._get_catalogue,
             known_nodes=self._streams.membership.list_expected,
+            preempt=preemptor.preempt,
             limits=AdmissionLimits(
                 max_queue_ms=self._settings.max_queue_ms,
                 headroom_part=self._settings.headroom_part,
@@ -157,7 +177,6 @@
             client,
             workers.view,
             self._streams.sum_pool_demand,
-            lambda host: (),
             lambda: host_list.is_fresh and self._streams.is_planner(),
             self._clock,
         )
--- a/src/bergamotgap/ports/worker.py
+++ b/src/bergamotgap/ports/worker.py
@@ -1,6 +1,6 @@
 """What the node needs from workers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import Protocol
@@ -54,6 +54,21 @@
     started: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ListedTask:
+    """A running task in a worker's own list, whichever entry host sent it.
+
+    `cpus` and `memory_mb` are its use, which the worker reports with a lag; None until
+    then.
+    """
+
+    task: str
+    entry: str
+    urgency: str
+    cpus: float | None = None
+    memory_mb: float | None = None
+
+
 class WorkerError(Exception):
     """Base of the worker port's errors."""
 
@@ -126,6 +141,9 @@
     ) -> AbstractAsyncContextManager[WorkerAnswer]:
         """Send a task; no progress within `progress_ms` raises TaskFateUnknownError."""
 
+    async def list_tasks(self, address: str) -> Sequence[ListedTask]:
+        """Ask for the running tasks, paused ones included."""
+
     async def fetch_task(self, address: str, task: str) -> TaskStatus:
         """Ask for a task over a new connection."""
 
@@ -140,8 +158,11 @@
     async def control(self, address: str, task: str, verb: str) -> TaskStatus:
         """Renew, checkpoint, throttle or stop a running task."""
 
-    async def drain(self, address: str) -> None:
-        """Tell the worker to refuse new tasks."""
+    async def drain(self, address: str, boot_id: str) -> None:
+        """Tell the worker to refuse new tasks.
+
+        Raises TaskRefusedError `wrong_boot` when it has restarted since.
+        """
 
-    async def reboot(self, address: str) -> None:
-        """Tell the worker to restart."""
+    async def reboot(self, address: str, boot_id: str) -> None:
+        """Tell the worker to restart; raises as `drain` does."""
--- a/stand_ins/tasks.py
+++ b/stand_ins/tasks.py
@@ -24,7 +24,10 @@
     """
 
     state: str
+    task_id: str = ""
     epoch: int = 0
+    entry: str = ""
+    urgency: str = ""
     body: bytes = b""
     size: int = 0
     remaining_ms: float = 0
@@ -37,9 +40,20 @@
     cpus: float = 0.0
     memory_mb: int = 0
     has_result: bool = False
+    usage: list[tuple[float, float, int]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def note_usage(self) -> None:
+        """Remember the present use, which is reported with a lag."""
+        self.usage.append((_monotonic_ms(), self.cpus * self.speed, self.memory_mb))
+
+    def find_usage(self, lag_ms: int) -> tuple[float | None, int | None]:
+        """Return processors and megabytes as of `lag_ms` ago, None before the start."""
+        limit_ms = _monotonic_ms() - lag_ms
+        known = [item for item in self.usage if item[0] <= limit_ms]
+        return known[-1][1:] if known else (None, None)
+
     @property
     def started(self) -> bool:
         """Return whether the task ever started."""
@@ -52,7 +66,7 @@
     def __init__(self, results_kept: int) -> None:
         self.results_kept = results_kept
         self._tasks: dict[str, Task] = {}
-        self._running: dict[int, Task] = {}
+        self._running: dict[str, Task] = {}
         self._with_result: deque[Task] = deque()
         self._runners: set[asyncio.Task[None]] = set()
 
@@ -60,6 +74,10 @@
         """Return a task that is known."""
         return self._tasks.get(task_id)
 
+    def list_running(self) -> list[tuple[str, Task]]:
+        """Return the running tasks, paused ones included, with their ids."""
+        return list(self._running.items())
+
     def refuse(self, task_id: str) -> None:
         """Make sure that an unknown task never starts."""
         self._tasks.setdefault(task_id, Task(state="refused"))
@@ -81,8 +99,10 @@
         size = order.result_bytes
         task.size = len(task.body) if size is None else size
         task.holds_slot = True
+        task.task_id = task_id
+        task.note_usage()
         self._tasks[task_id] = task
-        self._running[id(task)] = task
+        self._running[task_id] = task
         self.renew(task)
         runner = asyncio.create_task(self._run(task, slots))
         self._runners.add(runner)
@@ -96,6 +116,7 @@
     def throttle(self, task: Task) -> None:
         """Let the task go on at half its speed, with half its processors."""
         task.speed = THROTTLED_SPEED
+        task.note_usage()
         task.changed.set()
 
     def checkpoint(self, task: Task, pause_ms: int) -> None:
@@ -125,7 +146,7 @@
         if task.state != "running":
             return
         task.state = state
-        del self._running[id(task)]
+        del self._running[task.task_id]
         task.holds_slot = False
         task.has_result = state == "done"
         if task.has_result:
