Measure slopes of state, messages and requests

Fleets of the target size, because no cluster is simulated: peers, hosts and jobs grow in the objects that hold them, and messages cross real connections.

--- /dev/null
+++ b/tools/slopes_requests.py
@@ -0,0 +1,164 @@
+"""Slopes of one entry host process: requests, appends and state dumps."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import psutil
+
+from bench.http_load import Load
+from bergamotgap.adapters.peer_grpc import GrpcPeerClient
+from bergamotgap.ports.peer import Digest, PeerInfo
+from tools.fleet import Fleet
+from tools.slope_fit import Slope, fit_slope
+from tools.slopes_messages import build_digest
+
+IDEMPOTENT_RATES = (50, 100, 200, 400)
+OTHER_RATES = (20, 40, 80, 160)
+SECONDS = 4.0
+BODY = b"x" * 256
+RUN_MS = 5
+DUMP_PEERS = (7, 14, 28, 56)
+DUMPS = 20
+
+
+class _Meter:
+    """Read the processor time of the entry host and the appends to `work`."""
+
+    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession) -> None:
+        self._process = psutil.Process(fleet.processes[fleet.nodes[0].name].pid)
+        self._url = f"http://{fleet.platform_address}/streams/work/records"
+        self._session = session
+
+    def read_cpu_s(self) -> float:
+        return float(sum(self._process.cpu_times()[:2]))
+
+    async def read_offset(self) -> int:
+        query = {"from": "0", "max": "1"}
+        async with self._session.get(self._url, params=query) as response:
+            return int((await response.json())["next_offset"])
+
+
+async def _send_idempotent(fleet: Fleet, rate: float) -> int:
+    address = fleet.nodes[0].caller
+    head = (
+        f"POST /v1/requests/spend-preview HTTP/1.1\r\nHost: {address}\r\n"
+        f"Authorization: Bearer founder-key\r\nContent-Length: {len(BODY)}\r\n\r\n"
+    )
+    host, _, port = address.rpartition(":")
+    load = Load(head.encode() + BODY, host, int(port))
+    await load.run_open(SECONDS, rate)
+    return len(load.latencies_ms)
+
+
+async def _send_other(fleet: Fleet, rate: float) -> int:
+    url = f"http://{fleet.nodes[0].caller}/v1/requests/rollup-invoice"
+    done = 0
+
+    async def send(session: aiohttp.ClientSession, number: int) -> None:
+        nonlocal done
+        await asyncio.sleep(number / rate)
+        headers = {
+            "Authorization": "Bearer nightly-key",
+            "Request-Id": secrets.token_hex(8),
+        }
+        async with session.post(url, headers=headers, data=BODY) as response:
+            await response.read()
+            done += response.status == 200
+
+    async with aiohttp.ClientSession() as session:
+        count = int(SECONDS * rate)
+        await asyncio.gather(*(send(session, number) for number in range(count)))
+    return done
+
+
+async def _measure_rates(
+    meter: _Meter,
+    fleet: Fleet,
+    rates: tuple[int, ...],
+    send: Callable[[Fleet, float], Awaitable[int]],
+) -> list[tuple[float, float, float, float]]:
+    """Return answered requests/s, processor ms/s and appends/s for each rate."""
+    rows = []
+    for rate in rates:
+        offset, cpu_s, begun_s = (
+            await meter.read_offset(),
+            meter.read_cpu_s(),
+            time.monotonic(),
+        )
+        done = await send(fleet, rate)
+        elapsed_s = time.monotonic() - begun_s
+        used_ms = (meter.read_cpu_s() - cpu_s) * 1000
+        appends = await meter.read_offset() - offset
+        rows.append(
+            (
+                done / elapsed_s,
+                used_ms / elapsed_s,
+                appends / elapsed_s,
+                done / (rate * SECONDS),
+            )
+        )
+    return rows
+
+
+def _invent_digest(index: int) -> Digest:
+    """Return the digest of a peer whose address answers nothing."""
+    digest = build_digest(0, 0)
+    info = PeerInfo(f"made-up-{index:03d}", 1, "127.0.0.1:9", "127.0.0.1:9", "riga-2")
+    return Digest(info, 0, 0, digest.catalogue_revision, False, False, {}, {}, (), ())
+
+
+async def _measure_dumps(
+    meter: _Meter, fleet: Fleet, session: aiohttp.ClientSession
+) -> list[Slope]:
+    url = f"http://{fleet.nodes[0].operator}/v1/dump"
+    size, cpu, known = [], [], 0
+    async with GrpcPeerClient() as client:
+        for count in DUMP_PEERS:
+            for index in range(known, count):
+                await client.exchange(fleet.nodes[0].peer, _invent_digest(index))
+            known = count
+            before = meter.read_cpu_s()
+            for _ in range(DUMPS):
+                async with session.get(url) as response:
+                    text = await response.read()
+            cpu.append((count, (meter.read_cpu_s() - before) / DUMPS * 1000))
+            size.append((count, len(text) / 1024))
+    return [
+        fit_slope("dump bytes", "entry hosts", "KiB", size),
+        fit_slope("dump CPU", "entry hosts", "ms CPU", cpu),
+    ]
+
+
+async def measure_requests() -> list[Slope]:
+    """Grow the requests a second on one entry host with 30 workers."""
+    fleet = Fleet(node_count=1, run_ms=RUN_MS, workers_per_process=10)
+    async with fleet, aiohttp.ClientSession() as session:
+        await fleet.publish()
+        await fleet.wait_until_ready()
+        await fleet.wait_until_assigned()
+        await asyncio.sleep(3)
+        meter = _Meter(fleet, session)
+        await _send_idempotent(fleet, 50)
+        plain = await _measure_rates(meter, fleet, IDEMPOTENT_RATES, _send_idempotent)
+        other = await _measure_rates(meter, fleet, OTHER_RATES, _send_other)
+        dumps = await _measure_dumps(meter, fleet, session)
+    parts = [f"{row[3]:.2f}" for row in (*plain, *other)]
+    print(f"answered with 200, part of sent: {' '.join(parts)}")
+    return [
+        fit_slope(
+            "idempotent requests", "requests/s", "ms CPU/s", [r[:2] for r in plain]
+        ),
+        fit_slope(
+            "non-idempotent requests", "requests/s", "ms CPU/s", [r[:2] for r in other]
+        ),
+        fit_slope(
+            "non-idempotent appends",
+            "requests/s",
+            "appends/s",
+            [(row[0], row[2]) for row in other],
+        ),
+        *dumps,
+    ]
