--- a/src/bergamotgap/node/snapshots.py
+++ b/src/bergamotgap/node/snapshots.py
@@ -24,6 +24,10 @@
 SNAPSHOT_VERSION = 1
 PART_BYTES = 512 * 1024
 MAX_PARTS = 64
+# Parts at the end of the stream that are read first, and four times as many when they
+# hold no whole snapshot. Reading all that the newest could take, 2 * MAX_PARTS, was up
+# to 87 MB for each reader and each check.
+FIRST_READ_PARTS = 4
 CHECK_INTERVAL_MS = 5000
 CHECK_JITTER = 0.5
 
@@ -130,15 +134,26 @@
     """Read the newest whole snapshot of a stream; raises PlatformError."""
     name = name_snapshots(stream)
     bounds = await _read_bounds(platform, name)
-    start = max(bounds.first_offset, bounds.next_offset - 2 * MAX_PARTS)
+    count = FIRST_READ_PARTS
+    while True:
+        start = max(bounds.first_offset, bounds.next_offset - count)
+        seen = join_snapshots(await _read_parts(platform, name, start, bounds))
+        if seen is not None or count >= 2 * MAX_PARTS or start == bounds.first_offset:
+            return seen
+        count = min(4 * count, 2 * MAX_PARTS)
+
+
+async def _read_parts(
+    platform: PlatformLog, name: str, start: int, bounds: LogPage
+) -> tuple[LogRecord, ...]:
     records: list[LogRecord] = []
     while start < bounds.next_offset:
-        page = await platform.read(name, start, 2 * MAX_PARTS, 0)
+        page = await platform.read(name, start, bounds.next_offset - start, 0)
         if not page.records:
             break
         records += page.records
         start = page.records[-1].offset + 1
-    return join_snapshots(tuple(records))
+    return tuple(records)
 
 
 async def _read_bounds(platform: PlatformLog, name: str) -> LogPage:
