--- a/tools/slopes_messages.py
+++ b/tools/slopes_messages.py
@@ -32,7 +32,7 @@
 EXCHANGES = 300
 NAMES = (0, 36, 72, 144)
 PEERS = (7, 14, 28, 56)
-RATES = (50, 100, 200, 400)
+RATES = (25, 50, 100, 200, 400)
 FOLLOWERS = (1, 2, 4, 6)
 FOLLOWED_RATE = 200
 RELAY_S = 3.0
--- a/tools/slopes_requests.py
+++ b/tools/slopes_requests.py
@@ -35,6 +35,14 @@
     def read_cpu_s(self) -> float:
         return float(sum(self._process.cpu_times()[:2]))
 
+    async def print_idle(self) -> None:
+        """Print what the entry host uses without requests."""
+        cpu_s = self.read_cpu_s()
+        await asyncio.sleep(SECONDS)
+        used_ms = (self.read_cpu_s() - cpu_s) / SECONDS * 1000
+        memory_mib = self._process.memory_info().rss / (1 << 20)
+        print(f"idle entry host: {used_ms:.1f} ms CPU/s, {memory_mib:.0f} MiB resident")
+
     async def read_offset(self) -> int:
         query = {"from": "0", "max": "1"}
         async with self._session.get(self._url, params=query) as response:
@@ -141,6 +149,7 @@
         await fleet.wait_until_assigned()
         await asyncio.sleep(3)
         meter = _Meter(fleet, session)
+        await meter.print_idle()
         await _send_idempotent(fleet, 50)
         plain = await _measure_rates(meter, fleet, IDEMPOTENT_RATES, _send_idempotent)
         other = await _measure_rates(meter, fleet, OTHER_RATES, _send_other)
