--- a/src/bergamotgap/domain/catalogue.py
+++ b/src/bergamotgap/domain/catalogue.py
@@ -169,6 +169,17 @@
         """Return the entries that run on a pool, in the order of the document."""
         return self._entries_by_pool.get(pool, ())
 
+    @cached_property
+    def availability_by_pool(self) -> dict[str, float]:
+        """Return the highest availability that any entry asks of each pool.
+
+        Kept, because budgets are checked for every host in each round of the planner.
+        """
+        return {
+            pool: max(entry.availability for entry in entries)
+            for pool, entries in self._entries_by_pool.items()
+        }
+
     @cached_property
     def spare_pool(self) -> Pool | None:
         """Return the buffer pool, if one is named."""
