Take over work only after a peer's own heartbeat interval

Membership.is_heard, which knows the interval, is now used in both places.

Before: the new test of 60 remote peers needs the interval; with the fixed 3 s it fails. After: it passes, as do the tests of jobs, takeover and claims (67).

--- a/src/bergamotgap/node/membership.py
+++ b/src/bergamotgap/node/membership.py
@@ -140,10 +140,11 @@
         return [
             peer
             for peer in self._peers.values()
-            if self._is_heard(peer) and not peer.is_leaving
+            if self.is_heard(peer) and not peer.is_leaving
         ]
 
-    def _is_heard(self, peer: PeerView) -> bool:
+    def is_heard(self, peer: PeerView) -> bool:
+        """Return whether a peer's digest is younger than its heartbeats allow."""
         interval_ms = self._interval_ms(peer.data_centre)
         limit_ms = max(PEER_LIVE_MS, 3 * interval_ms)
         return self._clock.monotonic_ms() - peer.heard_ms <= limit_ms
@@ -172,7 +173,7 @@
         return self._digest()
 
     def _digest(self) -> Digest:
-        known = tuple(p.info for p in self._peers.values() if self._is_heard(p))
+        known = tuple(p.info for p in self._peers.values() if self.is_heard(p))
         return self._build_digest(known)
 
     def _take(self, digest: Digest, contact: str | None) -> None:
@@ -262,5 +263,5 @@
             del self._contacts[name]
             peer = self._peers.get(name)
             # A peer that still calls us is not gone: only our calls fail.
-            if peer is not None and not self._is_heard(peer):
+            if peer is not None and not self.is_heard(peer):
                 del self._peers[name]
--- a/src/bergamotgap/node/takeover.py
+++ b/src/bergamotgap/node/takeover.py
@@ -12,7 +12,7 @@
 from bergamotgap.domain.work_items import Claim, Job
 from bergamotgap.domain.work_state import WorkState
 from bergamotgap.node.claims import PATIENCE_MS, Claims, build_ended
-from bergamotgap.node.membership import PEER_LIVE_MS, PeerView
+from bergamotgap.node.membership import PeerView
 from bergamotgap.node.record_keeper import RecordKeeper
 from bergamotgap.node.streams import (
     AppendRefusedError,
@@ -55,6 +55,9 @@
     def list_live(self) -> list[PeerView]:
         """Return the live peers that are not leaving."""
 
+    def is_heard(self, peer: PeerView) -> bool:
+        """Return whether a peer's digest is younger than its heartbeats allow."""
+
 
 def build_node_name(node_id: str, incarnation: str) -> str:
     """Return the name that stands for one process in the records."""
@@ -129,7 +132,7 @@
             self._last_live_ms = dict.fromkeys(self._last_live_ms, now_ms)
         self._last_step_ms = now_ms
         for peer in self._members.list_known():
-            if now_ms - peer.heard_ms <= PEER_LIVE_MS:
+            if self._members.is_heard(peer):
                 self._last_live_ms[peer.node_id] = now_ms
 
     def _list_due_jobs(self) -> list[Job]:
--- a/tests/fakes_work.py
+++ b/tests/fakes_work.py
@@ -267,6 +267,9 @@
 
     list_live = list_known
 
+    def is_heard(self, peer: PeerView) -> bool:
+        return peer.node_id in self.live
+
 
 class FakeFleet:
     """Entry hosts `a`, `b` and others over one log and one set of workers."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,66 @@
+"""Which peers count as live."""
+
+from bergamotgap.domain.clock import ManualClock
+from bergamotgap.node.membership import (
+    MAX_REMOTE_PER_SECOND,
+    PEER_LIVE_MS,
+    Membership,
+)
+from bergamotgap.ports.peer import Digest, PeerInfo
+from tests.fakes_platform import FakePeers
+
+REMOTE_PEERS = 5 * MAX_REMOTE_PER_SECOND
+
+
+def build_info(name: str, data_centre: str) -> PeerInfo:
+    return PeerInfo(name, 1, f"{name}:1", f"{name}:2", data_centre)
+
+
+def build_digest(info: PeerInfo) -> Digest:
+    return Digest(info, 0, 0, 0, False, True)
+
+
+def build_membership(clock: ManualClock) -> Membership:
+    info = build_info("own", "dc-1")
+    return Membership(
+        info,
+        ("seed:1",),
+        FakePeers(),
+        clock,
+        lambda known: build_digest(info),
+        lambda digest: None,
+    )
+
+
+def test_peer_is_live_for_its_own_heartbeat_interval() -> None:
+    """Guards against hosts of a large fleet taken for gone between heartbeats."""
+    clock = ManualClock()
+    membership = build_membership(clock)
+    for index in range(REMOTE_PEERS):
+        membership.answer(build_digest(build_info(f"remote-{index}", "dc-2")))
+    membership.answer(build_digest(build_info("local", "dc-1")))
+    clock.advance_ms(PEER_LIVE_MS + 1000)
+    remote, local = membership.find("remote-0"), membership.find("local")
+    assert remote is not None
+    assert local is not None
+    assert membership.is_heard(remote)
+    assert not membership.is_heard(local)
+
+
+def test_digest_of_a_former_incarnation_is_passed_over() -> None:
+    """Guards against a delayed digest of a process that was replaced."""
+    membership = build_membership(ManualClock())
+    membership.answer(build_digest(PeerInfo("a", 2, "a:1", "a:2", "dc-1")))
+    membership.answer(build_digest(PeerInfo("a", 1, "old:1", "old:2", "dc-1")))
+    peer = membership.find("a")
+    assert peer is not None
+    assert peer.peer_address == "a:1"
+
+
+def test_leaving_peer_is_not_live() -> None:
+    """Guards against work sent to a peer that announced its end."""
+    membership = build_membership(ManualClock())
+    info = build_info("a", "dc-1")
+    membership.answer(Digest(info, 0, 0, 0, True, True))
+    assert membership.list_live() == []
+    assert membership.list_expected() == []
