--- /dev/null
+++ b/tests/promise_scene.py
@@ -0,0 +1,161 @@
+"""Calls, folds and checks that the tests of the promises share."""
+
+import asyncio
+import secrets
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager
+from typing import Any, TypeVar
+
+import aiohttp
+
+from bergamotgap.domain.catalogue import Catalogue, parse_catalogue
+from bergamotgap.domain.control_state import ControlState
+from bergamotgap.domain.folding import Applied, Effect, Stamp
+from bergamotgap.domain.records import (
+    Record,
+    decode_batch,
+    encode_batch,
+    unwrap_record,
+    wrap_record,
+)
+from bergamotgap.domain.work_state import WorkState
+from tools.fleet import Fleet
+from tools.fleet_calls import CallerAnswer
+
+LIMIT_S = 45
+STREAM_PAGE = 1000
+State = TypeVar("State", ControlState, WorkState)
+Step = tuple[Stamp, Record, Effect]
+
+
+def small_document(fleet: Fleet) -> str:
+    """Return the fleet's catalogue for pools of a few hosts."""
+    return fleet.document.replace("min_hosts = 3", "min_hosts = 1")
+
+
+@asynccontextmanager
+async def run_fleet(**options: Any) -> AsyncIterator[Fleet]:
+    """Run a fleet whose entry hosts are ready and whose workers know their pool."""
+    async with Fleet(**options) as fleet:
+        assert await fleet.publish(small_document(fleet)) == 200
+        await fleet.wait_until_ready()
+        await fleet.wait_until_assigned()
+        yield fleet
+
+
+async def poll(is_met: Callable[[], Any]) -> None:
+    """Wait until a condition holds; it may be a coroutine function."""
+    async with asyncio.timeout(LIMIT_S):
+        while True:
+            met = is_met()
+            if asyncio.iscoroutine(met):
+                met = await met
+            if met:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def wait_until_served(
+    fleet: Fleet, entry: str, key: str, nodes: Iterator[int] | range
+) -> None:
+    """Wait until entry hosts serve an entry."""
+
+    async def is_served(node: int) -> bool:
+        return (await send(fleet, entry, b"warm", key, node)).status == 200
+
+    for node in nodes:
+        await poll(lambda node=node: is_served(node))
+
+
+async def send(
+    fleet: Fleet, entry: str, body: bytes, key: str, node: int, **options: Any
+) -> CallerAnswer:
+    """Send a request; a broken connection gives status 0."""
+    try:
+        return await fleet.calls.send_request(
+            entry, body, key=key, node=node, **options
+        )
+    except aiohttp.ClientError:
+        return CallerAnswer(status=0, outcome=None, body=b"")
+
+
+async def append(fleet: Fleet, record: Record, stream: str = "control") -> None:
+    """Append a record to the platform's log, as any entry host could."""
+    record_id = secrets.token_hex(8)
+    body = encode_batch([wrap_record(record_id, record)])
+    url = f"http://{fleet.platform_address}/streams/{stream}/records"
+    order = {"id": record_id, "body": body}
+    async with aiohttp.request("POST", url, json=order) as response:
+        assert response.status == 200
+
+
+async def read_stream(fleet: Fleet, stream: str) -> list[tuple[Stamp, Record]]:
+    """Return all records of a stream."""
+    url = f"http://{fleet.platform_address}/streams/{stream}/records"
+    records: list[tuple[Stamp, Record]] = []
+    start = 0
+    while True:
+        async with aiohttp.request("GET", f"{url}?from={start}") as response:
+            page = (await response.json())["records"]
+        for item in page:
+            stamp = Stamp(item["offset"], item["appended_ms"])
+            batch = decode_batch(item["body"])
+            records += [(stamp, unwrap_record(envelope)) for envelope in batch]
+        if len(page) < STREAM_PAGE:
+            return records
+        start += len(page)
+
+
+async def fold(
+    fleet: Fleet,
+    state: State,
+    check: Callable[[State, Step], None] = lambda state, step: None,
+) -> State:
+    """Fold a whole stream into a new state; `check` runs after each record."""
+    stream = "control" if isinstance(state, ControlState) else "work"
+    for stamp, record in await read_stream(fleet, stream):
+        effect = state.apply(stamp, record)
+        check(state, (stamp, record, effect))
+    return state
+
+
+async def list_applied(fleet: Fleet, kind: type[Any]) -> list[Any]:
+    """Return the records of a kind that took effect in the control stream."""
+    applied: list[Any] = []
+
+    def check(state: ControlState, step: Step) -> None:
+        if isinstance(step[1], kind) and isinstance(step[2], Applied):
+            applied.append(step[1])
+
+    await fold(fleet, ControlState(), check)
+    return applied
+
+
+def count_starts(fleet: Fleet, body: str) -> int:
+    """Return how often all workers together started the work with this body."""
+    return sum(start["body"] == body for start in fleet.read_starts())
+
+
+def read_catalogue(fleet: Fleet) -> Catalogue:
+    """Return the catalogue that the fleet runs with."""
+    return parse_catalogue(small_document(fleet))
+
+
+async def check_pools(fleet: Fleet) -> None:
+    """Check that each host has one pool per epoch, and each start was in its pool."""
+    pools: dict[tuple[str, int], str | None] = {}
+
+    def check(state: ControlState, step: Step) -> None:
+        for name, host in state.hosts.items():
+            last = max((epoch for known, epoch in pools if known == name), default=0)
+            former = pools.get((name, last))
+            assert host.epoch >= last
+            if host.epoch > last and former is not None:
+                assert host.pool is None, "a host went straight from pool to pool"
+            assert pools.setdefault((name, host.epoch), host.pool) == host.pool
+
+    await fold(fleet, ControlState(), check)
+    entries = {entry.name: entry.pool for entry in read_catalogue(fleet).entries}
+    for start in fleet.read_starts():
+        pool = pools[start["host"], start["epoch"]]
+        assert pool == start["pool"] == entries[start["entry"]], start
