Tell a lost reading of a result apart from a lost result

Cause: any failure of reading a large result but a refused connection was told as 410 result_gone, so that a caller whose answer was lost once gave up on a result that the worker still had. Now only the worker's 404 means result_gone; other failures are read again, up to 3 times, then told as 503 result_unreachable.

--- a/src/bergamotgap/adapters/worker_http.py
+++ b/src/bergamotgap/adapters/worker_http.py
@@ -18,6 +18,7 @@
 )
 from bergamotgap.domain.clock import Clock
 from bergamotgap.ports.worker import (
+    ResultGoneError,
     TaskFateUnknownError,
     TaskOrder,
     TaskRefusedError,
@@ -27,6 +28,7 @@
 )
 
 CALL_TIMEOUT_MS = 2000
+NOT_FOUND = 404
 # A status on a kept connection that takes longer is asked again on a new one.
 STATUS_TIMEOUT_MS = 1000
 
@@ -140,7 +142,8 @@
     ) -> AsyncIterator[HttpTaskAnswer]:
         """Stream the result of a finished task over a new connection.
 
-        Raises TaskFateUnknownError when the worker has no such result.
+        Raises ResultGoneError when the worker says that it has no such result, and
+        TaskFateUnknownError when its answer is lost.
         """
         url = f"http://{address}/v1/tasks/{task}/result"
         try:
@@ -154,6 +157,8 @@
         except (aiohttp.ClientError, TimeoutError) as error:
             raise TaskFateUnknownError(repr(error)) from error
         try:
+            if response.status == NOT_FOUND:
+                raise ResultGoneError("the worker has no such result")
             if response.status != 200:
                 raise TaskFateUnknownError(f"no result, status {response.status}")
             check_answer(response, task)
--- a/src/bergamotgap/node/requests.py
+++ b/src/bergamotgap/node/requests.py
@@ -4,7 +4,7 @@
 import base64
 import hashlib
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
 from bergamotgap.adapters.logs import get_logger
@@ -20,16 +20,18 @@
 from bergamotgap.node.streams import Stream
 from bergamotgap.node.work_errors import RequestRefusedError
 from bergamotgap.ports.worker import (
+    ResultGoneError,
     TaskAnswer,
     TaskFateUnknownError,
     WorkerClient,
     WorkerError,
-    WorkerUnreachableError,
 )
 
 # An ended key is kept for the longest deadline plus this, so that a repeat sent at
 # the last moment of a deadline still finds the outcome.
 KEEP_MARGIN_MS = 600_000
+# Reading a result again is safe, and one lost answer is not a sign of a lost result.
+RESULT_READS = 3
 
 log = get_logger(__name__)
 
@@ -98,17 +100,25 @@
         address = self._find_address(ended.worker)
         if address is None:
             raise RequestRefusedError(410, "result_gone", "done")
-        is_open = False
-        try:
-            async with self._client.fetch_result(address, ended.task) as answer:
-                is_open = True
-                yield answer
-        except WorkerError as error:
-            if is_open:
-                raise
-            if isinstance(error, WorkerUnreachableError):
-                raise RequestRefusedError(503, "result_unreachable", "done") from error
-            raise RequestRefusedError(410, "result_gone", "done") from error
+        async with AsyncExitStack() as stack:
+            yield await self._begin_read(stack, address, ended.task)
+
+    async def _begin_read(
+        self, stack: AsyncExitStack, address: str, task: str
+    ) -> TaskAnswer:
+        """Open a result; only the worker's own word proves that it is gone."""
+        for reads_left in reversed(range(RESULT_READS)):
+            result = self._client.fetch_result(address, task)
+            try:
+                return await stack.enter_async_context(result)
+            except ResultGoneError as error:
+                raise RequestRefusedError(410, "result_gone", "done") from error
+            except WorkerError as error:
+                log.info("result read failed", task=task, error=repr(error))
+                if reads_left == 0:
+                    code = "result_unreachable"
+                    raise RequestRefusedError(503, code, "done") from error
+        raise AssertionError("the last read returns or raises")
 
 
 @dataclass(slots=True)
--- a/src/bergamotgap/ports/worker.py
+++ b/src/bergamotgap/ports/worker.py
@@ -78,6 +78,10 @@
     """The order may have arrived; the answer is missing or cut short."""
 
 
+class ResultGoneError(TaskFateUnknownError):
+    """The worker says that it has no result of the task."""
+
+
 class TaskAnswer(Protocol):
     """A task's answer while it arrives."""
 
--- a/tests/fakes_work.py
+++ b/tests/fakes_work.py
@@ -28,6 +28,7 @@
 from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.ports.platform import LogRecord
 from bergamotgap.ports.worker import (
+    ResultGoneError,
     TaskFateUnknownError,
     TaskOrder,
     TaskRefusedError,
@@ -146,6 +147,7 @@
         self.unreachable: set[str] = set()
         self.failing: set[str] = set()
         self.renewals = 0
+        self.lost_results = 0
         self.gate: asyncio.Event | None = None
         self.loses_order = False
         self.loses_answer = False
@@ -215,7 +217,10 @@
         self._check(address)
         known = self.tasks.get((address, task))
         if known is None or known.state != "done":
-            raise TaskFateUnknownError("no result")
+            raise ResultGoneError("no result")
+        if self.lost_results:
+            self.lost_results -= 1
+            raise TaskFateUnknownError("the answer was lost")
         yield StoredAnswer(known.result, False)
 
     def reboot(self, host: str) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -249,6 +249,23 @@
     assert sum(fleet.workers.starts.values()) == 1
 
 
+@pytest.mark.fault("answer_lost", "answer")
+async def test_lost_answer_of_a_result_does_not_mean_that_it_is_gone(
+    fleet: FakeFleet,
+) -> None:
+    """Guards against a permanent refusal while the worker still has the result."""
+    fleet.workers.answer_bytes = b"y" * 20_000
+    assert await fleet.request("a") == fleet.workers.answer_bytes
+    await settle()
+    fleet.workers.lost_results = 2
+    assert await fleet.request("b") == fleet.workers.answer_bytes
+    fleet.workers.lost_results = 3
+    with pytest.raises(RequestRefusedError) as refused:
+        await fleet.request("b")
+    assert (refused.value.code, refused.value.outcome) == ("result_unreachable", "done")
+    assert await fleet.request("b") == fleet.workers.answer_bytes
+
+
 async def test_caller_that_leaves_the_queue_leaves_no_claim(fleet: FakeFleet) -> None:
     """Guards against a run for a caller that went away before the dispatch."""
     gate = fleet.placers["a"].gate = asyncio.Event()
