--- a/tests/promise_scene.py
+++ b/tests/promise_scene.py
@@ -34,10 +34,15 @@
 
 
 @asynccontextmanager
-async def run_fleet(**options: Any) -> AsyncIterator[Fleet]:
-    """Run a fleet whose entry hosts are ready and whose workers know their pool."""
+async def run_fleet(
+    edit: Callable[[str], str] = str, **options: Any
+) -> AsyncIterator[Fleet]:
+    """Run a fleet whose entry hosts are ready and whose workers know their pool.
+
+    `edit` changes the catalogue.
+    """
     async with Fleet(**options) as fleet:
-        assert await fleet.publish(small_document(fleet)) == 200
+        assert await fleet.publish(edit(small_document(fleet))) == 200
         await fleet.wait_until_ready()
         await fleet.wait_until_assigned()
         yield fleet
