Place refused tasks again for up to 15 s, and restore a test's assertion

Cause: a request with most of its 25 s left was refused as not run after 8 placements that workers refused as busy, about 0.5 s, while the tasks of a dead entry host held their slots until their leases ended.

Ruled out: no bound on the number of placements, since a request that no worker takes would hold a slot of its entry host until its deadline.

Now 64 placements with waits up to 500 ms, for urgent work up to 100 ms. The test expects every request to be done again.

--- a/src/bergamotgap/domain/retries.py
+++ b/src/bergamotgap/domain/retries.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bergamotgap.domain.catalogue import Entry
+from bergamotgap.domain.catalogue import Entry, Urgency
 
 # A retry is paid for by ten requests, so that retries add at most a tenth of load.
 TOKENS_PER_REQUEST = 0.1
@@ -10,9 +10,13 @@
 # Runs of one request on different hosts that are paid from the budget.
 MAX_RETRIES = 2
 # Placements of one request that workers refused; these cost no budget, as nothing ran.
-MAX_REFUSALS = 8
+# With the waits between them they last for about 15 s, which is longer than a lease:
+# the tasks of a dead entry host may hold the slots for as long.
+MAX_REFUSALS = 64
 FIRST_WAIT_MS = 4.0
-MAX_WAIT_MS = 200.0
+MAX_WAIT_MS = 500.0
+# Urgent work has to start within 1.1 s, so a freed slot must be found soon.
+MAX_URGENT_WAIT_MS = 100.0
 
 # Refusals that prove that the task has not started. A `duplicate` is none: the worker
 # knows the task, so it may have run.
@@ -91,4 +95,6 @@
         return wait_ms if now_ms + wait_ms < self._deadline_at_ms else None
 
     def _draw_wait_ms(self, number: int) -> float:
-        return self._rng.uniform(0.0, min(FIRST_WAIT_MS * 2**number, MAX_WAIT_MS))
+        is_urgent = self._entry.urgency is Urgency.URGENT
+        limit_ms = MAX_URGENT_WAIT_MS if is_urgent else MAX_WAIT_MS
+        return self._rng.uniform(0.0, min(FIRST_WAIT_MS * 2**number, limit_ms))
--- a/tests/test_promises_p2.py
+++ b/tests/test_promises_p2.py
@@ -149,8 +149,5 @@
         for host in released:
             await poll(lambda host=host: is_assigned(fleet, host))
         answers = await asyncio.gather(*work)
-        # Tasks of the dead entry host may fill the workers, which then refuse others.
-        seen = {(answer.outcome, answer.code) for answer in answers}
-        assert ("done", None) in seen
-        assert seen <= {("done", None), ("not_run", "busy")}
+        assert [answer.outcome for answer in answers] == ["done"] * len(answers)
         await check_pools(fleet)
