Add benchmarks of floods, outages and waves on real processes

bench/flood.py runs a fleet under a steady load and floods of one entry, and the same load on a baseline that serves first come, first served. bench/outage.py stops the platform under load; bench/wave.py compares a maintenance wave with the least time that the budget allows. The start log of the worker stand-in notes the wall time, from which the time to an urgent start follows.

All benchmarks return figures and are registered; their bounds are the stated targets.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,13 +5,34 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from bench import forwarder, roll_out
+from bench import (
+    admission_cost,
+    division_shift,
+    flood,
+    flood_policy,
+    forwarder,
+    headroom_price,
+    moves,
+    outage,
+    roll_out,
+    wave,
+    work_stream,
+)
 from bench.figures import Figure, print_figures, write_figures
 
 RESULTS = Path(__file__).parent / "results" / "latest.json"
 BENCHMARKS: dict[str, Callable[[], list[Figure]]] = {
+    "moves": moves.main,
+    "flood_policy": flood_policy.main,
+    "headroom_price": headroom_price.main,
+    "division_shift": division_shift.main,
+    "admission_cost": admission_cost.main,
+    "work_stream": work_stream.main,
     "roll_out": roll_out.main,
     "forwarder": forwarder.main,
+    "flood": flood.main,
+    "outage": outage.main,
+    "wave": wave.main,
 }
 
 
--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from bench.figures import Figure, list_figures, print_figures
 from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
 from bergamotgap.domain.catalogue import Catalogue, Entry, Owner, Pool, Urgency
 from bergamotgap.domain.scheduler import Ticket
@@ -104,15 +105,13 @@
     return REFUSALS / (time.perf_counter() - begin)
 
 
-def main() -> dict[str, dict[str, float]]:
-    """Print the table and return it."""
-    table = {str(length): measure(length) for length in LENGTHS}
-    table["refusals"] = {"per_s": measure_refusals()}
-    for name, row in table.items():
-        cells = "  ".join(f"{key}={value:.1f}" for key, value in row.items())
-        print(f"{name}:  {cells}")
-    return table
+def main() -> list[Figure]:
+    """Return the costs by queue length."""
+    figures = []
+    for length in LENGTHS:
+        figures += list_figures(f"admission, {length} queued", measure(length))
+    return [*figures, Figure("admission: refusals", measure_refusals(), "1/s")]
 
 
 if __name__ == "__main__":
-    main()
+    print_figures(main())
--- a/bench/division_shift.py
+++ b/bench/division_shift.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 
+from bench.figures import Figure, list_figures, print_figures
 from bench.flood_policy import NODES, Snapshot
 from bergamotgap.domain.division import Division
 from bergamotgap.domain.slots import Allowance
@@ -21,6 +22,7 @@
 STEP_MS = 10
 HIGH_DEMAND = 40.0
 RUN_MS = 300
+HOLDS_MS = (0, 300, 600, 1200)
 
 
 class Host:
@@ -95,14 +97,13 @@
     return sent[0][1] if sent and sent[0][0] <= now_ms else None
 
 
-def main() -> dict[str, dict[str, float]]:
-    """Print the table and return it."""
-    table = {f"hold {hold} ms": measure(hold) for hold in (0, 300, 600, 1200)}
-    for name, row in table.items():
-        cells = "  ".join(f"{key}={value:.3f}" for key, value in row.items())
-        print(f"{name}:  {cells}")
-    return table
+def main() -> list[Figure]:
+    """Return the overshoot for each hold time of grants."""
+    figures = []
+    for hold_ms in HOLDS_MS:
+        figures += list_figures(f"division, hold {hold_ms} ms", measure(hold_ms))
+    return figures
 
 
 if __name__ == "__main__":
-    main()
+    print_figures(main())
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -1,7 +1,7 @@
 """Figures of a benchmark run, each with its target."""
 
 import json
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Literal
@@ -9,6 +9,8 @@
 from rich.console import Console
 from rich.table import Table
 
+UNITS = {"_ms": "ms", "_us": "µs", "_per_s": "1/s", "_bytes": "B"}
+
 
 @dataclass(frozen=True)
 class Figure:
@@ -31,6 +33,15 @@
         return self.value >= self.bound
 
 
+def list_figures(prefix: str, row: Mapping[str, float]) -> list[Figure]:
+    """Return a row of values as figures without targets; names may end in a unit."""
+    figures = []
+    for name, value in row.items():
+        unit = next((text for end, text in UNITS.items() if name.endswith(end)), "")
+        figures.append(Figure(f"{prefix}: {name}", value, unit))
+    return figures
+
+
 def print_figures(figures: Sequence[Figure]) -> None:
     """Print all figures as one table."""
     table = Table("measure", "value", "unit", "target", "met", "note")
--- /dev/null
+++ b/bench/flood.py
@@ -0,0 +1,254 @@
+"""What a flood of one entry leaves to the others, on a fleet of real processes.
+
+Every entry sends `LOAD` of what its guaranteed part of pool and quota can run. Then one
+entry also sends 5 or 10 times what all slots of the fleet can run. The run time is
+chosen so that 10 times the fleet is 4,000 requests a second, which two load processes
+and 7 entry hosts can handle on one machine with 10 cores.
+"""
+
+import asyncio
+import math
+import sys
+from collections import Counter
+from dataclasses import dataclass
+
+import numpy as np
+
+from bench.figures import Figure, print_figures
+from bench.fleet_load import list_starts, run_plan
+from bench.flood_load import Plan, Sent, Stream
+from bergamotgap.domain.catalogue import Catalogue, Entry, Urgency, parse_catalogue
+from bergamotgap.domain.quotas import divide_shares
+from bergamotgap.domain.scheduler import GUARANTEED_PART
+from tools.demo import list_uses
+from tools.fleet import Fleet
+from tools.fleet_plan import LOOPBACK, pick_ports
+
+SLOTS = 8
+WORKERS_PER_POOL = 6
+RUN_MS = 600
+LOAD = 0.4
+FACTORS = (5, 10)
+FLOOD_PROCESSES = 2
+WARM_UP_MS = 3000
+RUN_S = 10.0
+SETTLE_S = 4.0
+SEED = 20_261_204
+# Callers of the steady work wait for their deadline. Those of the flood give up
+# sooner, so that a baseline without admission doesn't run out of connections.
+FLOOD_GIVE_UP_MS = 3000
+PATIENCE_MS = 10_000
+
+# Targets of the design page.
+MIN_KEPT = 0.95
+MIN_URGENT_IN_TIME = 0.99
+MAX_URGENT_START_MS = 1100
+# A request that is sent later than this was held up by the load process.
+MAX_LATENESS_MS = 50
+
+
+@dataclass(frozen=True)
+class Result:
+    """One run: the steady requests, starts by key in wall ms, and the flood's."""
+
+    steady: list[Sent]
+    starts_ms: dict[str, float]
+    flood: list[Sent]
+
+    def list_counted(self) -> list[Sent]:
+        """Return the steady requests that were due after the warm-up."""
+        first_ms = min(sent.due_ms for sent in self.steady) + WARM_UP_MS
+        return [sent for sent in self.steady if sent.due_ms >= first_ms]
+
+    def compute_goodput(self) -> dict[str, float]:
+        """Return by entry the part of the requests that were done in time."""
+        counted = self.list_counted()
+        offered = Counter(sent.entry for sent in counted)
+        done = Counter(sent.entry for sent in counted if sent.is_in_time)
+        return {name: done[name] / count for name, count in offered.items()}
+
+    def list_urgent(self, catalogue: Catalogue, flood: str) -> list[Sent]:
+        """Return the counted urgent requests of entries other than the flood's."""
+        urgent = {e.name for e in catalogue.entries if e.urgency is Urgency.URGENT}
+        return [s for s in self.list_counted() if s.entry in urgent - {flood}]
+
+    def list_waits_ms(self, requests: list[Sent]) -> list[float]:
+        """Return the times from due to start of the requests that started."""
+        starts = self.starts_ms
+        return [starts[s.key] - s.due_ms for s in requests if s.key in starts]
+
+
+def list_streams(deployment: str, document: str) -> list[Stream]:
+    """Return the steady streams of a deployment."""
+    catalogue = parse_catalogue(document)
+    keys = {use.name: use.key for use in list_uses(document, 1)}
+    shares = divide_shares(catalogue)
+    quotas = {owner.name: owner.quota_slots for owner in catalogue.owners}
+    weights: Counter[str] = Counter()
+    for entry in catalogue.entries:
+        weights[entry.owner] += entry.weight
+    pool_slots = WORKERS_PER_POOL * SLOTS
+    streams = []
+    for entry in catalogue.entries:
+        of_pool = GUARANTEED_PART * pool_slots * shares[entry.pool, entry.name]
+        of_quota = quotas[entry.owner] * entry.weight / weights[entry.owner]
+        rate = LOAD * min(of_pool, of_quota) * 1000 / RUN_MS
+        key = keys[entry.name]
+        streams.append(Stream(entry.name, key, rate, entry.deadline_ms))
+    return streams
+
+
+def pick_flood(catalogue: Catalogue, urgency: Urgency) -> Entry:
+    """Return the idempotent entry of a class with the largest weight.
+
+    Non-idempotent work is bounded by the platform's append rate before anything else.
+    """
+    found = [e for e in catalogue.entries if e.urgency is urgency and e.idempotent]
+    return max(found, key=lambda entry: entry.weight)
+
+
+class Bench:
+    """Run loads on a fleet, through its entry hosts or through the baseline."""
+
+    def __init__(self, fleet: Fleet, addresses: list[str]) -> None:
+        self._fleet = fleet
+        self._addresses = addresses
+        self._streams = list_streams(fleet.deployment, fleet.document)
+        self._runs = 0
+
+    def _build_plan(
+        self, name: str, streams: list[Stream], seed: int, give_up_ms: int
+    ) -> Plan:
+        return Plan(
+            name=f"{name}-{self._runs}",
+            addresses=self._addresses,
+            streams=streams,
+            seconds=RUN_S,
+            seed=seed,
+            run_ms=RUN_MS,
+            give_up_ms=give_up_ms,
+        )
+
+    async def run(self, flood: Entry | None = None, factor: int = 0) -> Result:
+        """Run the steady load, with a flood if one is given."""
+        self._runs += 1
+        plans = [self._build_plan("steady", self._streams, SEED, PATIENCE_MS)]
+        if flood is not None:
+            key = next(s.key for s in self._streams if s.entry == flood.name)
+            fleet_rate = len(self._fleet.hosts) * SLOTS * 1000 / RUN_MS
+            rate = factor * fleet_rate / FLOOD_PROCESSES
+            stream = Stream(flood.name, key, rate, flood.deadline_ms)
+            plans += [
+                self._build_plan(f"flood-{n}", [stream], SEED + 1 + n, FLOOD_GIVE_UP_MS)
+                for n in range(FLOOD_PROCESSES)
+            ]
+        steady, *floods = await asyncio.gather(
+            *(run_plan(self._fleet, plan) for plan in plans)
+        )
+        await asyncio.sleep(SETTLE_S)
+        starts_ms = {
+            start["key"]: float(start["at_ms"])
+            for start in list_starts(self._fleet, plans[0])
+        }
+        return Result(steady, starts_ms, [sent for flood in floods for sent in flood])
+
+
+def compute_p99(values: list[float]) -> float:
+    """Return the 99th percentile; no value at all counts as infinite."""
+    return float(np.percentile(values, 99)) if values else math.inf
+
+
+def build_figures(
+    name: str, catalogue: Catalogue, flood: Entry, calm: Result, result: Result
+) -> list[Figure]:
+    """Return the figures of one flood; the baseline's have no targets."""
+    is_policy = "first-come" not in name
+    before, after = calm.compute_goodput(), result.compute_goodput()
+    kept = {
+        entry: after.get(entry, 0.0) / goodput if goodput else math.nan
+        for entry, goodput in before.items()
+        if entry != flood.name
+    }
+    worst = min(kept, key=lambda entry: kept[entry])
+    urgent = result.list_urgent(catalogue, flood.name)
+    in_time = sum(sent.is_in_time for sent in urgent) / max(1, len(urgent))
+    start_ms = compute_p99(result.list_waits_ms(urgent))
+    late_ms = compute_p99([s.late_ms for s in [*result.steady, *result.flood]])
+    outcomes = Counter(sent.outcome for sent in result.flood)
+    kept_bound = MIN_KEPT if is_policy else None
+    time_bound = MIN_URGENT_IN_TIME if is_policy else None
+    start_bound = MAX_URGENT_START_MS if is_policy else None
+    flooded = ", ".join(f"{key} {count}" for key, count in sorted(outcomes.items()))
+    return [
+        Figure(f"{name}: kept", kept[worst], "ratio", kept_bound, "at least", worst),
+        Figure(f"{name}: urgent in time", in_time, "ratio", time_bound, "at least"),
+        Figure(f"{name}: urgent start p99", start_ms, "ms", start_bound),
+        Figure(f"{name}: load lateness p99", late_ms, "ms", MAX_LATENESS_MS),
+        Figure(f"{name}: flood", len(result.flood), "requests", note=flooded),
+    ]
+
+
+async def measure(bench: Bench, catalogue: Catalogue, name: str) -> list[Figure]:
+    """Return the figures of all floods on one fleet."""
+    await bench.run()
+    calm = await bench.run()
+    lowest = min(calm.compute_goodput().items(), key=lambda item: item[1])
+    waits_ms = calm.list_waits_ms(calm.list_urgent(catalogue, ""))
+    figures = [
+        Figure(f"{name}, calm: goodput", lowest[1], "ratio", note=lowest[0]),
+        Figure(f"{name}, calm: urgent start p99", compute_p99(waits_ms), "ms"),
+    ]
+    for urgency in (Urgency.BATCH, Urgency.URGENT):
+        flood = pick_flood(catalogue, urgency)
+        for factor in FACTORS:
+            result = await bench.run(flood, factor)
+            case = f"{name}, {flood.name} x{factor}"
+            figures += build_figures(case, catalogue, flood, calm, result)
+    return figures
+
+
+async def measure_fleet(deployment: str, is_baseline: bool) -> list[Figure]:
+    """Start a fleet and measure it, or the baseline on its workers."""
+    fleet = Fleet(
+        deployment=deployment,
+        node_count=1 if is_baseline else 7,
+        slots=SLOTS,
+        workers_per_pool=WORKERS_PER_POOL,
+        workers_per_process=6,
+    )
+    async with fleet:
+        await fleet.publish()
+        await fleet.wait_until_ready()
+        await fleet.wait_until_assigned()
+        # Entry hosts ask the workers for their status every second.
+        await asyncio.sleep(SETTLE_S)
+        addresses = [node.caller for node in fleet.nodes]
+        if is_baseline:
+            addresses = start_baseline(fleet)
+            await asyncio.sleep(SETTLE_S)
+        bench = Bench(fleet, addresses)
+        catalogue = parse_catalogue(fleet.document)
+        name = f"{deployment}, first-come" if is_baseline else deployment
+        return await measure(bench, catalogue, name)
+
+
+def start_baseline(fleet: Fleet, count: int = 7) -> list[str]:
+    """Start the baseline forwarders and return their addresses."""
+    addresses = [f"{LOOPBACK}:{port}" for port in pick_ports(count)]
+    workers = ",".join(host["address"] for host in fleet.hosts)
+    slots = len(fleet.hosts) * SLOTS // count
+    for number, address in enumerate(addresses):
+        command = [sys.executable, "-m", "bench.first_come", "--listen", address]
+        command += ["--workers", workers, "--slots", str(slots)]
+        fleet.start(f"first-come-{number + 1}", command)
+    return addresses
+
+
+def main() -> list[Figure]:
+    """Measure the first deployment and the baseline."""
+    figures = asyncio.run(measure_fleet("association", False))
+    return figures + asyncio.run(measure_fleet("association", True))
+
+
+if __name__ == "__main__":
+    print_figures(main())
--- /dev/null
+++ b/bench/flood_load.py
@@ -0,0 +1,160 @@
+"""Load process for fleets: `python -m bench.flood_load PLAN RESULTS`.
+
+Requests arrive at random at fixed rates, whatever happens to earlier ones.
+"""
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Annotated
+
+import aiohttp
+import msgspec
+import numpy as np
+import typer
+import uvloop
+
+
+class Stream(msgspec.Struct, frozen=True):
+    """Requests of one entry; `rate` is per second; each names its deadline."""
+
+    entry: str
+    key: str
+    rate: float
+    deadline_ms: int
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What to send: to which addresses (`ip:port`) and for how many seconds.
+
+    `give_up_ms` is after which time a caller closes its connection.
+    """
+
+    name: str
+    addresses: list[str]
+    streams: list[Stream]
+    seconds: float
+    seed: int
+    run_ms: int
+    give_up_ms: int
+
+
+class Sent(msgspec.Struct, frozen=True):
+    """One request; `due_ms` is wall time, `late_ms` how late it was sent.
+
+    `outcome` is the header `Outcome`, or `given_up`, `connection_lost` or
+    `wrong_answer`; `code` is the code of an error.
+    """
+
+    entry: str
+    key: str
+    due_ms: float
+    late_ms: float
+    latency_ms: float
+    outcome: str
+    deadline_ms: int
+    code: str = ""
+
+    @property
+    def is_in_time(self) -> bool:
+        """Return whether the request was done within its deadline."""
+        return self.outcome == "done" and self.latency_ms <= self.deadline_ms
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """The part of an error that is used here."""
+
+    code: str = ""
+
+
+def list_arrivals(plan: Plan) -> list[tuple[float, Stream, str]]:
+    """Return due times in seconds, each with its stream and the entry host."""
+    source = np.random.default_rng(plan.seed)
+    arrivals = []
+    for stream in plan.streams:
+        count = source.poisson(stream.rate * plan.seconds)
+        times = source.uniform(0, plan.seconds, count)
+        nodes = source.integers(len(plan.addresses), size=count)
+        arrivals += [
+            (float(due_s), stream, plan.addresses[node])
+            for due_s, node in zip(times, nodes, strict=True)
+        ]
+    return sorted(arrivals, key=lambda item: item[0])
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    plan: Plan,
+    stream: Stream,
+    address: str,
+    key: str,
+    due_s: float,
+) -> Sent:
+    """Send one request and return what became of it; `due_s` is monotonic."""
+    late_ms = (time.monotonic() - due_s) * 1000
+    due_ms = time.time() * 1000 - late_ms
+    url = f"http://{address}/v1/requests/{stream.entry}"
+    headers = {
+        "Authorization": f"Bearer {stream.key}",
+        "Request-Id": key,
+        "Deadline-Ms": str(stream.deadline_ms),
+    }
+    body = msgspec.json.encode({"run_ms": plan.run_ms, "key": key})
+    outcome, code = "given_up", ""
+    try:
+        async with (
+            asyncio.timeout(plan.give_up_ms / 1000),
+            session.post(url, data=body, headers=headers) as answer,
+        ):
+            received = await answer.read()
+            outcome = answer.headers.get("Outcome", str(answer.status))
+            if outcome == "done" and received != body:
+                outcome = "wrong_answer"
+            if answer.content_type == "application/problem+json":
+                code = msgspec.json.decode(received, type=Problem).code
+    except TimeoutError:
+        pass
+    except (aiohttp.ClientError, OSError):
+        outcome = "connection_lost"
+    latency_ms = (time.monotonic() - due_s) * 1000
+    return Sent(
+        entry=stream.entry,
+        key=key,
+        due_ms=due_ms,
+        late_ms=late_ms,
+        latency_ms=latency_ms,
+        outcome=outcome,
+        deadline_ms=stream.deadline_ms,
+        code=code,
+    )
+
+
+async def run(plan: Plan) -> list[Sent]:
+    """Send all requests of a plan."""
+    connector = aiohttp.TCPConnector(limit=0)
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        start_s = time.monotonic()
+        tasks = []
+        for number, (offset_s, stream, address) in enumerate(list_arrivals(plan)):
+            due_s = start_s + offset_s
+            wait_s = due_s - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            key = f"{plan.name}-{number}"
+            call = send(session, plan, stream, address, key, due_s)
+            tasks.append(asyncio.create_task(call))
+        return list(await asyncio.gather(*tasks))
+
+
+def main(
+    plan: Annotated[Path, typer.Argument(help="JSON file")],
+    results: Annotated[Path, typer.Argument(help="JSON file to write")],
+) -> None:
+    """Carry out a plan."""
+    decoded = msgspec.json.decode(plan.read_bytes(), type=Plan)
+    results.write_bytes(msgspec.json.encode(uvloop.run(run(decoded))))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/bench/flood_policy.py
+++ b/bench/flood_policy.py
@@ -13,6 +13,7 @@
 
 import numpy as np
 
+from bench.figures import Figure, print_figures
 from bench.flood_catalogues import build_all
 from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
 from bergamotgap.domain.catalogue import Catalogue, Entry, Urgency
@@ -356,29 +357,31 @@
     return rows
 
 
-def is_on_target(row: Mapping[str, float | str]) -> bool:
-    """Return whether a row meets the targets of the design page."""
-    return (
-        float(row["kept"]) >= MIN_KEPT
-        and float(row["urgent_in_time"]) >= MIN_URGENT_IN_TIME
-        and float(row["urgent_start_p99_ms"]) < MAX_URGENT_START_MS
-    )
-
-
-def main() -> list[dict[str, float | str]]:
-    """Print the table and return its rows."""
+def build_figures(row: Mapping[str, float | str]) -> list[Figure]:
+    """Return a row's figures; those of the policy have targets."""
+    name = f"{row['case']}, {row['way']}, {row['flood']}"
+    is_policy = row["way"] == "policy"
+    bounds = (MIN_KEPT, MIN_URGENT_IN_TIME, MAX_URGENT_START_MS)
+    kept, in_time, start_ms = bounds if is_policy else (None, None, None)
+    waits_ms = float(row["urgent_start_p99_ms"])
+    return [
+        Figure(f"{name}: kept", float(row["kept"]), "ratio", kept, "at least"),
+        Figure(
+            f"{name}: urgent in time",
+            float(row["urgent_in_time"]),
+            "ratio",
+            in_time,
+            "at least",
+        ),
+        Figure(f"{name}: urgent start p99", waits_ms, "ms", start_ms),
+    ]
+
+
+def main() -> list[Figure]:
+    """Return the figures of all catalogues."""
     rows = [row for name, item in build_all().items() for row in measure(name, item)]
-    columns = list(rows[0])
-    print("  ".join(columns), " on_target")
-    for row in rows:
-        cells = [
-            f"{value:.3f}" if isinstance(value, float) else value
-            for value in row.values()
-        ]
-        verdict = "yes" if is_on_target(row) else "MISSED"
-        print("  ".join(cells), "", verdict if row["way"] == "policy" else "-")
-    return rows
+    return [figure for row in rows for figure in build_figures(row)]
 
 
 if __name__ == "__main__":
-    main()
+    print_figures(main())
--- a/bench/headroom_price.py
+++ b/bench/headroom_price.py
@@ -6,6 +6,7 @@
 
 import numpy as np
 
+from bench.figures import Figure, list_figures, print_figures
 from bench.flood_catalogues import build_mixed_catalogue
 from bench.flood_policy import (
     POOL_SLOTS,
@@ -65,14 +66,13 @@
     }
 
 
-def main() -> dict[str, dict[str, float]]:
-    """Print the table and return it."""
-    table = {name: measure(limits) for name, limits in VARIANTS.items()}
-    for name, row in table.items():
-        cells = "  ".join(f"{key}={value:.3f}" for key, value in row.items())
-        print(f"{name}:  {cells}")
-    return table
+def main() -> list[Figure]:
+    """Return how each variant fares."""
+    figures = []
+    for name, limits in VARIANTS.items():
+        figures += list_figures(f"headroom, {name}", measure(limits))
+    return figures
 
 
 if __name__ == "__main__":
-    main()
+    print_figures(main())
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -1,4 +1,4 @@
-"""Compare ways of sizing pools on one demand trace; prints a table.
+"""Compare ways of sizing pools on one demand trace.
 
 Five services peak in turn. Work that finds no free slot waits, and counts as missed
 when it is not served within the deadline. Each move takes its host out of service for
@@ -12,6 +12,7 @@
 
 import numpy as np
 
+from bench.figures import Figure, print_figures
 from bergamotgap.domain.moves import (
     PoolLoad,
     ShortageTimer,
@@ -36,6 +37,10 @@
 MIN_HOSTS = 3
 MAX_HOSTS = 12
 DEADLINE_TICKS = 2
+# Targets: spare host-seconds below half of those of static pools sized for the peak;
+# below a quarter of the greedy mover's moves, with no more missed work.
+MAX_SPARE_RATIO = 0.5
+MAX_MOVES_RATIO = 0.25
 
 Trace = list[dict[str, float]]
 Sizes = dict[str, int]
@@ -237,18 +242,28 @@
     }
 
 
-def main() -> list[Result]:
-    """Print the table and return its rows."""
-    results = compare()
-    print("policy         hosts  moves  spare host-s  missed slot-s  missed %")
+def main() -> list[Figure]:
+    """Return the policies' figures; those of the deployments' size have targets."""
+    static, *results = compare()
+    figures = [Figure("static: spare", static.spare_host_seconds, "host-s")]
     for item in results:
-        print(
-            f"{item.policy:13}  {item.hosts:5}  {item.moves:5}"
-            f"  {item.spare_host_seconds:12.0f}  {item.missed:13.0f}"
-            f"  {100 * item.missed / item.offered:8.3f}"
-        )
-    return results
+        name = f"{item.policy}, {item.hosts} hosts"
+        figures += [
+            Figure(f"{name}: moves", item.moves, "moves"),
+            Figure(f"{name}: missed", item.missed / item.offered, "ratio"),
+            Figure(f"{name}: spare", item.spare_host_seconds, "host-s"),
+        ]
+    rows = {item.policy: item for item in results if item.hosts == FLEETS[-1]}
+    ours, greedy = rows["bergamotgap"], rows["greedy mover"]
+    spare = ours.spare_host_seconds / static.spare_host_seconds
+    moves = ours.moves / max(1, greedy.moves)
+    return [
+        *figures,
+        Figure("spare, to static pools", spare, "ratio", MAX_SPARE_RATIO),
+        Figure("moves, to the greedy mover's", moves, "ratio", MAX_MOVES_RATIO),
+        Figure("missed work", ours.missed, "slot-s", greedy.missed),
+    ]
 
 
 if __name__ == "__main__":
-    main()
+    print_figures(main())
--- /dev/null
+++ b/bench/outage.py
@@ -0,0 +1,136 @@
+"""What callers are told during an outage of the platform, and after it.
+
+The platform's process is stopped for some seconds, so that connections to it open but
+no call is answered. Idempotent requests must go on; non-idempotent ones must be told
+within their deadline that they were not run.
+"""
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from bench.figures import Figure, print_figures
+from bench.fleet_load import list_starts, run_plan
+from bench.flood_load import Plan, Sent, Stream
+from tools.demo import list_uses
+from tools.fleet import Fleet
+
+RUN_MS = 50
+RATE = 20.0
+DEADLINE_MS = 3000
+BEFORE_S = 4.0
+OUTAGE_S = 8.0
+LOAD_S = 24.0
+# By this long after the outage, both kinds of work must go on.
+RECOVERY_MS = 4000
+SETTLE_S = 4.0
+SEED = 20_261_204
+GIVE_UP_MS = 20_000
+
+
+@dataclass(frozen=True)
+class Result:
+    """Requests with the wall time of the outage; `once` names the entries."""
+
+    sent: list[Sent]
+    starts: list[dict[str, Any]]
+    once: frozenset[str]
+    from_ms: float
+    until_ms: float
+
+    def list_sent(self, is_once: bool) -> list[Sent]:
+        """Return the requests of one kind."""
+        return [sent for sent in self.sent if (sent.entry in self.once) == is_once]
+
+    def list_recovered(self, is_once: bool) -> list[Sent]:
+        """Return the requests of one kind that were due some time after the outage."""
+        first_ms = self.until_ms + RECOVERY_MS
+        return [sent for sent in self.list_sent(is_once) if sent.due_ms >= first_ms]
+
+
+async def measure() -> Result:
+    """Stop the platform of a fleet under load for some seconds."""
+    async with Fleet(run_ms=RUN_MS, workers_per_process=6) as fleet:
+        await fleet.publish()
+        await fleet.wait_until_ready()
+        await fleet.wait_until_assigned()
+        await asyncio.sleep(SETTLE_S)
+        plan = build_plan(fleet)
+        load = asyncio.create_task(run_plan(fleet, plan))
+        await asyncio.sleep(BEFORE_S)
+        from_ms = time.time() * 1000
+        fleet.freeze("platform")
+        await asyncio.sleep(OUTAGE_S)
+        fleet.thaw("platform")
+        until_ms = time.time() * 1000
+        sent = await load
+        await asyncio.sleep(SETTLE_S)
+        uses = list_uses(fleet.document, 1)
+        once = frozenset(use.name for use in uses if not use.entry["idempotent"])
+        return Result(sent, list_starts(fleet, plan), once, from_ms, until_ms)
+
+
+def build_plan(fleet: Fleet) -> Plan:
+    """Return a light load of every entry."""
+    keys = {use.name: use.key for use in list_uses(fleet.document, 1)}
+    return Plan(
+        name="outage",
+        addresses=[node.caller for node in fleet.nodes],
+        streams=[Stream(name, key, RATE, DEADLINE_MS) for name, key in keys.items()],
+        seconds=LOAD_S,
+        seed=SEED,
+        run_ms=RUN_MS,
+        give_up_ms=GIVE_UP_MS,
+    )
+
+
+def describe(sent: list[Sent]) -> str:
+    """Return how many requests had each outcome."""
+    counts = Counter(f"{s.outcome} {s.code}".strip() for s in sent)
+    return ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
+
+
+def build_figures(result: Result) -> list[Figure]:
+    """Return the figures of one outage."""
+    plain, once = result.list_sent(False), result.list_sent(True)
+    lost = sum(sent.outcome != "done" for sent in plain)
+    unclear = sum(sent.outcome not in ("done", "not_run") for sent in once)
+    without_code = sum(s.outcome == "not_run" and not s.code for s in once)
+    late = sum(sent.latency_ms > sent.deadline_ms for sent in once)
+    counts = Counter(start["key"] for start in result.starts)
+    not_run = {sent.key for sent in result.sent if sent.outcome == "not_run"}
+    twice = sum(counts[sent.key] > 1 for sent in once)
+    false = sum(counts[key] > 0 for key in not_run)
+    latest = max(sent.latency_ms for sent in once)
+    figures = [
+        Figure("outage: idempotent not done", lost, "requests", 0, "at most"),
+        Figure("outage: non-idempotent unclear", unclear, "requests", 0),
+        Figure("outage: refusals without code", without_code, "requests", 0),
+        Figure("outage: non-idempotent answers late", late, "requests", 0),
+        Figure("outage: longest non-idempotent answer", latest, "ms"),
+        Figure("outage: non-idempotent run twice", twice, "requests", 0),
+        Figure("outage: not run, but started", false, "requests", 0),
+    ]
+    notes = [describe(plain), describe(once)]
+    figures[:2] = [
+        Figure(f.measure, f.value, f.unit, f.bound, f.side, note)
+        for f, note in zip(figures[:2], notes, strict=True)
+    ]
+    for name, is_once in (("idempotent", False), ("non-idempotent", True)):
+        after = result.list_recovered(is_once)
+        done = sum(sent.outcome == "done" for sent in after) / max(1, len(after))
+        figures.append(
+            Figure(f"outage: {name} done after", done, "ratio", 1, "at least")
+        )
+    return figures
+
+
+def main() -> list[Figure]:
+    """Return what became of the requests during and after the outage."""
+    return build_figures(asyncio.run(measure()))
+
+
+if __name__ == "__main__":
+    print_figures(main())
--- /dev/null
+++ b/bench/wave.py
@@ -0,0 +1,147 @@
+"""Duration of a maintenance wave against the least that the budget allows.
+
+Requests of the pool go on during the wave. At least as many batches are needed as the
+availability budget and the racks impose, and each takes one drain and one reboot.
+"""
+
+import asyncio
+import math
+import secrets
+import time
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from bench.figures import Figure, print_figures
+from bench.fleet_load import run_plan
+from bench.flood_load import Plan, Sent, Stream
+from bergamotgap.domain.budget import count_needed
+from bergamotgap.domain.catalogue import parse_catalogue
+from bergamotgap.domain.records import WaveDeclared, encode_batch, wrap_record
+from tools.demo import list_uses
+from tools.fleet import Fleet
+
+POOL = "previews"
+ENTRY = "spend-preview"
+RUN_MS = 500
+# A real reboot takes minutes. This one is short, so that the waits of the planner
+# between two steps weigh more here than with real hosts.
+REBOOT_MS = 5000
+SLOTS = 8
+LOAD = 0.4
+LOAD_S = 30.0
+SETTLE_S = 4.0
+WAVE_TIMEOUT_S = 60.0
+POLL_S = 0.05
+SEED = 20_261_204
+GIVE_UP_MS = 10_000
+# Target of the design page: the wave takes at most this many times the least time.
+MAX_RATIO = 1.25
+
+
+@dataclass(frozen=True)
+class Result:
+    """A wave: its duration, the fewest hosts that served, and the requests."""
+
+    duration_s: float
+    fewest_serving: int
+    sent: list[Sent]
+
+
+def count_batches(hosts: list[dict[str, Any]], at_once: int) -> int:
+    """Return how many batches the hosts need: one rack at a time, within budget."""
+    racks = Counter(host["rack"] for host in hosts)
+    return sum(math.ceil(count / at_once) for count in racks.values())
+
+
+async def declare(fleet: Fleet, hosts: list[str]) -> None:
+    """Declare a wave by its record in the log, which needs no entry host."""
+    record = WaveDeclared("bench-wave", tuple(hosts), "bench")
+    record_id = secrets.token_hex(8)
+    body = encode_batch([wrap_record(record_id, record)])
+    url = f"http://{fleet.platform_address}/streams/control/records"
+    async with aiohttp.ClientSession() as session:
+        payload = {"id": record_id, "body": body}
+        async with session.post(url, json=payload) as response:
+            response.raise_for_status()
+
+
+async def follow(fleet: Fleet, hosts: list[str]) -> tuple[float, int]:
+    """Run a wave; return its duration in seconds and the fewest hosts serving."""
+    before = [await fleet.read_worker_status(host) for host in hosts]
+    old = {status["worker"]: status["boot_id"] for status in before}
+    fewest = len(hosts)
+    started = time.monotonic()
+    await declare(fleet, hosts)
+    async with asyncio.timeout(WAVE_TIMEOUT_S):
+        while True:
+            statuses = await asyncio.gather(*map(fleet.read_worker_status, hosts))
+            serving = [s for s in statuses if s["state"] == "serving"]
+            fewest = min(fewest, len(serving))
+            renewed = [s for s in serving if s["boot_id"] != old[s["worker"]]]
+            if len(renewed) == len(hosts):
+                return time.monotonic() - started, fewest
+            await asyncio.sleep(POLL_S)
+
+
+async def measure() -> tuple[Result, Fleet]:
+    """Run a wave over one pool of a fleet under load."""
+    settings = {"reboot_ms": REBOOT_MS}
+    fleet = Fleet(
+        run_ms=RUN_MS, slots=SLOTS, workers_per_process=6, worker_settings=settings
+    )
+    async with fleet:
+        await fleet.publish()
+        await fleet.wait_until_ready()
+        await fleet.wait_until_assigned()
+        await asyncio.sleep(SETTLE_S)
+        hosts = [host["host"] for host in fleet.hosts if host["pool"] == POOL]
+        load = asyncio.create_task(run_plan(fleet, build_plan(fleet, len(hosts))))
+        await asyncio.sleep(SETTLE_S)
+        duration_s, fewest = await follow(fleet, hosts)
+        return Result(duration_s, fewest, await load), fleet
+
+
+def build_plan(fleet: Fleet, hosts: int) -> Plan:
+    """Return a load of the pool's entry for the whole wave."""
+    use = next(use for use in list_uses(fleet.document, 1) if use.name == ENTRY)
+    rate = LOAD * hosts * SLOTS * 1000 / RUN_MS
+    stream = Stream(ENTRY, use.key, rate, int(use.entry["deadline_ms"]))
+    return Plan(
+        name="wave",
+        addresses=[node.caller for node in fleet.nodes],
+        streams=[stream],
+        seconds=LOAD_S,
+        seed=SEED,
+        run_ms=RUN_MS,
+        give_up_ms=GIVE_UP_MS,
+    )
+
+
+def main() -> list[Figure]:
+    """Return the duration as a ratio to the least one, and the requests' outcomes."""
+    result, fleet = asyncio.run(measure())
+    catalogue = parse_catalogue(fleet.document)
+    hosts = [host for host in fleet.hosts if host["pool"] == POOL]
+    needed = count_needed(catalogue, POOL, len(hosts))
+    batches = count_batches(hosts, len(hosts) - needed)
+    least_s = batches * (RUN_MS + REBOOT_MS) / 1000
+    outcomes = Counter(sent.outcome for sent in result.sent)
+    bad = sum(outcomes.values()) - outcomes["done"] - outcomes["not_run"]
+    note = f"{batches} batches of at most {len(hosts) - needed} hosts"
+    detail = ", ".join(f"{name} {count}" for name, count in outcomes.items())
+    ratio = result.duration_s / least_s
+    fewest = result.fewest_serving
+    return [
+        Figure("wave: duration", result.duration_s, "s", note=note),
+        Figure("wave: least duration", least_s, "s", note="drain and reboot"),
+        Figure("wave: duration to least", ratio, "ratio", MAX_RATIO),
+        Figure("wave: hosts serving", fewest, "hosts", needed, "at least"),
+        Figure("wave: failed or unknown", bad, "requests", 0, note=detail),
+    ]
+
+
+if __name__ == "__main__":
+    print_figures(main())
--- a/bench/work_stream.py
+++ b/bench/work_stream.py
@@ -14,6 +14,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from bench.figures import Figure, list_figures, print_figures
 from bergamotgap.adapters.logs import configure_logs
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.domain.clock import SystemClock
@@ -268,20 +269,17 @@
     return (time.perf_counter() - started) / len(items) * 1e6
 
 
-def main() -> dict[str, Any]:
-    """Print a table of all figures and return them."""
+def main() -> list[Figure]:
+    """Return the costs of appends, of each kind of work and of the fold."""
     configure_logs("error")
-    appends = [asyncio.run(measure_appends(batch_ms)) for batch_ms in BATCHES_MS]
-    records = asyncio.run(measure_records())
-    fold = measure_fold()
-    print(f"{WRITERS} writers, {APPENDS_PER_WRITER} records each")
-    for row in appends:
-        print("  " + "  ".join(f"{name}={value:.1f}" for name, value in row.items()))
-    for kind, counts in records.items():
-        print(f"{kind}: " + "  ".join(f"{k}={v:.2f}" for k, v in counts.items()))
-    print("fold: " + "  ".join(f"{name}={value:.1f}" for name, value in fold.items()))
-    return {"appends": appends, "records": records, "fold": fold}
+    figures = []
+    for batch_ms in BATCHES_MS:
+        row = asyncio.run(measure_appends(batch_ms))
+        figures += list_figures(f"work stream, batch {batch_ms} ms", row)
+    for kind, counts in asyncio.run(measure_records()).items():
+        figures += list_figures(f"work stream, records of a {kind}", counts)
+    return figures + list_figures("work stream, fold", measure_fold())
 
 
 if __name__ == "__main__":
-    main()
+    print_figures(main())
--- a/stand_ins/starts.py
+++ b/stand_ins/starts.py
@@ -1,6 +1,7 @@
 """Log of the task starts of a worker stand-in."""
 
 import json
+import time
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +11,8 @@
 class StartLog:
     """Record each start of a task, in memory and in a file that outlives a crash.
 
-    `count` in an entry is how often this worker has started the task so far.
+    `count` in an entry is how often this worker has started the task so far, and
+    `at_ms` is the wall time of the start.
     """
 
     def __init__(self, file: Path | None = None) -> None:
@@ -27,7 +29,10 @@
         count = self._counts.get(task, 0) + 1
         self._counts[task] = count
         start = body[:BODY_START_BYTES].decode(errors="replace")
-        entry = {"task": task, "count": count, **facts, "body": start}
+        entry = {
+            **{"task": task, "count": count, "at_ms": time.time_ns() // 1_000_000},
+            **{**facts, "body": start},
+        }
         self.entries.append(entry)
         if self._file is not None:
             with self._file.open("a") as file:
