--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import sys
+from collections import Counter
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
@@ -33,3 +35,9 @@
     """Return the starts of a plan's requests; `key` names the request."""
     prefix = f"{plan.name}-"
     return [s for s in fleet.read_starts() if str(s["key"]).startswith(prefix)]
+
+
+def describe(sent: Sequence[Sent]) -> str:
+    """Return how many requests had each outcome."""
+    counts = Counter(f"{s.outcome} {s.code}".strip() for s in sent)
+    return ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
