Tell callers before their deadline that a claim was not recorded

Cause: with a deadline of 5 s or less, the append of a claim and the caller's wait ended at the same moment, the deadline. During an outage of the platform, in which connections open but no call is answered, the caller's wait won, and a request that was never dispatched was answered with `unknown`, a few milliseconds late.

Ruled out: a request that may have run.

Claims now lapse 200 ms before the deadline, at most a quarter of the time left, and the wait for the record of a refused attempt ends as early.

The new test fails without the change (2500 < 2500).

--- a/src/bergamotgap/node/claims.py
+++ b/src/bergamotgap/node/claims.py
@@ -28,6 +28,9 @@
 
 # A claim is appended and dispatched within this time, or it lapses.
 CLAIM_WINDOW_MS = 5000
+# A claim that isn't recorded lapses so long before the deadline, at most a quarter of
+# the time left, that the caller can still be told in time that nothing was run.
+ANSWER_MARGIN_MS = 200
 MAX_ATTEMPTS = 4
 BACKOFF_MS = 100
 # How long an unreachable worker is asked before the outcome is recorded as unknown.
@@ -139,9 +142,10 @@
     async def _attempt(
         self, work: Work, placement: Placement, activity: Activity
     ) -> TaskEnd:
-        lapse_ms = min(
-            self._clock.monotonic_ms() + CLAIM_WINDOW_MS, work.deadline_at_ms
-        )
+        now_ms = self._clock.monotonic_ms()
+        left_ms = max(0, work.deadline_at_ms - now_ms)
+        margin_ms = min(ANSWER_MARGIN_MS, left_ms // 4)
+        lapse_ms = min(now_ms + CLAIM_WINDOW_MS, work.deadline_at_ms - margin_ms)
         claimed = self._build_claim(work, placement, lapse_ms)
         activity.stage = "claiming"
         activity.claimed = claimed
@@ -218,8 +222,9 @@
         self, key: str, attempt: int, end: TaskEnd, work: Work
     ) -> None:
         task = self._keeper.keep(AttemptNotRun(key, attempt, end.reason))
-        remaining_ms = max(0, work.deadline_at_ms - self._clock.monotonic_ms())
-        await asyncio.wait({task}, timeout=remaining_ms / 1000)
+        left_ms = work.deadline_at_ms - self._clock.monotonic_ms()
+        wait_ms = max(0, left_ms - ANSWER_MARGIN_MS)
+        await asyncio.wait({task}, timeout=wait_ms / 1000)
         if not task.done():
             # Without the record, a further claim can't take effect either.
             raise NotAdmittedError(NotRun("platform_unavailable"))
--- a/tests/fakes_work.py
+++ b/tests/fakes_work.py
@@ -88,6 +88,7 @@
     effects: list[tuple[Record, Effect]] = field(default_factory=list)
     is_down: bool = False
     lost_answers: int = 0
+    timeouts_ms: list[int] = field(default_factory=list)
     before_append: Callable[[], None] = lambda: None
 
     def __post_init__(self) -> None:
@@ -107,6 +108,7 @@
 
     async def append(self, record: Record, timeout_ms: int) -> Effect:
         """Stand in for StreamWriter.append."""
+        self.timeouts_ms.append(timeout_ms)
         await asyncio.sleep(0)
         if self.is_down:
             raise AppendRefusedError("down")
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -138,6 +138,14 @@
     assert fleet.workers.starts[b"x"] == 1
 
 
+@pytest.mark.fault("platform_slow", "claim")
+async def test_claim_is_given_up_before_the_deadline(fleet: FakeFleet) -> None:
+    """Guards against `unknown` at the deadline for a request that was not run."""
+    deadline_ms = CLAIM_WINDOW_MS // 2
+    await fleet.request("a", ms=deadline_ms)
+    assert 0 < fleet.log.timeouts_ms[0] < deadline_ms
+
+
 @pytest.mark.fault("freeze", "claim")
 async def test_lapsed_claim_is_not_dispatched(fleet: FakeFleet) -> None:
     """Guards against a claimant that was paused until its claim was stale."""
