--- a/bench/fleet_use.py
+++ b/bench/fleet_use.py
@@ -13,8 +13,8 @@
     """What the entry hosts of a fleet used between two readings.
 
     `bytes_per_second` is all loopback traffic divided by the entry hosts, the answers
-    of workers and platform included. Other programs on the machine that use the loopback
-    address count too, so that it is only right when there are none.
+    of workers and platform included. Other programs that use the loopback address
+    count too, so that it is only right on a quiet machine.
     """
 
     cpu_percent: float
