--- a/bench/moves.py
+++ b/bench/moves.py
@@ -1,4 +1,4 @@
-"""Compare ways of sizing pools on one demand trace; prints a table.
+"""Compare ways of sizing pools on one demand trace.
 
 Five services peak in turn. Work that finds no free slot waits, and counts as missed
 when it is not served within the deadline. Each move takes its host out of service for
@@ -12,6 +12,7 @@
 
 import numpy as np
 
+from bench.figures import Figure, print_figures
 from bergamotgap.domain.moves import (
     PoolLoad,
     ShortageTimer,
@@ -32,10 +33,15 @@
 SLOTS_PER_HOST = 8
 # The deployments have 30 hosts; the other sizes show what the policies need.
 FLEETS = (28, 29, 30)
+DEPLOYED_HOSTS = 30
 HOME_HOSTS = 5
 MIN_HOSTS = 3
 MAX_HOSTS = 12
 DEADLINE_TICKS = 2
+# Targets: spare host-seconds below half of those of static pools sized for the peak;
+# below a quarter of the greedy mover's moves, with no more missed work.
+MAX_SPARE_RATIO = 0.5
+MAX_MOVES_RATIO = 0.25
 
 Trace = list[dict[str, float]]
 Sizes = dict[str, int]
@@ -237,18 +243,39 @@
     }
 
 
-def main() -> list[Result]:
-    """Print the table and return its rows."""
-    results = compare()
-    print("policy         hosts  moves  spare host-s  missed slot-s  missed %")
+def compare_hosts(static: Result, greedy: Result, ours: Result) -> list[Figure]:
+    """Return the ratios for one size of fleet; the deployments' has targets."""
+    is_bound = ours.hosts == DEPLOYED_HOSTS
+    spare = ours.spare_host_seconds / static.spare_host_seconds
+    moves = ours.moves / max(1, greedy.moves)
+    bounds = (MAX_SPARE_RATIO, MAX_MOVES_RATIO, greedy.missed)
+    spare_bound, moves_bound, missed_bound = bounds if is_bound else (None, None, None)
+    # All policies leave the same hosts idle once nothing is missed: how many are spare
+    # follows from the size of the fleet.
+    name = f"{ours.hosts} hosts"
+    return [
+        Figure(f"{name}: spare, to static pools", spare, "ratio", spare_bound),
+        Figure(f"{name}: moves, to the greedy mover's", moves, "ratio", moves_bound),
+        Figure(f"{name}: missed work", ours.missed, "slot-s", missed_bound),
+    ]
+
+
+def main() -> list[Figure]:
+    """Return the policies' figures; those of the deployments' size have targets."""
+    static, *results = compare()
+    figures = [Figure("static: spare", static.spare_host_seconds, "host-s")]
     for item in results:
-        print(
-            f"{item.policy:13}  {item.hosts:5}  {item.moves:5}"
-            f"  {item.spare_host_seconds:12.0f}  {item.missed:13.0f}"
-            f"  {100 * item.missed / item.offered:8.3f}"
-        )
-    return results
+        name = f"{item.policy}, {item.hosts} hosts"
+        figures += [
+            Figure(f"{name}: moves", item.moves, "moves"),
+            Figure(f"{name}: missed", item.missed / item.offered, "ratio"),
+            Figure(f"{name}: spare", item.spare_host_seconds, "host-s"),
+        ]
+    for hosts in FLEETS:
+        rows = {item.policy: item for item in results if item.hosts == hosts}
+        figures += compare_hosts(static, rows["greedy mover"], rows["bergamotgap"])
+    return figures
 
 
 if __name__ == "__main__":
-    main()
+    print_figures(main())
