Build the request path in its own parts; tell known peers only when they change

An entry that fails on every worker fails first on one of them, and these failures counted in full against it. Ejected workers are now reviewed when the entry fails elsewhere, the part of a failure that the entry explains counts as a success, and a probe that such an entry fails doesn't extend an ejection.

Ruled out: weighing all failures anew at each result, which costs a scan of all entries for each request.

--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from bench.figures import Figure, list_figures, print_figures
-from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
+from bergamotgap.domain.admission import AdmissionPolicy
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue, Entry, Owner, Pool, Urgency
 from bergamotgap.domain.scheduler import Ticket
 
--- a/bench/flood_policy.py
+++ b/bench/flood_policy.py
@@ -16,7 +16,8 @@
 
 from bench.figures import Figure, print_figures
 from bench.flood_catalogues import build_all
-from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
+from bergamotgap.domain.admission import AdmissionPolicy
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue, Entry, Urgency
 from bergamotgap.domain.quotas import divide_shares
 from bergamotgap.domain.scheduler import GUARANTEED_PART, Ticket
--- a/bench/headroom_price.py
+++ b/bench/headroom_price.py
@@ -13,7 +13,7 @@
     Run,
     pick_flood,
 )
-from bergamotgap.domain.admission import AdmissionLimits
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue, Entry, Urgency
 
 NEVER_MS = 10**9
--- a/src/bergamotgap/domain/admission.py
+++ b/src/bergamotgap/domain/admission.py
@@ -3,8 +3,8 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue, Entry
 from bergamotgap.domain.division import Division, PeerDemand, entry_key
 from bergamotgap.domain.outcomes import Cancelled, Expired, NotRun
@@ -27,23 +27,6 @@
 MIN_RATE = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionLimits:
-    """Settings of the policy.
-
-    Urgent work that can't start within `urgent_queue_ms` is refused, so that it can be
-    tried elsewhere while there is time. `headroom_part` of the slots only run urgent
-    work. `preempt_after_ms` is how long an urgent request waits before less urgent
-    tasks are asked to give way.
-    """
-
-    max_queue_ms: int = 30_000
-    urgent_queue_ms: int = 1000
-    headroom_part: float = 0.1
-    preempt_after_ms: int = 300
-    preempt_every_ms: int = 200
-
-
 class AdmissionPolicy:
     """Queues, slots and quotas of one entry host; all times are monotonic ms.
 
--- a/src/bergamotgap/domain/health.py
+++ b/src/bergamotgap/domain/health.py
@@ -99,10 +99,13 @@
         weight = 1.0 - self._failure_rate_elsewhere(entry, worker)
         record = self._record(worker)
         now_ms = self._clock.monotonic_ms()
-        record.results.add(now_ms, 0.0, weight)
+        # The part that the entry's failures elsewhere explain counts as a success:
+        # left out, any number of such failures would add up to a rate of 1.
+        record.results.add(now_ms, 1.0 - weight, weight)
         self._entry_results(entry, worker).add(now_ms, 0.0, 1.0)
+        self._review_ejected(entry, worker, pool)
         if record.ejection is not None:
-            if record.ejection.is_probe_running:
+            if record.ejection.is_probe_running and weight >= MIN_FAILURE_RATE:
                 self._eject(record, record.ejection.level + 1)
             return False
         if not self._fails_more_than(record, worker, pool):
@@ -112,6 +115,35 @@
         self._eject(record, self._next_level(record))
         return True
 
+    def _review_ejected(self, entry: str, worker: str, pool: Collection[str]) -> None:
+        """Readmit workers whose failures are explained by an entry's failures here.
+
+        An entry that fails everywhere fails first on one worker, when nothing is known
+        of it elsewhere, so these failures count in full against that worker.
+        """
+        for name in pool:
+            record = self._workers.get(name)
+            if name == worker or record is None or record.ejection is None:
+                continue
+            own = self._entries[entry].get(name)
+            if own is not None and own.failures > 0 and self._is_cleared(name):
+                record.ejection = None
+                record.results = Results(updated_ms=self._clock.monotonic_ms())
+
+    def _is_cleared(self, worker: str) -> bool:
+        """Return whether a worker's failures, weighted anew, are below the limit."""
+        now_ms = self._clock.monotonic_ms()
+        failures = total = 0.0
+        for entry, by_worker in self._entries.items():
+            results = by_worker.get(worker)
+            if results is None:
+                continue
+            results.decay(now_ms)
+            weight = 1.0 - self._failure_rate_elsewhere(entry, worker)
+            failures += weight * results.failures
+            total += results.total
+        return failures < MIN_FAILURE_RATE * total
+
     def rate(self, worker: str) -> float:
         """Return the recent failure rate of a worker, from 0 to 1.
 
--- a/src/bergamotgap/node/admission.py
+++ b/src/bergamotgap/node/admission.py
@@ -5,7 +5,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
+from bergamotgap.domain.admission import AdmissionPolicy
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue, Entry
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.outcomes import Cancelled, Expired, NotRun
--- a/src/bergamotgap/node/membership.py
+++ b/src/bergamotgap/node/membership.py
@@ -18,6 +18,8 @@
 # that their cost doesn't grow with the number of entry hosts.
 MAX_REMOTE_PER_SECOND = 12
 FORGET_MS = 60_000
+# A digest that was lost is made up for after this time.
+TELL_AGAIN_MS = 10_000
 JITTER = 0.2
 
 log = get_logger(__name__)
@@ -86,6 +88,7 @@
         self._peers: dict[str, PeerView] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._contacts: dict[str, str] = {}
+        self._told: dict[str, tuple[frozenset[PeerInfo], int]] = {}
         self._is_leaving = False
         self._entered_ms = clock.monotonic_ms()
         self._random = random.Random()
@@ -169,12 +172,26 @@
 
     def answer(self, digest: Digest) -> Digest:
         """Take the digest of a peer that called, and return our own."""
-        self._take(digest, self._contacts.get(digest.sender.node_id))
-        return self._digest()
+        sender = digest.sender
+        self._take(digest, self._contacts.get(sender.node_id))
+        return self._digest_for(f"{sender.node_id}/{sender.incarnation_ms}")
+
+    def _digest_for(self, receiver: str) -> Digest:
+        return self._build_digest(self._list_untold(receiver))
 
-    def _digest(self) -> Digest:
-        known = tuple(p.info for p in self._peers.values() if self.is_heard(p))
-        return self._build_digest(known)
+    def _list_untold(self, receiver: str) -> tuple[PeerInfo, ...]:
+        """Return the heard peers if the receiver wasn't told of just these lately.
+
+        With all of them in each digest, heartbeats alone took more than a host's
+        budget of 20 KB/s with 7 entry hosts.
+        """
+        known = frozenset(p.info for p in self._peers.values() if self.is_heard(p))
+        told = self._told.get(receiver)
+        now_ms = self._clock.monotonic_ms()
+        if told is not None and told[0] == known and now_ms - told[1] < TELL_AGAIN_MS:
+            return ()
+        self._told[receiver] = (known, now_ms)
+        return tuple(sorted(known, key=lambda info: info.node_id))
 
     def _take(self, digest: Digest, contact: str | None) -> None:
         sender = digest.sender
@@ -235,7 +252,7 @@
         answered_ms = self._clock.monotonic_ms()
         while True:
             try:
-                digest = await self._client.exchange(address, self._digest())
+                digest = await self._client.exchange(address, self._digest_for(address))
                 answered_ms = self._clock.monotonic_ms()
                 self._contacts[digest.sender.node_id] = address
                 self._take(digest, address)
@@ -258,6 +275,7 @@
         return max(REMOTE_INTERVAL_MS, 1000 * remote / MAX_REMOTE_PER_SECOND)
 
     def _forget(self, address: str) -> None:
+        self._told.pop(address, None)
         gone = [name for name, at in self._contacts.items() if at == address]
         for name in gone:
             del self._contacts[name]
@@ -265,3 +283,4 @@
             # A peer that still calls us is not gone: only our calls fail.
             if peer is not None and not self.is_heard(peer):
                 del self._peers[name]
+                self._told.pop(f"{name}/{peer.incarnation_ms}", None)
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -20,25 +20,18 @@
 from bergamotgap.adapters.platform_http import HttpPlatform
 from bergamotgap.adapters.worker_connections import WorkerConnections, open_session
 from bergamotgap.adapters.worker_http import HttpWorkerClient
-from bergamotgap.domain.admission import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.sizes import Sizes
-from bergamotgap.node.admission import Admission
 from bergamotgap.node.dispatch import Dispatcher
 from bergamotgap.node.dump import DumpSources, build_dump, build_operator_sources
 from bergamotgap.node.gauges import register_fleet_gauges, register_stream_gauges
 from bergamotgap.node.host_health import HostList
-from bergamotgap.node.placement import Placer
 from bergamotgap.node.planner import Planner
-from bergamotgap.node.preemption import Preemptor
-from bergamotgap.node.running_tasks import RunningTasks
+from bergamotgap.node.request_parts import RequestParts
 from bergamotgap.node.settings import Settings
-from bergamotgap.node.shortage import ShortageReporter
 from bergamotgap.node.shutdown import RequestGate, shut_down
 from bergamotgap.node.stream_parts import StreamParts
 from bergamotgap.node.supervision import supervise
-from bergamotgap.node.usage import UsageWatch
 from bergamotgap.node.work_parts import WorkParts
 from bergamotgap.node.workers import Workers
 from bergamotgap.node.writer import StreamWriter
@@ -75,62 +68,40 @@
         self._streams = StreamParts(
             self._settings,
             platform,
-            lambda: admission.pool_demand(),
-            lambda: admission.owner_demand(),
-            lambda pool, count: preemptor.preempt(pool, count),
+            lambda: requests.admission.pool_demand(),
+            lambda: requests.admission.owner_demand(),
+            lambda pool, count: requests.preempt(pool, count),
             self._clock,
         )
-        control = self._streams.control
-        workers = Workers(control, client, self._clock)
-        running, sizes = RunningTasks(), Sizes()
-        preemptor = Preemptor(
-            running,
-            client,
-            self._clock,
-            lambda pool, entry: admission.count_preemptable(pool, entry),
-        )
-        self._stack.push_async_callback(preemptor.close)
-        admission = self._build_admission(workers, preemptor)
+        requests = RequestParts(self._settings, self._streams, client, self._clock)
         await self._stack.enter_async_context(self._streams)
-        self._start("workers", workers.run)
-        self._start("admission", admission.run)
-        usage = UsageWatch(running, client, self._clock, sizes)
-        self._start("usage", usage.run)
-        control_writer = self._streams.build_writer(control)
-        self._start_planner(platform, control_writer, client, workers)
-        placer = Placer(
-            lambda: control.state,
-            workers,
-            admission,
-            self._settings.data_centre,
-            running=running,
-            sizes=sizes,
-            report_shortage=self._open_shortage_reporter(),
-        )
-        dispatcher = Dispatcher(placer, client, self._clock, self._settings.progress_ms)
-        self._stack.push_async_callback(dispatcher.close)
-        work_writer = self._streams.build_writer(self._streams.work)
+        await self._stack.enter_async_context(requests)
+        writers = {
+            stream.name: self._streams.build_writer(stream)
+            for stream in (self._streams.control, self._streams.work)
+        }
+        self._start_planner(platform, writers["control"], client, requests.workers)
         self._work = WorkParts(
             self._streams.membership,
-            control,
+            self._streams.control,
             self._streams.work,
-            work_writer,
-            placer,
+            writers["work"],
+            requests.placer,
             client,
             self._clock,
         )
         await self._stack.enter_async_context(self._work)
-        await self._serve_callers(dispatcher)
-        self._register_gauges({"control": control_writer, "work": work_writer})
+        await self._serve_callers(requests.dispatcher)
+        self._register_gauges(writers)
         self._dump_sources = DumpSources(
             clock=self._clock,
             streams=self._streams,
-            workers=workers,
-            admission=admission,
+            workers=requests.workers,
+            admission=requests.admission,
             work=self._work,
             is_ready=self.is_ready,
         )
-        await self._serve_operators(control_writer)
+        await self._serve_operators(writers["control"])
         log.info("node started", caller_address=self._settings.caller_address)
         return self
 
@@ -149,29 +120,6 @@
         await self._stack.aclose()
         log.info("node stopped")
 
-    def _build_admission(self, workers: Workers, preemptor: Preemptor) -> Admission:
-        return Admission(
-            self._clock,
-            workers.pool_capacity,
-            self._streams.list_live_peers,
-            node_id=self._settings.node_id,
-            catalogue=self._get_catalogue,
-            known_nodes=self._streams.membership.list_expected,
-            preempt=preemptor.preempt,
-            limits=AdmissionLimits(
-                max_queue_ms=self._settings.max_queue_ms,
-                headroom_part=self._settings.headroom_part,
-                preempt_after_ms=self._settings.preempt_after_ms,
-            ),
-        )
-
-    def _open_shortage_reporter(self) -> Callable[[str], None]:
-        reporter = ShortageReporter(
-            self._streams.list_live_peers, self._streams.peer_client, self._clock
-        )
-        self._stack.push_async_callback(reporter.close)
-        return reporter.report
-
     def _start_planner(
         self,
         platform: HttpPlatform,
--- /dev/null
+++ b/src/bergamotgap/node/request_parts.py
@@ -0,0 +1,102 @@
+"""Build the parts that queue requests, choose workers and send tasks."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import Self
+
+from bergamotgap.domain.admission_limits import AdmissionLimits
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.sizes import Sizes
+from bergamotgap.node.admission import Admission
+from bergamotgap.node.dispatch import Dispatcher
+from bergamotgap.node.placement import Placer
+from bergamotgap.node.preemption import Preemptor
+from bergamotgap.node.running_tasks import RunningTasks
+from bergamotgap.node.settings import Settings
+from bergamotgap.node.shortage import ShortageReporter
+from bergamotgap.node.stream_parts import StreamParts
+from bergamotgap.node.supervision import supervise
+from bergamotgap.node.usage import UsageWatch
+from bergamotgap.node.workers import Workers
+from bergamotgap.ports.worker import WorkerClient
+
+
+class RequestParts:
+    """Own admission, workers, preemption and dispatch of one entry host."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        streams: StreamParts,
+        client: WorkerClient,
+        clock: Clock,
+    ) -> None:
+        self._stack = AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+        control = streams.control
+        running, sizes = RunningTasks(), Sizes()
+        self.workers = Workers(control, client, clock)
+        self._preemptor = Preemptor(
+            running,
+            client,
+            clock,
+            lambda pool, entry: self.admission.count_preemptable(pool, entry),
+        )
+        self.admission = self._build_admission(settings, streams, clock)
+        self._shortage = ShortageReporter(
+            streams.list_live_peers, streams.peer_client, clock
+        )
+        self._usage = UsageWatch(running, client, clock, sizes)
+        self.placer = Placer(
+            lambda: control.state,
+            self.workers,
+            self.admission,
+            settings.data_centre,
+            running=running,
+            sizes=sizes,
+            report_shortage=self._shortage.report,
+        )
+        self.dispatcher = Dispatcher(self.placer, client, clock, settings.progress_ms)
+
+    def _build_admission(
+        self, settings: Settings, streams: StreamParts, clock: Clock
+    ) -> Admission:
+        return Admission(
+            clock,
+            self.workers.pool_capacity,
+            streams.list_live_peers,
+            node_id=settings.node_id,
+            catalogue=lambda: streams.control.state.catalogue,
+            known_nodes=streams.membership.list_expected,
+            preempt=self._preemptor.preempt,
+            limits=AdmissionLimits(
+                max_queue_ms=settings.max_queue_ms,
+                headroom_part=settings.headroom_part,
+                preempt_after_ms=settings.preempt_after_ms,
+            ),
+        )
+
+    async def __aenter__(self) -> Self:
+        """Start to watch workers, queues and use."""
+        self._stack.push_async_callback(self._shortage.close)
+        self._stack.push_async_callback(self._preemptor.close)
+        self._stack.push_async_callback(self.dispatcher.close)
+        self._start("workers", self.workers.run)
+        self._start("admission", self.admission.run)
+        self._start("usage", self._usage.run)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop the tasks, then end the calls in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+    def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(supervise(name, run), name=name))
+
+    def preempt(self, pool: str, count: int) -> None:
+        """Ask up to `count` of this host's tasks of a pool to give way."""
+        self._preemptor.preempt(pool, count)
--- a/src/bergamotgap/node/work_parts.py
+++ b/src/bergamotgap/node/work_parts.py
@@ -47,7 +47,6 @@
         )
         self._keeper = RecordKeeper(writer, clock)
         tasks = TaskRunner(client, clock)
-        log_clock = LogClock(clock)
         self.claims = Claims(
             self.node,
             work,
@@ -67,6 +66,30 @@
             lambda: control.state.catalogue,
             clock,
         )
+        self.jobs = self._build_jobs(work, writer, placer, tasks, clock)
+        self.takeover = Takeover(
+            self.node,
+            members,
+            work,
+            writer,
+            self._keeper,
+            self.claims,
+            clock,
+            self.jobs.reconcile,
+            lambda: self.jobs.is_leaving,
+        )
+        self._sweep: asyncio.Task[None] | None = None
+
+    def _build_jobs(
+        self,
+        work: Stream[WorkState],
+        writer: StreamWriter,
+        placer: Placer,
+        tasks: TaskRunner,
+        clock: Clock,
+    ) -> Jobs:
+        log_clock = LogClock(clock)
+        control = self._control
         runner = JobRunner(
             work,
             lambda: control.state,
@@ -76,7 +99,7 @@
             log_clock,
             clock,
         )
-        self.jobs = Jobs(
+        return Jobs(
             self.node,
             work,
             lambda: control.state,
@@ -87,18 +110,6 @@
             log_clock,
             clock,
         )
-        self.takeover = Takeover(
-            self.node,
-            members,
-            work,
-            writer,
-            self._keeper,
-            self.claims,
-            clock,
-            self.jobs.reconcile,
-            lambda: self.jobs.is_leaving,
-        )
-        self._sweep: asyncio.Task[None] | None = None
 
     def _find_address(self, host: str) -> str | None:
         known = self._control.state.hosts.get(host)
--- a/tests/admission_cases.py
+++ b/tests/admission_cases.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
+from bergamotgap.domain.admission import AdmissionPolicy
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue, Entry, Owner, Pool, Urgency
 from bergamotgap.domain.scheduler import Ticket
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bergamotgap.domain.admission import AdmissionLimits
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Catalogue, Entry
 from bergamotgap.domain.clock import ManualClock
 from bergamotgap.domain.outcomes import Expired, NotRun
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,9 +1,12 @@
 """Which peers count as live."""
 
+from dataclasses import replace
+
 from bergamotgap.domain.clock import ManualClock
 from bergamotgap.node.membership import (
     MAX_REMOTE_PER_SECOND,
     PEER_LIVE_MS,
+    TELL_AGAIN_MS,
     Membership,
 )
 from bergamotgap.ports.peer import Digest, PeerInfo
@@ -27,7 +30,7 @@
         ("seed:1",),
         FakePeers(),
         clock,
-        lambda known: build_digest(info),
+        lambda known: replace(build_digest(info), known=known),
         lambda digest: None,
     )
 
@@ -64,3 +67,22 @@
     membership.answer(Digest(info, 0, 0, 0, True, True))
     assert membership.list_live() == []
     assert membership.list_expected() == []
+
+
+def test_known_peers_are_told_when_they_change_and_now_and_then() -> None:
+    """Guards against heartbeats that repeat all peers, and peers never told of."""
+    clock = ManualClock()
+    membership = build_membership(clock)
+    first, second = (build_digest(build_info(name, "dc-1")) for name in "ab")
+    membership.answer(second)
+
+    def ask(digest: Digest) -> list[str]:
+        membership.answer(second)
+        return [info.node_id for info in membership.answer(digest).known]
+
+    assert ask(first) == ["a", "b"]
+    assert ask(first) == []
+    restarted = replace(first, sender=replace(first.sender, incarnation_ms=2))
+    assert ask(restarted) == ["a", "b"]
+    clock.advance_ms(TELL_AGAIN_MS)
+    assert ask(restarted) == ["a", "b"]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,7 +6,7 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from bergamotgap.domain.admission import AdmissionLimits
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import Entry
 from bergamotgap.domain.keyed_heap import MIN_GARBAGE, KeyedHeap
 from bergamotgap.domain.scheduler import GUARANTEED_PART, Ticket
--- a/tools/slopes_messages.py
+++ b/tools/slopes_messages.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
-from bergamotgap.domain.admission import AdmissionLimits, AdmissionPolicy
+from bergamotgap.domain.admission import AdmissionPolicy
+from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.catalogue import parse_catalogue
 from bergamotgap.domain.clock import SystemClock
 from bergamotgap.domain.records import encode_batch, wrap_record
