--- a/src/bergamotgap/node/membership.py
+++ b/src/bergamotgap/node/membership.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Self
 
+from aiomisc import cancel_tasks
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.node.supervision import supervise
@@ -101,9 +103,7 @@
 
     async def __aexit__(self, *exc: object) -> None:
         """End the heartbeat tasks."""
-        for task in self._tasks.values():
-            task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await cancel_tasks(self._tasks.values())
 
     @property
     def node_id(self) -> str:
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+from aiomisc import cancel_tasks
 
 from bergamotgap.adapters.caller_http import CallerApi, build_middleware
 from bergamotgap.adapters.job_http import JobApi
@@ -114,9 +115,7 @@
             self._clock,
             self._settings.shutdown_ms,
         )
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         await self._stack.aclose()
         log.info("node stopped")
 
--- a/src/bergamotgap/node/preemption.py
+++ b/src/bergamotgap/node/preemption.py
@@ -4,6 +4,8 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
+from aiomisc import cancel_tasks
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.catalogue import Entry
 from bergamotgap.domain.clock import Clock
@@ -43,9 +45,7 @@
 
     async def close(self) -> None:
         """End the calls in progress."""
-        for asking in self._asking:
-            asking.cancel()
-        await asyncio.gather(*self._asking, return_exceptions=True)
+        await cancel_tasks(self._asking)
 
     def preempt(self, pool: str, count: int) -> None:
         """Ask up to `count` tasks of a pool to give way."""
--- a/src/bergamotgap/node/record_keeper.py
+++ b/src/bergamotgap/node/record_keeper.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+from aiomisc import cancel_tasks
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.folding import Effect
@@ -85,6 +87,4 @@
 
     async def stop(self) -> None:
         """Give up the records that are still kept."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
--- a/src/bergamotgap/node/request_parts.py
+++ b/src/bergamotgap/node/request_parts.py
@@ -5,6 +5,8 @@
 from contextlib import AsyncExitStack
 from typing import Self
 
+from aiomisc import cancel_tasks
+
 from bergamotgap.domain.admission_limits import AdmissionLimits
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.sizes import Sizes
@@ -89,9 +91,7 @@
 
     async def __aexit__(self, *exc: object) -> None:
         """Stop the tasks, then end the calls in progress."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         await self._stack.aclose()
 
     def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
--- a/src/bergamotgap/node/shortage.py
+++ b/src/bergamotgap/node/shortage.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from aiomisc import cancel_tasks
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.node.membership import PeerView
@@ -37,9 +39,7 @@
 
     async def close(self) -> None:
         """End the calls in progress."""
-        for call in self._calls:
-            call.cancel()
-        await asyncio.gather(*self._calls, return_exceptions=True)
+        await cancel_tasks(self._calls)
 
     def report(self, pool: str) -> None:
         """Ask the live peers with work in a pool to preempt some of it."""
--- a/src/bergamotgap/node/stream_parts.py
+++ b/src/bergamotgap/node/stream_parts.py
@@ -6,6 +6,8 @@
 from contextlib import AsyncExitStack
 from typing import Any, Self
 
+from aiomisc import cancel_tasks
+
 from bergamotgap.adapters.peer_grpc import GrpcPeerClient, PeerServer
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.control_state import ControlState
@@ -108,9 +110,7 @@
 
     async def __aexit__(self, *exc: object) -> None:
         """Stop following, then close the exchange with peers."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         await self._stack.aclose()
 
     def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
