--- a/src/bergamotgap/cli/main.py
+++ b/src/bergamotgap/cli/main.py
@@ -4,6 +4,7 @@
 
 from bergamotgap.cli import catalogue, maintenance
 from bergamotgap.cli.exits import EXIT_CODES_HELP
+from bergamotgap.cli.join import join
 from bergamotgap.cli.serve import build_serve
 from bergamotgap.cli.status import dump, status
 
@@ -15,6 +16,7 @@
     pretty_exceptions_show_locals=False,
 )
 app.command(name="serve")(build_serve())
+app.command(epilog=EXIT_CODES_HELP)(join)
 app.add_typer(catalogue.app, name="catalogue")
 app.add_typer(maintenance.app, name="maintenance")
 app.command(epilog=EXIT_CODES_HELP)(status)
--- /dev/null
+++ b/src/bergamotgap/domain/job_state.py
@@ -0,0 +1,281 @@
+"""State of one job: its steps, their tasks, and what of it must last."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+import msgspec
+
+from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec, TaskId
+
+
+class TaskPhase(IntEnum):
+    """Where a task stands; ACTIVE phases hold room on a worker."""
+
+    WAITING = 0
+    STARTING = 1
+    RUNNING = 2
+    # A stop was ordered, or an order got no answer: the run may still be at work.
+    UNCERTAIN = 3
+    DONE = 4
+
+
+class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What lasts of a task whose step is not done."""
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    failures: int
+    is_done: bool
+    checkpoint: str
+
+
+class JobProgress(msgspec.Struct, frozen=True, array_like=True):
+    """What lasts of a job beside its specification; `ended_ms` in Unix ms."""
+
+    phase: JobPhase
+    ended_ms: int = 0
+    done_steps: tuple[tuple[int, int], ...] = ()
+    tasks: tuple[TaskRecord, ...] = ()
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task; `run` is its highest run so far, on `worker_id` if it is active."""
+
+    task_id: TaskId
+    step: StepSpec
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    # The highest run whose end `failed` is counted in `failures`.
+    counted_run: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    worker_id: str = ""
+    started_ms: int = 0
+    percent: int = 0
+    progress_ms: int = 0
+    figure: int = 0
+    pace: int = 100
+    is_away_by_order: bool = False
+    away_since_ms: int = 0
+    failed_on: set[str] = field(default_factory=set)
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether the task holds room on a worker."""
+        return TaskPhase.STARTING <= self.phase <= TaskPhase.UNCERTAIN
+
+    @property
+    def is_at_work(self) -> bool:
+        """Tell whether a lasting task has finished its start."""
+        return self.phase is TaskPhase.RUNNING and self.percent >= 100
+
+    def wait_again(self, now_ms: int, checkpoint: str = "") -> None:
+        """Return to waiting after a run that did not end well; ms of our clock."""
+        if checkpoint:
+            self.checkpoint = checkpoint
+        if self.is_active:
+            self.away_since_ms = now_ms
+        self.phase = TaskPhase.WAITING
+        self.worker_id = ""
+        self.percent = 0
+        self.pace = 100
+
+    def finish(self) -> None:
+        """Note that a run ended well; it stands for good."""
+        self.phase = TaskPhase.DONE
+        self.worker_id = ""
+
+
+class StepRun:
+    """One occurrence of a step: its tasks and how many are not done."""
+
+    __slots__ = ("is_lasting", "missing", "number", "occurrence", "spec", "tasks")
+
+    def __init__(
+        self, job_id: str, occurrence: int, number: int, spec: StepSpec
+    ) -> None:
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = spec
+        self.tasks = [
+            Task(TaskId(job_id, occurrence, number, index), spec)
+            for index in range(spec.count)
+        ]
+        self.missing = spec.count
+
+
+class Job:
+    """Fold of one job: created from its specification, advanced by ends of runs."""
+
+    def __init__(self, spec: JobSpec, arrived_ms: int) -> None:
+        self.spec = spec
+        self.arrived_ms = arrived_ms
+        self.phase = JobPhase.QUEUED
+        self.ended_ms = 0
+        self.failure = ""
+        self._steps: dict[tuple[int, int], StepRun] = {}
+        self._opened = 0
+        self._open_steps = 0
+
+    @property
+    def job_id(self) -> str:
+        """Return the id that the caller chose."""
+        return self.spec.job_id
+
+    @property
+    def is_lasting(self) -> bool:
+        """Tell whether its tasks run until the job is cancelled."""
+        return any(step.is_lasting for step in self.spec.steps)
+
+    @property
+    def next_due_ms(self) -> int | None:
+        """Return the Unix ms when the next occurrence is due; None if all began."""
+        if self._opened >= self.spec.occurrences:
+            return None
+        return self.spec.due_ms(self._opened)
+
+    @property
+    def steps(self) -> Iterator[StepRun]:
+        """Yield the steps of all occurrences that began."""
+        return iter(self._steps.values())
+
+    def open_due(self, wall_ms: int) -> bool:
+        """Begin the occurrences that are due; tell whether any began."""
+        before = self._opened
+        while (due_ms := self.next_due_ms) is not None and due_ms <= wall_ms:
+            self._open_next()
+        return self._opened > before
+
+    def _open_next(self) -> None:
+        for number, spec in enumerate(self.spec.steps):
+            run = StepRun(self.job_id, self._opened, number, spec)
+            self._steps[(self._opened, number)] = run
+            self._open_steps += 1
+        self._opened += 1
+
+    def get_task(self, task_id: TaskId) -> Task | None:
+        """Return a task; begins its occurrence if a worker already ran it."""
+        if not 0 <= task_id.occurrence < self.spec.occurrences:
+            return None
+        while self._opened <= task_id.occurrence:
+            self._open_next()
+        step = self._steps.get((task_id.occurrence, task_id.step))
+        if step is None or not 0 <= task_id.number < len(step.tasks):
+            return None
+        return step.tasks[task_id.number]
+
+    def list_ready(self) -> list[StepRun]:
+        """Return the steps that wait for no other step and are not done."""
+        return [
+            step
+            for step in self._steps.values()
+            if step.missing
+            and all(
+                not self._steps[(step.occurrence, other)].missing
+                for other in step.spec.after
+            )
+        ]
+
+    def list_tasks(self) -> list[Task]:
+        """Return the tasks of all occurrences that began."""
+        return [task for step in self._steps.values() for task in step.tasks]
+
+    def note_done(self, task: Task) -> None:
+        """Note an end that stands for good; completes the job with its last task."""
+        if task.phase is TaskPhase.DONE:
+            return
+        task.finish()
+        step = self._steps[(task.task_id.occurrence, task.task_id.step)]
+        step.missing -= 1
+        if step.missing == 0:
+            self._open_steps -= 1
+        if self._open_steps == 0 and self._opened >= self.spec.occurrences:
+            self.end(JobPhase.COMPLETED, 0)
+
+    def end(self, phase: JobPhase, wall_ms: int, reason: str = "") -> None:
+        """Set the final phase; the first one stands."""
+        if self.phase.is_final:
+            return
+        self.phase = phase
+        self.ended_ms = wall_ms
+        self.failure = reason
+
+    def list_away(self, step: StepRun, now_ms: int, notice_ms: int) -> list[Task]:
+        """Return the tasks of a lasting step that count against what it may miss."""
+        return [
+            task
+            for task in step.tasks
+            if not task.is_at_work
+            and (task.is_away_by_order or now_ms - task.away_since_ms >= notice_ms)
+        ]
+
+    def get_step(self, task: Task) -> StepRun:
+        """Return the step of a task."""
+        return self._steps[(task.task_id.occurrence, task.task_id.step)]
+
+    def estimate_chain_ms(self) -> int:
+        """Return the estimated work of the longest chain of the specification."""
+        return _measure_chain(self.spec.steps, set())
+
+    def estimate_left_ms(self) -> int:
+        """Return the estimated work left on the longest chain."""
+        if self._opened != 1:
+            return self.estimate_chain_ms()
+        done = {step.number for step in self._steps.values() if not step.missing}
+        return _measure_chain(self.spec.steps, done)
+
+    def save(self) -> JobProgress:
+        """Return what must last."""
+        if self.phase.is_final:
+            return JobProgress(self.phase, self.ended_ms)
+        done = tuple(key for key, step in self._steps.items() if not step.missing)
+        records = tuple(
+            TaskRecord(
+                task.task_id.occurrence,
+                task.task_id.step,
+                task.task_id.number,
+                task.counted_run,
+                task.failures,
+                task.phase is TaskPhase.DONE,
+                task.checkpoint,
+            )
+            for step in self._steps.values()
+            if step.missing
+            for task in step.tasks
+            if task.phase is TaskPhase.DONE or task.failures or task.checkpoint
+        )
+        return JobProgress(self.phase, self.ended_ms, done, records)
+
+    def restore(self, progress: JobProgress) -> None:
+        """Take over what a former owner saved."""
+        for occurrence, number in progress.done_steps:
+            for index in range(self.spec.steps[number].count):
+                task = self.get_task(TaskId(self.job_id, occurrence, number, index))
+                if task is not None:
+                    self.note_done(task)
+        for record in progress.tasks:
+            task = self.get_task(
+                TaskId(self.job_id, record.occurrence, record.step, record.index)
+            )
+            if task is None:
+                continue
+            task.counted_run, task.failures = record.run, record.failures
+            task.checkpoint = record.checkpoint
+            if record.is_done:
+                self.note_done(task)
+        if not self.phase.is_final:
+            self.phase = progress.phase
+            self.ended_ms = progress.ended_ms
+
+
+def _measure_chain(steps: tuple[StepSpec, ...], done: set[int]) -> int:
+    lengths: list[int] = []
+    for number, step in enumerate(steps):
+        before = max((lengths[n] for n in step.after if n < number), default=0)
+        own = 0 if number in done else step.estimated_ms
+        lengths.append(before + own)
+    return max(lengths, default=0)
--- /dev/null
+++ b/src/bergamotgap/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/src/bergamotgap/platform/documents.py
@@ -0,0 +1,269 @@
+"""Documents of the platform: configuration, workers' reports, waves, jobs."""
+
+from typing import Any
+
+import msgspec
+
+from bergamotgap.domain.fleet import (
+    FleetConfig,
+    HostInfo,
+    JobSpec,
+    Queue,
+    Size,
+    StepSpec,
+    TaskId,
+    Wave,
+    WorkerInfo,
+    WorkerState,
+)
+from bergamotgap.pools.directory import Documents, UnreadableError
+
+OPERATOR_TOPIC = "keyed.op"
+WORKERS_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+CONFIG_KEY = "config"
+WAVE_PREFIX = "wave/"
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    service: str
+    host: str = ""
+    path_prefix: str = "/"
+    priority: int = 0
+    retry_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: float = 0
+    timeout_ms: float = 0
+    advice: Any = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    spare: bool = False
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+
+
+class _Capacity(msgspec.Struct, rename="camel"):
+    cpu: int = 0
+    requested_memory_mb: int = 0
+    gpus: int = 0
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str] = []
+    born: int = 0
+    machine: str = ""
+
+
+class _Wave(msgspec.Struct, rename="camel"):
+    wave: int
+    machines: list[str]
+    duration_s: float = msgspec.field(name="durationS", default=0.0)
+    cap: int = 1
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    count: int
+    cpu: int = 0
+    requested_memory_mb: int = 0
+    gpus: int = 0
+    estimated_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: Any = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, rename="camel"):
+    steps: list[_Step]
+    specification: str = ""
+    repetitions: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+class _Host(msgspec.Struct):
+    machine: str
+    pool: str = ""
+    state: str = ""
+    zone: str = ""
+    labels: list[str] = []
+    id: str | None = ""
+
+
+class HostPage(msgspec.Struct, rename="camel"):
+    """One page of the list of hosts."""
+
+    machines: list[_Host]
+    next_page_token: str | None = None
+
+    def list_hosts(self) -> list[HostInfo]:
+        """Return the hosts of the page."""
+        return [
+            HostInfo(
+                host.machine,
+                host.pool,
+                host.state,
+                host.id or "",
+                host.zone,
+                frozenset(host.labels),
+            )
+            for host in self.machines
+        ]
+
+
+def build_documents() -> Documents:
+    """Return keys and decoders for the directory."""
+    return Documents(CONFIG_KEY, WAVE_PREFIX, decode_config, decode_wave, decode_worker)
+
+
+def decode_config(value: bytes) -> FleetConfig:
+    """Return the fleet's configuration; raises UnreadableError."""
+    document = _decode(value, _Config)
+    queues = tuple(
+        Queue(
+            name=route.name,
+            host=route.host,
+            path_prefix=route.path_prefix,
+            service=route.service,
+            urgency=route.priority,
+            attempts=max(1, route.retry_attempts),
+            stretch=route.stretch,
+            target_latency_ms=int(route.target_latency_ms),
+            timeout_ms=int(route.timeout_ms),
+            needs_advice=bool(route.advice),
+        )
+        for route in document.routes
+    )
+    return FleetConfig(
+        document.version,
+        queues,
+        tuple(service.name for service in document.services),
+        frozenset(service.name for service in document.services if service.spare),
+    )
+
+
+def decode_worker(worker_id: str, value: bytes) -> WorkerInfo:
+    """Return a worker's report; raises UnreadableError."""
+    entry = _decode(value, _Entry)
+    if entry.state not in tuple(WorkerState):
+        raise UnreadableError(f"worker {worker_id} has state {entry.state!r}")
+    # The labels are the worker's kind and then its rack.
+    rack = entry.labels[1] if len(entry.labels) > 1 else ""
+    capacity = entry.capacity
+    return WorkerInfo(
+        worker_id=worker_id,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        state=WorkerState(entry.state),
+        capacity=Size(capacity.cpu, capacity.requested_memory_mb, capacity.gpus),
+        labels=frozenset(entry.labels),
+        rack=rack,
+        born_ms=entry.born,
+        host=entry.machine,
+    )
+
+
+def decode_wave(value: bytes) -> Wave:
+    """Return a wave of upkeep; raises UnreadableError."""
+    wave = _decode(value, _Wave)
+    duration_ms = int(wave.duration_s * 1000)
+    return Wave(wave.wave, tuple(wave.machines), duration_ms, max(1, wave.cap))
+
+
+def encode_wave_status(wave: Wave, is_completed: bool) -> bytes:
+    """Return the status of a wave for the operator."""
+    state = "completed" if is_completed else "running"
+    return msgspec.json.encode({"wave": wave.number, "state": state})
+
+
+def decode_job(job_id: str, queue: str, body: bytes, accepted_ms: int) -> JobSpec:
+    """Return a submitted job; raises UnreadableError."""
+    job = _decode(body, _Job)
+    steps = tuple(_convert_step(step) for step in job.steps)
+    if not steps or any(
+        step.count < 1 or any(not 0 <= n < len(steps) for n in step.after)
+        for step in steps
+    ):
+        raise UnreadableError("a job needs steps with tasks, after steps that it has")
+    return JobSpec(
+        job_id=job_id,
+        queue=queue,
+        payload=job.specification,
+        steps=steps,
+        accepted_ms=accepted_ms,
+        repetitions=job.repetitions,
+        start_at_ms=job.start_at_ms,
+        interval_ms=job.interval_ms,
+    )
+
+
+def _convert_step(step: _Step) -> StepSpec:
+    requirement = step.requirements
+    if isinstance(requirement, list):
+        requirement = requirement[0] if requirement else ""
+    return StepSpec(
+        count=step.count,
+        cpu=step.cpu,
+        memory_mb=step.requested_memory_mb,
+        gpus=step.gpus,
+        estimated_ms=int(step.estimated_ms),
+        after=step.after,
+        is_checkpointing=step.checkpointing,
+        is_gang=step.gang,
+        is_one_rack=step.same_rack,
+        requirement=str(requirement or ""),
+        data_rack=step.data_rack,
+        max_per_host=step.anti_affinity,
+        may_run_copies=step.speculative,
+        is_lasting=step.long_running,
+        image=step.image,
+        target_ms=int(step.target_ms),
+        is_filler=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def format_task(task: TaskId) -> str:
+    """Return a task's name for workers."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.number}"
+
+
+def parse_task(name: str) -> TaskId:
+    """Return the task of a name; raises UnreadableError."""
+    parts = name.split(".")
+    try:
+        job, occurrence, step, index = parts
+        return TaskId(job, int(occurrence), int(step), int(index))
+    except ValueError as error:
+        raise UnreadableError(f"task name {name!r} has no four parts") from error
+
+
+def _decode(value: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise UnreadableError(
+            f"{kind.__name__[1:].lower()} can't be read: {error}"
+        ) from (error)
--- /dev/null
+++ b/src/bergamotgap/platform/ingress.py
@@ -0,0 +1,152 @@
+"""HTTP interface for the platform's callers, readiness and metrics."""
+
+import re
+from collections.abc import Callable, Mapping
+from typing import Self
+
+import msgspec
+from aiohttp import web
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.adapters.metrics import serve_metrics
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import FleetConfig
+from bergamotgap.platform.documents import decode_job
+from bergamotgap.pools.directory import UnreadableError
+from bergamotgap.pools.requests import (
+    JobAccepted,
+    JobCancelled,
+    JobRequests,
+    JobState,
+    NoSuchJob,
+    NotAccepted,
+    OutcomeUnknown,
+    RequestOutcome,
+    WaitingCount,
+)
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+DEADLINE_HEADER = "X-Request-Deadline"
+# For callers that state no deadline.
+DEFAULT_WAIT_MS = 3000
+CLOSE_TIMEOUT_S = 1.0
+
+log = get_logger(__name__)
+
+
+class Ingress:
+    """Own the listeners for callers and for readiness."""
+
+    def __init__(
+        self,
+        requests: JobRequests,
+        get_config: Callable[[], FleetConfig | None],
+        is_ready: Callable[[], bool],
+        addresses: tuple[str, str, str],
+        clock: Clock,
+    ) -> None:
+        self._requests = requests
+        self._get_config = get_config
+        self._is_ready = is_ready
+        self._addresses = addresses
+        self._clock = clock
+        self._runners: list[web.ServerRunner] = []
+        self.in_progress = 0
+        self.is_closing = False
+
+    async def __aenter__(self) -> Self:
+        """Listen."""
+        callers, ready, metrics = self._addresses
+        await self._listen(callers, self._handle)
+        await self._listen(ready, self._answer_ready)
+        await self._listen(metrics, serve_metrics)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Close the listeners."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _listen(self, address: str, handle: Callable[..., object]) -> None:
+        host, _, port = address.rpartition(":")
+        server = web.Server(handle, access_log=None)  # type: ignore[arg-type]
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        self._runners.append(runner)
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        self.in_progress += 1
+        try:
+            response = await self._route(request)
+        finally:
+            self.in_progress -= 1
+        if self.is_closing:
+            response.force_close()
+        return response
+
+    async def _route(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        config = self._get_config()
+        if config is None:
+            return _refuse(503, "no_configuration", 1000)
+        host = request.headers.get("Host", "").partition(":")[0]
+        queue = config.find_queue(host, request.path)
+        if queue is None:
+            return web.Response(status=404)
+        wait_ms = _read_wait_ms(request)
+        job_id = request.path[len(queue.path_prefix) :]
+        if not job_id and request.method == "GET":
+            return _convert(await self._requests.count_waiting(queue, wait_ms))
+        if not JOB_ID.fullmatch(job_id):
+            return web.Response(status=404)
+        match request.method:
+            case "POST":
+                try:
+                    spec = decode_job(job_id, queue.name, body, self._clock.wall_ms())
+                except UnreadableError as error:
+                    log.warning("refused", job=job_id, reason=str(error))
+                    return web.Response(status=400)
+                return _convert(await self._requests.submit(spec, queue, wait_ms))
+            case "GET":
+                return _convert(await self._requests.get_state(job_id, queue, wait_ms))
+            case "DELETE":
+                return _convert(await self._requests.cancel(job_id, queue, wait_ms))
+        return web.Response(status=405)
+
+
+def _read_wait_ms(request: web.BaseRequest) -> int:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    return int(text) if text.isdecimal() else DEFAULT_WAIT_MS
+
+
+def _convert(outcome: RequestOutcome) -> web.Response:
+    match outcome:
+        case JobAccepted() | JobCancelled():
+            return web.Response(status=200)
+        case JobState():
+            return _answer({"state": outcome.phase.value})
+        case WaitingCount():
+            return _answer({"waiting": outcome.count})
+        case NoSuchJob():
+            return web.Response(status=410)
+        case NotAccepted():
+            return _refuse(503, outcome.reason, outcome.retry_ms)
+        case OutcomeUnknown():
+            return _refuse(504, outcome.reason, outcome.retry_ms)
+
+
+def _answer(content: Mapping[str, str | int]) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(content), content_type="application/json"
+    )
+
+
+def _refuse(status: int, reason: str, retry_ms: int) -> web.Response:
+    response = _answer({"reason": reason})
+    response.set_status(status)
+    response.headers["Retry-After"] = str(max(1, round(retry_ms / 1000)))
+    return response
--- /dev/null
+++ b/src/bergamotgap/platform/store.py
@@ -0,0 +1,238 @@
+"""Client of the platform's log: appends, reads, newest values, the group."""
+
+import base64
+import struct
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from bergamotgap.ports.fleet import (
+    AppendConflictError,
+    Fence,
+    FencedError,
+    HistoryGoneError,
+    KeyedRecord,
+    LogPage,
+    Newest,
+    SequenceError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+
+# Above the slowest answer of a store in trouble that still serves (60 times 4 ms), well
+# below the time in which a configuration must be in force.
+CALL_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 0.5
+GROUP = "nodes"
+# Each member holds a partition; 64 members fit.
+GROUP_TOPICS = tuple(f"nodes.{number}" for number in range(4))
+PAGE_HEADER = struct.Struct(">QQ")
+RECORD_LENGTH = struct.Struct(">I")
+T = TypeVar("T")
+
+
+class _Appended(msgspec.Struct):
+    offset: int = 0
+    end: int = 0
+    reason: str = ""
+    expected: int = 0
+    sequence: int = 0
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Items(msgspec.Struct):
+    items: list[_Item]
+    more: bool
+    end: int
+
+
+class _Joined(msgspec.Struct):
+    generation: int
+
+
+def encode_records(records: Sequence[KeyedRecord]) -> bytes:
+    """Return the body of an append to a keyed topic."""
+    chunks = []
+    for record in records:
+        key = record.key.encode()
+        value = record.value or b""
+        chunks.append(RECORD_LENGTH.pack(1 + len(key) + len(value)))
+        chunks.append(bytes((len(key),)) + key + value)
+    return b"".join(chunks)
+
+
+def decode_page(start: int, body: bytes) -> LogPage:
+    """Return the records of a read; raises StoreUnavailableError if it is cut short."""
+    if len(body) < PAGE_HEADER.size:
+        raise StoreUnavailableError("read is shorter than its header")
+    end, _first = PAGE_HEADER.unpack_from(body)
+    records: list[KeyedRecord] = []
+    position = PAGE_HEADER.size
+    while position + RECORD_LENGTH.size <= len(body):
+        (length,) = RECORD_LENGTH.unpack_from(body, position)
+        position += RECORD_LENGTH.size
+        content = body[position : position + length]
+        position += length
+        records.append(_decode_record(content))
+    return LogPage(start, end, tuple(records))
+
+
+def _decode_record(content: bytes) -> KeyedRecord:
+    size = content[0] if content else 0
+    key = content[1 : 1 + size].decode(errors="replace")
+    value = content[1 + size :]
+    return KeyedRecord(key, value or None)
+
+
+class LogStore:
+    """Call the platform's log over HTTP."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, ttl_ms: int
+    ) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+        self._ttl_ms = ttl_ms
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        records: Sequence[KeyedRecord],
+        *,
+        at: int | None = None,
+        fence: Fence | None = None,
+    ) -> int:
+        """Append all records or none; return the first one's offset."""
+        query: dict[str, str | int] = {"topic": topic, "part": part}
+        if at is not None:
+            query["at"] = at
+        if fence is not None:
+            query |= {
+                "producer": fence.producer,
+                "epoch": fence.epoch,
+                "sequence": fence.sequence,
+            }
+        status, body = await self._call(
+            "POST", "/log-append", query, encode_records(records)
+        )
+        if status not in (200, 409, 412):
+            raise StoreUnavailableError(f"append answered {status}")
+        answer = _decode(body, _Appended)
+        if status == 412:
+            raise AppendConflictError(answer.end)
+        if status == 409:
+            if answer.reason == "fenced":
+                raise FencedError("a newer owner appends")
+            raise SequenceError(answer.expected or answer.sequence)
+        return answer.offset
+
+    async def read(self, topic: str, part: int, start: int, wait_ms: int) -> LogPage:
+        """Return records from an offset on; wait for one at most `wait_ms`."""
+        query = {"topic": topic, "part": part, "from": start}
+        if wait_ms:
+            query["waitMs"] = wait_ms
+        status, body = await self._call("GET", "/log-read", query, wait_ms=wait_ms)
+        if status == 410:
+            raise HistoryGoneError(_decode_first(body))
+        if status != 200:
+            raise StoreUnavailableError(f"read answered {status}")
+        return decode_page(start, body)
+
+    async def read_newest(self, topic: str, part: int) -> Newest:
+        """Return the newest value of each key."""
+        values: dict[str, bytes] = {}
+        end: int | None = None
+        after = ""
+        while True:
+            query: dict[str, str | int] = {"topic": topic, "part": part}
+            if after:
+                query["after"] = after
+            status, body = await self._call("GET", "/log-newest", query)
+            if status != 200:
+                raise StoreUnavailableError(f"newest values answered {status}")
+            page = _decode(body, _Items)
+            for item in page.items:
+                values[item.key] = base64.b64decode(item.value)
+            end = page.end if end is None else end
+            if not page.more or not page.items:
+                return Newest(values, end)
+            after = page.items[-1].key
+
+    async def join(self, member: str, generation: int) -> int:
+        """Join the group or stay in it; return its generation."""
+        request = {
+            "group": GROUP,
+            "member": member,
+            "topics": GROUP_TOPICS,
+            "ttlMs": self._ttl_ms,
+            "generation": generation,
+        }
+        status, body = await self._call(
+            "POST", "/log-join", {}, msgspec.json.encode(request)
+        )
+        if status != 200:
+            raise StoreUnavailableError(f"join answered {status}")
+        return _decode(body, _Joined).generation
+
+    async def list_members(self) -> frozenset[str]:
+        """Return the members that the log has heard of within their time to live."""
+        status, body = await self._call("GET", "/log-owners", {"group": GROUP})
+        if status != 200:
+            raise StoreUnavailableError(f"list of members answered {status}")
+        answer = _decode(body, dict[str, Any])
+        rows = next((rows for rows in answer.values() if isinstance(rows, list)), [])
+        return frozenset(str(row[2]) for row in rows if len(row) > 2 and row[2])
+
+    async def leave(self, member: str) -> None:
+        """Leave the group."""
+        body = msgspec.json.encode({"group": GROUP, "member": member})
+        await self._call("POST", "/log-leave", {}, body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes | None = None,
+        wait_ms: int = 0,
+    ) -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_S + wait_ms / 1000, sock_connect=CONNECT_TIMEOUT_S
+        )
+        headers = {}
+        if body is not None and path != "/log-append":
+            headers["Content-Type"] = "application/json"
+        try:
+            async with self._session.request(
+                method,
+                self._base + path,
+                params=query,
+                data=body,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise StoreUnavailableError(f"{path}: {error}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StoreOutcomeUnknownError(f"{path}: {error!r}") from error
+
+
+def _decode_first(body: bytes) -> int:
+    answer = _decode(body, dict[str, Any])
+    return int(answer.get("first", 0))
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise StoreUnavailableError(f"answer can't be read: {error}") from error
--- /dev/null
+++ b/src/bergamotgap/platform/workers.py
@@ -0,0 +1,205 @@
+"""Orders to the platform's workers, and the service that advises on them."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from bergamotgap.domain.fleet import TaskId, WorkerInfo
+from bergamotgap.platform.documents import format_task, parse_task
+from bergamotgap.pools.directory import UnreadableError
+from bergamotgap.ports.fleet import (
+    Accepted,
+    EndRow,
+    Lease,
+    Look,
+    LookOutcome,
+    OrderOutcome,
+    OtherInstance,
+    Refused,
+    RunRow,
+    StartOrder,
+    Unanswered,
+)
+
+# Many times a call between data centres (5 ms); a worker on a silent connection is
+# tried again well within its lease.
+ORDER_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.4
+ADVICE_TIMEOUT_S = 3.0
+BUSY = "busy"
+
+
+class _Answer(msgspec.Struct):
+    clockMs: int | None = None  # noqa: N815
+    reason: str = BUSY
+
+
+class _Lists(msgspec.Struct):
+    clockMs: int  # noqa: N815
+    running: list[list[Any]]
+    ended: list[list[Any]]
+    born: int = 0
+
+
+class WorkerCalls:
+    """Call workers over HTTP; one session keeps their connections."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def start(
+        self, worker: WorkerInfo, order: StartOrder, lease: Lease
+    ) -> OrderOutcome:
+        """Start a run."""
+        body: dict[str, Any] = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "specification": order.payload,
+            "deadlineMs": lease.deadline_ms,
+            "fencingToken": lease.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order(worker, "/run-start", body)
+
+    async def stop(
+        self, worker: WorkerInfo, task: TaskId, run: int, token: int
+    ) -> OrderOutcome:
+        """Stop a run and bar it for good."""
+        body = {"task": format_task(task), "run": run, "fencingToken": token}
+        return await self._order(worker, "/run-stop", body)
+
+    async def pace(
+        self, worker: WorkerInfo, task: TaskId, run: int, percent: int, token: int
+    ) -> OrderOutcome:
+        """Let a task work at a share of its speed."""
+        body = {
+            "task": format_task(task),
+            "run": run,
+            "percent": percent,
+            "fencingToken": token,
+        }
+        return await self._order(worker, "/pace", body)
+
+    async def hold(
+        self, worker: WorkerInfo, lease: Lease, acked_through: int, wait_ms: int
+    ) -> LookOutcome:
+        """Renew the lease and look; wait for an end at most `wait_ms`."""
+        body: dict[str, Any] = {
+            "deadlineMs": lease.deadline_ms,
+            "fencingToken": lease.token,
+            "ackedThrough": acked_through,
+        }
+        if not lease.deadline_ms:
+            del body["deadlineMs"]
+        if wait_ms:
+            body["waitMs"] = wait_ms
+        reply = await self._call(worker, "/hold", body, wait_ms)
+        if not isinstance(reply, tuple):
+            return reply
+        status, content = reply
+        if status != 200:
+            return _convert_refusal(status, content)
+        try:
+            lists = msgspec.json.decode(content, type=_Lists)
+            return Look(
+                lists.clockMs,
+                lists.born,
+                tuple(_convert_run(row) for row in lists.running),
+                tuple(_convert_end(row) for row in lists.ended),
+            )
+        except (msgspec.MsgspecError, UnreadableError, IndexError):
+            return Unanswered(was_sent=True)
+
+    async def _order(
+        self, worker: WorkerInfo, path: str, body: dict[str, Any]
+    ) -> OrderOutcome:
+        reply = await self._call(worker, path, body, 0)
+        if not isinstance(reply, tuple):
+            return reply
+        status, content = reply
+        if status == 200:
+            return Accepted(_decode_answer(content).clockMs or 0)
+        return _convert_refusal(status, content)
+
+    async def _call(
+        self, worker: WorkerInfo, path: str, body: dict[str, Any], wait_ms: int
+    ) -> tuple[int, bytes] | Unanswered:
+        timeout = aiohttp.ClientTimeout(
+            total=ORDER_TIMEOUT_S + wait_ms / 1000, sock_connect=CONNECT_TIMEOUT_S
+        )
+        headers = {
+            "Content-Type": "application/json",
+            "X-Expected-Instance": worker.worker_id,
+        }
+        try:
+            async with self._session.post(
+                f"http://{worker.address}{path}",
+                data=msgspec.json.encode(body),
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return Unanswered(was_sent=False)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return Unanswered(was_sent=True)
+
+
+class AdviceCalls:
+    """Ask the advice service for tickets."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._address = address
+
+    async def advise(self, task: TaskId, workers: Sequence[str]) -> dict[str, str]:
+        """Return the tickets of the workers that may run the task's step."""
+        step = f"{task.job}.{task.occurrence}.{task.step}"
+        body = msgspec.json.encode({"step": step, "workers": list(workers)})
+        try:
+            async with self._session.post(
+                f"http://{self._address}/advise",
+                data=body,
+                headers={"Content-Type": "application/json"},
+                timeout=aiohttp.ClientTimeout(total=ADVICE_TIMEOUT_S),
+            ) as response:
+                if response.status != 200:
+                    return {}
+                answer = msgspec.json.decode(await response.read())
+                return {str(row[0]): str(row[1]) for row in answer["good"]}
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            return {}
+
+
+def _convert_refusal(status: int, content: bytes) -> Refused | OtherInstance:
+    if status == 421:
+        return OtherInstance()
+    answer = _decode_answer(content)
+    return Refused(answer.reason if status == 409 else BUSY, answer.clockMs)
+
+
+def _decode_answer(content: bytes) -> _Answer:
+    try:
+        return msgspec.json.decode(content, type=_Answer)
+    except msgspec.MsgspecError:
+        # A refusal without a body, as an unhealthy worker's, says nothing more.
+        return _Answer()
+
+
+def _convert_run(row: list[Any]) -> RunRow:
+    # The fourth entry is the progress, the fifth the tail or the use of the last half
+    # second, by the kind of task.
+    figure = row[4] if len(row) > 4 else 0
+    return RunRow(
+        parse_task(row[0]), int(row[1]), row[2], int(row[3]), int(figure or 0)
+    )
+
+
+def _convert_end(row: list[Any]) -> EndRow:
+    number, task, run, how, checkpoint = row[:5]
+    return EndRow(int(number), parse_task(task), int(run), how, checkpoint or "")
--- /dev/null
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -0,0 +1,246 @@
+"""A node of the fleet: owns the pools that fall to it and answers callers."""
+
+import asyncio
+import functools
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import Any, Self
+
+from aiomisc import cancel_tasks
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.adapters.pool_grpc import GrpcPoolPeers, GrpcPoolServer
+from bergamotgap.domain.clock import Clock
+from bergamotgap.node.supervision import supervise
+from bergamotgap.pools.directory import Directory
+from bergamotgap.pools.following import Follower
+from bergamotgap.pools.host_duty import HOSTS_POOL, HostDuty, ReportWave
+from bergamotgap.pools.partitions import choose_partition
+from bergamotgap.pools.pool import Pool
+from bergamotgap.pools.registry import Claim, Member, Registry
+from bergamotgap.pools.requests import JobRequests
+from bergamotgap.pools.runs import Term
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.ports.fleet import (
+    HistoryGoneError,
+    Machines,
+    Store,
+    StoreError,
+    WorkerOrders,
+)
+from bergamotgap.ports.pool_peer import PoolCall, PoolReply
+
+# A drain must be known well within the time that a worker still serves.
+WORKERS_POLL_MS = 500
+RETRY_MS = 200
+FLUSH_MS = 400
+DUTY_CALL_MS = 1000
+
+log = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class FleetPorts:
+    """What the platform's adapter provides; topics name its streams."""
+
+    store: Store
+    orders: WorkerOrders
+    machines: Machines
+    directory: Directory
+    report_wave: ReportWave
+    operator_topic: str
+    workers_topic: str
+
+
+class FleetNode:
+    """Own the parts of one node, its membership and its pools."""
+
+    def __init__(self, settings: PoolSettings, ports: FleetPorts, clock: Clock) -> None:
+        self._settings = settings
+        self._ports = ports
+        self._clock = clock
+        self._stack = AsyncExitStack()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._owners: dict[str, tuple[int, asyncio.Task[None]]] = {}
+        self._is_closing = False
+        self.pools: dict[str, Pool] = {}
+        self._member = Member(settings.peer_address, f"{clock.wall_ms():x}")
+        self.registry = Registry(ports.store, self._member, settings, clock)
+        self.directory = ports.directory
+        self._peers = GrpcPoolPeers()
+        self.requests = JobRequests(
+            self.pools,
+            self.registry.get_owner,
+            lambda: self.directory.config,
+            settings.peer_address,
+            self._peers,
+            clock,
+        )
+        store = ports.store
+        self._operator = Follower(
+            store,
+            ports.operator_topic,
+            clock,
+            self.directory.apply_operator,
+            self._note_config,
+        )
+        self._workers = Follower(
+            store,
+            ports.workers_topic,
+            clock,
+            self.directory.apply_worker,
+            self._note_workers,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.directory.config is not None and not self._is_closing
+
+    async def __aenter__(self) -> Self:
+        """Listen for peers and start."""
+        self._stack.push_async_callback(self._peers.close)
+        server = GrpcPoolServer(self._settings.peer_address, self.requests.answer)
+        await self._stack.enter_async_context(server)
+        self.registry.subscribe(self._note_claims)
+        runs: list[tuple[str, Callable[[], Any]]] = [
+            ("claims follower", self.registry.follower.run),
+            ("membership", self.registry.run_membership),
+            ("claims", self.registry.run_claims),
+            ("configuration", self._operator.run),
+            ("workers", self._run_workers),
+        ]
+        self._tasks = [asyncio.create_task(supervise(*run)) for run in runs]
+        log.info("started", member=self._member.name)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Stop the tasks and close connections."""
+        await cancel_tasks([task for _, task in self._owners.values()])
+        await cancel_tasks(self._tasks)
+        await self._stack.aclose()
+        log.info("stopped", member=self._member.name)
+
+    async def hand_over(self) -> None:
+        """Give the pools to other nodes; go on passing requests to them."""
+        self._is_closing = True
+        log.info("handing over", pools=sorted(self.pools))
+        pools = list(self.pools.values())
+        self.pools.clear()
+        for pool in pools:
+            try:
+                async with asyncio.timeout(FLUSH_MS / 1000):
+                    await pool.journal.wait(pool.journal.requested)
+            except TimeoutError:
+                log.warning("journal not flushed", pool=pool.service)
+        await cancel_tasks([task for _, task in self._owners.values()])
+        self._owners.clear()
+        await self.registry.leave()
+
+    def _note_config(self) -> None:
+        config = self.directory.config
+        if config is None:
+            return
+        names = set(config.services) - config.spare_services
+        self.registry.set_pools(frozenset(names | {HOSTS_POOL}))
+        for pool in self.pools.values():
+            pool.update_config(config)
+
+    def _note_workers(self) -> None:
+        for name, pool in self.pools.items():
+            pool.update_workers(self.directory.list_pool(name))
+
+    async def _run_workers(self) -> None:
+        while True:
+            if self.pools:
+                try:
+                    await self._workers.refresh()
+                except HistoryGoneError:
+                    self._workers.end = None
+                except StoreError as error:
+                    log.debug("workers not read", error=str(error))
+            await self._clock.sleep_ms(WORKERS_POLL_MS)
+
+    def _note_claims(self) -> None:
+        if self._is_closing:
+            return
+        for name, claim in self.registry.claims.items():
+            owned = self._owners.get(name)
+            if owned is not None and owned[0] != claim.token:
+                owned[1].cancel()
+                del self._owners[name]
+            if name not in self._owners and self.registry.is_own(claim):
+                run = functools.partial(self._own, name, claim)
+                task = asyncio.create_task(supervise(f"owner of {name}", run))
+                self._owners[name] = (claim.token, task)
+
+    async def _own(self, name: str, claim: Claim) -> None:
+        if name == HOSTS_POOL:
+            await self._run_duty(claim)
+            return
+        lost = asyncio.Event()
+        while not lost.is_set():
+            try:
+                await self._run_pool(name, claim, lost)
+            except StoreError as error:
+                log.warning("pool not taken over", pool=name, error=str(error))
+                await self._clock.sleep_ms(RETRY_MS)
+
+    async def _run_pool(self, name: str, claim: Claim, lost: asyncio.Event) -> None:
+        pool = Pool(
+            name,
+            Term(claim.token, claim.term),
+            self._ports.store,
+            choose_partition(name, self._settings.log_parts),
+            self._ports.orders,
+            self._settings,
+            self._clock,
+            lambda _: lost.set(),
+        )
+        async with pool:
+            self.pools[name] = pool
+            try:
+                if self.directory.config is not None:
+                    pool.update_config(self.directory.config)
+                await self._workers_now()
+                pool.update_workers(self.directory.list_pool(name))
+                await lost.wait()
+            finally:
+                if self.pools.get(name) is pool:
+                    del self.pools[name]
+
+    async def _workers_now(self) -> None:
+        try:
+            await self._workers.refresh()
+        except StoreError as error:
+            log.warning("workers not read", error=str(error))
+
+    async def _run_duty(self, claim: Claim) -> None:
+        wait_ms = self._settings.duty_lease_ms if claim.term > 1 else 0
+        duty = HostDuty(
+            claim.token,
+            wait_ms,
+            self._ports.machines,
+            self.directory,
+            self._ask_for_duty,
+            self._ports.report_wave,
+            self.registry.is_confirmed,
+            self._settings,
+            self._clock,
+        )
+        await duty.run()
+
+    async def _ask_for_duty(self, call: PoolCall) -> PoolReply | str:
+        return await self.requests.ask(call, DUTY_CALL_MS, "")
+
+    def dump(self) -> dict[str, Any]:
+        """Return the node's state."""
+        return {
+            "member": self._member.name,
+            "members": sorted(self.registry.members),
+            "claims": {
+                name: claim.member for name, claim in self.registry.claims.items()
+            },
+            "pools": [pool.dump() for pool in self.pools.values()],
+        }
--- /dev/null
+++ b/src/bergamotgap/pools/host_duty.py
@@ -0,0 +1,123 @@
+"""The owner of the hosts: carries out waves of upkeep and moves hosts."""
+
+from collections.abc import Awaitable, Callable
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import HostInfo, Wave
+from bergamotgap.domain.upkeep_plan import (
+    WaveProgress,
+    is_wave_completed,
+    list_candidates,
+    note_returned,
+)
+from bergamotgap.pools.directory import Directory
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.ports.fleet import Machines, MachinesUnavailableError, StoreError
+from bergamotgap.ports.pool_peer import PoolCall, PoolReply, VacateCall, VacatedReply
+
+HOSTS_POOL = "@hosts"
+ROUND_MS = 250
+
+log = get_logger(__name__)
+AskOwner = Callable[[PoolCall], Awaitable[PoolReply | str]]
+ReportWave = Callable[[Wave, bool], Awaitable[None]]
+
+
+class HostDuty:
+    """Order moves and upkeep of hosts as the one holder of the duty."""
+
+    def __init__(
+        self,
+        token: int,
+        wait_ms: int,
+        machines: Machines,
+        directory: Directory,
+        ask_owner: AskOwner,
+        report_wave: ReportWave,
+        is_confirmed: Callable[[], bool],
+        settings: PoolSettings,
+        clock: Clock,
+    ) -> None:
+        self._token = token
+        self._machines = machines
+        self._directory = directory
+        self._ask_owner = ask_owner
+        self._report_wave = report_wave
+        self._is_confirmed = is_confirmed
+        self._settings = settings
+        self._clock = clock
+        self._may_order_ms = clock.monotonic_ms() + wait_ms
+        self._progress: dict[int, WaveProgress] = {}
+        self._reported: dict[int, bool] = {}
+
+    async def run(self) -> None:
+        """Work on waves until cancelled."""
+        while True:
+            await self._clock.sleep_ms(ROUND_MS)
+            if not self._is_confirmed():
+                continue
+            if self._clock.monotonic_ms() < self._may_order_ms:
+                continue
+            try:
+                await self._work_on_waves()
+            except MachinesUnavailableError as error:
+                log.warning("machines unavailable", error=str(error))
+
+    async def _work_on_waves(self) -> None:
+        open_waves = [
+            wave
+            for wave in self._directory.waves.values()
+            if not self._reported.get(wave.number, False)
+        ]
+        if not open_waves:
+            return
+        hosts = {info.host: info for info in await self._machines.list_hosts()}
+        for wave in open_waves:
+            await self._work_on_wave(wave, hosts)
+
+    async def _work_on_wave(self, wave: Wave, hosts: dict[str, HostInfo]) -> None:
+        progress = self._progress.setdefault(wave.number, WaveProgress())
+        now_ms = self._clock.monotonic_ms()
+        note_returned(progress, hosts, now_ms, self._settings.upkeep_ms)
+        if is_wave_completed(wave, progress, hosts):
+            await self._report(wave, is_completed=True)
+            return
+        if wave.number not in self._reported:
+            await self._report(wave, is_completed=False)
+        config = self._directory.config
+        spare = config.spare_services if config else frozenset()
+        for info in list_candidates(wave, progress, hosts, spare):
+            is_empty = info.pool in spare or await self._vacate(info)
+            if len(progress.list_in_upkeep()) >= wave.cap or not is_empty:
+                continue
+            await self._maintain(wave, info, progress)
+
+    async def _maintain(
+        self, wave: Wave, info: HostInfo, progress: WaveProgress
+    ) -> None:
+        # An order without an answer may have been executed, so the host counts.
+        progress.begun_ms[info.host] = self._clock.monotonic_ms()
+        reason = await self._machines.maintain(info.host, wave.number, self._token)
+        log.info(
+            "upkeep", wave=wave.number, host=info.host, pool=info.pool, refused=reason
+        )
+        if reason:
+            del progress.begun_ms[info.host]
+
+    async def _vacate(self, info: HostInfo) -> bool:
+        if not info.worker_id:
+            return True
+        reply = await self._ask_owner(
+            VacateCall(info.pool, info.worker_id, may_stop=True)
+        )
+        return isinstance(reply, VacatedReply) and reply.is_empty
+
+    async def _report(self, wave: Wave, is_completed: bool) -> None:
+        try:
+            await self._report_wave(wave, is_completed)
+        except StoreError as error:
+            log.warning("wave not reported", wave=wave.number, error=str(error))
+            return
+        self._reported[wave.number] = is_completed
+        log.info("wave reported", wave=wave.number, completed=is_completed)
--- /dev/null
+++ b/src/bergamotgap/pools/job_table.py
@@ -0,0 +1,204 @@
+"""Jobs of one pool: accepted, ended, restored from the log."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import JobPhase, JobSpec
+from bergamotgap.domain.job_state import Job, JobProgress
+from bergamotgap.pools.journal import Journal
+
+SPEC_KEY = "j"
+PROGRESS_KEY = "p"
+# Ended jobs are kept a little longer than callers may ask for them.
+KEEP_SLACK_MS = 10_000
+
+log = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class Stored:
+    """The job lasts; `is_new` is false for a repeated id."""
+
+    is_new: bool
+
+
+@dataclass(frozen=True)
+class NotStored:
+    """The job was not accepted and never runs; come back after `retry_ms`."""
+
+    reason: str
+    retry_ms: int
+
+
+SubmitOutcome = Stored | NotStored
+
+
+def format_key(service: str, kind: str, job_id: str) -> str:
+    """Return the key of a job's record in the partition of its pool."""
+    return f"{service}/{kind}/{job_id}"
+
+
+class JobTable:
+    """Hold the jobs of a pool and write their changes to the journal."""
+
+    def __init__(
+        self, service: str, journal: Journal, clock: Clock, status_ms: int
+    ) -> None:
+        self._service = service
+        self._journal = journal
+        self._clock = clock
+        self._status_ms = status_ms
+        self._jobs: dict[str, Job] = {}
+        # Number of the journal's change that makes a job or its end last.
+        self._accepted: dict[str, int] = {}
+        self._ended: dict[str, int] = {}
+        self.hungry: dict[str, Job] = {}
+        self.on_accepted: Callable[[], None] = lambda: None
+
+    @property
+    def jobs(self) -> Mapping[str, Job]:
+        """Return all jobs by id, ended ones included."""
+        return self._jobs
+
+    def restore(self, values: Mapping[str, bytes]) -> int:
+        """Fold the records of the partition; return the number of open jobs."""
+        prefix = f"{self._service}/"
+        now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
+        progress: dict[str, JobProgress] = {}
+        for key, value in values.items():
+            if not key.startswith(prefix):
+                continue
+            kind, _, job_id = key[len(prefix) :].partition("/")
+            try:
+                if kind == SPEC_KEY:
+                    spec = msgspec.msgpack.decode(value, type=JobSpec)
+                    age_ms = max(0, wall_ms - spec.accepted_ms)
+                    self._jobs[job_id] = Job(spec, now_ms - age_ms)
+                elif kind == PROGRESS_KEY:
+                    progress[job_id] = msgspec.msgpack.decode(value, type=JobProgress)
+            except msgspec.MsgspecError as error:
+                log.error("record can't be read", key=key, error=str(error))
+        for job_id, saved in progress.items():
+            job = self._jobs.get(job_id)
+            if job is None:
+                # An ended job keeps only its end.
+                job = Job(JobSpec(job_id, "", "", ()), now_ms)
+                self._jobs[job_id] = job
+            job.restore(saved)
+        for job in self._jobs.values():
+            if not job.phase.is_final:
+                job.open_due(wall_ms)
+                self.hungry[job.job_id] = job
+        return len(self.hungry)
+
+    async def submit(self, spec: JobSpec) -> SubmitOutcome:
+        """Accept a job; return when it lasts or is known not to."""
+        job = self._jobs.get(spec.job_id)
+        is_new = job is None
+        if job is None:
+            if self._journal.is_failing:
+                log.warning("refused", job=spec.job_id, reason="log_lost")
+                return NotStored("platform_unavailable", retry_ms=1000)
+            job = Job(spec, self._clock.monotonic_ms())
+            self._jobs[spec.job_id] = job
+            self._accepted[spec.job_id] = self._journal.put(
+                format_key(self._service, SPEC_KEY, spec.job_id),
+                lambda: msgspec.msgpack.encode(spec),
+            )
+        change = self._accepted.get(spec.job_id, 0)
+        await self._journal.wait(change)
+        if is_new:
+            log.info(
+                "accepted", job=spec.job_id, queue=spec.queue, steps=len(spec.steps)
+            )
+            if not job.phase.is_final:
+                job.open_due(self._clock.wall_ms())
+                self.hungry[spec.job_id] = job
+            self.on_accepted()
+        return Stored(is_new)
+
+    def get_phase(self, job_id: str) -> JobPhase | None:
+        """Return the phase that lasts; None if no such job was accepted."""
+        job = self._jobs.get(job_id)
+        if job is None or not self._journal.is_committed(self._accepted.get(job_id, 0)):
+            return None
+        if job.phase.is_final and not self._journal.is_committed(
+            self._ended.get(job_id, 0)
+        ):
+            return JobPhase.RUNNING
+        return job.phase
+
+    def count_waiting(self, queue: str) -> int:
+        """Return the number of a queue's jobs of which no task has started."""
+        return sum(
+            1
+            for job in self._jobs.values()
+            if job.phase is JobPhase.QUEUED and job.spec.queue == queue
+        )
+
+    def note_progress(self, job: Job) -> None:
+        """Write what must last of an open job."""
+        self._journal.put(
+            format_key(self._service, PROGRESS_KEY, job.job_id),
+            lambda: msgspec.msgpack.encode(job.save()),
+        )
+
+    def end(self, job: Job, phase: JobPhase, reason: str = "") -> int:
+        """End a job; return the number of the change that makes it last."""
+        job.end(phase, self._clock.wall_ms(), reason)
+        return self.note_end(job)
+
+    def note_end(self, job: Job) -> int:
+        """Write a job's end once; return the number of the change."""
+        known = self._ended.get(job.job_id)
+        if known is not None:
+            return known
+        if not job.ended_ms:
+            job.ended_ms = self._clock.wall_ms()
+        self.hungry.pop(job.job_id, None)
+        spec_key = format_key(self._service, SPEC_KEY, job.job_id)
+        if job.spec.steps:
+            self._journal.put(spec_key, lambda: None)
+        self.note_progress(job)
+        self._ended[job.job_id] = self._journal.requested
+        log.info(
+            "ended",
+            job=job.job_id,
+            phase=job.phase.value,
+            reason=job.failure,
+            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
+        )
+        return self._ended[job.job_id]
+
+    async def wait_for_end(self, job: Job) -> None:
+        """Return when the end of a job lasts."""
+        await self._journal.wait(self._ended.get(job.job_id, 0))
+
+    def forget_old(self) -> None:
+        """Drop ended jobs that callers may no longer ask for."""
+        limit_ms = self._clock.wall_ms() - self._status_ms - KEEP_SLACK_MS
+        old = [
+            job
+            for job in self._jobs.values()
+            if job.phase.is_final and job.ended_ms < limit_ms
+        ]
+        for job in old:
+            del self._jobs[job.job_id]
+            self._accepted.pop(job.job_id, None)
+            self._ended.pop(job.job_id, None)
+            key = format_key(self._service, PROGRESS_KEY, job.job_id)
+            self._journal.put(key, lambda: None)
+
+    def count_phases(self) -> dict[str, int]:
+        """Return the number of jobs in each phase."""
+        return dict(Counter(job.phase.value for job in self._jobs.values()))
+
+
+def list_open(jobs: Iterable[Job]) -> list[Job]:
+    """Return the jobs that have not ended."""
+    return [job for job in jobs if not job.phase.is_final]
--- /dev/null
+++ b/src/bergamotgap/pools/pool.py
@@ -0,0 +1,270 @@
+"""The owner of one pool: accepts its jobs and places their tasks on its workers."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any, Self
+
+from aiomisc import cancel_tasks
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
+from bergamotgap.domain.job_state import Job, StepRun, Task, TaskPhase
+from bergamotgap.domain.task_placement import choose_room, place_gang, rank_job
+from bergamotgap.node.supervision import supervise
+from bergamotgap.pools.job_table import JobTable, SubmitOutcome
+from bergamotgap.pools.journal import Journal
+from bergamotgap.pools.runs import Runs, Term
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.worker_link import WorkerLink
+from bergamotgap.ports.fleet import Fence, KeyedRecord, Store, StoreError, WorkerOrders
+from bergamotgap.ports.pool_peer import DemandReply, VacatedReply
+
+TICK_MS = 200
+# Placements of the same moment are decided in one pass.
+PASS_GAP_MS = 5
+# A worker that was asked to empty itself gets no work for this long, unless asked again.
+LEAVE_MS = 2500
+
+log = get_logger(__name__)
+
+
+class Pool:
+    """Own one pool during one term; leaves everything to a newer owner at once."""
+
+    def __init__(
+        self,
+        service: str,
+        term: Term,
+        store: Store,
+        partition: tuple[str, int],
+        orders: WorkerOrders,
+        settings: PoolSettings,
+        clock: Clock,
+        on_superseded: Callable[[str], None],
+    ) -> None:
+        self.service = service
+        self.term = term
+        self._store = store
+        self._topic, self._part = partition
+        self._orders = orders
+        self._settings = settings
+        self._clock = clock
+        self._is_active = True
+        self._on_superseded = on_superseded
+        self._tasks: list[asyncio.Task[None]] = []
+        producer = f"pool/{service}"
+        self._fence = Fence(producer, term.token, 0)
+        fence = Fence(producer, term.token, 1)
+        self.journal = Journal(
+            store, self._topic, self._part, fence, clock, self._note_fenced
+        )
+        self.table = JobTable(service, self.journal, clock, settings.status_ms)
+
+    async def __aenter__(self) -> Self:
+        """Fence former owners, fold the log and start; raises StoreError."""
+        mark = KeyedRecord(f"{self.service}/owner", str(self.term.token).encode())
+        await self._store.append(self._topic, self._part, [mark], fence=self._fence)
+        newest = await self._store.read_newest(self._topic, self._part)
+        open_jobs = self.table.restore(newest.values)
+        self.journal.confirmed_ms = self._clock.monotonic_ms()
+        self.runs = Runs(
+            self.term,
+            self.table,
+            self.journal,
+            self._orders,
+            self._settings,
+            self._clock,
+            self._note_superseded,
+        )
+        self.table.on_accepted = self.runs.changed.set
+        self._tasks = [
+            asyncio.create_task(supervise(f"journal {self.service}", self.journal.run)),
+            asyncio.create_task(supervise(f"placing {self.service}", self._run_passes)),
+            asyncio.create_task(supervise(f"ticks {self.service}", self._run_ticks)),
+        ]
+        log.info(
+            "pool gained",
+            pool=self.service,
+            token=self.term.token,
+            term=self.term.number,
+            open_jobs=open_jobs,
+        )
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Stop all work on the pool; what runs keeps its lease."""
+        self._is_active = False
+        await cancel_tasks(self._tasks)
+        await self.runs.close()
+        log.info("pool lost", pool=self.service, token=self.term.token)
+
+    def _note_fenced(self) -> None:
+        self._note_superseded("log")
+
+    def _note_superseded(self, source: str) -> None:
+        if self._is_active:
+            self._is_active = False
+            log.warning("superseded", pool=self.service, source=source)
+            self._on_superseded(self.service)
+
+    async def submit(self, spec: JobSpec) -> SubmitOutcome:
+        """Accept a job; return when it lasts or is known not to."""
+        return await self.table.submit(spec)
+
+    async def cancel(self, job_id: str) -> bool:
+        """Cancel a job; return whether it exists, when that lasts."""
+        job = self.table.jobs.get(job_id)
+        if job is None:
+            return False
+        if not job.phase.is_final:
+            self.runs.stop_job(job)
+            self.table.end(job, JobPhase.CANCELLED, "cancelled")
+        await self.table.wait_for_end(job)
+        return True
+
+    async def confirm_owner(self) -> bool:
+        """Tell whether no newer owner has appended, as of this call."""
+        try:
+            newest = await self._store.read_newest(self._topic, self._part)
+        except StoreError as error:
+            log.warning("owner not confirmed", pool=self.service, error=str(error))
+            return False
+        mark = newest.values.get(f"{self.service}/owner", b"")
+        return mark == str(self.term.token).encode()
+
+    def update_config(self, config: FleetConfig) -> None:
+        """Use a newer configuration."""
+        self.runs.update_config(config)
+
+    def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
+        """Take over the list of the pool's workers."""
+        self.runs.update_workers(workers)
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            await self.runs.drop_links()
+            self.table.forget_old()
+            self.runs.changed.set()
+
+    async def _run_passes(self) -> None:
+        while True:
+            await self.runs.changed.wait()
+            self.runs.changed.clear()
+            if self._is_active:
+                self._place_all()
+            await self._clock.sleep_ms(PASS_GAP_MS)
+
+    def _place_all(self) -> None:
+        now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
+        hungry = self.table.hungry
+        if not hungry:
+            return
+        links = [link for link in self.runs.links.values() if link.is_usable(now_ms)]
+        jobs = sorted(
+            hungry.values(),
+            key=lambda job: rank_job(job, self.runs.get_queue(job), now_ms),
+        )
+        for job in jobs:
+            job.open_due(wall_ms)
+            if not links or not self.runs.is_settled(job):
+                continue
+            if not self._place_job(job, links) and job.next_due_ms is None:
+                hungry.pop(job.job_id, None)
+
+    def _place_job(self, job: Job, links: list[WorkerLink]) -> bool:
+        """Place what fits; return whether tasks of the job still wait."""
+        still_waits = False
+        for step in job.list_ready():
+            waiting = [t for t in step.tasks if t.phase is TaskPhase.WAITING]
+            if not waiting:
+                continue
+            if step.spec.is_gang:
+                still_waits |= not self._place_gang(job, step, links)
+                continue
+            for task in waiting:
+                if not self._place_task(job, task, links):
+                    still_waits = True
+                    break
+        return still_waits
+
+    def _place_task(self, job: Job, task: Task, links: list[WorkerLink]) -> bool:
+        rooms = {id(link.room): link for link in links}
+        room = choose_room([link.room for link in links], task)
+        if room is None:
+            return False
+        self.runs.start(task, rooms[id(room)], self.runs.choose_run(task))
+        return True
+
+    def _place_gang(self, job: Job, step: StepRun, links: list[WorkerLink]) -> bool:
+        if any(task.phase is not TaskPhase.WAITING for task in step.tasks):
+            return False
+        rooms = {id(link.room): link for link in links}
+        placed = place_gang([link.room for link in links], step)
+        if placed is None:
+            return False
+        run = max(self.runs.choose_run(task) for task in step.tasks)
+        checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
+        for task, room in placed:
+            task.checkpoint = checkpoint
+            self.runs.start(task, rooms[id(room)], run)
+        return True
+
+    def vacate(self, worker_id: str, may_stop: bool) -> VacatedReply:
+        """Empty a worker as far as its tasks allow; tell whether it is empty.
+
+        Without `may_stop` a worker that runs anything is left as it is.
+        """
+        link = self.runs.links.get(worker_id)
+        if link is None:
+            return VacatedReply(True)
+        if link.live and not may_stop:
+            return VacatedReply(False)
+        link.leave_for(LEAVE_MS)
+        for live in list(link.live.values()):
+            if live.task.step.is_lasting and self._may_stop(live.task):
+                live.task.is_away_by_order = True
+                self.runs.stop(live.task)
+        return VacatedReply(not link.live)
+
+    def _may_stop(self, task: Task) -> bool:
+        if not task.is_at_work:
+            return True
+        job = self.table.jobs[task.task_id.job]
+        away = job.list_away(
+            job.get_step(task), self._clock.monotonic_ms(), self._settings.notice_ms
+        )
+        return len(away) < max(1, task.step.may_miss)
+
+    def measure_demand(self) -> DemandReply:
+        """Return the cores that waiting and running tasks ask for, and idle workers."""
+        now_ms = self._clock.monotonic_ms()
+        links = [link for link in self.runs.links.values() if link.is_usable(now_ms)]
+        wanted = sum(link.room.used_cpu for link in links) + sum(
+            task.step.size.cpu
+            for job in self.table.hungry.values()
+            for step in job.list_ready()
+            for task in step.tasks
+            if task.phase is TaskPhase.WAITING
+        )
+        idle = tuple(link.worker_id for link in links if not link.live)
+        capacity = sum(link.info.capacity.cpu for link in links)
+        return DemandReply(wanted, capacity, idle)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the pool's state for a state dump."""
+        return {
+            "pool": self.service,
+            "token": self.term.token,
+            "jobs": self.table.count_phases(),
+            "workers": {
+                link.worker_id: {
+                    "runs": len(link.live),
+                    "free_cpu": link.room.free_cpu,
+                    "listed": link.is_listed,
+                    "looked": link.has_looked,
+                }
+                for link in self.runs.links.values()
+            },
+        }
--- /dev/null
+++ b/src/bergamotgap/pools/registry.py
@@ -0,0 +1,234 @@
+"""Which node owns which pool: claims on the log, and the members that may claim."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.pools.following import Follower
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.ports.fleet import (
+    AppendConflictError,
+    KeyedRecord,
+    Store,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+
+OWNERS_TOPIC = "keyed.owners"
+# Members that start together are all known before the first claim.
+FIRST_CLAIM_MS = 1000
+CHECK_MS = 200
+
+log = get_logger(__name__)
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True):
+    """Ownership of a pool; no owner if `member` is empty. `token` is unique, rises."""
+
+    member: str
+    token: int
+    term: int
+
+
+@dataclass(frozen=True)
+class Member:
+    """One life of a node, by the address that its peers call."""
+
+    address: str
+    life: str
+
+    @property
+    def name(self) -> str:
+        """Return the member's name in the group."""
+        return f"{self.address}/{self.life}"
+
+
+def choose_claimant(
+    pool: str, members: Iterable[str], claims: Mapping[str, Claim]
+) -> str | None:
+    """Return the member with the fewest pools; a hash decides between equals."""
+    loads = Counter(claim.member for claim in claims.values())
+
+    def rank(member: str) -> tuple[int, int]:
+        return (loads[member], xxhash.xxh64_intdigest(f"{pool}|{member}".encode()))
+
+    return min(members, key=rank, default=None)
+
+
+class Registry:
+    """Own this node's membership and its claims.
+
+    A claim is appended on the condition that no claim came in between, so that its
+    offset orders all owners.
+    """
+
+    def __init__(
+        self, store: Store, member: Member, settings: PoolSettings, clock: Clock
+    ) -> None:
+        self._store = store
+        self._member = member
+        self._settings = settings
+        self._clock = clock
+        self._claims: dict[str, Claim] = {}
+        self._members: frozenset[str] = frozenset()
+        self._generation = 0
+        self._joined_since_ms: int | None = None
+        self.joined_ms = 0
+        self._is_leaving = False
+        self._pools: frozenset[str] = frozenset()
+        self._listeners: list[Callable[[], None]] = []
+        self.changed = asyncio.Event()
+        self.follower = Follower(store, OWNERS_TOPIC, clock, self._apply, self._notify)
+
+    @property
+    def claims(self) -> Mapping[str, Claim]:
+        """Return the newest claim of each pool."""
+        return self._claims
+
+    @property
+    def members(self) -> frozenset[str]:
+        """Return the live members as of the last look."""
+        return self._members
+
+    def get_owner(self, pool: str) -> str | None:
+        """Return the peer address of a pool's owner."""
+        claim = self._claims.get(pool)
+        return claim.member.partition("/")[0] if claim and claim.member else None
+
+    def is_own(self, claim: Claim | None) -> bool:
+        """Tell whether a claim is this life's."""
+        return claim is not None and claim.member == self._member.name
+
+    def is_confirmed(self) -> bool:
+        """Tell whether the log has heard of this member within its time to live."""
+        silent_ms = self._clock.monotonic_ms() - self.joined_ms
+        return silent_ms < self._settings.member_ttl_ms
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call the listener after each change of claims."""
+        self._listeners.append(listener)
+
+    def set_pools(self, pools: frozenset[str]) -> None:
+        """Claim only these pools."""
+        self._pools = pools
+
+    def _apply(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._claims.pop(record.key, None)
+            return
+        try:
+            claim = msgspec.msgpack.decode(record.value, type=Claim)
+        except msgspec.MsgspecError as error:
+            log.error("claim can't be read", pool=record.key, error=str(error))
+            return
+        self._claims[record.key] = claim
+        log.info(
+            "owner",
+            pool=record.key,
+            member=claim.member,
+            token=claim.token,
+            term=claim.term,
+        )
+
+    def _notify(self) -> None:
+        self.changed.set()
+        for listener in self._listeners:
+            listener()
+
+    async def run_membership(self) -> None:
+        """Stay a member of the group; three renewals fit into its time to live."""
+        while True:
+            try:
+                generation = await self._store.join(self._member.name, self._generation)
+                if generation != self._generation or self._has_dead_owner():
+                    members = await self._store.list_members()
+                    if members != self._members:
+                        log.info("members", count=len(members), generation=generation)
+                    self._members = members
+                self._generation = generation
+                self.joined_ms = self._clock.monotonic_ms()
+                if self._joined_since_ms is None:
+                    self._joined_since_ms = self.joined_ms
+            except StoreError as error:
+                self._note_join_failed(error)
+            await self._clock.sleep_ms(self._settings.member_ttl_ms / 3)
+
+    def _note_join_failed(self, error: StoreError) -> None:
+        silent_ms = self._clock.monotonic_ms() - self.joined_ms
+        if self._joined_since_ms is not None and silent_ms > (
+            self._settings.member_ttl_ms
+        ):
+            log.warning("membership lost", error=str(error), silent_ms=silent_ms)
+            self._joined_since_ms = None
+
+    def _has_dead_owner(self) -> bool:
+        return any(
+            claim.member not in self._members
+            for pool, claim in self._claims.items()
+            if pool in self._pools
+        )
+
+    async def run_claims(self) -> None:
+        """Claim the pools that have no live owner and fall to this node."""
+        while True:
+            await self._clock.sleep_ms(CHECK_MS)
+            for pool in sorted(self._pools):
+                if self._may_claim(pool):
+                    await self._claim(pool)
+
+    def _may_claim(self, pool: str) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        if self._is_leaving or self._joined_since_ms is None:
+            return False
+        # After the log was away, all members join again before any is taken for dead.
+        if now_ms - self._joined_since_ms < FIRST_CLAIM_MS:
+            return False
+        if not self.is_confirmed():
+            return False
+        claim = self._claims.get(pool)
+        if claim is not None and claim.member in self._members:
+            return False
+        claimant = choose_claimant(pool, self._members, self._claims)
+        return claimant == self._member.name
+
+    async def _claim(self, pool: str) -> None:
+        try:
+            await self.follower.refresh()
+        except StoreError as error:
+            log.warning("claim not tried", pool=pool, error=str(error))
+            return
+        if self._may_claim(pool):
+            await self._append(pool, self._member.name)
+
+    async def _append(self, pool: str, member: str) -> None:
+        end = self.follower.end or 0
+        before = self._claims.get(pool)
+        claim = Claim(member, end + 1, (before.term if before else 0) + 1)
+        record = KeyedRecord(pool, msgspec.msgpack.encode(claim))
+        try:
+            await self._store.append(OWNERS_TOPIC, 0, [record], at=end)
+        except AppendConflictError:
+            log.info("claim lost", pool=pool, at=end)
+        except StoreOutcomeUnknownError as error:
+            # The follower tells whether it took effect.
+            log.warning("claim unanswered", pool=pool, at=end, error=str(error))
+        except StoreError as error:
+            log.warning("claim refused", pool=pool, at=end, error=str(error))
+
+    async def leave(self) -> None:
+        """Leave the group and release all pools, so that others claim at once."""
+        self._is_leaving = True
+        try:
+            await self._store.leave(self._member.name)
+            for pool, claim in list(self._claims.items()):
+                if self.is_own(claim):
+                    await self.follower.refresh()
+                    await self._append(pool, "")
+        except StoreError as error:
+            log.warning("pools not released", error=str(error))
--- /dev/null
+++ b/src/bergamotgap/pools/requests.py
@@ -0,0 +1,221 @@
+"""Requests of callers about jobs: which owner answers, and what may be said."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, Queue
+from bergamotgap.pools.job_table import Stored
+from bergamotgap.pools.pool import Pool
+from bergamotgap.ports.pool_peer import (
+    AcceptedReply,
+    CancelCall,
+    CancelledReply,
+    CountReply,
+    DemandCall,
+    NoJobReply,
+    NotAcceptedReply,
+    NotOwnerReply,
+    PeerCallError,
+    PoolCall,
+    PoolPeers,
+    PoolReply,
+    StateCall,
+    StateReply,
+    SubmitCall,
+    UnsureReply,
+    VacateCall,
+    WaitingCall,
+)
+
+# An owner that does not answer is asked again, or its successor, this often.
+RETRY_MS = 100
+# Time left to write the answer before the caller's deadline.
+ANSWER_MS = 150
+# A pool without an owner gets one within about two times to live of a member; longer
+# the request does not wait.
+OWNER_WAIT_MS = 2500
+CALL_MS = 1200
+RETRY_AFTER_MS = 1000
+
+log = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class JobAccepted:
+    """The job lasts."""
+
+
+@dataclass(frozen=True)
+class JobState:
+    """State of a job."""
+
+    phase: JobPhase
+
+
+@dataclass(frozen=True)
+class JobCancelled:
+    """The job has ended."""
+
+
+@dataclass(frozen=True)
+class WaitingCount:
+    """Number of a queue's jobs of which no task has started."""
+
+    count: int
+
+
+@dataclass(frozen=True)
+class NoSuchJob:
+    """No such job was accepted."""
+
+
+@dataclass(frozen=True)
+class NotAccepted:
+    """The job was not accepted and never runs."""
+
+    reason: str
+    retry_ms: int = RETRY_AFTER_MS
+
+
+@dataclass(frozen=True)
+class OutcomeUnknown:
+    """Nothing can be said; the request may be repeated under its id."""
+
+    reason: str
+    retry_ms: int = RETRY_AFTER_MS
+
+
+RequestOutcome = (
+    JobAccepted
+    | JobState
+    | JobCancelled
+    | WaitingCount
+    | NoSuchJob
+    | NotAccepted
+    | OutcomeUnknown
+)
+
+
+class JobRequests:
+    """Answer callers through the owners of the pools, this node's own included."""
+
+    def __init__(
+        self,
+        pools: Mapping[str, Pool],
+        get_owner: Callable[[str], str | None],
+        get_config: Callable[[], FleetConfig | None],
+        own_address: str,
+        peers: PoolPeers,
+        clock: Clock,
+    ) -> None:
+        self._pools = pools
+        self._get_owner = get_owner
+        self._get_config = get_config
+        self._own_address = own_address
+        self._peers = peers
+        self._clock = clock
+
+    async def submit(self, spec: JobSpec, queue: Queue, wait_ms: int) -> RequestOutcome:
+        """Submit a job to the pool of its queue within the caller's time."""
+        reply = await self.ask(SubmitCall(queue.service, spec), wait_ms, spec.job_id)
+        match reply:
+            case AcceptedReply():
+                return JobAccepted()
+            case NotAcceptedReply():
+                return NotAccepted(reply.reason, reply.retry_ms)
+            case str():
+                return OutcomeUnknown(reply)
+        return OutcomeUnknown("unsure")
+
+    async def get_state(
+        self, job_id: str, queue: Queue, wait_ms: int
+    ) -> RequestOutcome:
+        """Return a job's state; that it does not exist only if each owner says so."""
+        for pool in self._list_pools(queue):
+            reply = await self.ask(StateCall(pool, job_id), wait_ms, job_id)
+            if isinstance(reply, StateReply):
+                return JobState(reply.phase)
+            if not isinstance(reply, NoJobReply):
+                return OutcomeUnknown(reply if isinstance(reply, str) else "unsure")
+        return NoSuchJob()
+
+    async def cancel(self, job_id: str, queue: Queue, wait_ms: int) -> RequestOutcome:
+        """Cancel a job wherever it is."""
+        for pool in self._list_pools(queue):
+            reply = await self.ask(CancelCall(pool, job_id), wait_ms, job_id)
+            if isinstance(reply, CancelledReply):
+                return JobCancelled()
+            if not isinstance(reply, NoJobReply):
+                return OutcomeUnknown(reply if isinstance(reply, str) else "unsure")
+        return NoSuchJob()
+
+    async def count_waiting(self, queue: Queue, wait_ms: int) -> RequestOutcome:
+        """Count the waiting jobs of a queue."""
+        call = WaitingCall(queue.service, queue.name)
+        reply = await self.ask(call, wait_ms, "")
+        if isinstance(reply, CountReply):
+            return WaitingCount(reply.count)
+        return OutcomeUnknown(reply if isinstance(reply, str) else "unsure")
+
+    def _list_pools(self, queue: Queue) -> list[str]:
+        # A queue's jobs of before may be in the pool that it had then.
+        config = self._get_config()
+        services = config.services if config else ()
+        spare = config.spare_services if config else frozenset()
+        others = [s for s in services if s != queue.service and s not in spare]
+        return [queue.service, *others]
+
+    async def ask(self, call: PoolCall, wait_ms: int, job_id: str) -> PoolReply | str:
+        """Return the owner's reply, or why there is none."""
+        until_ms = self._clock.monotonic_ms() + min(wait_ms - ANSWER_MS, OWNER_WAIT_MS)
+        reason = "no_owner"
+        while True:
+            left_ms = until_ms - self._clock.monotonic_ms()
+            if left_ms <= 0:
+                log.warning("no answer", job=job_id, pool=call.pool, reason=reason)
+                return reason
+            owner = self._get_owner(call.pool)
+            if owner is not None:
+                try:
+                    reply = await self._call_owner(owner, call, int(left_ms))
+                except PeerCallError as error:
+                    reason = str(error)
+                else:
+                    if not isinstance(reply, NotOwnerReply):
+                        return reply
+                    reason = "not_owner"
+            await self._clock.sleep_ms(RETRY_MS)
+
+    async def _call_owner(self, owner: str, call: PoolCall, left_ms: int) -> PoolReply:
+        if owner == self._own_address:
+            return await self.answer(call)
+        return await self._peers.call(owner, call, min(left_ms, CALL_MS))
+
+    async def answer(self, call: PoolCall) -> PoolReply:
+        """Answer a call as the owner of the pool."""
+        pool = self._pools.get(call.pool)
+        if pool is None:
+            return NotOwnerReply()
+        match call:
+            case SubmitCall():
+                outcome = await pool.submit(call.spec)
+                if isinstance(outcome, Stored):
+                    return AcceptedReply(outcome.is_new)
+                return NotAcceptedReply(outcome.reason, outcome.retry_ms)
+            case StateCall():
+                phase = pool.table.get_phase(call.job_id)
+                if phase is not None:
+                    return StateReply(phase)
+                return NoJobReply() if await pool.confirm_owner() else UnsureReply()
+            case CancelCall():
+                if await pool.cancel(call.job_id):
+                    return CancelledReply()
+                return NoJobReply() if await pool.confirm_owner() else UnsureReply()
+            case WaitingCall():
+                return CountReply(pool.table.count_waiting(call.queue))
+            case VacateCall():
+                return pool.vacate(call.worker_id, call.may_stop)
+            case DemandCall():
+                return pool.measure_demand()
--- /dev/null
+++ b/src/bergamotgap/pools/runs.py
@@ -0,0 +1,345 @@
+"""Runs of one pool's tasks: what its workers report, and which run follows."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from aiomisc import cancel_tasks
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
+from bergamotgap.domain.job_state import Job, Task, TaskPhase
+from bergamotgap.node.supervision import supervise
+from bergamotgap.pools.job_table import JobTable
+from bergamotgap.pools.journal import Journal
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.worker_link import LiveRun, WorkerLink
+from bergamotgap.ports.fleet import (
+    EndRow,
+    OrderOutcome,
+    Refused,
+    RunRow,
+    WorkerOrders,
+)
+
+# Runs of one owner are numbered from its term on, so that a later owner's are higher.
+RUNS_PER_TERM = 1000
+# A look renews the lease at this interval at least, also while the log is away.
+JOURNAL_WAIT_MS = 500
+# A worker that fails this many runs in a row gets no work for a time.
+FAILURES_TO_HOLD_OUT = 3
+HOLD_OUT_MS = 4000
+
+log = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class Term:
+    """One time of ownership: `token` fences, `number` counts owners of the pool."""
+
+    token: int
+    number: int
+
+
+class Runs:
+    """Own the links to a pool's workers and fold their reports into its jobs."""
+
+    def __init__(
+        self,
+        term: Term,
+        table: JobTable,
+        journal: Journal,
+        orders: WorkerOrders,
+        settings: PoolSettings,
+        clock: Clock,
+        on_superseded: Callable[[str], None],
+    ) -> None:
+        self._term = term
+        self._table = table
+        self._journal = journal
+        self._orders = orders
+        self._settings = settings
+        self._clock = clock
+        self._on_superseded = on_superseded
+        self._tasks: dict[str, list[asyncio.Task[None]]] = {}
+        self._config: FleetConfig | None = None
+        self._queues: dict[str, Queue] = {}
+        self.links: dict[str, WorkerLink] = {}
+        self.changed = asyncio.Event()
+        self.started_ms = clock.monotonic_ms()
+        self._restored = {job_id for job_id in table.hungry}
+
+    async def close(self) -> None:
+        """Stop all orders and looks."""
+        tasks = [task for pair in self._tasks.values() for task in pair]
+        await cancel_tasks(tasks)
+
+    def get_queue(self, job: Job) -> Queue | None:
+        """Return the queue of a job, if it is configured."""
+        return self._queues.get(job.spec.queue)
+
+    def update_config(self, config: FleetConfig) -> None:
+        """Use a newer configuration."""
+        self._config = config
+        self._queues = {queue.name: queue for queue in config.queues}
+        self.changed.set()
+
+    def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
+        """Take over the list of the pool's workers."""
+        for worker_id, info in workers.items():
+            link = self.links.get(worker_id)
+            if link is not None and link.info.address != info.address:
+                link.is_listed = False
+                continue
+            if link is None:
+                self._add_link(info)
+                continue
+            if link.info.state is not info.state:
+                log.info("worker state", worker=worker_id, state=info.state.value)
+            link.info = link.room.info = info
+            link.is_listed = True
+        for link in self.links.values():
+            if link.worker_id not in workers and link.is_listed:
+                log.info("worker gone", worker=link.worker_id, runs=len(link.live))
+                link.is_listed = False
+                link.wake()
+        self.changed.set()
+
+    def _add_link(self, info: WorkerInfo) -> None:
+        link = WorkerLink(
+            info, self._term.token, self._orders, self, self._settings, self._clock
+        )
+        self.links[info.worker_id] = link
+        self._tasks[info.worker_id] = [
+            asyncio.create_task(supervise(f"orders {info.worker_id}", link.run_orders)),
+            asyncio.create_task(supervise(f"looks {info.worker_id}", link.run_looks)),
+        ]
+        log.info("worker found", worker=info.worker_id, host=info.host, rack=info.rack)
+
+    async def drop_links(self) -> None:
+        """Close the links to workers that left and hold nothing."""
+        for link in [link for link in self.links.values() if link.is_over]:
+            del self.links[link.worker_id]
+            await cancel_tasks(self._tasks.pop(link.worker_id))
+
+    def is_settled(self, job: Job) -> bool:
+        """Tell whether no unseen run of a restored job can be at work.
+
+        A former owner's runs are known once each worker was looked at, or its lease has
+        ended by the slowest clock.
+        """
+        if job.job_id not in self._restored:
+            return True
+        now_ms = self._clock.monotonic_ms()
+        if now_ms < self.started_ms + self._settings.settle_ms:
+            return False
+        if all(
+            link.has_looked or now_ms >= link.lease_end_ms
+            for link in self.links.values()
+        ):
+            self._restored.clear()
+            return True
+        return False
+
+    def choose_run(self, task: Task) -> int:
+        """Return the number of a task's next run."""
+        first = (self._term.number - 1) * RUNS_PER_TERM + 1
+        return max(task.run + 1, task.counted_run + 1, first)
+
+    def start(self, task: Task, link: WorkerLink, run: int, ticket: str = "") -> None:
+        """Order a run of a task."""
+        job = self._table.jobs[task.task_id.job]
+        task.phase = TaskPhase.STARTING
+        task.run = run
+        task.worker_id = link.worker_id
+        task.percent = 0
+        task.started_ms = task.progress_ms = self._clock.monotonic_ms()
+        link.start(task, run, job.spec.payload, ticket)
+
+    def stop(self, task: Task) -> None:
+        """Order the end of a task's run."""
+        link = self.links.get(task.worker_id)
+        if link is not None and task.is_active:
+            task.phase = TaskPhase.UNCERTAIN
+            link.stop(task.task_id, task.run)
+
+    def stop_job(self, job: Job) -> None:
+        """Order the end of all runs of a job."""
+        for task in job.list_tasks():
+            self.stop(task)
+
+    def note_superseded(self, source: str) -> None:
+        """Stop owning the pool."""
+        self._on_superseded(source)
+
+    async def wait_for_journal(self) -> bool:
+        """Wait until what was heard lasts, for a bounded time; tell if it does."""
+        change = self._journal.requested
+        if self._journal.is_committed(change):
+            return True
+        try:
+            async with asyncio.timeout(JOURNAL_WAIT_MS / 1000):
+                await self._journal.wait(change)
+        except TimeoutError:
+            return False
+        return True
+
+    def note_first_look(self, link: WorkerLink) -> None:
+        """Use the worker from now on."""
+        self.changed.set()
+
+    def note_started(self, link: WorkerLink, live: LiveRun) -> None:
+        """Count the job as running."""
+        task = live.task
+        if task.run == live.run and task.phase is TaskPhase.STARTING:
+            task.phase = TaskPhase.RUNNING
+            self._mark_running(self._table.jobs[task.task_id.job])
+
+    def _mark_running(self, job: Job) -> None:
+        if job.phase is JobPhase.QUEUED:
+            job.phase = JobPhase.RUNNING
+
+    def note_not_started(
+        self, link: WorkerLink, live: LiveRun, outcome: OrderOutcome
+    ) -> None:
+        """Let the task wait again."""
+        reason = outcome.reason if isinstance(outcome, Refused) else str(outcome)
+        log.info(
+            "start refused",
+            task=live.task.task_id,
+            run=live.run,
+            worker=link.worker_id,
+            reason=reason,
+        )
+        self._requeue(live)
+
+    def note_unknown(self, link: WorkerLink, live: LiveRun) -> None:
+        """Bar a run whose start got no answer."""
+        log.info(
+            "start unanswered",
+            task=live.task.task_id,
+            run=live.run,
+            worker=link.worker_id,
+        )
+        if live.task.run == live.run:
+            live.task.phase = TaskPhase.UNCERTAIN
+        link.stop(live.task.task_id, live.run)
+
+    def note_run(self, link: WorkerLink, row: RunRow) -> None:
+        """Take over progress; adopt or stop a run that was not known."""
+        live = link.live.get(row.task)
+        if live is None or live.run != row.run:
+            self._note_found(link, row)
+            return
+        task = live.task
+        if live.accepted_ms is None and not live.is_stop_sent:
+            live.accepted_ms = self._clock.monotonic_ms()
+            self.note_started(link, live)
+        if task.run != row.run:
+            return
+        if row.percent != task.percent:
+            task.progress_ms = self._clock.monotonic_ms()
+        task.percent = row.percent
+        task.figure = row.figure
+        task.checkpoint = row.checkpoint or task.checkpoint
+        if task.is_at_work:
+            task.is_away_by_order = False
+
+    def _note_found(self, link: WorkerLink, row: RunRow) -> None:
+        job = self._table.jobs.get(row.task.job)
+        task = job.get_task(row.task) if job and not job.phase.is_final else None
+        if job is None or task is None or task.phase is not TaskPhase.WAITING:
+            link.stop(row.task, row.run)
+            return
+        if row.task in link.live:
+            return
+        task.phase = TaskPhase.RUNNING
+        task.run = row.run
+        task.worker_id = link.worker_id
+        task.percent = row.percent
+        task.started_ms = task.progress_ms = self._clock.monotonic_ms()
+        live = LiveRun(task, row.run, accepted_ms=self._clock.monotonic_ms())
+        link.add_live(live)
+        self._mark_running(job)
+        log.info("run adopted", task=row.task, run=row.run, worker=link.worker_id)
+
+    def note_end(self, link: WorkerLink, row: EndRow) -> None:
+        """Fold one end into its job."""
+        live = link.live.get(row.task)
+        if live is not None and live.run == row.run:
+            link.drop_live(live)
+        self.changed.set()
+        job = self._table.jobs.get(row.task.job)
+        task = job.get_task(row.task) if job and job.spec.steps else None
+        if row.how == "failed":
+            link.failures_in_row += 1
+            if link.failures_in_row >= FAILURES_TO_HOLD_OUT:
+                link.hold_out(HOLD_OUT_MS)
+                log.warning(
+                    "worker held out",
+                    worker=link.worker_id,
+                    failures=link.failures_in_row,
+                )
+        elif row.how == "done":
+            link.failures_in_row = 0
+        if job is None or task is None or job.phase.is_final:
+            return
+        self._fold_end(link, row, job, task)
+        if job.phase.is_final:
+            self._table.note_end(job)
+            self.stop_job(job)
+        else:
+            self._table.note_progress(job)
+
+    def _fold_end(self, link: WorkerLink, row: EndRow, job: Job, task: Task) -> None:
+        is_current = task.worker_id == link.worker_id and task.run == row.run
+        self._mark_running(job)
+        if row.how == "done" and not task.step.is_lasting:
+            if not is_current:
+                self.stop(task)
+            job.note_done(task)
+            self._table.hungry[job.job_id] = job
+            return
+        if row.how == "failed" and row.run > task.counted_run:
+            task.counted_run = row.run
+            task.failures += 1
+            task.failed_on.add(link.worker_id)
+            queue = self.get_queue(job)
+            attempts = queue.attempts if queue else 1
+            log.info(
+                "run failed",
+                task=row.task,
+                run=row.run,
+                worker=link.worker_id,
+                failures=task.failures,
+                attempts=attempts,
+            )
+            if queue and not task.step.is_lasting and task.failures >= attempts:
+                job.end(JobPhase.FAILED, self._clock.wall_ms(), "attempts_used")
+                return
+        if is_current:
+            task.run = max(task.run, row.run)
+            task.wait_again(self._clock.monotonic_ms(), row.checkpoint)
+            self._table.hungry[job.job_id] = job
+
+    def note_lost(self, link: WorkerLink, live: LiveRun, reason: str) -> None:
+        """Let a task wait again whose run is gone without an end."""
+        if reason != "stopped":
+            log.warning(
+                "run lost",
+                task=live.task.task_id,
+                run=live.run,
+                worker=link.worker_id,
+                reason=reason,
+            )
+        self._requeue(live)
+
+    def _requeue(self, live: LiveRun) -> None:
+        task = live.task
+        job = self._table.jobs.get(task.task_id.job)
+        if task.run == live.run and task.is_active:
+            task.wait_again(self._clock.monotonic_ms())
+        if job is not None and not job.phase.is_final:
+            self._table.hungry[job.job_id] = job
+            self.changed.set()
--- /dev/null
+++ b/src/bergamotgap/pools/settings.py
@@ -0,0 +1,39 @@
+"""Settings of a node that owns pools."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class PoolSettings:
+    """Hold addresses and bounds of a deployment; durations in ms."""
+
+    node_id: str
+    data_centre: str
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str
+    log_parts: int = 16
+    # Three renewals fit into the time to live.
+    member_ttl_ms: int = 1500
+    drain_ms: int = 2000
+    grace_ms: int = 6000
+    max_lease_ms: int = 10_000
+    duty_lease_ms: int = 3000
+    visible_ms: int = 3000
+    status_ms: int = 120_000
+    stop_ms: int = 200
+    move_ms: int = 1500
+    upkeep_ms: int = 2000
+    notice_ms: int = 4500
+    harm_ms: int = 4000
+    heartbeat_ms: int = 1500
+    # Outlives a take-over of the pool, which takes about two times to live.
+    lease_ms: int = 5000
+    # Reports of workers are this old at most when a pool changes its owner.
+    settle_ms: int = 300
+
+    @property
+    def run_lease_ms(self) -> int:
+        """Return the lease of what runs on a worker."""
+        return min(self.lease_ms, self.max_lease_ms)
--- /dev/null
+++ b/src/bergamotgap/pools/worker_link.py
@@ -0,0 +1,387 @@
+"""One life of a worker, as the pool's owner sees it: orders, lease, looks."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import TaskId, WorkerInfo, WorkerState
+from bergamotgap.domain.job_state import Task
+from bergamotgap.domain.task_placement import Room
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.ports.fleet import (
+    Accepted,
+    EndRow,
+    Lease,
+    Look,
+    OrderOutcome,
+    OtherInstance,
+    Refused,
+    RunRow,
+    StartOrder,
+    Unanswered,
+    WorkerOrders,
+)
+
+# A worker's steady clock may be this much slower than ours.
+CLOCK_DRIFT = 0.02
+# A look waits this long for an end; three renewals fit into a lease.
+LOOK_WAIT_MS = 1000
+# Ends of the same moment are read with one look.
+LOOK_GAP_MS = 40
+# A worker that did not answer is asked again after this time.
+RETRY_MS = 250
+# A worker that refused as unhealthy gets no work for this time.
+UNHEALTHY_MS = 1000
+FENCE = "fence"
+
+log = get_logger(__name__)
+
+
+@dataclass(eq=False)
+class LiveRun:
+    """A run that is or may be on the worker and holds room there.
+
+    `accepted_ms` is when its start was answered, `barred_ms` when a stop was.
+    """
+
+    task: Task
+    run: int
+    accepted_ms: int | None = None
+    barred_ms: int | None = None
+    is_stop_sent: bool = False
+
+
+@dataclass(frozen=True)
+class StopOrder:
+    """Stop a run and bar it."""
+
+    task_id: TaskId
+    run: int
+    live: LiveRun | None
+
+
+@dataclass(frozen=True)
+class PaceOrder:
+    """Let a task work at a share of its speed."""
+
+    task_id: TaskId
+    run: int
+    percent: int
+
+
+@dataclass(frozen=True)
+class StartCall:
+    """Start a run."""
+
+    live: LiveRun
+    payload: str
+    ticket: str
+
+
+class LinkEvents(Protocol):
+    """What the pool hears from its links."""
+
+    def note_started(self, link: "WorkerLink", live: LiveRun) -> None:
+        """Take an answered start."""
+
+    def note_not_started(
+        self, link: "WorkerLink", live: LiveRun, outcome: OrderOutcome
+    ) -> None:
+        """Take a start that was refused or not sent."""
+
+    def note_unknown(self, link: "WorkerLink", live: LiveRun) -> None:
+        """Take a start without an answer."""
+
+    def note_run(self, link: "WorkerLink", row: RunRow) -> None:
+        """Take a run that is on the worker."""
+
+    def note_end(self, link: "WorkerLink", row: EndRow) -> None:
+        """Take an end when it is first listed."""
+
+    def note_lost(self, link: "WorkerLink", live: LiveRun, reason: str) -> None:
+        """Take a run that is gone and left no end."""
+
+    def note_first_look(self, link: "WorkerLink") -> None:
+        """Take a worker that now refuses former owners."""
+
+    def note_superseded(self, source: str) -> None:
+        """Take the word that there is a newer owner."""
+
+    async def wait_for_journal(self) -> bool:
+        """Wait until what was heard lasts, for a bounded time; tell if it does."""
+
+
+class WorkerLink:
+    """Own the orders to one worker and the looks at it; one task for each."""
+
+    def __init__(
+        self,
+        info: WorkerInfo,
+        token: int,
+        orders: WorkerOrders,
+        events: LinkEvents,
+        settings: PoolSettings,
+        clock: Clock,
+    ) -> None:
+        self.info = info
+        self.room = Room(info)
+        self.live: dict[TaskId, LiveRun] = {}
+        self.has_looked = False
+        self.is_listed = True
+        self.leaving_until_ms = 0
+        self.held_out_until_ms = 0
+        self.failures_in_row = 0
+        self._token = token
+        self._orders = orders
+        self._events = events
+        self._settings = settings
+        self._clock = clock
+        self._queue: asyncio.Queue[StartCall | StopOrder | PaceOrder] = asyncio.Queue()
+        self._wake = asyncio.Event()
+        self._wake.set()
+        self._born_ms = 0
+        self._worker_clock: tuple[int, int] | None = None
+        self._seen = 0
+        self._acked = 0
+        self.answered_ms = clock.monotonic_ms()
+        # A former owner may have renewed until this one was seen.
+        self.lease_end_ms = self.answered_ms + 2 * settings.run_lease_ms
+
+    @property
+    def worker_id(self) -> str:
+        """Return the worker's id."""
+        return self.info.worker_id
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Tell whether the worker may get new work."""
+        return (
+            self.has_looked
+            and self.is_listed
+            and now_ms >= self.leaving_until_ms
+            and self.info.state is WorkerState.READY
+            and now_ms >= self.held_out_until_ms
+        )
+
+    def wake(self) -> None:
+        """Look now if the worker was idle."""
+        self._wake.set()
+
+    def start(self, task: Task, run: int, payload: str, ticket: str = "") -> None:
+        """Hold room and queue the order."""
+        live = LiveRun(task, run)
+        self.add_live(live)
+        self._queue.put_nowait(StartCall(live, payload, ticket))
+
+    def add_live(self, live: LiveRun) -> None:
+        """Hold room for a run."""
+        self.live[live.task.task_id] = live
+        self.room.take(live.task)
+
+    def drop_live(self, live: LiveRun) -> None:
+        """Give the room of a run back."""
+        if self.live.get(live.task.task_id) is live:
+            del self.live[live.task.task_id]
+            self.room.release(live.task)
+
+    def stop(self, task_id: TaskId, run: int) -> None:
+        """Queue a stop."""
+        live = self.live.get(task_id)
+        if live is not None and live.run == run:
+            if live.is_stop_sent:
+                return
+            live.is_stop_sent = True
+        else:
+            live = None
+        self._queue.put_nowait(StopOrder(task_id, run, live))
+        self.wake()
+
+    def pace(self, task: Task, percent: int) -> None:
+        """Queue a change of a task's speed."""
+        task.pace = percent
+        self._queue.put_nowait(PaceOrder(task.task_id, task.run, percent))
+
+    def leave_for(self, duration_ms: int) -> None:
+        """Give the worker no new work for a time, since it is to be emptied."""
+        self.leaving_until_ms = self._clock.monotonic_ms() + duration_ms
+
+    def hold_out(self, duration_ms: int) -> None:
+        """Give the worker no new work for a time."""
+        until_ms = self._clock.monotonic_ms() + duration_ms
+        self.held_out_until_ms = max(self.held_out_until_ms, until_ms)
+
+    async def run_orders(self) -> None:
+        """Send one order after the other."""
+        while True:
+            order = await self._queue.get()
+            if isinstance(order, StartCall):
+                await self._send_start(order)
+            elif isinstance(order, StopOrder):
+                await self._send_stop(order)
+            else:
+                await self._orders.pace(
+                    self.info, order.task_id, order.run, order.percent, self._token
+                )
+
+    async def _send_start(self, call: StartCall) -> None:
+        live, task = call.live, call.live.task
+        if self.live.get(task.task_id) is not live or live.is_stop_sent:
+            self._events.note_not_started(self, live, Unanswered(was_sent=False))
+            return
+        lease = self._build_lease()
+        order = StartOrder(
+            task.task_id, live.run, call.payload, task.checkpoint, call.ticket
+        )
+        outcome = await self._orders.start(self.info, order, lease)
+        now_ms = self._clock.monotonic_ms()
+        self._note_clock(outcome, now_ms)
+        match outcome:
+            case Accepted():
+                live.accepted_ms = now_ms
+                self._events.note_started(self, live)
+                self.wake()
+            case Unanswered(was_sent=True):
+                self.hold_out(RETRY_MS)
+                self._events.note_unknown(self, live)
+            case Refused(reason="fence"):
+                self._events.note_superseded(f"worker {self.worker_id}")
+            case _:
+                if isinstance(outcome, Refused) and outcome.reason == "busy":
+                    self.hold_out(UNHEALTHY_MS)
+                elif not isinstance(outcome, Refused):
+                    self.hold_out(RETRY_MS)
+                self.drop_live(live)
+                self._events.note_not_started(self, live, outcome)
+
+    async def _send_stop(self, order: StopOrder) -> None:
+        live = order.live
+        if live is not None and self.live.get(order.task_id) is not live:
+            return
+        outcome = await self._orders.stop(
+            self.info, order.task_id, order.run, self._token
+        )
+        self._note_clock(outcome, self._clock.monotonic_ms())
+        match outcome:
+            case Accepted():
+                if live is not None:
+                    live.barred_ms = self._clock.monotonic_ms()
+            case Refused(reason="fence"):
+                self._events.note_superseded(f"worker {self.worker_id}")
+            case _ if live is not None:
+                # Sent again after the next look, while the lease may still run.
+                live.is_stop_sent = False
+        self.wake()
+
+    async def run_looks(self) -> None:
+        """Renew the lease and read ends, while anything runs or waits for a look."""
+        while True:
+            if self.has_looked and not self.live and self._seen == self._acked:
+                self._wake.clear()
+                await self._wake.wait()
+            has_answered = await self._look()
+            if not has_answered:
+                await self._clock.sleep_ms(RETRY_MS)
+                self._expire_runs()
+                continue
+            lasts = await self._events.wait_for_journal()
+            if lasts:
+                self._acked = self._seen
+            await self._clock.sleep_ms(LOOK_GAP_MS if lasts else LOOK_WAIT_MS / 2)
+
+    async def _look(self) -> bool:
+        sent_ms = self._clock.monotonic_ms()
+        has_barred = any(live.is_stop_sent for live in self.live.values())
+        # A stop's end is listed within its own time; the first look is at once.
+        wait_ms = LOOK_WAIT_MS
+        if not self.has_looked or not self.live:
+            wait_ms = 0
+        elif has_barred:
+            wait_ms = self._settings.stop_ms
+        outcome = await self._orders.hold(
+            self.info, self._build_lease(), self._acked, wait_ms
+        )
+        now_ms = self._clock.monotonic_ms()
+        match outcome:
+            case Look():
+                self._note_look(outcome, sent_ms, now_ms)
+                return True
+            case Refused(reason="fence"):
+                self._events.note_superseded(f"worker {self.worker_id}")
+                return False
+            case OtherInstance():
+                self.lease_end_ms = min(self.lease_end_ms, now_ms)
+                self.is_listed = False
+                self._expire_runs()
+                return False
+            case _:
+                self.hold_out(2 * RETRY_MS)
+                return False
+
+    def _note_look(self, look: Look, sent_ms: int, now_ms: int) -> None:
+        if self._born_ms and look.born_ms != self._born_ms:
+            log.warning("worker restarted", worker=self.worker_id, runs=len(self.live))
+            self._seen = self._acked = 0
+            for live in list(self.live.values()):
+                if live.accepted_ms is not None or live.is_stop_sent:
+                    self._lose(live, "restart")
+        self._born_ms = look.born_ms
+        self._worker_clock = (look.clock_ms, now_ms)
+        self.answered_ms = now_ms
+        for end in look.ended:
+            if end.number > self._seen:
+                self._seen = end.number
+                self._events.note_end(self, end)
+        running = {(row.task, row.run) for row in look.running}
+        for row in look.running:
+            self._events.note_run(self, row)
+        for live in list(self.live.values()):
+            if (live.task.task_id, live.run) not in running:
+                self._check_missing(live, sent_ms)
+        if not self.has_looked:
+            self.has_looked = True
+            self._events.note_first_look(self)
+
+    def _check_missing(self, live: LiveRun, sent_ms: int) -> None:
+        barred_ms = live.barred_ms
+        if barred_ms is not None and sent_ms > barred_ms + self._settings.stop_ms:
+            self._lose(live, "stopped")
+        elif (
+            barred_ms is None
+            and live.accepted_ms is not None
+            and live.accepted_ms < sent_ms
+        ):
+            self._lose(live, "vanished")
+
+    def _lose(self, live: LiveRun, reason: str) -> None:
+        self.drop_live(live)
+        self._events.note_lost(self, live, reason)
+
+    def _expire_runs(self) -> None:
+        if self._clock.monotonic_ms() < self.lease_end_ms:
+            return
+        for live in list(self.live.values()):
+            self._lose(live, "lease_ended")
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing can run there and the worker has left."""
+        is_past = self._clock.monotonic_ms() >= self.lease_end_ms
+        return not self.is_listed and not self.live and (self.has_looked or is_past)
+
+    def _build_lease(self) -> Lease:
+        if self._worker_clock is None:
+            return Lease(self._token, 0)
+        clock_ms, at_ms = self._worker_clock
+        passed_ms = self._clock.monotonic_ms() - at_ms
+        left_ms = self._settings.run_lease_ms
+        deadline_ms = int(clock_ms + passed_ms * (1 - CLOCK_DRIFT) + left_ms)
+        end_ms = at_ms + int((deadline_ms - clock_ms) / (1 - CLOCK_DRIFT)) + 1
+        self.lease_end_ms = max(self.lease_end_ms, end_ms) if self.live else end_ms
+        return Lease(self._token, deadline_ms)
+
+    def _note_clock(self, outcome: OrderOutcome, now_ms: int) -> None:
+        clock_ms = getattr(outcome, "clock_ms", None)
+        if clock_ms:
+            self._worker_clock = (clock_ms, now_ms)
+            self.answered_ms = now_ms
--- /dev/null
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -0,0 +1,137 @@
+"""Messages between the nodes that own pools."""
+
+from typing import Protocol
+
+import msgspec
+
+from bergamotgap.domain.fleet import JobPhase, JobSpec
+
+
+class PeerCallError(Exception):
+    """A call to a peer failed; `was_sent` tells whether it may have taken effect."""
+
+    def __init__(self, reason: str, was_sent: bool) -> None:
+        super().__init__(reason)
+        self.was_sent = was_sent
+
+
+class SubmitCall(msgspec.Struct, frozen=True, tag="submit"):
+    """Accept a job into a pool."""
+
+    pool: str
+    spec: JobSpec
+
+
+class StateCall(msgspec.Struct, frozen=True, tag="state"):
+    """Tell the state of a job."""
+
+    pool: str
+    job_id: str
+
+
+class CancelCall(msgspec.Struct, frozen=True, tag="cancel"):
+    """Cancel a job."""
+
+    pool: str
+    job_id: str
+
+
+class WaitingCall(msgspec.Struct, frozen=True, tag="waiting"):
+    """Count the waiting jobs of a queue."""
+
+    pool: str
+    queue: str
+
+
+class VacateCall(msgspec.Struct, frozen=True, tag="vacate"):
+    """Empty a worker within its tasks' limits; asked again until it is empty.
+
+    Without `may_stop` only a worker that runs nothing is given away.
+    """
+
+    pool: str
+    worker_id: str
+    may_stop: bool
+
+
+class DemandCall(msgspec.Struct, frozen=True, tag="demand"):
+    """Tell what a pool needs and has."""
+
+    pool: str
+
+
+class AcceptedReply(msgspec.Struct, frozen=True, tag="accepted"):
+    """The job lasts."""
+
+    is_new: bool
+
+
+class NotAcceptedReply(msgspec.Struct, frozen=True, tag="not_accepted"):
+    """The job was not accepted and never runs; come back after `retry_ms`."""
+
+    reason: str
+    retry_ms: int
+
+
+class StateReply(msgspec.Struct, frozen=True, tag="state_is"):
+    """State of a job."""
+
+    phase: JobPhase
+
+
+class NoJobReply(msgspec.Struct, frozen=True, tag="no_job"):
+    """No such job was accepted, as of this call."""
+
+
+class CancelledReply(msgspec.Struct, frozen=True, tag="cancelled"):
+    """The job has ended, and that lasts."""
+
+
+class CountReply(msgspec.Struct, frozen=True, tag="count"):
+    """Number of jobs."""
+
+    count: int
+
+
+class VacatedReply(msgspec.Struct, frozen=True, tag="vacated"):
+    """Tell whether the worker is empty and gets no work for a few seconds."""
+
+    is_empty: bool
+
+
+class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
+    """Cores in 1/1000: wanted now, of the usable workers; and the idle workers."""
+
+    wanted_cpu: int
+    capacity_cpu: int
+    idle_workers: tuple[str, ...]
+
+
+class NotOwnerReply(msgspec.Struct, frozen=True, tag="not_owner"):
+    """The receiver does not own the pool."""
+
+
+class UnsureReply(msgspec.Struct, frozen=True, tag="unsure"):
+    """The receiver owns the pool but can't rule out a newer owner."""
+
+
+PoolCall = SubmitCall | StateCall | CancelCall | WaitingCall | VacateCall | DemandCall
+PoolReply = (
+    AcceptedReply
+    | NotAcceptedReply
+    | StateReply
+    | NoJobReply
+    | CancelledReply
+    | CountReply
+    | VacatedReply
+    | DemandReply
+    | NotOwnerReply
+    | UnsureReply
+)
+
+
+class PoolPeers(Protocol):
+    """Calls to the owners of pools."""
+
+    async def call(self, address: str, call: PoolCall, timeout_ms: int) -> PoolReply:
+        """Send a call to a peer; raises PeerCallError."""
