Size pools by their present demand; count every task that is not at work

Cause: static pools hold 24 hosts while one queue at a time asks for ten, and a queue at its peak waits for its own six.

Hosts of pools with a surplus move once their worker is idle; spare ones go first; idle hosts go back to the spare pool after 2 s. A worker that was given away gets no work until its report has lapsed, else its host was moved twice.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "target" / "app"))
 
-from bergamotgap.cli.main import main  # noqa: E402
+from bergamotgap.cli.main import main
 
 main()
--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -1,6 +1,6 @@
 """Queues, services, workers and jobs of several steps."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -175,4 +175,4 @@
     state: str
     worker_id: str
     data_centre: str
-    labels: frozenset[str] = field(default_factory=frozenset)
+    cpu: int = 0
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -59,8 +59,7 @@
     progress_ms: int = 0
     figure: int = 0
     pace: int = 100
-    is_away_by_order: bool = False
-    away_since_ms: int = 0
+    waits_since_ms: int = 0
     failed_on: set[str] = field(default_factory=set)
 
     @property
@@ -78,7 +77,7 @@
         if checkpoint:
             self.checkpoint = checkpoint
         if self.is_active:
-            self.away_since_ms = now_ms
+            self.waits_since_ms = now_ms
         self.phase = TaskPhase.WAITING
         self.worker_id = ""
         self.percent = 0
@@ -204,15 +203,6 @@
         self.ended_ms = wall_ms
         self.failure = reason
 
-    def list_away(self, step: StepRun, now_ms: int, notice_ms: int) -> list[Task]:
-        """Return the tasks of a lasting step that count against what it may miss."""
-        return [
-            task
-            for task in step.tasks
-            if not task.is_at_work
-            and (task.is_away_by_order or now_ms - task.away_since_ms >= notice_ms)
-        ]
-
     def get_step(self, task: Task) -> StepRun:
         """Return the step of a task."""
         return self._steps[(task.task_id.occurrence, task.task_id.step)]
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -87,7 +87,7 @@
     """Return the worker for a task, or None if none has room.
 
     Short tasks fill the fullest worker that fits, so that others stay empty and can
-    move; lasting tasks spread, so that the loss of one worker costs few of them.
+    move; lasting tasks share two workers, so that the loss of one costs half of them.
     """
     step = task.step
     size = step.size
@@ -115,7 +115,9 @@
     if step.is_filler:
         return (has_failed, is_slow, is_far, room.serving, room.fillers)
     if step.is_lasting:
-        return (has_failed, is_slow, is_far, room.tasks_of_step[key], -room.free_cpu)
+        # Half of a step on one worker at most; the other workers stay free to move.
+        is_crowded = room.tasks_of_step[key] >= (step.count + 1) // 2
+        return (has_failed, is_slow, is_far, is_crowded, room.free_cpu)
     return (has_failed, is_slow, is_far, room.free_cpu)
 
 
--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -107,7 +107,7 @@
     pool: str = ""
     state: str = ""
     zone: str = ""
-    labels: list[str] = []
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     id: str | None = ""
 
 
@@ -126,7 +126,7 @@
                 host.state,
                 host.id or "",
                 host.zone,
-                frozenset(host.labels),
+                host.capacity.cpu,
             )
             for host in self.machines
         ]
--- /dev/null
+++ b/src/bergamotgap/pools/asking.py
@@ -0,0 +1,8 @@
+"""How the holder of the hosts' duty asks the owners of pools."""
+
+from collections.abc import Awaitable, Callable
+
+from bergamotgap.ports.pool_peer import PoolCall, PoolReply
+
+# Returns the owner's reply, or why there is none.
+AskOwner = Callable[[PoolCall], Awaitable[PoolReply | str]]
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -32,7 +32,7 @@
 from bergamotgap.ports.pool_peer import PoolCall, PoolReply
 
 # A drain must be known well within the time that a worker still serves.
-WORKERS_POLL_MS = 500
+WORKERS_POLL_MS = 200
 RETRY_MS = 200
 FLUSH_MS = 400
 DUTY_CALL_MS = 1000
--- a/src/bergamotgap/pools/host_duty.py
+++ b/src/bergamotgap/pools/host_duty.py
@@ -11,16 +11,17 @@
     list_candidates,
     note_returned,
 )
+from bergamotgap.pools.asking import AskOwner
 from bergamotgap.pools.directory import Directory
+from bergamotgap.pools.pool_moves import PoolMoves
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import Machines, MachinesUnavailableError, StoreError
-from bergamotgap.ports.pool_peer import PoolCall, PoolReply, VacateCall, VacatedReply
+from bergamotgap.ports.pool_peer import VacateCall, VacatedReply
 
 HOSTS_POOL = "@hosts"
 ROUND_MS = 250
 
 log = get_logger(__name__)
-AskOwner = Callable[[PoolCall], Awaitable[PoolReply | str]]
 ReportWave = Callable[[Wave, bool], Awaitable[None]]
 
 
@@ -50,6 +51,7 @@
         self._may_order_ms = clock.monotonic_ms() + wait_ms
         self._progress: dict[int, WaveProgress] = {}
         self._reported: dict[int, bool] = {}
+        self._moves = PoolMoves(machines, ask_owner, token, settings.move_ms, clock)
 
     async def run(self) -> None:
         """Work on waves until cancelled."""
@@ -60,38 +62,43 @@
             if self._clock.monotonic_ms() < self._may_order_ms:
                 continue
             try:
-                await self._work_on_waves()
+                hosts = {i.host: i for i in await self._machines.list_hosts()}
+                kept = await self._work_on_waves(hosts)
+                if self._directory.config is not None:
+                    await self._moves.work(self._directory.config, hosts, kept)
             except MachinesUnavailableError as error:
                 log.warning("machines unavailable", error=str(error))
 
-    async def _work_on_waves(self) -> None:
+    async def _work_on_waves(self, hosts: dict[str, HostInfo]) -> set[str]:
+        """Carry out upkeep; return the hosts that must not move meanwhile."""
         open_waves = [
             wave
             for wave in self._directory.waves.values()
             if not self._reported.get(wave.number, False)
         ]
-        if not open_waves:
-            return
-        hosts = {info.host: info for info in await self._machines.list_hosts()}
+        kept: set[str] = set()
         for wave in open_waves:
-            await self._work_on_wave(wave, hosts)
+            kept |= await self._work_on_wave(wave, hosts)
+        return kept
 
-    async def _work_on_wave(self, wave: Wave, hosts: dict[str, HostInfo]) -> None:
+    async def _work_on_wave(self, wave: Wave, hosts: dict[str, HostInfo]) -> set[str]:
         progress = self._progress.setdefault(wave.number, WaveProgress())
         now_ms = self._clock.monotonic_ms()
         note_returned(progress, hosts, now_ms, self._settings.upkeep_ms)
         if is_wave_completed(wave, progress, hosts):
             await self._report(wave, is_completed=True)
-            return
+            return set()
         if wave.number not in self._reported:
             await self._report(wave, is_completed=False)
         config = self._directory.config
         spare = config.spare_services if config else frozenset()
-        for info in list_candidates(wave, progress, hosts, spare):
+        candidates = list_candidates(wave, progress, hosts, spare)
+        for info in candidates:
             is_empty = info.pool in spare or await self._vacate(info)
             if len(progress.list_in_upkeep()) >= wave.cap or not is_empty:
                 continue
             await self._maintain(wave, info, progress)
+        return progress.list_in_upkeep() | {info.host for info in candidates}
 
     async def _maintain(
         self, wave: Wave, info: HostInfo, progress: WaveProgress
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -1,14 +1,14 @@
 """Jobs of one pool: accepted, ended, restored from the log."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.fleet import JobPhase, JobSpec
+from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec
 from bergamotgap.domain.job_state import Job, JobProgress
 from bergamotgap.pools.journal import Journal
 
@@ -114,7 +114,10 @@
         await self._journal.wait(change)
         if is_new:
             log.info(
-                "accepted", job=spec.job_id, queue=spec.queue, steps=len(spec.steps)
+                "accepted",
+                job=spec.job_id,
+                queue=spec.queue,
+                steps=",".join(describe_step(step) for step in spec.steps),
             )
             if not job.phase.is_final:
                 job.open_due(self._clock.wall_ms())
@@ -199,6 +202,10 @@
         return dict(Counter(job.phase.value for job in self._jobs.values()))
 
 
-def list_open(jobs: Iterable[Job]) -> list[Job]:
-    """Return the jobs that have not ended."""
-    return [job for job in jobs if not job.phase.is_final]
+def describe_step(step: StepSpec) -> str:
+    """Return tasks, 1/1000 cores and estimated ms of a step, and its kind."""
+    kind = "f" if step.is_filler else "l" if step.is_lasting else ""
+    gang = "g" if step.is_gang else ""
+    spread = f"/{step.max_per_host}" if step.max_per_host else ""
+    missing = f"-{step.may_miss}" if step.may_miss else ""
+    return f"{step.count}{spread}{missing}x{step.cpu}x{step.estimated_ms}{kind}{gang}"
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -10,6 +10,7 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job, StepRun, Task, TaskPhase
+from bergamotgap.domain.pool_sizes import IdleHost
 from bergamotgap.domain.task_placement import choose_room, place_gang, rank_job
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
@@ -23,8 +24,10 @@
 TICK_MS = 200
 # Placements of the same moment are decided in one pass.
 PASS_GAP_MS = 5
-# A worker that was asked to empty itself gets no work for this long, unless asked again.
-LEAVE_MS = 2500
+# The report of a worker that was moved away stays listed for three heartbeats; so long
+# and some rounds more a worker that was given away gets no work.
+LAPSE_HEARTBEATS = 3
+LEAVE_MS = 1000
 
 log = get_logger(__name__)
 
@@ -221,21 +224,17 @@
             return VacatedReply(True)
         if link.live and not may_stop:
             return VacatedReply(False)
-        link.leave_for(LEAVE_MS)
+        link.leave_for(LAPSE_HEARTBEATS * self._settings.heartbeat_ms + LEAVE_MS)
         for live in list(link.live.values()):
             if live.task.step.is_lasting and self._may_stop(live.task):
-                live.task.is_away_by_order = True
                 self.runs.stop(live.task)
         return VacatedReply(not link.live)
 
     def _may_stop(self, task: Task) -> bool:
-        if not task.is_at_work:
-            return True
-        job = self.table.jobs[task.task_id.job]
-        away = job.list_away(
-            job.get_step(task), self._clock.monotonic_ms(), self._settings.notice_ms
-        )
-        return len(away) < max(1, task.step.may_miss)
+        # Reports are a look old, so a task may be at work before it is seen to be.
+        others = self.table.jobs[task.task_id.job].get_step(task).tasks
+        away = sum(not other.is_at_work for other in others if other is not task)
+        return away < max(1, task.step.may_miss)
 
     def measure_demand(self) -> DemandReply:
         """Return the cores that waiting and running tasks ask for, and idle workers."""
@@ -248,9 +247,18 @@
             for task in step.tasks
             if task.phase is TaskPhase.WAITING
         )
-        idle = tuple(link.worker_id for link in links if not link.live)
+        idle = tuple(
+            IdleHost(
+                link.info.host,
+                link.worker_id,
+                link.info.capacity.cpu,
+                now_ms - link.idle_since_ms,
+            )
+            for link in links
+            if not link.live
+        )
         capacity = sum(link.info.capacity.cpu for link in links)
-        return DemandReply(wanted, capacity, idle)
+        return DemandReply(wanted, capacity, len(links), idle)
 
     def dump(self) -> dict[str, Any]:
         """Return the pool's state for a state dump."""
--- /dev/null
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -0,0 +1,146 @@
+"""Moves of hosts between pools, as their demand turns."""
+
+from collections.abc import Mapping
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import FleetConfig, HostInfo
+from bergamotgap.domain.pool_sizes import Move, PoolDemand, SpareHost, plan_moves
+from bergamotgap.domain.upkeep_plan import UP
+from bergamotgap.pools.asking import AskOwner
+from bergamotgap.ports.fleet import Machines
+from bergamotgap.ports.pool_peer import (
+    DemandCall,
+    DemandReply,
+    VacateCall,
+    VacatedReply,
+)
+
+# A moved host's worker reports within this time after the move, or is not counted.
+ARRIVAL_SLACK_MS = 1500
+UNKNOWN = "unknown"
+# Sizes of pools are logged this often.
+SIZES_LOG_MS = 1000
+
+log = get_logger(__name__)
+
+
+class PoolMoves:
+    """Decide and order moves; remembers the hosts that are on their way."""
+
+    def __init__(
+        self,
+        machines: Machines,
+        ask_owner: AskOwner,
+        token: int,
+        move_ms: int,
+        clock: Clock,
+    ) -> None:
+        self._machines = machines
+        self._ask_owner = ask_owner
+        self._token = token
+        self._move_ms = move_ms
+        self._clock = clock
+        # Target and ms of our clock of each move under way.
+        self._moving: dict[str, tuple[str, int, int]] = {}
+        self._logged_ms = 0
+        self._refused: set[tuple[str, str]] = set()
+
+    async def work(
+        self, config: FleetConfig, hosts: Mapping[str, HostInfo], kept: set[str]
+    ) -> None:
+        """Order the moves that demand asks for; `kept` hosts stay where they are."""
+        self._forget_arrived(hosts)
+        demands = await self._read_demands(config, hosts, kept)
+        self._log_sizes(demands)
+        spare = [
+            SpareHost(info.host, info.pool, info.cpu)
+            for info in hosts.values()
+            if info.pool in config.spare_services
+            and info.state == UP
+            and info.host not in kept
+            and info.host not in self._moving
+        ]
+        spare_pool = min(config.spare_services, default="")
+        for move in plan_moves(demands, spare, spare_pool):
+            if (move.host, move.target) not in self._refused:
+                await self._order(move, hosts)
+
+    async def _read_demands(
+        self, config: FleetConfig, hosts: Mapping[str, HostInfo], kept: set[str]
+    ) -> list[PoolDemand]:
+        demands = []
+        for pool in sorted(set(config.services) - config.spare_services):
+            reply = await self._ask_owner(DemandCall(pool))
+            if not isinstance(reply, DemandReply):
+                continue
+            idle = tuple(
+                host
+                for host in reply.idle
+                if host.host in hosts
+                and hosts[host.host].worker_id == host.worker_id
+                and host.host not in kept
+            )
+            demands.append(
+                PoolDemand(
+                    pool,
+                    reply.wanted_cpu,
+                    reply.capacity_cpu,
+                    sum(cpu for to, _, cpu in self._moving.values() if to == pool),
+                    reply.workers,
+                    idle,
+                )
+            )
+        return demands
+
+    def _log_sizes(self, demands: list[PoolDemand]) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._logged_ms < SIZES_LOG_MS:
+            return
+        self._logged_ms = now_ms
+        for demand in demands:
+            log.info(
+                "pool size",
+                pool=demand.pool,
+                wanted_cpu=demand.wanted_cpu,
+                capacity_cpu=demand.capacity_cpu,
+                arriving_cpu=demand.arriving_cpu,
+                idle=len(demand.idle),
+            )
+
+    async def _order(self, move: Move, hosts: Mapping[str, HostInfo]) -> None:
+        if move.worker_id:
+            reply = await self._ask_owner(
+                VacateCall(move.source, move.worker_id, may_stop=False)
+            )
+            if not isinstance(reply, VacatedReply) or not reply.is_empty:
+                return
+        now_ms = self._clock.monotonic_ms()
+        cpu = hosts[move.host].cpu
+        self._moving[move.host] = (move.target, now_ms, cpu)
+        reason = await self._machines.move(move.host, move.target, self._token)
+        log.info(
+            "move",
+            host=move.host,
+            source=move.source,
+            target=move.target,
+            refused=reason,
+        )
+        if reason:
+            del self._moving[move.host]
+        if reason == UNKNOWN:
+            self._refused.add((move.host, move.target))
+
+    def _forget_arrived(self, hosts: Mapping[str, HostInfo]) -> None:
+        now_ms = self._clock.monotonic_ms()
+        for host, (target, at_ms, _) in list(self._moving.items()):
+            info = hosts.get(host)
+            has_arrived = (
+                info is not None
+                and info.pool == target
+                and info.state == UP
+                and now_ms - at_ms >= self._move_ms
+            )
+            limit_ms = self._move_ms + ARRIVAL_SLACK_MS
+            if has_arrived or info is None or now_ms - at_ms > limit_ms:
+                del self._moving[host]
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -89,9 +89,8 @@
         """Take over the list of the pool's workers."""
         for worker_id, info in workers.items():
             link = self.links.get(worker_id)
-            if link is not None and link.info.address != info.address:
-                link.is_listed = False
-                continue
+            if link is not None and link.info.born_ms != info.born_ms:
+                link.begin_life(info)
             if link is None:
                 self._add_link(info)
                 continue
@@ -243,8 +242,6 @@
         task.percent = row.percent
         task.figure = row.figure
         task.checkpoint = row.checkpoint or task.checkpoint
-        if task.is_at_work:
-            task.is_away_by_order = False
 
     def _note_found(self, link: WorkerLink, row: RunRow) -> None:
         job = self._table.jobs.get(row.task.job)
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -145,7 +145,7 @@
         self._worker_clock: tuple[int, int] | None = None
         self._seen = 0
         self._acked = 0
-        self.answered_ms = clock.monotonic_ms()
+        self.answered_ms = self.idle_since_ms = clock.monotonic_ms()
         # A former owner may have renewed until this one was seen.
         self.lease_end_ms = self.answered_ms + 2 * settings.run_lease_ms
 
@@ -184,6 +184,7 @@
         if self.live.get(live.task.task_id) is live:
             del self.live[live.task.task_id]
             self.room.release(live.task)
+            self.idle_since_ms = self._clock.monotonic_ms()
 
     def stop(self, task_id: TaskId, run: int) -> None:
         """Queue a stop."""
@@ -206,6 +207,18 @@
         """Give the worker no new work for a time, since it is to be emptied."""
         self.leaving_until_ms = self._clock.monotonic_ms() + duration_ms
 
+    def begin_life(self, info: WorkerInfo) -> None:
+        """Use a new life of the worker; what ran in the former one is gone."""
+        log.info("worker reborn", worker=self.worker_id, runs=len(self.live))
+        self.info = self.room.info = info
+        for live in list(self.live.values()):
+            self._lose(live, "restart")
+        self.has_looked = False
+        self.leaving_until_ms = self.held_out_until_ms = 0
+        self._seen = self._acked = self._born_ms = 0
+        self._worker_clock = None
+        self.wake()
+
     def hold_out(self, duration_ms: int) -> None:
         """Give the worker no new work for a time."""
         until_ms = self._clock.monotonic_ms() + duration_ms
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bergamotgap.domain.fleet import JobPhase, JobSpec
+from bergamotgap.domain.pool_sizes import IdleHost
 
 
 class PeerCallError(Exception):
@@ -104,7 +105,8 @@
 
     wanted_cpu: int
     capacity_cpu: int
-    idle_workers: tuple[str, ...]
+    workers: int
+    idle: tuple[IdleHost, ...]
 
 
 class NotOwnerReply(msgspec.Struct, frozen=True, tag="not_owner"):
