Let an owner act only while no successor can have begun

An owner in a zone that was cut off took the lease of a worker for ended that its successor renewed, and ran the tasks again.

Without the log an owner now acts only while most of the pool's workers take its token; a successor repeats work only after it has looked at most of them and the owner's sign has run out. A silent worker gets no later lease. Demand is read every 100 ms and its growth counts by the number of jobs that make it up.

Ruled out: the membership's time to live alone, since it can be revoked at once.

--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -1,5 +1,6 @@
 """How many hosts each pool holds, and which hosts move; pure decisions."""
 
+from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -7,7 +8,11 @@
 HEADROOM = 1.1
 # Two moves cost about as much as two seconds of a host in a pool, so a host that idles
 # for less is not worth returning.
-RETURN_IDLE_MS = 2000
+RETURN_IDLE_MS = 1500
+# Growth of demand is measured over this time.
+GROWTH_MS = 600
+# A growth that this many jobs make up is trusted by half.
+HALF_TRUST_ARRIVALS = 1
 
 
 @dataclass(frozen=True)
@@ -38,6 +43,31 @@
         return self.wanted_cpu * HEADROOM - held
 
 
+class DemandHistory:
+    """Recent demand of one pool, and the demand that follows if it goes on growing."""
+
+    def __init__(self) -> None:
+        self._points: deque[tuple[int, int]] = deque()
+
+    def forecast(
+        self, now_ms: int, wanted_cpu: int, arrivals: int, lead_ms: int
+    ) -> int:
+        """Return the demand in `lead_ms`, at least the present one.
+
+        The growth counts by the share to which it is trusted: that of one large job
+        says little about what follows, that of many small ones does.
+        """
+        points = self._points
+        points.append((now_ms, wanted_cpu))
+        while len(points) > 2 and points[1][0] <= now_ms - GROWTH_MS:
+            points.popleft()
+        start_ms, start_cpu = points[0]
+        passed_ms = max(1, now_ms - start_ms)
+        growth = max(0, wanted_cpu - start_cpu) / max(passed_ms, GROWTH_MS / 2)
+        trust = arrivals / (arrivals + HALF_TRUST_ARRIVALS)
+        return wanted_cpu + int(growth * lead_ms * trust)
+
+
 @dataclass(frozen=True)
 class SpareHost:
     """A host of a spare pool that may be used."""
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -32,7 +32,7 @@
 from bergamotgap.ports.pool_peer import PoolCall, PoolReply
 
 # A drain must be known well within the time that a worker still serves.
-WORKERS_POLL_MS = 200
+WORKERS_POLL_MS = 100
 RETRY_MS = 200
 FLUSH_MS = 400
 DUTY_CALL_MS = 1000
@@ -190,12 +190,13 @@
     async def _run_pool(self, name: str, claim: Claim, lost: asyncio.Event) -> None:
         pool = Pool(
             name,
-            Term(claim.token, claim.term),
+            Term(claim.token, claim.term, claim.is_clean),
             self._ports.store,
             choose_partition(name, self._settings.log_parts),
             self._ports.orders,
             self._settings,
             self._clock,
+            lambda: self.registry.joined_ms,
             lambda _: lost.set(),
         )
         async with pool:
--- a/src/bergamotgap/pools/host_duty.py
+++ b/src/bergamotgap/pools/host_duty.py
@@ -19,7 +19,7 @@
 from bergamotgap.ports.pool_peer import VacateCall, VacatedReply
 
 HOSTS_POOL = "@hosts"
-ROUND_MS = 250
+ROUND_MS = 100
 
 log = get_logger(__name__)
 ReportWave = Callable[[Wave, bool], Awaitable[None]]
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -144,6 +144,11 @@
             if job.phase is JobPhase.QUEUED and job.spec.queue == queue
         )
 
+    def count_new(self, period_ms: int) -> int:
+        """Return the number of jobs that arrived within a time before now."""
+        since_ms = self._clock.monotonic_ms() - period_ms
+        return sum(1 for job in self._jobs.values() if job.arrived_ms >= since_ms)
+
     def note_progress(self, job: Job) -> None:
         """Write what must last of an open job."""
         self._journal.put(
--- a/src/bergamotgap/pools/journal.py
+++ b/src/bergamotgap/pools/journal.py
@@ -110,6 +110,7 @@
         delay_ms = RETRY_MIN_MS
         fence = Fence(self._producer, self._epoch, self._sequence)
         while True:
+            sent_ms = self._clock.monotonic_ms()
             try:
                 await self._store.append(self._topic, self._part, records, fence=fence)
             except FencedError:
@@ -128,7 +129,7 @@
                     log.info("log regained", part=self._part)
                 self.is_failing = False
                 self._sequence = fence.sequence + 1
-                self.confirmed_ms = self._clock.monotonic_ms()
+                self.confirmed_ms = sent_ms
                 return True
             await self._clock.sleep_ms(delay_ms)
             delay_ms = min(2 * delay_ms, RETRY_MAX_MS)
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -28,6 +28,8 @@
 # and some rounds more a worker that was given away gets no work.
 LAPSE_HEARTBEATS = 3
 LEAVE_MS = 1000
+# Jobs that arrived within this time tell how far a growth of demand may be trusted.
+ARRIVALS_MS = 1000
 
 log = get_logger(__name__)
 
@@ -44,6 +46,7 @@
         orders: WorkerOrders,
         settings: PoolSettings,
         clock: Clock,
+        get_confirmed_ms: Callable[[], int],
         on_superseded: Callable[[str], None],
     ) -> None:
         self.service = service
@@ -54,6 +57,7 @@
         self._settings = settings
         self._clock = clock
         self._is_active = True
+        self._get_confirmed_ms = get_confirmed_ms
         self._on_superseded = on_superseded
         self._tasks: list[asyncio.Task[None]] = []
         producer = f"pool/{service}"
@@ -78,6 +82,7 @@
             self._orders,
             self._settings,
             self._clock,
+            self._get_confirmed_ms,
             self._note_superseded,
         )
         self.table.on_accepted = self.runs.changed.set
@@ -155,7 +160,7 @@
         while True:
             await self.runs.changed.wait()
             self.runs.changed.clear()
-            if self._is_active:
+            if self._is_active and self.runs.may_act():
                 self._place_all()
             await self._clock.sleep_ms(PASS_GAP_MS)
 
@@ -221,7 +226,9 @@
         """
         link = self.runs.links.get(worker_id)
         if link is None:
-            return VacatedReply(True)
+            # A worker that runs and is not listed yet is found within this time.
+            passed_ms = self._clock.monotonic_ms() - self.runs.started_ms
+            return VacatedReply(passed_ms > self._settings.run_lease_ms)
         if link.live and not may_stop:
             return VacatedReply(False)
         link.leave_for(LAPSE_HEARTBEATS * self._settings.heartbeat_ms + LEAVE_MS)
@@ -258,7 +265,9 @@
             if not link.live
         )
         capacity = sum(link.info.capacity.cpu for link in links)
-        return DemandReply(wanted, capacity, len(links), idle)
+        return DemandReply(
+            wanted, capacity, len(links), idle, self.table.count_new(ARRIVALS_MS)
+        )
 
     def dump(self) -> dict[str, Any]:
         """Return the pool's state for a state dump."""
--- a/src/bergamotgap/pools/pool_moves.py
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -1,14 +1,21 @@
 """Moves of hosts between pools, as their demand turns."""
 
+import asyncio
 from collections.abc import Mapping
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, HostInfo
-from bergamotgap.domain.pool_sizes import Move, PoolDemand, SpareHost, plan_moves
+from bergamotgap.domain.pool_sizes import (
+    DemandHistory,
+    Move,
+    PoolDemand,
+    SpareHost,
+    plan_moves,
+)
 from bergamotgap.domain.upkeep_plan import UP
 from bergamotgap.pools.asking import AskOwner
-from bergamotgap.ports.fleet import Machines
+from bergamotgap.ports.fleet import Machines, MachinesUnavailableError
 from bergamotgap.ports.pool_peer import (
     DemandCall,
     DemandReply,
@@ -21,6 +28,10 @@
 UNKNOWN = "unknown"
 # Sizes of pools are logged this often.
 SIZES_LOG_MS = 1000
+# Time from a worker's start to its first task: its report, the reading of it, a look.
+DISCOVERY_MS = 300
+# Moves ordered in one round; keeps within the platform's rate with ten rounds a second.
+MAX_MOVES = 6
 
 log = get_logger(__name__)
 
@@ -44,6 +55,7 @@
         # Target and ms of our clock of each move under way.
         self._moving: dict[str, tuple[str, int, int]] = {}
         self._logged_ms = 0
+        self._history: dict[str, DemandHistory] = {}
         self._refused: set[tuple[str, str]] = set()
 
     async def work(
@@ -62,16 +74,22 @@
             and info.host not in self._moving
         ]
         spare_pool = min(config.spare_services, default="")
-        for move in plan_moves(demands, spare, spare_pool):
-            if (move.host, move.target) not in self._refused:
-                await self._order(move, hosts)
+        moves = [
+            move
+            for move in plan_moves(demands, spare, spare_pool)
+            if (move.host, move.target) not in self._refused
+        ]
+        await asyncio.gather(*(self._order(move, hosts) for move in moves[:MAX_MOVES]))
 
     async def _read_demands(
         self, config: FleetConfig, hosts: Mapping[str, HostInfo], kept: set[str]
     ) -> list[PoolDemand]:
         demands = []
-        for pool in sorted(set(config.services) - config.spare_services):
-            reply = await self._ask_owner(DemandCall(pool))
+        pools = sorted(set(config.services) - config.spare_services)
+        replies = await asyncio.gather(
+            *(self._ask_owner(DemandCall(pool)) for pool in pools)
+        )
+        for pool, reply in zip(pools, replies, strict=True):
             if not isinstance(reply, DemandReply):
                 continue
             idle = tuple(
@@ -84,7 +102,12 @@
             demands.append(
                 PoolDemand(
                     pool,
-                    reply.wanted_cpu,
+                    self._history.setdefault(pool, DemandHistory()).forecast(
+                        self._clock.monotonic_ms(),
+                        reply.wanted_cpu,
+                        reply.arrivals,
+                        self._move_ms + DISCOVERY_MS,
+                    ),
                     reply.capacity_cpu,
                     sum(cpu for to, _, cpu in self._moving.values() if to == pool),
                     reply.workers,
@@ -118,7 +141,13 @@
         now_ms = self._clock.monotonic_ms()
         cpu = hosts[move.host].cpu
         self._moving[move.host] = (move.target, now_ms, cpu)
-        reason = await self._machines.move(move.host, move.target, self._token)
+        try:
+            reason = await self._machines.move(move.host, move.target, self._token)
+        except MachinesUnavailableError as error:
+            # It may have been executed; the host counts until it should be there.
+            reason = str(error)
+            log.warning("move unanswered", host=move.host, error=reason)
+            return
         log.info(
             "move",
             host=move.host,
--- a/src/bergamotgap/pools/registry.py
+++ b/src/bergamotgap/pools/registry.py
@@ -29,11 +29,15 @@
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
-    """Ownership of a pool; no owner if `member` is empty. `token` is unique, rises."""
+    """Ownership of a pool; no owner if `member` is empty. `token` is unique, rises.
+
+    `is_clean` tells that the former owner was known not to act any more.
+    """
 
     member: str
     token: int
     term: int
+    is_clean: bool = False
 
 
 @dataclass(frozen=True)
@@ -144,6 +148,7 @@
     async def run_membership(self) -> None:
         """Stay a member of the group; three renewals fit into its time to live."""
         while True:
+            sent_ms = self._clock.monotonic_ms()
             try:
                 generation = await self._store.join(self._member.name, self._generation)
                 if generation != self._generation or self._has_dead_owner():
@@ -152,7 +157,7 @@
                         log.info("members", count=len(members), generation=generation)
                     self._members = members
                 self._generation = generation
-                self.joined_ms = self._clock.monotonic_ms()
+                self.joined_ms = sent_ms
                 if self._joined_since_ms is None:
                     self._joined_since_ms = self.joined_ms
             except StoreError as error:
@@ -209,7 +214,8 @@
     async def _append(self, pool: str, member: str) -> None:
         end = self.follower.end or 0
         before = self._claims.get(pool)
-        claim = Claim(member, end + 1, (before.term if before else 0) + 1)
+        term = (before.term if before else 0) + 1
+        claim = Claim(member, end + 1, term, self._is_gone(before))
         record = KeyedRecord(pool, msgspec.msgpack.encode(claim))
         try:
             await self._store.append(OWNERS_TOPIC, 0, [record], at=end)
@@ -221,6 +227,16 @@
         except StoreError as error:
             log.warning("claim refused", pool=pool, at=end, error=str(error))
 
+    def _is_gone(self, claim: Claim | None) -> bool:
+        if claim is None or not claim.member:
+            return True
+        address = claim.member.partition("/")[0]
+        # Another life at its address proves that the former one has ended.
+        return any(
+            member != claim.member and member.partition("/")[0] == address
+            for member in self._members
+        )
+
     async def leave(self) -> None:
         """Leave the group and release all pools, so that others claim at once."""
         self._is_leaving = True
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -206,16 +206,18 @@
                 return NotAcceptedReply(outcome.reason, outcome.retry_ms)
             case StateCall():
                 phase = pool.table.get_phase(call.job_id)
-                if phase is not None:
-                    return StateReply(phase)
-                return NoJobReply() if await pool.confirm_owner() else UnsureReply()
+                return StateReply(phase) if phase else await _deny(pool)
             case CancelCall():
-                if await pool.cancel(call.job_id):
-                    return CancelledReply()
-                return NoJobReply() if await pool.confirm_owner() else UnsureReply()
+                is_known = await pool.cancel(call.job_id)
+                return CancelledReply() if is_known else await _deny(pool)
             case WaitingCall():
                 return CountReply(pool.table.count_waiting(call.queue))
             case VacateCall():
                 return pool.vacate(call.worker_id, call.may_stop)
             case DemandCall():
                 return pool.measure_demand()
+
+
+async def _deny(pool: Pool) -> NoJobReply | UnsureReply:
+    """Say that a job is not known, if no newer owner can know it."""
+    return NoJobReply() if await pool.confirm_owner() else UnsureReply()
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -30,16 +30,23 @@
 # A worker that fails this many runs in a row gets no work for a time.
 FAILURES_TO_HOLD_OUT = 3
 HOLD_OUT_MS = 4000
+# The list of workers is this old at most when a pool changes its owner; also the time
+# that an order takes to be answered.
+SETTLE_MS = 200
 
 log = get_logger(__name__)
 
 
 @dataclass(frozen=True)
 class Term:
-    """One time of ownership: `token` fences, `number` counts owners of the pool."""
+    """One time of ownership: `token` fences, `number` counts owners of the pool.
+
+    `is_clean` tells that the former owner was known not to act any more.
+    """
 
     token: int
     number: int
+    is_clean: bool
 
 
 class Runs:
@@ -53,6 +60,7 @@
         orders: WorkerOrders,
         settings: PoolSettings,
         clock: Clock,
+        get_confirmed_ms: Callable[[], int],
         on_superseded: Callable[[str], None],
     ) -> None:
         self._term = term
@@ -61,7 +69,10 @@
         self._orders = orders
         self._settings = settings
         self._clock = clock
+        self._get_confirmed_ms = get_confirmed_ms
         self._on_superseded = on_superseded
+        self._looked_ms = clock.monotonic_ms()
+        self._is_acting = True
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._config: FleetConfig | None = None
         self._queues: dict[str, Queue] = {}
@@ -122,21 +133,58 @@
             del self.links[link.worker_id]
             await cancel_tasks(self._tasks.pop(link.worker_id))
 
+    def is_confirmed(self) -> bool:
+        """Tell whether the log confirmed this owner a short time ago."""
+        confirmed_ms = max(self._get_confirmed_ms(), self._journal.confirmed_ms)
+        return self._clock.monotonic_ms() - confirmed_ms < self._settings.confirm_ms
+
+    def may_act(self) -> bool:
+        """Tell whether no successor can have begun to act.
+
+        Without the log, an owner acts while most of the pool's workers take its token:
+        a successor starts nothing before it has looked at most of them.
+        """
+        may_act = self.is_confirmed() or self._has_majority()
+        if may_act is not self._is_acting:
+            self._is_acting = may_act
+            log.warning("owner acts" if may_act else "owner waits", **self._count())
+        return may_act
+
+    def _has_majority(self) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        listed = [link for link in self.links.values() if link.is_listed]
+        heard = [
+            link
+            for link in listed
+            if link.has_looked and now_ms - link.answered_ms < self._settings.confirm_ms
+        ]
+        return 2 * len(heard) > len(listed)
+
+    def _count(self) -> dict[str, int]:
+        return {"workers": len(self.links), "confirmed": int(self.is_confirmed())}
+
     def is_settled(self, job: Job) -> bool:
         """Tell whether no unseen run of a restored job can be at work.
 
-        A former owner's runs are known once each worker was looked at, or its lease has
-        ended by the slowest clock.
+        A former owner's runs are known once each worker was looked at, or most were and
+        the others' leases have ended by the slowest clock. It starts no more once it
+        has had the time to hear of that.
         """
         if job.job_id not in self._restored:
             return True
         now_ms = self._clock.monotonic_ms()
-        if now_ms < self.started_ms + self._settings.settle_ms:
+        listed = [link for link in self.links.values() if link.is_listed]
+        looked = [link for link in listed if link.has_looked]
+        wait_ms = 0 if self._term.is_clean else self._settings.confirm_ms + SETTLE_MS
+        if listed and 2 * len(looked) <= len(listed):
+            self._looked_ms = now_ms
+        if now_ms < self._looked_ms + max(wait_ms, SETTLE_MS):
             return False
         if all(
             link.has_looked or now_ms >= link.lease_end_ms
             for link in self.links.values()
         ):
+            log.info("settled", restored=len(self._restored))
             self._restored.clear()
             return True
         return False
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -30,8 +30,9 @@
     heartbeat_ms: int = 1500
     # Outlives a take-over of the pool, which takes about two times to live.
     lease_ms: int = 5000
-    # Reports of workers are this old at most when a pool changes its owner.
-    settle_ms: int = 300
+    # An owner acts this long on one sign that it still is the owner. Two renewals of
+    # its membership fit into it; a successor waits as long before it repeats work.
+    confirm_ms: int = 1000
 
     @property
     def run_lease_ms(self) -> int:
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -30,6 +30,12 @@
 LOOK_WAIT_MS = 1000
 # Ends of the same moment are read with one look.
 LOOK_GAP_MS = 40
+# Idle workers are looked at this often while the log does not confirm the owner; two
+# looks fit into the time for which an answer counts.
+IDLE_LOOK_MS = 400
+# An owner that may not act renews leases this much longer; with the lease itself this
+# is less than a successor waits for a worker that it can't reach.
+RENEW_MS = 3000
 # A worker that did not answer is asked again after this time.
 RETRY_MS = 250
 # A worker that refused as unhealthy gets no work for this time.
@@ -109,6 +115,12 @@
     def note_superseded(self, source: str) -> None:
         """Take the word that there is a newer owner."""
 
+    def is_confirmed(self) -> bool:
+        """Tell whether the log confirmed this owner a short time ago."""
+
+    def may_act(self) -> bool:
+        """Tell whether no successor can have begun to act."""
+
     async def wait_for_journal(self) -> bool:
         """Wait until what was heard lasts, for a bounded time; tell if it does."""
 
@@ -143,6 +155,9 @@
         self._wake.set()
         self._born_ms = 0
         self._worker_clock: tuple[int, int] | None = None
+        self._deadline_ms = 0
+        self._is_silent = False
+        self._acting_ms = clock.monotonic_ms()
         self._seen = 0
         self._acked = 0
         self.answered_ms = self.idle_since_ms = clock.monotonic_ms()
@@ -217,6 +232,7 @@
         self.leaving_until_ms = self.held_out_until_ms = 0
         self._seen = self._acked = self._born_ms = 0
         self._worker_clock = None
+        self._is_silent = False
         self.wake()
 
     def hold_out(self, duration_ms: int) -> None:
@@ -239,7 +255,10 @@
 
     async def _send_start(self, call: StartCall) -> None:
         live, task = call.live, call.live.task
-        if self.live.get(task.task_id) is not live or live.is_stop_sent:
+        if self.live.get(task.task_id) is not live:
+            return
+        if live.is_stop_sent or not self._events.may_act():
+            self.drop_live(live)
             self._events.note_not_started(self, live, Unanswered(was_sent=False))
             return
         lease = self._build_lease()
@@ -289,9 +308,12 @@
     async def run_looks(self) -> None:
         """Renew the lease and read ends, while anything runs or waits for a look."""
         while True:
-            if self.has_looked and not self.live and self._seen == self._acked:
-                self._wake.clear()
-                await self._wake.wait()
+            if self._is_idle and not await self._wait_until_needed():
+                continue
+            if not self._may_renew():
+                await self._clock.sleep_ms(RETRY_MS)
+                self._expire_runs()
+                continue
             has_answered = await self._look()
             if not has_answered:
                 await self._clock.sleep_ms(RETRY_MS)
@@ -302,6 +324,27 @@
                 self._acked = self._seen
             await self._clock.sleep_ms(LOOK_GAP_MS if lasts else LOOK_WAIT_MS / 2)
 
+    @property
+    def _is_idle(self) -> bool:
+        return self.has_looked and not self.live and self._seen == self._acked
+
+    async def _wait_until_needed(self) -> bool:
+        """Wait for an order; tell whether a look is needed."""
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(IDLE_LOOK_MS / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            # Without the log, answers of workers tell whether there is a successor.
+            return not self._events.is_confirmed()
+        return True
+
+    def _may_renew(self) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        if not self.has_looked or self._events.may_act():
+            self._acting_ms = now_ms
+        return now_ms - self._acting_ms < RENEW_MS
+
     async def _look(self) -> bool:
         sent_ms = self._clock.monotonic_ms()
         has_barred = any(live.is_stop_sent for live in self.live.values())
@@ -327,9 +370,24 @@
                 self.is_listed = False
                 self._expire_runs()
                 return False
+            case Refused():
+                self._note_clock(outcome, now_ms)
             case _:
-                self.hold_out(2 * RETRY_MS)
-                return False
+                self._note_silent()
+        self.hold_out(2 * RETRY_MS)
+        return False
+
+    def _note_silent(self) -> None:
+        if not self._is_silent:
+            log.warning("worker silent", worker=self.worker_id, runs=len(self.live))
+        self._is_silent = True
+
+    def _note_answer(self, clock_ms: int, now_ms: int) -> None:
+        if self._is_silent:
+            log.info("worker answers", worker=self.worker_id)
+        self._is_silent = False
+        self._worker_clock = (clock_ms, now_ms)
+        self.answered_ms = now_ms
 
     def _note_look(self, look: Look, sent_ms: int, now_ms: int) -> None:
         if self._born_ms and look.born_ms != self._born_ms:
@@ -339,8 +397,7 @@
                 if live.accepted_ms is not None or live.is_stop_sent:
                     self._lose(live, "restart")
         self._born_ms = look.born_ms
-        self._worker_clock = (look.clock_ms, now_ms)
-        self.answered_ms = now_ms
+        self._note_answer(look.clock_ms, now_ms)
         for end in look.ended:
             if end.number > self._seen:
                 self._seen = end.number
@@ -385,16 +442,21 @@
     def _build_lease(self) -> Lease:
         if self._worker_clock is None:
             return Lease(self._token, 0)
+        if self._is_silent:
+            # Each order that is sent may be executed later, so a silent worker's lease
+            # must not be extended, or its runs could never be taken for ended.
+            return Lease(self._token, self._deadline_ms)
         clock_ms, at_ms = self._worker_clock
         passed_ms = self._clock.monotonic_ms() - at_ms
         left_ms = self._settings.run_lease_ms
         deadline_ms = int(clock_ms + passed_ms * (1 - CLOCK_DRIFT) + left_ms)
         end_ms = at_ms + int((deadline_ms - clock_ms) / (1 - CLOCK_DRIFT)) + 1
         self.lease_end_ms = max(self.lease_end_ms, end_ms) if self.live else end_ms
+        self._deadline_ms = deadline_ms
         return Lease(self._token, deadline_ms)
 
     def _note_clock(self, outcome: OrderOutcome, now_ms: int) -> None:
-        clock_ms = getattr(outcome, "clock_ms", None)
-        if clock_ms:
-            self._worker_clock = (clock_ms, now_ms)
-            self.answered_ms = now_ms
+        if isinstance(outcome, Accepted | Refused) and outcome.clock_ms:
+            self._note_answer(outcome.clock_ms, now_ms)
+        elif isinstance(outcome, Unanswered):
+            self._note_silent()
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -101,12 +101,16 @@
 
 
 class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
-    """Cores in 1/1000: wanted now, of the usable workers; and the idle workers."""
+    """Cores in 1/1000: wanted now, of the usable workers; and the idle workers.
+
+    `arrivals` counts the jobs of the last second.
+    """
 
     wanted_cpu: int
     capacity_cpu: int
     workers: int
     idle: tuple[IdleHost, ...]
+    arrivals: int
 
 
 class NotOwnerReply(msgspec.Struct, frozen=True, tag="not_owner"):
