Hand pools over without a gap, and keep moving hosts in an outage of the log

A successor waited two leases for workers that had long been given away. The holder of the hosts' duty stopped with the log, while pools stood at one worker.

A leaving node stays out. Used workers and, at a release, what runs where are written, so a successor waits only for what it can't see. The holder goes on while all members say that they don't reach the log either. Work that can't be in time asks for a quarter and yields its workers while another pool lacks some.

--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -1,6 +1,6 @@
 """How many hosts each pool holds, and which hosts move; pure decisions."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -113,6 +113,18 @@
     return moves
 
 
+def list_short(demands: Iterable[PoolDemand], moves: Iterable[Move]) -> set[str]:
+    """Return the pools that lack a host beyond those that the moves bring."""
+    coming = Counter(move.target for move in moves)
+    return {
+        demand.pool
+        for demand in demands
+        if demand.missing_cpu > 0
+        and not coming[demand.pool]
+        and demand.arriving_cpu == 0
+    }
+
+
 @dataclass(frozen=True)
 class _Giver:
     host: str
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -10,6 +10,8 @@
 StepKey = tuple[str, int, int]
 # Work that ends within this multiple of its objective still earns something.
 LATE_FACTOR = 3
+# First part of the rank of a job that can be in time, or lasts.
+IN_TIME = 0
 
 
 @dataclass
@@ -71,12 +73,12 @@
     if queue is None:
         return (3, 0, job.arrived_ms)
     if job.is_lasting:
-        return (0, queue.urgency, job.arrived_ms)
+        return (IN_TIME, queue.urgency, job.arrived_ms)
     objective_ms = queue.stretch * job.estimate_chain_ms() + queue.target_latency_ms
     left_ms = job.estimate_left_ms()
     slack_ms = job.arrived_ms + objective_ms - now_ms - left_ms
     if slack_ms >= 0:
-        return (0, queue.urgency + 1, slack_ms)
+        return (IN_TIME, queue.urgency + 1, slack_ms)
     late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
     if late_slack_ms >= 0:
         return (1, queue.urgency, left_ms)
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -16,6 +16,7 @@
 from bergamotgap.pools.directory import Directory
 from bergamotgap.pools.following import Follower
 from bergamotgap.pools.host_duty import HOSTS_POOL, HostDuty, ReportWave
+from bergamotgap.pools.outage_watch import OutageWatch
 from bergamotgap.pools.partitions import choose_partition
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.registry import Claim, Member, Registry
@@ -29,13 +30,20 @@
     StoreError,
     WorkerOrders,
 )
-from bergamotgap.ports.pool_peer import PoolCall, PoolReply
+from bergamotgap.ports.pool_peer import (
+    ContactCall,
+    ContactReply,
+    PoolCall,
+    PoolReply,
+)
 
 # A drain must be known well within the time that a worker still serves.
 WORKERS_POLL_MS = 100
 RETRY_MS = 200
 FLUSH_MS = 400
 DUTY_CALL_MS = 1000
+# A former holder's last order is answered within this time.
+ORDER_MS = 200
 
 log = get_logger(__name__)
 
@@ -77,6 +85,9 @@
             self._peers,
             clock,
         )
+        self._watch = OutageWatch(
+            self.registry, self._peers, settings.peer_address, settings, clock
+        )
         store = ports.store
         self._operator = Follower(
             store,
@@ -101,7 +112,7 @@
     async def __aenter__(self) -> Self:
         """Listen for peers and start."""
         self._stack.push_async_callback(self._peers.close)
-        server = GrpcPoolServer(self._settings.peer_address, self.requests.answer)
+        server = GrpcPoolServer(self._settings.peer_address, self._answer_peer)
         await self._stack.enter_async_context(server)
         self.registry.subscribe(self._note_claims)
         runs: list[tuple[str, Callable[[], Any]]] = [
@@ -110,6 +121,7 @@
             ("claims", self.registry.run_claims),
             ("configuration", self._operator.run),
             ("workers", self._run_workers),
+            ("outage watch", self._watch.run),
         ]
         self._tasks = [asyncio.create_task(supervise(*run)) for run in runs]
         log.info("started", member=self._member.name)
@@ -122,6 +134,11 @@
         await self._stack.aclose()
         log.info("stopped", member=self._member.name)
 
+    async def _answer_peer(self, call: PoolCall) -> PoolReply:
+        if isinstance(call, ContactCall):
+            return ContactReply(self._watch.measure_age_ms())
+        return await self.requests.answer(call)
+
     async def hand_over(self) -> None:
         """Give the pools to other nodes; go on passing requests to them."""
         self._is_closing = True
@@ -129,6 +146,7 @@
         pools = list(self.pools.values())
         self.pools.clear()
         for pool in pools:
+            pool.stop_placing()
             try:
                 async with asyncio.timeout(FLUSH_MS / 1000):
                     await pool.journal.wait(pool.journal.requested)
@@ -190,7 +208,7 @@
     async def _run_pool(self, name: str, claim: Claim, lost: asyncio.Event) -> None:
         pool = Pool(
             name,
-            Term(claim.token, claim.term, claim.is_clean),
+            Term(claim.token, claim.term, claim.is_clean, claim.released_token),
             self._ports.store,
             choose_partition(name, self._settings.log_parts),
             self._ports.orders,
@@ -218,7 +236,7 @@
             log.warning("workers not read", error=str(error))
 
     async def _run_duty(self, claim: Claim) -> None:
-        wait_ms = self._settings.duty_lease_ms if claim.term > 1 else 0
+        wait_ms = 0 if claim.is_clean else self._settings.confirm_ms + ORDER_MS
         duty = HostDuty(
             claim.token,
             wait_ms,
@@ -226,7 +244,7 @@
             self.directory,
             self._ask_for_duty,
             self._ports.report_wave,
-            self.registry.is_confirmed,
+            self._watch.may_act,
             self._settings,
             self._clock,
         )
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 
 import msgspec
 
@@ -12,14 +13,21 @@
 from bergamotgap.domain.job_state import Job, JobProgress
 from bergamotgap.pools.journal import Journal
 
-SPEC_KEY = "j"
-PROGRESS_KEY = "p"
 # Ended jobs are kept a little longer than callers may ask for them.
 KEEP_SLACK_MS = 10_000
 
 log = get_logger(__name__)
 
 
+class RecordKind(StrEnum):
+    """Second part of a record's key; the first is the pool, the third a name."""
+
+    SPEC = "j"
+    PROGRESS = "p"
+    WORKER = "w"
+    LIVE = "live"
+
+
 @dataclass(frozen=True)
 class Stored:
     """The job lasts; `is_new` is false for a repeated id."""
@@ -35,6 +43,13 @@
     retry_ms: int
 
 
+class LiveRuns(msgspec.Struct, frozen=True, array_like=True):
+    """Jobs with runs on each worker when the owner of this token released the pool."""
+
+    token: int
+    jobs_of_worker: dict[str, list[str]]
+
+
 SubmitOutcome = Stored | NotStored
 
 
@@ -58,6 +73,10 @@
         self._accepted: dict[str, int] = {}
         self._ended: dict[str, int] = {}
         self.hungry: dict[str, Job] = {}
+        # Workers that were given work and not given back, as the log has them.
+        self.used_workers: set[str] = set()
+        # What ran where when an owner last released the pool.
+        self.released = LiveRuns(0, {})
         self.on_accepted: Callable[[], None] = lambda: None
 
     @property
@@ -68,34 +87,43 @@
     def restore(self, values: Mapping[str, bytes]) -> int:
         """Fold the records of the partition; return the number of open jobs."""
         prefix = f"{self._service}/"
-        now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
         progress: dict[str, JobProgress] = {}
         for key, value in values.items():
             if not key.startswith(prefix):
                 continue
-            kind, _, job_id = key[len(prefix) :].partition("/")
+            kind, _, name = key[len(prefix) :].partition("/")
             try:
-                if kind == SPEC_KEY:
-                    spec = msgspec.msgpack.decode(value, type=JobSpec)
-                    age_ms = max(0, wall_ms - spec.accepted_ms)
-                    self._jobs[job_id] = Job(spec, now_ms - age_ms)
-                elif kind == PROGRESS_KEY:
-                    progress[job_id] = msgspec.msgpack.decode(value, type=JobProgress)
+                self._restore_record(kind, name, value, progress)
             except msgspec.MsgspecError as error:
                 log.error("record can't be read", key=key, error=str(error))
         for job_id, saved in progress.items():
             job = self._jobs.get(job_id)
             if job is None:
                 # An ended job keeps only its end.
-                job = Job(JobSpec(job_id, "", "", ()), now_ms)
+                job = Job(JobSpec(job_id, "", "", ()), self._clock.monotonic_ms())
                 self._jobs[job_id] = job
             job.restore(saved)
         for job in self._jobs.values():
             if not job.phase.is_final:
-                job.open_due(wall_ms)
+                job.open_due(self._clock.wall_ms())
                 self.hungry[job.job_id] = job
         return len(self.hungry)
 
+    def _restore_record(
+        self, kind: str, name: str, value: bytes, progress: dict[str, JobProgress]
+    ) -> None:
+        match kind:
+            case RecordKind.SPEC:
+                spec = msgspec.msgpack.decode(value, type=JobSpec)
+                age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
+                self._jobs[name] = Job(spec, self._clock.monotonic_ms() - age_ms)
+            case RecordKind.PROGRESS:
+                progress[name] = msgspec.msgpack.decode(value, type=JobProgress)
+            case RecordKind.WORKER:
+                self.used_workers.add(name)
+            case RecordKind.LIVE:
+                self.released = msgspec.msgpack.decode(value, type=LiveRuns)
+
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return when it lasts or is known not to."""
         job = self._jobs.get(spec.job_id)
@@ -107,7 +135,7 @@
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
             self._accepted[spec.job_id] = self._journal.put(
-                format_key(self._service, SPEC_KEY, spec.job_id),
+                format_key(self._service, RecordKind.SPEC, spec.job_id),
                 lambda: msgspec.msgpack.encode(spec),
             )
         change = self._accepted.get(spec.job_id, 0)
@@ -152,7 +180,7 @@
     def note_progress(self, job: Job) -> None:
         """Write what must last of an open job."""
         self._journal.put(
-            format_key(self._service, PROGRESS_KEY, job.job_id),
+            format_key(self._service, RecordKind.PROGRESS, job.job_id),
             lambda: msgspec.msgpack.encode(job.save()),
         )
 
@@ -161,6 +189,25 @@
         job.end(phase, self._clock.wall_ms(), reason)
         return self.note_end(job)
 
+    def note_worker(self, worker_id: str, is_used: bool) -> int:
+        """Write that a worker is used or given back; return the change's number."""
+        if is_used == (worker_id in self.used_workers):
+            return 0
+        if is_used:
+            self.used_workers.add(worker_id)
+        else:
+            self.used_workers.discard(worker_id)
+        value = b"1" if is_used else None
+        key = format_key(self._service, RecordKind.WORKER, worker_id)
+        return self._journal.put(key, lambda: value)
+
+    def note_live(self, live: LiveRuns) -> None:
+        """Write what runs where, for the next owner."""
+        self._journal.put(
+            format_key(self._service, RecordKind.LIVE, ""),
+            lambda: msgspec.msgpack.encode(live),
+        )
+
     def note_end(self, job: Job) -> int:
         """Write a job's end once; return the number of the change."""
         known = self._ended.get(job.job_id)
@@ -169,7 +216,7 @@
         if not job.ended_ms:
             job.ended_ms = self._clock.wall_ms()
         self.hungry.pop(job.job_id, None)
-        spec_key = format_key(self._service, SPEC_KEY, job.job_id)
+        spec_key = format_key(self._service, RecordKind.SPEC, job.job_id)
         if job.spec.steps:
             self._journal.put(spec_key, lambda: None)
         self.note_progress(job)
@@ -199,7 +246,7 @@
             del self._jobs[job.job_id]
             self._accepted.pop(job.job_id, None)
             self._ended.pop(job.job_id, None)
-            key = format_key(self._service, PROGRESS_KEY, job.job_id)
+            key = format_key(self._service, RecordKind.PROGRESS, job.job_id)
             self._journal.put(key, lambda: None)
 
     def count_phases(self) -> dict[str, int]:
--- /dev/null
+++ b/src/bergamotgap/pools/outage_watch.py
@@ -0,0 +1,89 @@
+"""Tell an outage of the log for all nodes from one for this node alone."""
+
+import asyncio
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.pools.registry import Registry
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.ports.pool_peer import (
+    ContactCall,
+    ContactReply,
+    PeerCallError,
+    PoolPeers,
+)
+
+CHECK_MS = 200
+# Longer than the interval of a member's renewals, so that one of them has failed.
+BLIND_MS = 600
+CALL_MS = 300
+
+log = get_logger(__name__)
+
+
+class OutageWatch:
+    """Ask the other members about the log while this node does not reach it.
+
+    While no member reaches the log, none can take over a duty. The holder of one acts
+    on that for as long as on an answer of the log.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        peers: PoolPeers,
+        own_address: str,
+        settings: PoolSettings,
+        clock: Clock,
+    ) -> None:
+        self._registry = registry
+        self._peers = peers
+        self._own_address = own_address
+        self._settings = settings
+        self._clock = clock
+        self._all_blind_ms: int | None = None
+        self._is_outage = False
+
+    def measure_age_ms(self) -> int:
+        """Return the age of the last renewal that the log answered."""
+        return self._clock.monotonic_ms() - self._registry.joined_ms
+
+    def may_act(self) -> bool:
+        """Tell whether no other node can have taken over a duty."""
+        if self.measure_age_ms() < self._settings.confirm_ms:
+            return True
+        if self._all_blind_ms is None:
+            return False
+        age_ms = self._clock.monotonic_ms() - self._all_blind_ms
+        return age_ms < self._settings.confirm_ms
+
+    async def run(self) -> None:
+        """Ask while the log is away."""
+        while True:
+            await self._clock.sleep_ms(CHECK_MS)
+            if self.measure_age_ms() < BLIND_MS:
+                self._note_outage(is_outage=False)
+                continue
+            sent_ms = self._clock.monotonic_ms()
+            if await self._are_all_blind():
+                self._all_blind_ms = sent_ms
+                self._note_outage(is_outage=True)
+
+    async def _are_all_blind(self) -> bool:
+        addresses = {member.partition("/")[0] for member in self._registry.members}
+        others = sorted(addresses - {self._own_address})
+        ages = await asyncio.gather(*(self._ask(address) for address in others))
+        return all(age is not None and age >= BLIND_MS for age in ages)
+
+    async def _ask(self, address: str) -> int | None:
+        try:
+            reply = await self._peers.call(address, ContactCall(), CALL_MS)
+        except PeerCallError as error:
+            log.debug("peer silent", peer=address, error=str(error))
+            return None
+        return reply.age_ms if isinstance(reply, ContactReply) else None
+
+    def _note_outage(self, is_outage: bool) -> None:
+        if is_outage is not self._is_outage:
+            self._is_outage = is_outage
+            log.warning("outage of the log for all", is_outage=is_outage)
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -11,7 +11,7 @@
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job, StepRun, Task, TaskPhase
 from bergamotgap.domain.pool_sizes import IdleHost
-from bergamotgap.domain.task_placement import choose_room, place_gang, rank_job
+from bergamotgap.domain.task_placement import IN_TIME, choose_room, place_gang, rank_job
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
@@ -30,6 +30,10 @@
 LEAVE_MS = 1000
 # Jobs that arrived within this time tell how far a growth of demand may be trusted.
 ARRIVALS_MS = 1000
+# Late work earns about a tenth; it asks for somewhat more, so that it ends some time.
+LATE_SHARE = 0.25
+# Longer than the interval at which demand is read.
+YIELD_MS = 400
 
 log = get_logger(__name__)
 
@@ -58,6 +62,7 @@
         self._clock = clock
         self._is_active = True
         self._get_confirmed_ms = get_confirmed_ms
+        self._yields_until_ms = 0
         self._on_superseded = on_superseded
         self._tasks: list[asyncio.Task[None]] = []
         producer = f"pool/{service}"
@@ -116,6 +121,11 @@
             log.warning("superseded", pool=self.service, source=source)
             self._on_superseded(self.service)
 
+    def stop_placing(self) -> None:
+        """Start nothing more, and write for a successor what runs where."""
+        self._is_active = False
+        self.runs.save_live()
+
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return when it lasts or is known not to."""
         return await self.table.submit(spec)
@@ -169,7 +179,7 @@
         hungry = self.table.hungry
         if not hungry:
             return
-        links = [link for link in self.runs.links.values() if link.is_usable(now_ms)]
+        links = self.runs.list_usable(now_ms)
         jobs = sorted(
             hungry.values(),
             key=lambda job: rank_job(job, self.runs.get_queue(job), now_ms),
@@ -178,6 +188,9 @@
             job.open_due(wall_ms)
             if not links or not self.runs.is_settled(job):
                 continue
+            rank = rank_job(job, self.runs.get_queue(job), now_ms)[0]
+            if rank > IN_TIME and now_ms < self._yields_until_ms:
+                break
             if not self._place_job(job, links) and job.next_due_ms is None:
                 hungry.pop(job.job_id, None)
 
@@ -235,6 +248,8 @@
         for live in list(link.live.values()):
             if live.task.step.is_lasting and self._may_stop(live.task):
                 self.runs.stop(live.task)
+        if not link.live and link.has_looked:
+            self.table.note_worker(worker_id, is_used=False)
         return VacatedReply(not link.live)
 
     def _may_stop(self, task: Task) -> bool:
@@ -243,17 +258,26 @@
         away = sum(not other.is_at_work for other in others if other is not task)
         return away < max(1, task.step.may_miss)
 
-    def measure_demand(self) -> DemandReply:
-        """Return the cores that waiting and running tasks ask for, and idle workers."""
+    def measure_demand(self, must_yield: bool) -> DemandReply:
+        """Return the cores that tasks ask for, and idle workers.
+
+        Work that can't be in time any more asks for a share only. With `must_yield`
+        none of it is started for a while, so that workers become idle.
+        """
         now_ms = self._clock.monotonic_ms()
-        links = [link for link in self.runs.links.values() if link.is_usable(now_ms)]
-        wanted = sum(link.room.used_cpu for link in links) + sum(
-            task.step.size.cpu
-            for job in self.table.hungry.values()
-            for step in job.list_ready()
-            for task in step.tasks
-            if task.phase is TaskPhase.WAITING
-        )
+        if must_yield:
+            self._yields_until_ms = now_ms + YIELD_MS
+        links = self.runs.list_usable(now_ms)
+        wanted = float(sum(link.room.used_cpu for link in links))
+        for job in self.table.hungry.values():
+            waiting = sum(
+                task.step.size.cpu
+                for step in job.list_ready()
+                for task in step.tasks
+                if task.phase is TaskPhase.WAITING
+            )
+            is_late = rank_job(job, self.runs.get_queue(job), now_ms)[0] > IN_TIME
+            wanted += waiting * (LATE_SHARE if is_late else 1)
         idle = tuple(
             IdleHost(
                 link.info.host,
@@ -266,7 +290,7 @@
         )
         capacity = sum(link.info.capacity.cpu for link in links)
         return DemandReply(
-            wanted, capacity, len(links), idle, self.table.count_new(ARRIVALS_MS)
+            int(wanted), capacity, len(links), idle, self.table.count_new(ARRIVALS_MS)
         )
 
     def dump(self) -> dict[str, Any]:
--- a/src/bergamotgap/pools/pool_moves.py
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -11,6 +11,7 @@
     Move,
     PoolDemand,
     SpareHost,
+    list_short,
     plan_moves,
 )
 from bergamotgap.domain.upkeep_plan import UP
@@ -55,6 +56,7 @@
         # Target and ms of our clock of each move under way.
         self._moving: dict[str, tuple[str, int, int]] = {}
         self._logged_ms = 0
+        self._short: set[str] = set()
         self._history: dict[str, DemandHistory] = {}
         self._refused: set[tuple[str, str]] = set()
 
@@ -74,10 +76,10 @@
             and info.host not in self._moving
         ]
         spare_pool = min(config.spare_services, default="")
+        planned = plan_moves(demands, spare, spare_pool)
+        self._short = list_short(demands, planned)
         moves = [
-            move
-            for move in plan_moves(demands, spare, spare_pool)
-            if (move.host, move.target) not in self._refused
+            move for move in planned if (move.host, move.target) not in self._refused
         ]
         await asyncio.gather(*(self._order(move, hosts) for move in moves[:MAX_MOVES]))
 
@@ -87,7 +89,10 @@
         demands = []
         pools = sorted(set(config.services) - config.spare_services)
         replies = await asyncio.gather(
-            *(self._ask_owner(DemandCall(pool)) for pool in pools)
+            *(
+                self._ask_owner(DemandCall(pool, bool(self._short - {pool})))
+                for pool in pools
+            )
         )
         for pool, reply in zip(pools, replies, strict=True):
             if not isinstance(reply, DemandReply):
--- a/src/bergamotgap/pools/registry.py
+++ b/src/bergamotgap/pools/registry.py
@@ -31,13 +31,15 @@
 class Claim(msgspec.Struct, frozen=True, array_like=True):
     """Ownership of a pool; no owner if `member` is empty. `token` is unique, rises.
 
-    `is_clean` tells that the former owner was known not to act any more.
+    `is_clean` tells that the former owner was known not to act any more;
+    `released_token` is that of a former owner that released the pool, or 0.
     """
 
     member: str
     token: int
     term: int
     is_clean: bool = False
+    released_token: int = 0
 
 
 @dataclass(frozen=True)
@@ -81,6 +83,7 @@
         self._clock = clock
         self._claims: dict[str, Claim] = {}
         self._members: frozenset[str] = frozenset()
+        self._first_seen_ms: dict[str, int] = {}
         self._generation = 0
         self._joined_since_ms: int | None = None
         self.joined_ms = 0
@@ -147,15 +150,12 @@
 
     async def run_membership(self) -> None:
         """Stay a member of the group; three renewals fit into its time to live."""
-        while True:
+        while not self._is_leaving:
             sent_ms = self._clock.monotonic_ms()
             try:
                 generation = await self._store.join(self._member.name, self._generation)
                 if generation != self._generation or self._has_dead_owner():
-                    members = await self._store.list_members()
-                    if members != self._members:
-                        log.info("members", count=len(members), generation=generation)
-                    self._members = members
+                    self._note_members(await self._store.list_members())
                 self._generation = generation
                 self.joined_ms = sent_ms
                 if self._joined_since_ms is None:
@@ -164,6 +164,17 @@
                 self._note_join_failed(error)
             await self._clock.sleep_ms(self._settings.member_ttl_ms / 3)
 
+    def _note_members(self, members: frozenset[str]) -> None:
+        if members == self._members:
+            return
+        now_ms = self._clock.monotonic_ms()
+        self._first_seen_ms = {
+            member: self._first_seen_ms.get(member, now_ms) for member in members
+        }
+        for member in sorted(members ^ self._members):
+            log.info("member", member=member, is_live=member in members)
+        self._members = members
+
     def _note_join_failed(self, error: StoreError) -> None:
         silent_ms = self._clock.monotonic_ms() - self.joined_ms
         if self._joined_since_ms is not None and silent_ms > (
@@ -199,7 +210,16 @@
         claim = self._claims.get(pool)
         if claim is not None and claim.member in self._members:
             return False
-        claimant = choose_claimant(pool, self._members, self._claims)
+        # A member that just joined is not known to all others yet. Nobody waits for a
+        # pool that never had an owner, so that one waits until all are known.
+        known = [
+            member
+            for member, seen_ms in self._first_seen_ms.items()
+            if now_ms - seen_ms >= FIRST_CLAIM_MS
+        ]
+        if claim is None and len(known) < len(self._members):
+            return False
+        claimant = choose_claimant(pool, known, self._claims)
         return claimant == self._member.name
 
     async def _claim(self, pool: str) -> None:
@@ -215,7 +235,15 @@
         end = self.follower.end or 0
         before = self._claims.get(pool)
         term = (before.term if before else 0) + 1
-        claim = Claim(member, end + 1, term, self._is_gone(before))
+        released = 0
+        if before is not None:
+            is_release = not member
+            was_released = not before.member
+            if is_release:
+                released = before.token
+            elif was_released:
+                released = before.released_token
+        claim = Claim(member, end + 1, term, self._is_gone(before), released)
         record = KeyedRecord(pool, msgspec.msgpack.encode(claim))
         try:
             await self._store.append(OWNERS_TOPIC, 0, [record], at=end)
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -215,7 +215,8 @@
             case VacateCall():
                 return pool.vacate(call.worker_id, call.may_stop)
             case DemandCall():
-                return pool.measure_demand()
+                return pool.measure_demand(call.must_yield)
+        return NotOwnerReply()
 
 
 async def _deny(pool: Pool) -> NoJobReply | UnsureReply:
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -11,7 +11,7 @@
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.node.supervision import supervise
-from bergamotgap.pools.job_table import JobTable
+from bergamotgap.pools.job_table import JobTable, LiveRuns
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.worker_link import LiveRun, WorkerLink
@@ -41,12 +41,14 @@
 class Term:
     """One time of ownership: `token` fences, `number` counts owners of the pool.
 
-    `is_clean` tells that the former owner was known not to act any more.
+    `is_clean` tells that the former owner was known not to act any more;
+    `released_token` is that of a former owner that released the pool, or 0.
     """
 
     token: int
     number: int
     is_clean: bool
+    released_token: int = 0
 
 
 class Runs:
@@ -79,7 +81,14 @@
         self.links: dict[str, WorkerLink] = {}
         self.changed = asyncio.Event()
         self.started_ms = clock.monotonic_ms()
-        self._restored = {job_id for job_id in table.hungry}
+        self._restored = set(table.hungry)
+        # Workers that may run what a former owner started there.
+        self._unseen = set(table.used_workers)
+        if term.released_token and term.released_token == table.released.token:
+            # The former owner wrote which jobs have runs on which worker.
+            jobs = table.released.jobs_of_worker
+            self._unseen &= set(jobs)
+            self._restored &= {job for ids in jobs.values() for job in ids}
 
     async def close(self) -> None:
         """Stop all orders and looks."""
@@ -131,6 +140,7 @@
         """Close the links to workers that left and hold nothing."""
         for link in [link for link in self.links.values() if link.is_over]:
             del self.links[link.worker_id]
+            self._table.note_worker(link.worker_id, is_used=False)
             await cancel_tasks(self._tasks.pop(link.worker_id))
 
     def is_confirmed(self) -> bool:
@@ -180,15 +190,22 @@
             self._looked_ms = now_ms
         if now_ms < self._looked_ms + max(wait_ms, SETTLE_MS):
             return False
-        if all(
-            link.has_looked or now_ms >= link.lease_end_ms
-            for link in self.links.values()
-        ):
-            log.info("settled", restored=len(self._restored))
+        limit_ms = self.started_ms + 2 * self._settings.run_lease_ms
+        if not self._unseen or now_ms >= limit_ms:
+            log.info("settled", restored=len(self._restored), unseen=len(self._unseen))
             self._restored.clear()
             return True
         return False
 
+    def save_live(self) -> None:
+        """Write which jobs may have runs on which worker."""
+        jobs_of_worker = {
+            link.worker_id: sorted({task_id.job for task_id in link.live})
+            for link in self.links.values()
+            if link.live
+        }
+        self._table.note_live(LiveRuns(self._term.token, jobs_of_worker))
+
     def choose_run(self, task: Task) -> int:
         """Return the number of a task's next run."""
         first = (self._term.number - 1) * RUNS_PER_TERM + 1
@@ -234,8 +251,25 @@
 
     def note_first_look(self, link: WorkerLink) -> None:
         """Use the worker from now on."""
+        self._unseen.discard(link.worker_id)
+        link.used_change = self._table.note_worker(link.worker_id, is_used=True)
         self.changed.set()
 
+    def list_usable(self, now_ms: int) -> list[WorkerLink]:
+        """Return the workers that may get new work.
+
+        That a worker is used lasts first, so that a successor knows where runs may be;
+        while the log is away this is left out, since nobody can succeed.
+        """
+        return [
+            link
+            for link in self.links.values()
+            if link.is_usable(now_ms)
+            and (
+                self._journal.is_committed(link.used_change) or self._journal.is_failing
+            )
+        ]
+
     def note_started(self, link: WorkerLink, live: LiveRun) -> None:
         """Count the job as running."""
         task = live.task
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -14,8 +14,9 @@
     peer_address: str
     metrics_address: str
     log_parts: int = 16
-    # Three renewals fit into the time to live.
-    member_ttl_ms: int = 1500
+    # Three renewals fit into the time to live, each with the log five times slower than
+    # its slowest answer in calm.
+    member_ttl_ms: int = 1200
     drain_ms: int = 2000
     grace_ms: int = 6000
     max_lease_ms: int = 10_000
@@ -29,7 +30,7 @@
     harm_ms: int = 4000
     heartbeat_ms: int = 1500
     # Outlives a take-over of the pool, which takes about two times to live.
-    lease_ms: int = 5000
+    lease_ms: int = 4000
     # An owner acts this long on one sign that it still is the owner. Two renewals of
     # its membership fit into it; a successor waits as long before it repeats work.
     confirm_ms: int = 1000
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -145,6 +145,8 @@
         self.leaving_until_ms = 0
         self.held_out_until_ms = 0
         self.failures_in_row = 0
+        # Number of the journal's change that notes the worker as used.
+        self.used_change = 0
         self._token = token
         self._orders = orders
         self._events = events
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -56,9 +56,19 @@
 
 
 class DemandCall(msgspec.Struct, frozen=True, tag="demand"):
-    """Tell what a pool needs and has."""
+    """Tell what a pool needs and has.
+
+    `must_yield` tells that another pool lacks workers for work that can be in time.
+    """
 
     pool: str
+    must_yield: bool = False
+
+
+class ContactCall(msgspec.Struct, frozen=True, tag="contact"):
+    """Tell when the log was last reached; `pool` is not used."""
+
+    pool: str = ""
 
 
 class AcceptedReply(msgspec.Struct, frozen=True, tag="accepted"):
@@ -113,6 +123,12 @@
     arrivals: int
 
 
+class ContactReply(msgspec.Struct, frozen=True, tag="contact_was"):
+    """Age of the last call that the log answered, in ms."""
+
+    age_ms: int
+
+
 class NotOwnerReply(msgspec.Struct, frozen=True, tag="not_owner"):
     """The receiver does not own the pool."""
 
@@ -121,7 +137,15 @@
     """The receiver owns the pool but can't rule out a newer owner."""
 
 
-PoolCall = SubmitCall | StateCall | CancelCall | WaitingCall | VacateCall | DemandCall
+PoolCall = (
+    SubmitCall
+    | StateCall
+    | CancelCall
+    | WaitingCall
+    | VacateCall
+    | DemandCall
+    | ContactCall
+)
 PoolReply = (
     AcceptedReply
     | NotAcceptedReply
@@ -131,6 +155,7 @@
     | CountReply
     | VacatedReply
     | DemandReply
+    | ContactReply
     | NotOwnerReply
     | UnsureReply
 )
