Count runs that are found and not wanted; renew alone no longer than one lease

All members of the last 30 s are asked. A found run holds room until it is gone, and one of unknown size keeps its worker from new work. Unseen workers are named at a release.

--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -21,7 +21,7 @@
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.registry import Claim, Member, Registry
 from bergamotgap.pools.requests import JobRequests
-from bergamotgap.pools.runs import Term
+from bergamotgap.pools.runs import Confirmation, Term
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import (
     HistoryGoneError,
@@ -214,7 +214,7 @@
             self._ports.orders,
             self._settings,
             self._clock,
-            lambda: self.registry.joined_ms,
+            Confirmation(lambda: self.registry.joined_ms, self._watch.is_outage),
             lambda _: lost.set(),
         )
         async with pool:
--- a/src/bergamotgap/pools/outage_watch.py
+++ b/src/bergamotgap/pools/outage_watch.py
@@ -17,6 +17,9 @@
 # Longer than the interval of a member's renewals, so that one of them has failed.
 BLIND_MS = 600
 CALL_MS = 300
+# A member that was listed within this time may have taken over a duty; it is longer
+# than the outages and cuts that a node survives.
+RECENT_MS = 30_000
 
 log = get_logger(__name__)
 
@@ -50,8 +53,10 @@
 
     def may_act(self) -> bool:
         """Tell whether no other node can have taken over a duty."""
-        if self.measure_age_ms() < self._settings.confirm_ms:
-            return True
+        return self.measure_age_ms() < self._settings.confirm_ms or self.is_outage()
+
+    def is_outage(self) -> bool:
+        """Tell whether no member reached the log a short time ago."""
         if self._all_blind_ms is None:
             return False
         age_ms = self._clock.monotonic_ms() - self._all_blind_ms
@@ -70,8 +75,12 @@
                 self._note_outage(is_outage=True)
 
     async def _are_all_blind(self) -> bool:
-        addresses = {member.partition("/")[0] for member in self._registry.members}
+        # Members that the log no longer lists may still be alive behind a cut.
+        members = self._registry.list_recent(RECENT_MS)
+        addresses = {member.partition("/")[0] for member in members}
         others = sorted(addresses - {self._own_address})
+        if not others:
+            return False
         ages = await asyncio.gather(*(self._ask(address) for address in others))
         return all(age is not None and age >= BLIND_MS for age in ages)
 
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -15,7 +15,7 @@
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
-from bergamotgap.pools.runs import Runs, Term
+from bergamotgap.pools.runs import Confirmation, Runs, Term
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.worker_link import WorkerLink
 from bergamotgap.ports.fleet import Fence, KeyedRecord, Store, StoreError, WorkerOrders
@@ -50,7 +50,7 @@
         orders: WorkerOrders,
         settings: PoolSettings,
         clock: Clock,
-        get_confirmed_ms: Callable[[], int],
+        confirmation: Confirmation,
         on_superseded: Callable[[str], None],
     ) -> None:
         self.service = service
@@ -61,7 +61,7 @@
         self._settings = settings
         self._clock = clock
         self._is_active = True
-        self._get_confirmed_ms = get_confirmed_ms
+        self._confirmation = confirmation
         self._yields_until_ms = 0
         self._on_superseded = on_superseded
         self._tasks: list[asyncio.Task[None]] = []
@@ -87,7 +87,7 @@
             self._orders,
             self._settings,
             self._clock,
-            self._get_confirmed_ms,
+            self._confirmation,
             self._note_superseded,
         )
         self.table.on_accepted = self.runs.changed.set
--- a/src/bergamotgap/pools/registry.py
+++ b/src/bergamotgap/pools/registry.py
@@ -84,6 +84,7 @@
         self._claims: dict[str, Claim] = {}
         self._members: frozenset[str] = frozenset()
         self._first_seen_ms: dict[str, int] = {}
+        self._last_seen_ms: dict[str, int] = {}
         self._generation = 0
         self._joined_since_ms: int | None = None
         self.joined_ms = 0
@@ -103,6 +104,12 @@
         """Return the live members as of the last look."""
         return self._members
 
+    def list_recent(self, period_ms: int) -> frozenset[str]:
+        """Return the members that were live within a time before now."""
+        since_ms = self._clock.monotonic_ms() - period_ms
+        recent = {member for member, at in self._last_seen_ms.items() if at >= since_ms}
+        return self._members | recent
+
     def get_owner(self, pool: str) -> str | None:
         """Return the peer address of a pool's owner."""
         claim = self._claims.get(pool)
@@ -173,6 +180,8 @@
         }
         for member in sorted(members ^ self._members):
             log.info("member", member=member, is_live=member in members)
+        for member in members | self._members:
+            self._last_seen_ms[member] = now_ms
         self._members = members
 
     def _note_join_failed(self, error: StoreError) -> None:
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -51,6 +51,14 @@
     released_token: int = 0
 
 
+@dataclass(frozen=True)
+class Confirmation:
+    """When the log last confirmed this node, and whether it is away for all nodes."""
+
+    get_confirmed_ms: Callable[[], int]
+    is_outage: Callable[[], bool]
+
+
 class Runs:
     """Own the links to a pool's workers and fold their reports into its jobs."""
 
@@ -62,7 +70,7 @@
         orders: WorkerOrders,
         settings: PoolSettings,
         clock: Clock,
-        get_confirmed_ms: Callable[[], int],
+        confirmation: Confirmation,
         on_superseded: Callable[[str], None],
     ) -> None:
         self._term = term
@@ -71,7 +79,7 @@
         self._orders = orders
         self._settings = settings
         self._clock = clock
-        self._get_confirmed_ms = get_confirmed_ms
+        self._confirmation = confirmation
         self._on_superseded = on_superseded
         self._looked_ms = clock.monotonic_ms()
         self._is_acting = True
@@ -145,8 +153,22 @@
 
     def is_confirmed(self) -> bool:
         """Tell whether the log confirmed this owner a short time ago."""
-        confirmed_ms = max(self._get_confirmed_ms(), self._journal.confirmed_ms)
-        return self._clock.monotonic_ms() - confirmed_ms < self._settings.confirm_ms
+        return self._measure_doubt_ms() < self._settings.confirm_ms
+
+    def may_renew(self) -> bool:
+        """Tell whether leases may be renewed.
+
+        A successor waits two leases for workers that it can't reach, so an owner that
+        alone has lost the log renews no longer than one lease.
+        """
+        is_recent = self._measure_doubt_ms() < self._settings.run_lease_ms
+        return is_recent or self._confirmation.is_outage()
+
+    def _measure_doubt_ms(self) -> int:
+        confirmed_ms = max(
+            self._confirmation.get_confirmed_ms(), self._journal.confirmed_ms
+        )
+        return self._clock.monotonic_ms() - confirmed_ms
 
     def may_act(self) -> bool:
         """Tell whether no successor can have begun to act.
@@ -154,7 +176,7 @@
         Without the log, an owner acts while most of the pool's workers take its token:
         a successor starts nothing before it has looked at most of them.
         """
-        may_act = self.is_confirmed() or self._has_majority()
+        may_act = self.is_confirmed() or (self.may_renew() and self._has_majority())
         if may_act is not self._is_acting:
             self._is_acting = may_act
             log.warning("owner acts" if may_act else "owner waits", **self._count())
@@ -204,6 +226,9 @@
             for link in self.links.values()
             if link.live
         }
+        # A former owner's runs on workers that were not seen yet are not known.
+        for worker_id in self._unseen:
+            jobs_of_worker[worker_id] = sorted(self._restored)
         self._table.note_live(LiveRuns(self._term.token, jobs_of_worker))
 
     def choose_run(self, task: Task) -> int:
@@ -327,19 +352,24 @@
 
     def _note_found(self, link: WorkerLink, row: RunRow) -> None:
         job = self._table.jobs.get(row.task.job)
-        task = job.get_task(row.task) if job and not job.phase.is_final else None
-        if job is None or task is None or task.phase is not TaskPhase.WAITING:
-            link.stop(row.task, row.run)
+        task = job.get_task(row.task) if job and job.spec.steps else None
+        if job is None or task is None or row.task in link.live:
+            # Its size is not known here, so the worker gets no work until it is gone.
+            link.note_unknown_run(row)
             return
-        if row.task in link.live:
+        now_ms = self._clock.monotonic_ms()
+        if job.phase.is_final or task.phase is not TaskPhase.WAITING:
+            # It is not wanted, yet it holds room until it is gone.
+            task = Task(row.task, task.step)
+            link.add_live(LiveRun(task, row.run, accepted_ms=now_ms))
+            link.stop(row.task, row.run)
             return
         task.phase = TaskPhase.RUNNING
         task.run = row.run
         task.worker_id = link.worker_id
         task.percent = row.percent
-        task.started_ms = task.progress_ms = self._clock.monotonic_ms()
-        live = LiveRun(task, row.run, accepted_ms=self._clock.monotonic_ms())
-        link.add_live(live)
+        task.started_ms = task.progress_ms = now_ms
+        link.add_live(LiveRun(task, row.run, accepted_ms=now_ms))
         self._mark_running(job)
         log.info("run adopted", task=row.task, run=row.run, worker=link.worker_id)
 
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -33,9 +33,6 @@
 # Idle workers are looked at this often while the log does not confirm the owner; two
 # looks fit into the time for which an answer counts.
 IDLE_LOOK_MS = 400
-# An owner that may not act renews leases this much longer; with the lease itself this
-# is less than a successor waits for a worker that it can't reach.
-RENEW_MS = 3000
 # A worker that did not answer is asked again after this time.
 RETRY_MS = 250
 # A worker that refused as unhealthy gets no work for this time.
@@ -121,6 +118,9 @@
     def may_act(self) -> bool:
         """Tell whether no successor can have begun to act."""
 
+    def may_renew(self) -> bool:
+        """Tell whether leases may be renewed."""
+
     async def wait_for_journal(self) -> bool:
         """Wait until what was heard lasts, for a bounded time; tell if it does."""
 
@@ -157,9 +157,9 @@
         self._wake.set()
         self._born_ms = 0
         self._worker_clock: tuple[int, int] | None = None
+        self._unknown_runs: set[tuple[TaskId, int]] = set()
         self._deadline_ms = 0
         self._is_silent = False
-        self._acting_ms = clock.monotonic_ms()
         self._seen = 0
         self._acked = 0
         self.answered_ms = self.idle_since_ms = clock.monotonic_ms()
@@ -176,6 +176,7 @@
         return (
             self.has_looked
             and self.is_listed
+            and not self._unknown_runs
             and now_ms >= self.leaving_until_ms
             and self.info.state is WorkerState.READY
             and now_ms >= self.held_out_until_ms
@@ -215,6 +216,12 @@
         self._queue.put_nowait(StopOrder(task_id, run, live))
         self.wake()
 
+    def note_unknown_run(self, row: RunRow) -> None:
+        """Stop a run of unknown size."""
+        log.warning("unknown run", task=row.task, run=row.run, worker=self.worker_id)
+        self._unknown_runs.add((row.task, row.run))
+        self.stop(row.task, row.run)
+
     def pace(self, task: Task, percent: int) -> None:
         """Queue a change of a task's speed."""
         task.pace = percent
@@ -312,7 +319,7 @@
         while True:
             if self._is_idle and not await self._wait_until_needed():
                 continue
-            if not self._may_renew():
+            if not self._events.may_renew():
                 await self._clock.sleep_ms(RETRY_MS)
                 self._expire_runs()
                 continue
@@ -328,7 +335,8 @@
 
     @property
     def _is_idle(self) -> bool:
-        return self.has_looked and not self.live and self._seen == self._acked
+        is_empty = not self.live and not self._unknown_runs
+        return self.has_looked and is_empty and self._seen == self._acked
 
     async def _wait_until_needed(self) -> bool:
         """Wait for an order; tell whether a look is needed."""
@@ -341,12 +349,6 @@
             return not self._events.is_confirmed()
         return True
 
-    def _may_renew(self) -> bool:
-        now_ms = self._clock.monotonic_ms()
-        if not self.has_looked or self._events.may_act():
-            self._acting_ms = now_ms
-        return now_ms - self._acting_ms < RENEW_MS
-
     async def _look(self) -> bool:
         sent_ms = self._clock.monotonic_ms()
         has_barred = any(live.is_stop_sent for live in self.live.values())
@@ -356,6 +358,8 @@
             wait_ms = 0
         elif has_barred:
             wait_ms = self._settings.stop_ms
+        elif not self._events.is_confirmed():
+            wait_ms = IDLE_LOOK_MS
         outcome = await self._orders.hold(
             self.info, self._build_lease(), self._acked, wait_ms
         )
@@ -405,6 +409,7 @@
                 self._seen = end.number
                 self._events.note_end(self, end)
         running = {(row.task, row.run) for row in look.running}
+        self._unknown_runs &= running
         for row in look.running:
             self._events.note_run(self, row)
         for live in list(self.live.values()):
