Size pools by the rate of offered work; count late work in full while it earns

Cause: extrapolated demand overshot to 28 hosts, and a quarter of late work kept hosts spare while it went stale. Work offered each second is what a pool in balance uses; what waits is to be done within 1.5 s. Learned run times correct declared ones.

--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -71,6 +71,14 @@
         """Return how many times the steps run."""
         return max(1, self.repetitions)
 
+    def estimate_work(self) -> float:
+        """Return the declared work of one occurrence that ends, in 1/1000 core-ms."""
+        return sum(
+            step.count * step.size.cpu * step.estimated_ms
+            for step in self.steps
+            if not step.is_lasting
+        )
+
     def due_ms(self, occurrence: int) -> int:
         """Return the Unix ms before which an occurrence must not start."""
         if not self.repetitions:
--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -1,6 +1,6 @@
 """How many hosts each pool holds, and which hosts move; pure decisions."""
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -9,10 +9,13 @@
 # Two moves cost about as much as two seconds of a host in a pool, so a host that idles
 # for less is not worth returning.
 RETURN_IDLE_MS = 1500
-# Growth of demand is measured over this time.
-GROWTH_MS = 600
-# A growth that this many jobs make up is trusted by half.
-HALF_TRUST_ARRIVALS = 1
+# Work that has gathered is done within this time: about what is left of an objective
+# after a move.
+CLEAR_MS = 1500
+# Numbers of arrivals whose rate is read, and the bounds of their period.
+OFFER_COUNTS = (3, 6, 12)
+OFFER_MIN_MS = 500
+OFFER_MAX_MS = 2500
 
 
 @dataclass(frozen=True)
@@ -43,29 +46,36 @@
         return self.wanted_cpu * HEADROOM - held
 
 
-class DemandHistory:
-    """Recent demand of one pool, and the demand that follows if it goes on growing."""
-
-    def __init__(self) -> None:
-        self._points: deque[tuple[int, int]] = deque()
-
-    def forecast(
-        self, now_ms: int, wanted_cpu: int, arrivals: int, lead_ms: int
-    ) -> int:
-        """Return the demand in `lead_ms`, at least the present one.
-
-        The growth counts by the share to which it is trusted: that of one large job
-        says little about what follows, that of many small ones does.
-        """
-        points = self._points
-        points.append((now_ms, wanted_cpu))
-        while len(points) > 2 and points[1][0] <= now_ms - GROWTH_MS:
-            points.popleft()
-        start_ms, start_cpu = points[0]
-        passed_ms = max(1, now_ms - start_ms)
-        growth = max(0, wanted_cpu - start_cpu) / max(passed_ms, GROWTH_MS / 2)
-        trust = arrivals / (arrivals + HALF_TRUST_ARRIVALS)
-        return wanted_cpu + int(growth * lead_ms * trust)
+def forecast_demand(
+    used_cpu: int, waiting_ms: float, offered_cpu: float, held_cpu: int, lead_ms: int
+) -> int:
+    """Return the cores in 1/1000 that a pool needs when a move ordered now ends.
+
+    `offered_cpu` is the work that arrives in each second, and so what a pool in balance
+    uses. What waits, in 1/1000 core-ms, and what gathers until then is to be done
+    within a time that keeps most of it in time.
+    """
+    gathered_ms = waiting_ms + max(0.0, offered_cpu - held_cpu) * lead_ms
+    return int(max(offered_cpu, used_cpu) + gathered_ms / CLEAR_MS)
+
+
+def estimate_offer(arrivals: Sequence[tuple[int, float]], now_ms: int) -> float:
+    """Return the work that arrives in each ms, from arrivals of (ms, work).
+
+    The highest rate of the last few arrivals counts, each by how far so many can be
+    trusted: a pool with many small jobs follows a turn at once, and one with few large
+    jobs does not take one of them for a turn.
+    """
+    recent = [(at, work) for at, work in arrivals if now_ms - at < OFFER_MAX_MS]
+    rates = [sum(work for _, work in recent) / OFFER_MAX_MS]
+    for count in OFFER_COUNTS:
+        if len(recent) < count:
+            break
+        last = recent[-count:]
+        period_ms = max(OFFER_MIN_MS, now_ms - last[0][0])
+        trust = count / (count + 1)
+        rates.append(trust * sum(work for _, work in last) / period_ms)
+    return max(rates)
 
 
 @dataclass(frozen=True)
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -10,8 +10,8 @@
 StepKey = tuple[str, int, int]
 # Work that ends within this multiple of its objective still earns something.
 LATE_FACTOR = 3
-# First part of the rank of a job that can be in time, or lasts.
-IN_TIME = 0
+# First part of a rank: the job can be in time or lasts, can be late, earns nothing.
+IN_TIME, LATE, WORTHLESS = 0, 1, 2
 
 
 @dataclass
@@ -63,26 +63,30 @@
             self.serving += sign
 
 
-def rank_job(job: Job, queue: Queue | None, now_ms: int) -> tuple[int, int, float]:
+def rank_job(
+    job: Job, queue: Queue | None, now_ms: int, ratio: float
+) -> tuple[int, int, float]:
     """Return the job's place in the order of placement; least goes first.
 
     Lasting jobs go first, since their share of time at work counts from their
     submission. Then come jobs that can still be in time, by urgency and slack, then
-    those that can still be late, then the others. `now_ms` is of our own clock.
+    those that can still be late, then the others. `now_ms` is of our own clock, `ratio`
+    is that of actual to declared run times.
     """
     if queue is None:
-        return (3, 0, job.arrived_ms)
+        return (WORTHLESS, 0, job.arrived_ms)
     if job.is_lasting:
         return (IN_TIME, queue.urgency, job.arrived_ms)
-    objective_ms = queue.stretch * job.estimate_chain_ms() + queue.target_latency_ms
-    left_ms = job.estimate_left_ms()
+    chain_ms = job.estimate_chain_ms() * ratio
+    objective_ms = queue.stretch * chain_ms + queue.target_latency_ms
+    left_ms = job.estimate_left_ms() * ratio
     slack_ms = job.arrived_ms + objective_ms - now_ms - left_ms
     if slack_ms >= 0:
         return (IN_TIME, queue.urgency + 1, slack_ms)
     late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
     if late_slack_ms >= 0:
-        return (1, queue.urgency, left_ms)
-    return (2, queue.urgency, job.arrived_ms)
+        return (LATE, queue.urgency, left_ms)
+    return (WORTHLESS, queue.urgency, job.arrived_ms)
 
 
 def choose_room(rooms: Iterable[Room], task: Task) -> Room | None:
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -1,6 +1,6 @@
 """Jobs of one pool: accepted, ended, restored from the log."""
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
@@ -15,6 +15,8 @@
 
 # Ended jobs are kept a little longer than callers may ask for them.
 KEEP_SLACK_MS = 10_000
+# More than the arrivals that an estimate of their rate reads.
+MAX_ARRIVALS = 32
 
 log = get_logger(__name__)
 
@@ -73,6 +75,8 @@
         self._accepted: dict[str, int] = {}
         self._ended: dict[str, int] = {}
         self.hungry: dict[str, Job] = {}
+        # Time of our clock and work in 1/1000 core-ms of the last jobs that came.
+        self.arrivals: deque[tuple[int, float]] = deque(maxlen=MAX_ARRIVALS)
         # Workers that were given work and not given back, as the log has them.
         self.used_workers: set[str] = set()
         # What ran where when an owner last released the pool.
@@ -134,6 +138,7 @@
                 return NotStored("platform_unavailable", retry_ms=1000)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
+            self.arrivals.append((job.arrived_ms, spec.estimate_work()))
             self._accepted[spec.job_id] = self._journal.put(
                 format_key(self._service, RecordKind.SPEC, spec.job_id),
                 lambda: msgspec.msgpack.encode(spec),
@@ -172,11 +177,6 @@
             if job.phase is JobPhase.QUEUED and job.spec.queue == queue
         )
 
-    def count_new(self, period_ms: int) -> int:
-        """Return the number of jobs that arrived within a time before now."""
-        since_ms = self._clock.monotonic_ms() - period_ms
-        return sum(1 for job in self._jobs.values() if job.arrived_ms >= since_ms)
-
     def note_progress(self, job: Job) -> None:
         """Write what must last of an open job."""
         self._journal.put(
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -10,8 +10,8 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job, StepRun, Task, TaskPhase
-from bergamotgap.domain.pool_sizes import IdleHost
-from bergamotgap.domain.task_placement import IN_TIME, choose_room, place_gang, rank_job
+from bergamotgap.domain.pool_sizes import IdleHost, estimate_offer
+from bergamotgap.domain.task_placement import IN_TIME, LATE, choose_room, place_gang
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
@@ -28,10 +28,11 @@
 # and some rounds more a worker that was given away gets no work.
 LAPSE_HEARTBEATS = 3
 LEAVE_MS = 1000
-# Jobs that arrived within this time tell how far a growth of demand may be trusted.
-ARRIVALS_MS = 1000
-# Late work earns about a tenth; it asks for somewhat more, so that it ends some time.
-LATE_SHARE = 0.25
+# A task holds its room about this long at least, orders and looks included; lasting
+# tasks declare no time.
+MIN_RUN_MS = 300
+# Work that earns nothing any more asks for little, so that it ends some time.
+WORTHLESS_SHARE = 0.1
 # Longer than the interval at which demand is read.
 YIELD_MS = 400
 
@@ -182,14 +183,14 @@
         links = self.runs.list_usable(now_ms)
         jobs = sorted(
             hungry.values(),
-            key=lambda job: rank_job(job, self.runs.get_queue(job), now_ms),
+            key=lambda job: self.runs.rank(job, now_ms),
         )
         for job in jobs:
             job.open_due(wall_ms)
             if not links or not self.runs.is_settled(job):
                 continue
-            rank = rank_job(job, self.runs.get_queue(job), now_ms)[0]
-            if rank > IN_TIME and now_ms < self._yields_until_ms:
+            is_late = self.runs.rank(job, now_ms)[0] > IN_TIME
+            if is_late and now_ms < self._yields_until_ms:
                 break
             if not self._place_job(job, links) and job.next_due_ms is None:
                 hungry.pop(job.job_id, None)
@@ -242,15 +243,15 @@
             # A worker that runs and is not listed yet is found within this time.
             passed_ms = self._clock.monotonic_ms() - self.runs.started_ms
             return VacatedReply(passed_ms > self._settings.run_lease_ms)
-        if link.live and not may_stop:
+        if not link.is_empty and not may_stop:
             return VacatedReply(False)
         link.leave_for(LAPSE_HEARTBEATS * self._settings.heartbeat_ms + LEAVE_MS)
         for live in list(link.live.values()):
             if live.task.step.is_lasting and self._may_stop(live.task):
                 self.runs.stop(live.task)
-        if not link.live and link.has_looked:
+        if link.is_empty and link.has_looked:
             self.table.note_worker(worker_id, is_used=False)
-        return VacatedReply(not link.live)
+        return VacatedReply(link.is_empty)
 
     def _may_stop(self, task: Task) -> bool:
         # Reports are a look old, so a task may be at work before it is seen to be.
@@ -261,23 +262,16 @@
     def measure_demand(self, must_yield: bool) -> DemandReply:
         """Return the cores that tasks ask for, and idle workers.
 
-        Work that can't be in time any more asks for a share only. With `must_yield`
-        none of it is started for a while, so that workers become idle.
+        Work that earns nothing any more asks for a share only. With `must_yield` no
+        late work is started for a while, so that workers become idle.
         """
         now_ms = self._clock.monotonic_ms()
         if must_yield:
             self._yields_until_ms = now_ms + YIELD_MS
         links = self.runs.list_usable(now_ms)
-        wanted = float(sum(link.room.used_cpu for link in links))
-        for job in self.table.hungry.values():
-            waiting = sum(
-                task.step.size.cpu
-                for step in job.list_ready()
-                for task in step.tasks
-                if task.phase is TaskPhase.WAITING
-            )
-            is_late = rank_job(job, self.runs.get_queue(job), now_ms)[0] > IN_TIME
-            wanted += waiting * (LATE_SHARE if is_late else 1)
+        waiting_ms = sum(
+            self._measure_waiting(job, now_ms) for job in self.table.hungry.values()
+        )
         idle = tuple(
             IdleHost(
                 link.info.host,
@@ -286,12 +280,28 @@
                 now_ms - link.idle_since_ms,
             )
             for link in links
-            if not link.live
+            if link.is_empty
         )
-        capacity = sum(link.info.capacity.cpu for link in links)
         return DemandReply(
-            int(wanted), capacity, len(links), idle, self.table.count_new(ARRIVALS_MS)
+            used_cpu=sum(link.room.used_cpu for link in links),
+            waiting_ms=waiting_ms,
+            offered_cpu=estimate_offer(self.table.arrivals, now_ms),
+            capacity_cpu=sum(link.info.capacity.cpu for link in links),
+            workers=len(links),
+            idle=idle,
+        )
+
+    def _measure_waiting(self, job: Job, now_ms: int) -> float:
+        """Return the work of a job that waits, in 1/1000 core-ms."""
+        ratio = self.runs.estimates.get_ratio(job.spec.queue)
+        work_ms = sum(
+            task.step.size.cpu * max(MIN_RUN_MS, task.step.estimated_ms * ratio)
+            for step in job.list_ready()
+            for task in step.tasks
+            if task.phase is TaskPhase.WAITING
         )
+        is_worthless = self.runs.rank(job, now_ms)[0] > LATE
+        return work_ms * (WORTHLESS_SHARE if is_worthless else 1)
 
     def dump(self) -> dict[str, Any]:
         """Return the pool's state for a state dump."""
--- a/src/bergamotgap/pools/pool_moves.py
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -7,10 +7,10 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, HostInfo
 from bergamotgap.domain.pool_sizes import (
-    DemandHistory,
     Move,
     PoolDemand,
     SpareHost,
+    forecast_demand,
     list_short,
     plan_moves,
 )
@@ -57,7 +57,6 @@
         self._moving: dict[str, tuple[str, int, int]] = {}
         self._logged_ms = 0
         self._short: set[str] = set()
-        self._history: dict[str, DemandHistory] = {}
         self._refused: set[tuple[str, str]] = set()
 
     async def work(
@@ -104,17 +103,21 @@
                 and hosts[host.host].worker_id == host.worker_id
                 and host.host not in kept
             )
+            arriving_cpu = sum(
+                cpu for to, _, cpu in self._moving.values() if to == pool
+            )
             demands.append(
                 PoolDemand(
                     pool,
-                    self._history.setdefault(pool, DemandHistory()).forecast(
-                        self._clock.monotonic_ms(),
-                        reply.wanted_cpu,
-                        reply.arrivals,
+                    forecast_demand(
+                        reply.used_cpu,
+                        reply.waiting_ms,
+                        reply.offered_cpu,
+                        reply.capacity_cpu + arriving_cpu,
                         self._move_ms + DISCOVERY_MS,
                     ),
                     reply.capacity_cpu,
-                    sum(cpu for to, _, cpu in self._moving.values() if to == pool),
+                    arriving_cpu,
                     reply.workers,
                     idle,
                 )
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -10,6 +10,8 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
+from bergamotgap.domain.run_estimates import RunEstimates
+from bergamotgap.domain.task_placement import rank_job
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, LiveRuns
 from bergamotgap.pools.journal import Journal
@@ -88,6 +90,7 @@
         self._queues: dict[str, Queue] = {}
         self.links: dict[str, WorkerLink] = {}
         self.changed = asyncio.Event()
+        self.estimates = RunEstimates()
         self.started_ms = clock.monotonic_ms()
         self._restored = set(table.hungry)
         # Workers that may run what a former owner started there.
@@ -107,6 +110,11 @@
         """Return the queue of a job, if it is configured."""
         return self._queues.get(job.spec.queue)
 
+    def rank(self, job: Job, now_ms: int) -> tuple[int, int, float]:
+        """Return the job's place in the order of placement; least goes first."""
+        ratio = self.estimates.get_ratio(job.spec.queue)
+        return rank_job(job, self.get_queue(job), now_ms, ratio)
+
     def update_config(self, config: FleetConfig) -> None:
         """Use a newer configuration."""
         self._config = config
@@ -405,7 +413,12 @@
         is_current = task.worker_id == link.worker_id and task.run == row.run
         self._mark_running(job)
         if row.how == "done" and not task.step.is_lasting:
-            if not is_current:
+            if is_current:
+                now_ms = self._clock.monotonic_ms()
+                actual_ms = now_ms - task.started_ms
+                declared_ms = task.step.estimated_ms
+                self.estimates.note_run(job.spec.queue, declared_ms, actual_ms)
+            else:
                 self.stop(task)
             job.note_done(task)
             self._table.hungry[job.job_id] = job
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -171,6 +171,11 @@
         """Return the worker's id."""
         return self.info.worker_id
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no run is known or may be on the worker."""
+        return not self.live and not self._unknown_runs
+
     def is_usable(self, now_ms: int) -> bool:
         """Tell whether the worker may get new work."""
         return (
@@ -335,8 +340,7 @@
 
     @property
     def _is_idle(self) -> bool:
-        is_empty = not self.live and not self._unknown_runs
-        return self.has_looked and is_empty and self._seen == self._acked
+        return self.has_looked and self.is_empty and self._seen == self._acked
 
     async def _wait_until_needed(self) -> bool:
         """Wait for an order; tell whether a look is needed."""
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -111,16 +111,17 @@
 
 
 class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
-    """Cores in 1/1000: wanted now, of the usable workers; and the idle workers.
+    """Cores in 1/1000: in use, offered each second, of the usable workers.
 
-    `arrivals` counts the jobs of the last second.
+    `waiting_ms` is the work that waits, in 1/1000 core-ms.
     """
 
-    wanted_cpu: int
+    used_cpu: int
+    waiting_ms: float
+    offered_cpu: float
     capacity_cpu: int
     workers: int
     idle: tuple[IdleHost, ...]
-    arrivals: int
 
 
 class ContactReply(msgspec.Struct, frozen=True, tag="contact_was"):
