--- a/src/bergamotgap/domain/upkeep_plan.py
+++ b/src/bergamotgap/domain/upkeep_plan.py
@@ -6,6 +6,7 @@
 from bergamotgap.domain.fleet import HostInfo, Wave
 
 UP = "up"
+IN_UPKEEP = "upkeep"
 # Hosts that are emptied while others are in upkeep, so that no time is lost.
 VACATE_AHEAD = 2
 
@@ -16,17 +17,29 @@
 
     begun_ms: dict[str, int] = field(default_factory=dict)
     done: set[str] = field(default_factory=set)
+    # Hosts whose order got no answer: it may be executed now or later.
+    unanswered: set[str] = field(default_factory=set)
 
     def list_in_upkeep(self) -> set[str]:
         """Return the hosts that may be down for their upkeep."""
         return set(self.begun_ms) - self.done
 
 
+def note_in_upkeep(
+    wave: Wave, progress: WaveProgress, hosts: Mapping[str, HostInfo], now_ms: int
+) -> None:
+    """Count hosts that are in upkeep by an order of a former holder."""
+    for host in wave.hosts:
+        info = hosts.get(host)
+        if info and info.state == IN_UPKEEP and host not in progress.begun_ms:
+            progress.begun_ms[host] = now_ms
+
+
 def note_returned(
     progress: WaveProgress, hosts: Mapping[str, HostInfo], now_ms: int, upkeep_ms: int
 ) -> None:
     """Note hosts that are up again after the time of an upkeep, or that have left."""
-    for host in progress.list_in_upkeep():
+    for host in progress.list_in_upkeep() - progress.unanswered:
         info = hosts.get(host)
         if now_ms - progress.begun_ms[host] < upkeep_ms:
             continue
@@ -53,6 +66,7 @@
         for host in wave.hosts
         if host not in progress.begun_ms and host in hosts and hosts[host].state == UP
     ]
+    repeated = [hosts[host] for host in progress.unanswered if host in hosts]
     waiting.sort(key=lambda info: (info.pool not in spare_pools, info.host))
     free = wave.cap - len(progress.list_in_upkeep())
-    return waiting[: max(0, free) + VACATE_AHEAD]
+    return repeated + waiting[: max(0, free) + VACATE_AHEAD]
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -16,6 +16,7 @@
 from bergamotgap.pools.directory import Directory
 from bergamotgap.pools.following import Follower
 from bergamotgap.pools.host_duty import HOSTS_POOL, HostDuty, ReportWave
+from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.outage_watch import OutageWatch
 from bergamotgap.pools.partitions import choose_partition
 from bergamotgap.pools.pool import Pool
@@ -23,7 +24,9 @@
 from bergamotgap.pools.requests import JobRequests
 from bergamotgap.pools.runs import Confirmation, Term
 from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.wave_records import restore_waves
 from bergamotgap.ports.fleet import (
+    Fence,
     HistoryGoneError,
     Machines,
     Store,
@@ -194,12 +197,12 @@
                 self._owners[name] = (claim.token, task)
 
     async def _own(self, name: str, claim: Claim) -> None:
-        if name == HOSTS_POOL:
-            await self._run_duty(claim)
-            return
         lost = asyncio.Event()
         while not lost.is_set():
             try:
+                if name == HOSTS_POOL:
+                    await self._run_duty(claim)
+                    return
                 await self._run_pool(name, claim, lost)
             except StoreError as error:
                 log.warning("pool not taken over", pool=name, error=str(error))
@@ -237,18 +240,32 @@
 
     async def _run_duty(self, claim: Claim) -> None:
         wait_ms = 0 if claim.is_clean else self._settings.confirm_ms + ORDER_MS
+        store, clock = self._ports.store, self._clock
+        topic, part = choose_partition(HOSTS_POOL, self._settings.log_parts)
+        lost = asyncio.Event()
+        journal = Journal(
+            store, topic, part, Fence(HOSTS_POOL, claim.token, 0), clock, lost.set
+        )
+        newest = await store.read_newest(topic, part)
         duty = HostDuty(
             claim.token,
             wait_ms,
+            journal,
+            restore_waves(newest.values, clock.monotonic_ms()),
             self._ports.machines,
             self.directory,
             self._ask_for_duty,
             self._ports.report_wave,
             self._watch.may_act,
             self._settings,
-            self._clock,
+            clock,
         )
-        await duty.run()
+        work = [asyncio.create_task(supervise("hosts' journal", journal.run))]
+        work.append(asyncio.create_task(supervise("hosts' duty", duty.run)))
+        try:
+            await lost.wait()
+        finally:
+            await cancel_tasks(work)
 
     async def _ask_for_duty(self, call: PoolCall) -> PoolReply | str:
         return await self.requests.ask(call, DUTY_CALL_MS, "")
--- a/src/bergamotgap/pools/host_duty.py
+++ b/src/bergamotgap/pools/host_duty.py
@@ -1,5 +1,6 @@
 """The owner of the hosts: carries out waves of upkeep and moves hosts."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from bergamotgap.adapters.logs import get_logger
@@ -9,17 +10,22 @@
     WaveProgress,
     is_wave_completed,
     list_candidates,
+    note_in_upkeep,
     note_returned,
 )
 from bergamotgap.pools.asking import AskOwner
 from bergamotgap.pools.directory import Directory
+from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.pool_moves import PoolMoves
 from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.wave_records import save_wave
 from bergamotgap.ports.fleet import Machines, MachinesUnavailableError, StoreError
 from bergamotgap.ports.pool_peer import VacateCall, VacatedReply
 
 HOSTS_POOL = "@hosts"
 ROUND_MS = 100
+# Moves must not wait for an upkeep that can't be written.
+SAVE_MS = 300
 
 log = get_logger(__name__)
 ReportWave = Callable[[Wave, bool], Awaitable[None]]
@@ -32,6 +38,8 @@
         self,
         token: int,
         wait_ms: int,
+        journal: Journal,
+        progress: dict[int, WaveProgress],
         machines: Machines,
         directory: Directory,
         ask_owner: AskOwner,
@@ -49,7 +57,8 @@
         self._settings = settings
         self._clock = clock
         self._may_order_ms = clock.monotonic_ms() + wait_ms
-        self._progress: dict[int, WaveProgress] = {}
+        self._journal = journal
+        self._progress = progress
         self._reported: dict[int, bool] = {}
         self._moves = PoolMoves(machines, ask_owner, token, settings.move_ms, clock)
 
@@ -84,7 +93,11 @@
     async def _work_on_wave(self, wave: Wave, hosts: dict[str, HostInfo]) -> set[str]:
         progress = self._progress.setdefault(wave.number, WaveProgress())
         now_ms = self._clock.monotonic_ms()
+        note_in_upkeep(wave, progress, hosts, now_ms)
+        done = len(progress.done)
         note_returned(progress, hosts, now_ms, self._settings.upkeep_ms)
+        if len(progress.done) > done:
+            save_wave(self._journal, wave.number, progress)
         if is_wave_completed(wave, progress, hosts):
             await self._report(wave, is_completed=True)
             return set()
@@ -95,7 +108,9 @@
         candidates = list_candidates(wave, progress, hosts, spare)
         for info in candidates:
             is_empty = info.pool in spare or await self._vacate(info)
-            if len(progress.list_in_upkeep()) >= wave.cap or not is_empty:
+            is_repeated = info.host in progress.unanswered
+            is_full = len(progress.list_in_upkeep()) >= wave.cap
+            if not is_repeated and (is_full or not is_empty):
                 continue
             await self._maintain(wave, info, progress)
         return progress.list_in_upkeep() | {info.host for info in candidates}
@@ -103,15 +118,34 @@
     async def _maintain(
         self, wave: Wave, info: HostInfo, progress: WaveProgress
     ) -> None:
-        # An order without an answer may have been executed, so the host counts.
+        # An order without an answer may be executed, so the host counts from now on and
+        # the order is repeated until it is answered.
         progress.begun_ms[info.host] = self._clock.monotonic_ms()
+        progress.unanswered.add(info.host)
+        if not await self._save(wave, progress):
+            del progress.begun_ms[info.host]
+            progress.unanswered.discard(info.host)
+            return
         reason = await self._machines.maintain(info.host, wave.number, self._token)
+        progress.unanswered.discard(info.host)
+        progress.begun_ms[info.host] = self._clock.monotonic_ms()
         log.info(
             "upkeep", wave=wave.number, host=info.host, pool=info.pool, refused=reason
         )
         if reason:
             del progress.begun_ms[info.host]
 
+    async def _save(self, wave: Wave, progress: WaveProgress) -> bool:
+        """Write the progress; tell whether it lasts within a bounded time."""
+        change = save_wave(self._journal, wave.number, progress)
+        try:
+            async with asyncio.timeout(SAVE_MS / 1000):
+                await self._journal.wait(change)
+        except TimeoutError:
+            log.warning("upkeep put off", wave=wave.number, reason="log_lost")
+            return False
+        return True
+
     async def _vacate(self, info: HostInfo) -> bool:
         if not info.worker_id:
             return True
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -182,6 +182,7 @@
             self.has_looked
             and self.is_listed
             and not self._unknown_runs
+            and not self._is_silent
             and now_ms >= self.leaving_until_ms
             and self.info.state is WorkerState.READY
             and now_ms >= self.held_out_until_ms
@@ -340,7 +341,8 @@
 
     @property
     def _is_idle(self) -> bool:
-        return self.has_looked and self.is_empty and self._seen == self._acked
+        has_news = self._seen != self._acked or self._is_silent
+        return self.has_looked and self.is_empty and not has_news
 
     async def _wait_until_needed(self) -> bool:
         """Wait for an order; tell whether a look is needed."""
--- /dev/null
+++ b/tests/fakes_pools.py
@@ -0,0 +1,307 @@
+"""The platform's log, workers and peers as the pools see them, with fault switches."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from bergamotgap.domain.fleet import (
+    FleetConfig,
+    JobSpec,
+    Queue,
+    Size,
+    StepSpec,
+    TaskId,
+    WorkerInfo,
+    WorkerState,
+)
+from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.ports.fleet import (
+    Accepted,
+    AppendConflictError,
+    EndRow,
+    Fence,
+    FencedError,
+    KeyedRecord,
+    Lease,
+    LogPage,
+    Look,
+    LookOutcome,
+    Newest,
+    OrderOutcome,
+    Refused,
+    RunRow,
+    SequenceError,
+    StartOrder,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    Unanswered,
+)
+
+CALL_S = 0.005
+SETTINGS = PoolSettings("node", "dc-1", "", "", "10.0.0.1:7000", "")
+
+
+@dataclass
+class Partition:
+    """Records of a partition and the fences of its producers."""
+
+    records: list[KeyedRecord] = field(default_factory=list)
+    fences: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+
+
+class FakeStore:
+    """Append with conditions and fences; `lose_answers` and `is_down` are faults."""
+
+    def __init__(self) -> None:
+        self.partitions: dict[tuple[str, int], Partition] = {}
+        self.members: set[str] = set()
+        self.is_down = False
+        self.lose_answers = 0
+        self.appends = 0
+
+    def get(self, topic: str, part: int) -> Partition:
+        """Return a partition."""
+        return self.partitions.setdefault((topic, part), Partition())
+
+    async def _serve(self) -> None:
+        await asyncio.sleep(CALL_S)
+        if self.is_down:
+            raise StoreUnavailableError("down")
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        records: Sequence[KeyedRecord],
+        *,
+        at: int | None = None,
+        fence: Fence | None = None,
+    ) -> int:
+        await self._serve()
+        partition = self.get(topic, part)
+        if fence is not None:
+            repeat = self._check_fence(partition, fence)
+            if repeat is not None:
+                return repeat
+        offset = len(partition.records)
+        if at is not None and at != offset:
+            raise AppendConflictError(offset)
+        partition.records += records
+        self.appends += 1
+        if fence is not None:
+            partition.fences[fence.producer] = (fence.epoch, fence.sequence, offset)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknownError("lost")
+        return offset
+
+    def _check_fence(self, partition: Partition, fence: Fence) -> int | None:
+        epoch, sequence, offset = partition.fences.get(fence.producer, (-1, -1, 0))
+        if fence.epoch < epoch:
+            raise FencedError("fenced")
+        if fence.epoch == epoch and fence.sequence == sequence:
+            return offset
+        if fence.epoch == epoch and fence.sequence != sequence + 1:
+            raise SequenceError(sequence + 1)
+        return None
+
+    async def read(self, topic: str, part: int, start: int, wait_ms: int) -> LogPage:
+        await self._serve()
+        partition = self.get(topic, part)
+        for _ in range(wait_ms // 10):
+            if len(partition.records) > start:
+                break
+            await asyncio.sleep(0.01)
+        records = tuple(partition.records[start:])
+        return LogPage(start, len(partition.records), records)
+
+    async def read_newest(self, topic: str, part: int) -> Newest:
+        await self._serve()
+        records = self.get(topic, part).records
+        newest = {record.key: record.value for record in records}
+        values = {key: value for key, value in newest.items() if value is not None}
+        return Newest(values, len(records))
+
+    async def join(self, member: str, generation: int) -> int:
+        await self._serve()
+        self.members.add(member)
+        return hash(frozenset(self.members))
+
+    async def list_members(self) -> frozenset[str]:
+        await self._serve()
+        return frozenset(self.members)
+
+    async def leave(self, member: str) -> None:
+        await self._serve()
+        self.members.discard(member)
+
+
+@dataclass
+class FakeRun:
+    """A run on a fake worker; ends are in s of the loop's time."""
+
+    order: StartOrder
+    ends_s: float
+
+
+class FakeWorker:
+    """One life of a worker: fences, leases, ends that are kept until acknowledged."""
+
+    def __init__(self, info: WorkerInfo, run_s: float = 1.0) -> None:
+        self.info = info
+        self.run_s = run_s
+        self.token = 0
+        self.lease_s = 0.0
+        self.running: dict[TaskId, FakeRun] = {}
+        self.ended: list[EndRow] = []
+        self.starts: list[tuple[TaskId, int]] = []
+        self.barred: dict[TaskId, int] = {}
+        self.is_silent = False
+        self.fails_all = False
+        self.numbers = 0
+        self.most_cpu = 0
+
+    def now_ms(self) -> int:
+        return int(asyncio.get_running_loop().time() * 1000)
+
+    def settle(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for task, run in list(self.running.items()):
+            if self.lease_s <= min(now_s, run.ends_s):
+                self.end(task, "lapsed")
+            elif run.ends_s <= now_s:
+                self.end(task, "failed" if self.fails_all else "done")
+
+    def end(self, task: TaskId, how: str) -> None:
+        run = self.running.pop(task)
+        self.numbers += 1
+        self.barred[task] = max(self.barred.get(task, 0), run.order.run)
+        self.ended.append(EndRow(self.numbers, task, run.order.run, how, ""))
+
+    def check(self, token: int) -> Refused | None:
+        if token < self.token:
+            return Refused("fence", self.now_ms())
+        self.token = token
+        return None
+
+
+class FakeOrders:
+    """Carry orders to fake workers; `cut` names those that this sender can't reach."""
+
+    def __init__(self, workers: dict[str, FakeWorker]) -> None:
+        self.workers = workers
+        self.cut: set[str] = set()
+        self.lose_starts = 0
+
+    async def _reach(self, info: WorkerInfo) -> FakeWorker | None:
+        await asyncio.sleep(CALL_S)
+        worker = self.workers.get(info.worker_id)
+        if worker is None or worker.is_silent or info.worker_id in self.cut:
+            await asyncio.sleep(0.8)
+            return None
+        worker.settle()
+        return worker
+
+    async def start(
+        self, info: WorkerInfo, order: StartOrder, lease: Lease
+    ) -> OrderOutcome:
+        worker = await self._reach(info)
+        if worker is None:
+            return Unanswered(was_sent=True)
+        if refusal := worker.check(lease.token):
+            return refusal
+        worker.lease_s = max(worker.lease_s, lease.deadline_ms / 1000)
+        if order.run <= worker.barred.get(order.task, 0):
+            return Refused("old", worker.now_ms())
+        now_s = asyncio.get_running_loop().time()
+        worker.running[order.task] = FakeRun(order, now_s + worker.run_s)
+        worker.starts.append((order.task, order.run))
+        if self.lose_starts:
+            self.lose_starts -= 1
+            return Unanswered(was_sent=True)
+        return Accepted(worker.now_ms())
+
+    async def stop(
+        self, info: WorkerInfo, task: TaskId, run: int, token: int
+    ) -> OrderOutcome:
+        worker = await self._reach(info)
+        if worker is None:
+            return Unanswered(was_sent=True)
+        if refusal := worker.check(token):
+            return refusal
+        worker.barred[task] = max(worker.barred.get(task, 0), run)
+        if task in worker.running and worker.running[task].order.run == run:
+            worker.end(task, "stopped")
+        return Accepted(worker.now_ms())
+
+    async def pace(
+        self, info: WorkerInfo, task: TaskId, run: int, percent: int, token: int
+    ) -> OrderOutcome:
+        return Accepted(0)
+
+    async def hold(
+        self, info: WorkerInfo, lease: Lease, acked_through: int, wait_ms: int
+    ) -> LookOutcome:
+        worker = await self._reach(info)
+        if worker is None:
+            return Unanswered(was_sent=True)
+        if refusal := worker.check(lease.token):
+            return refusal
+        if lease.deadline_ms and lease.deadline_ms < worker.now_ms():
+            return Refused("late", worker.now_ms())
+        worker.lease_s = max(worker.lease_s, lease.deadline_ms / 1000)
+        worker.ended = [row for row in worker.ended if row.number > acked_through]
+        for _ in range(wait_ms // 10):
+            worker.settle()
+            if worker.ended:
+                break
+            await asyncio.sleep(0.01)
+        if refusal := worker.check(lease.token):
+            return refusal
+        running = tuple(
+            RunRow(task, run.order.run, "", 100, 0)
+            for task, run in worker.running.items()
+        )
+        return Look(worker.now_ms(), info.born_ms, running, tuple(worker.ended))
+
+
+def build_worker(number: int, pool: str = "previews", cpu: int = 8000) -> WorkerInfo:
+    """Return the report of a worker."""
+    return WorkerInfo(
+        worker_id=f"w{number}",
+        service=pool,
+        address=f"10.1.0.{number}:8000",
+        data_centre="dc-1",
+        state=WorkerState.READY,
+        capacity=Size(cpu, 16_384, 0),
+        labels=frozenset({"a", f"r{number % 2}"}),
+        rack=f"r{number % 2}",
+        born_ms=1,
+        host=f"m{number}",
+    )
+
+
+def build_job(job_id: str = "job-1", **changes: object) -> JobSpec:
+    """Return a job of two steps, the second after the first."""
+    first = StepSpec(count=3, cpu=1000, memory_mb=100, estimated_ms=1000)
+    second = StepSpec(count=2, cpu=2000, memory_mb=100, estimated_ms=1000, after=(0,))
+    fields: dict[str, object] = {"steps": (first, second), **changes}
+    return JobSpec(job_id, "q-previews", "payload", **fields)  # type: ignore[arg-type]
+
+
+CONFIG = FleetConfig(
+    version=1,
+    queues=(
+        Queue(
+            "q-previews",
+            "previews.example",
+            "/previews/",
+            "previews",
+            attempts=3,
+            stretch=1.6,
+            target_latency_ms=600,
+        ),
+    ),
+    services=("previews", "misc"),
+    spare_services=frozenset({"misc"}),
+)
--- /dev/null
+++ b/tests/test_pool_owner.py
@@ -0,0 +1,371 @@
+"""One owner of a pool, from a job's acceptance to its end, and its successor."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from bergamotgap.domain.fleet import JobPhase, StepSpec
+from bergamotgap.pools.job_table import NotStored, Stored
+from bergamotgap.pools.pool import Pool
+from bergamotgap.pools.runs import Confirmation, Term
+from tests.fakes_pools import (
+    CONFIG,
+    SETTINGS,
+    FakeOrders,
+    FakeStore,
+    FakeWorker,
+    build_job,
+    build_worker,
+)
+from tests.virtual_time import LoopClock, run_virtual
+
+PARTITION = ("keyed.jobs", 0)
+
+
+class Scene:
+    """A log, workers, and the owners that a test starts."""
+
+    def __init__(self, workers: int = 3, run_s: float = 0.5) -> None:
+        self.store = FakeStore()
+        self.clock = LoopClock()
+        self.infos = {f"w{n}": build_worker(n) for n in range(1, workers + 1)}
+        self.workers = {
+            name: FakeWorker(info, run_s) for name, info in self.infos.items()
+        }
+        self.is_confirmed = True
+
+    @asynccontextmanager
+    async def own(
+        self, token: int, number: int = 1, is_clean: bool = True, **term: int
+    ) -> AsyncIterator[tuple[Pool, FakeOrders]]:
+        """Own the pool."""
+        orders = FakeOrders(self.workers)
+        born_ms = self.clock.monotonic_ms()
+
+        def get_confirmed_ms() -> int:
+            return self.clock.monotonic_ms() if self.is_confirmed else born_ms
+
+        pool = Pool(
+            "previews",
+            Term(token, number, is_clean, **term),
+            self.store,
+            PARTITION,
+            orders,
+            SETTINGS,
+            self.clock,
+            Confirmation(get_confirmed_ms, lambda: False),
+            lambda _: None,
+        )
+        async with pool:
+            pool.update_config(CONFIG)
+            pool.update_workers(self.infos)
+            yield pool, orders
+
+    def count_starts(self) -> dict[object, int]:
+        """Return how often each task was started."""
+        counts: dict[object, int] = {}
+        for worker in self.workers.values():
+            for task, _ in worker.starts:
+                counts[task] = counts.get(task, 0) + 1
+        return counts
+
+
+def test_a_job_runs_its_steps_in_order_and_completes() -> None:
+    """Guards against a step that starts before those that it waits for."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with scene.own(1) as (pool, _):
+            assert await pool.submit(build_job()) == Stored(is_new=True)
+            await asyncio.sleep(0.4)
+            steps = {task.step for task in scene.count_starts()}  # type: ignore[attr-defined]
+            assert steps == {0}
+            await asyncio.sleep(2)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+            assert set(scene.count_starts().values()) == {1}
+
+    run_virtual(main())
+
+
+def test_a_repeated_id_is_one_job() -> None:
+    """Guards against a caller's repeat that runs the work twice."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with scene.own(1) as (pool, _):
+            first, second = await asyncio.gather(
+                pool.submit(build_job()), pool.submit(build_job())
+            )
+            assert [first, second] == [Stored(True), Stored(False)]
+            await asyncio.sleep(3)
+            assert set(scene.count_starts().values()) == {1}
+
+    run_virtual(main())
+
+
+def test_nothing_is_accepted_while_the_log_refuses() -> None:
+    """Guards against a 2xx for a job that the log does not hold."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with scene.own(1) as (pool, _):
+            scene.store.is_down = True
+            first = asyncio.create_task(pool.submit(build_job("a")))
+            await asyncio.sleep(1)
+            assert not first.done()
+            outcome = await pool.submit(build_job("b"))
+            assert isinstance(outcome, NotStored)
+            assert pool.table.get_phase("a") is None
+            scene.store.is_down = False
+            assert await first == Stored(is_new=True)
+            assert pool.table.get_phase("b") is None
+
+    run_virtual(main())
+
+
+def test_a_successor_takes_over_what_runs() -> None:
+    """Guards against a second run of a task that is at work at a take-over."""
+
+    async def main() -> None:
+        scene = Scene(run_s=3)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.5)
+        async with scene.own(2, number=2) as (pool, _):
+            await asyncio.sleep(10)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+        assert set(scene.count_starts().values()) == {1}
+
+    run_virtual(main())
+
+
+def test_a_successor_waits_for_a_worker_that_it_cannot_reach() -> None:
+    """Guards against a run elsewhere while the former lease may still last."""
+
+    async def main() -> None:
+        scene = Scene(run_s=30)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.5)
+            used = {name for name, worker in scene.workers.items() if worker.starts}
+        began = scene.clock.monotonic_ms()
+        async with scene.own(2, number=2, is_clean=False) as (pool, orders):
+            orders.cut |= used
+            before = sum(scene.count_starts().values())
+            await asyncio.sleep(SETTINGS.run_lease_ms / 1000)
+            assert sum(scene.count_starts().values()) == before
+            await asyncio.sleep(2 * SETTINGS.run_lease_ms / 1000)
+            assert sum(scene.count_starts().values()) > before
+        assert scene.clock.monotonic_ms() > began
+
+    run_virtual(main())
+
+
+def test_a_release_names_the_workers_that_its_owner_never_saw() -> None:
+    """Guards against the release by an owner that did not reach a used worker."""
+
+    async def main() -> None:
+        scene = Scene(run_s=30)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.5)
+            used = {name for name, worker in scene.workers.items() if worker.starts}
+        async with scene.own(2, number=2) as (pool, orders):
+            orders.cut |= used
+            await asyncio.sleep(0.5)
+            pool.stop_placing()
+            await pool.journal.wait(pool.journal.requested)
+        before = sum(scene.count_starts().values())
+        async with scene.own(3, number=3, released_token=2) as (pool, orders):
+            orders.cut |= used
+            await asyncio.sleep(1.5)
+            assert sum(scene.count_starts().values()) == before
+
+    run_virtual(main())
+
+
+def test_a_release_lets_the_successor_start_at_once() -> None:
+    """Guards against a wait for workers that hold nothing of a restored job."""
+
+    async def main() -> None:
+        scene = Scene(run_s=1)
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job())
+            pool.stop_placing()
+            await pool.journal.wait(pool.journal.requested)
+        scene.workers["w1"].is_silent = True
+        async with scene.own(2, number=2, released_token=1) as (pool, _):
+            await asyncio.sleep(1)
+            assert scene.count_starts()
+
+    run_virtual(main())
+
+
+def test_a_superseded_owner_starts_nothing() -> None:
+    """Guards against two owners that both place tasks."""
+
+    async def main() -> None:
+        scene = Scene()
+        lost: list[str] = []
+        async with scene.own(1) as (old, _):
+            old._on_superseded = lost.append
+            async with scene.own(2, number=2) as (new, _):
+                await asyncio.sleep(0.5)
+                submitted = asyncio.create_task(old.submit(build_job("late")))
+                await asyncio.sleep(1)
+                assert not submitted.done()
+                assert lost == ["previews"]
+                assert not scene.count_starts()
+                submitted.cancel()
+                assert new.table.get_phase("late") is None
+
+    run_virtual(main())
+
+
+def test_an_owner_without_the_log_and_most_workers_waits() -> None:
+    """Guards against an owner behind a cut that repeats what its successor runs."""
+
+    async def main() -> None:
+        scene = Scene(run_s=30)
+        async with scene.own(1) as (pool, orders):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.5)
+            scene.is_confirmed = False
+            scene.store.is_down = True
+            orders.cut |= {"w1", "w2"}
+            before = sum(scene.count_starts().values())
+            await asyncio.sleep(4 * SETTINGS.run_lease_ms / 1000)
+            assert sum(scene.count_starts().values()) == before
+            assert not pool.runs.may_act()
+            assert not pool.runs.may_renew()
+
+    run_virtual(main())
+
+
+def test_an_owner_without_the_log_goes_on_with_its_workers() -> None:
+    """Guards against an outage of the log that stops accepted work."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.1)
+            scene.is_confirmed = False
+            scene.store.is_down = True
+            await asyncio.sleep(2)
+            steps = {task.step for task in scene.count_starts()}  # type: ignore[attr-defined]
+            assert steps == {0, 1}
+            scene.store.is_down = False
+            await asyncio.sleep(2)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
+def test_what_ran_on_a_silent_worker_runs_again_after_its_lease() -> None:
+    """Guards against a lease that each renewal without an answer moves on."""
+
+    async def main() -> None:
+        scene = Scene(run_s=2)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.5)
+            used = [name for name, worker in scene.workers.items() if worker.starts]
+            for name in used:
+                scene.workers[name].is_silent = True
+            await asyncio.sleep(SETTINGS.run_lease_ms / 1000 - 1.5)
+            assert set(scene.count_starts().values()) == {1}
+            await asyncio.sleep(10)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
+def test_a_start_without_an_answer_is_barred_before_another() -> None:
+    """Guards against two runs of a task whose start was carried out unheard."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with scene.own(1) as (pool, orders):
+            orders.lose_starts = 2
+            await pool.submit(build_job())
+            await asyncio.sleep(5)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
+def test_a_job_that_never_ends_well_fails_after_its_attempts() -> None:
+    """Guards against a hopeless job that runs for ever."""
+
+    async def main() -> None:
+        scene = Scene()
+        for worker in scene.workers.values():
+            worker.fails_all = True
+        async with scene.own(1) as (pool, _):
+            spec = build_job(steps=(StepSpec(count=1, cpu=1000, estimated_ms=500),))
+            await pool.submit(spec)
+            await asyncio.sleep(12)
+            assert pool.table.get_phase("job-1") is JobPhase.FAILED
+        assert list(scene.count_starts().values()) == [3]
+
+    run_virtual(main())
+
+
+def test_a_cancelled_job_stops_and_stays_cancelled() -> None:
+    """Guards against work that goes on after its cancelling was acknowledged."""
+
+    async def main() -> None:
+        scene = Scene(run_s=60)
+        lasting = StepSpec(count=2, cpu=1000, is_lasting=True)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job(steps=(lasting,)))
+            await asyncio.sleep(0.5)
+            assert await pool.cancel("job-1")
+            await asyncio.sleep(0.5)
+            assert not any(worker.running for worker in scene.workers.values())
+        async with scene.own(2, number=2) as (pool, _):
+            assert pool.table.get_phase("job-1") is JobPhase.CANCELLED
+            assert not await pool.cancel("job-2")
+
+    run_virtual(main())
+
+
+def test_a_worker_is_given_away_only_when_it_is_empty() -> None:
+    """Guards against a move that ends what runs on the host."""
+
+    async def main() -> None:
+        scene = Scene(run_s=2)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.5)
+            used = [name for name, worker in scene.workers.items() if worker.running]
+            free = [name for name in scene.workers if name not in used]
+            assert not pool.vacate(used[0], may_stop=False).is_empty
+            assert pool.vacate(free[0], may_stop=False).is_empty
+            assert not pool.vacate("unlisted", may_stop=True).is_empty
+
+    run_virtual(main())
+
+
+def test_a_maintained_worker_gives_its_lasting_tasks_away_one_by_one() -> None:
+    """Guards against an upkeep that takes more tasks away than a step may miss."""
+
+    async def main() -> None:
+        scene = Scene(workers=2, run_s=600)
+        step = StepSpec(count=4, cpu=1000, is_lasting=True, may_miss=1)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job(steps=(step,)))
+            await asyncio.sleep(3)
+            for _ in range(100):
+                if pool.vacate("w1", may_stop=True).is_empty:
+                    break
+                running = sum(len(w.running) for w in scene.workers.values())
+                assert running >= 3
+                await asyncio.sleep(0.1)
+            assert pool.vacate("w1", may_stop=True).is_empty
+            await asyncio.sleep(1)
+            assert len(scene.workers["w2"].running) == 4
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/test_pool_parts.py
@@ -0,0 +1,238 @@
+"""Journal, registry and watch: the parts that decide who may act and what lasts."""
+
+import asyncio
+
+import pytest
+
+from bergamotgap.pools.journal import Journal
+from bergamotgap.pools.outage_watch import OutageWatch
+from bergamotgap.pools.registry import Claim, Member, Registry, choose_claimant
+from bergamotgap.ports.fleet import Fence, KeyedRecord
+from bergamotgap.ports.pool_peer import (
+    ContactCall,
+    ContactReply,
+    PeerCallError,
+    PoolCall,
+    PoolReply,
+)
+from tests.fakes_pools import SETTINGS, FakeStore
+from tests.virtual_time import LoopClock, run_virtual
+
+TOPIC = "keyed.jobs"
+
+
+def build_journal(store: FakeStore, epoch: int, lost: list[str]) -> Journal:
+    fence = Fence("pool/previews", epoch, 0)
+    return Journal(store, TOPIC, 0, fence, LoopClock(), lambda: lost.append("fenced"))
+
+
+def test_an_append_without_an_answer_takes_effect_once() -> None:
+    """Guards against a lost answer that loses or doubles a record."""
+
+    async def main() -> None:
+        store = FakeStore()
+        journal = build_journal(store, 1, [])
+        task = asyncio.create_task(journal.run())
+        store.lose_answers = 2
+        await journal.wait(journal.put("a", lambda: b"1"))
+        await journal.wait(journal.put("b", lambda: b"2"))
+        records = store.get(TOPIC, 0).records
+        assert records == [KeyedRecord("a", b"1"), KeyedRecord("b", b"2")]
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_a_change_lasts_only_when_its_value_was_appended() -> None:
+    """Guards against an acknowledgement of a change that waits behind an outage."""
+
+    async def main() -> None:
+        store = FakeStore()
+        journal = build_journal(store, 1, [])
+        task = asyncio.create_task(journal.run())
+        store.is_down = True
+        change = journal.put("a", lambda: b"1")
+        await asyncio.sleep(3)
+        assert not journal.is_committed(change)
+        assert journal.is_failing
+        store.is_down = False
+        await journal.wait(change)
+        assert store.get(TOPIC, 0).records == [KeyedRecord("a", b"1")]
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_a_fenced_owner_hears_of_it_and_appends_nothing() -> None:
+    """Guards against two owners whose records mix."""
+
+    async def main() -> None:
+        store, lost = FakeStore(), list[str]()
+        old, new = build_journal(store, 1, lost), build_journal(store, 2, [])
+        tasks = [asyncio.create_task(journal.run()) for journal in (old, new)]
+        await new.wait(new.put("a", lambda: b"new"))
+        old.put("a", lambda: b"old")
+        await asyncio.sleep(0.1)
+        assert lost == ["fenced"]
+        assert store.get(TOPIC, 0).records == [KeyedRecord("a", b"new")]
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(main())
+
+
+def build_registry(store: FakeStore, number: int, life: str = "1") -> Registry:
+    registry = Registry(
+        store, Member(f"10.0.0.{number}:7000", life), SETTINGS, LoopClock()
+    )
+    registry.set_pools(frozenset({"previews", "audits"}))
+    return registry
+
+
+def start(registry: Registry) -> list[asyncio.Task[None]]:
+    return [
+        asyncio.create_task(run())
+        for run in (registry.follower.run, registry.run_membership, registry.run_claims)
+    ]
+
+
+def test_each_pool_gets_one_owner_and_a_dead_one_a_successor() -> None:
+    """Guards against a pool without an owner, and against two."""
+
+    async def main() -> None:
+        store = FakeStore()
+        registries = [build_registry(store, number) for number in (1, 2, 3)]
+        tasks = [start(registry) for registry in registries]
+        await asyncio.sleep(3)
+        claims = registries[0].claims
+        assert set(claims) == {"previews", "audits"}
+        assert all(registry.claims == claims for registry in registries)
+        victim = next(r for r in registries if r.is_own(claims["previews"]))
+        for task in tasks[registries.index(victim)]:
+            task.cancel()
+        store.members.discard(claims["previews"].member)
+        await asyncio.sleep(3)
+        heir = next(r for r in registries if r is not victim).claims["previews"]
+        assert heir.token > claims["previews"].token
+        assert heir.term == 2
+        assert not heir.is_clean
+
+    run_virtual(main())
+
+
+def test_a_leaving_node_stays_out_of_the_group() -> None:
+    """Guards against a leaving node that joins again and is left the pools."""
+
+    async def main() -> None:
+        store = FakeStore()
+        registries = [build_registry(store, number) for number in (1, 2)]
+        for registry in registries:
+            start(registry)
+        await asyncio.sleep(3)
+        owner = next(
+            r for r in registries if r.is_own(registries[0].claims["previews"])
+        )
+        await owner.leave()
+        await asyncio.sleep(2)
+        assert len(store.members) == 1
+        other = next(r for r in registries if r is not owner)
+        assert all(other.is_own(claim) for claim in other.claims.values())
+        assert other.claims["previews"].is_clean
+        assert other.claims["previews"].released_token
+
+    run_virtual(main())
+
+
+def test_a_new_life_at_an_address_proves_the_former_one_dead() -> None:
+    """Guards against a wait for an owner that was restarted."""
+
+    async def main() -> None:
+        store = FakeStore()
+        first = build_registry(store, 1)
+        tasks = start(first)
+        await asyncio.sleep(3)
+        for task in tasks:
+            task.cancel()
+        store.members.clear()
+        second = build_registry(store, 1, life="2")
+        start(second)
+        await asyncio.sleep(3)
+        assert second.is_own(second.claims["previews"])
+        assert second.claims["previews"].is_clean
+
+    run_virtual(main())
+
+
+def test_the_member_with_the_fewest_pools_claims() -> None:
+    """Guards against one node that owns all pools."""
+    claims = {"a": Claim("m1", 1, 1), "b": Claim("m2", 2, 1)}
+    assert choose_claimant("c", ["m1", "m2", "m3"], claims) == "m3"
+    assert choose_claimant("c", [], claims) is None
+
+
+class FakePeers:
+    """Answer contact calls with an age; None is silence."""
+
+    def __init__(self, ages: dict[str, int | None]) -> None:
+        self.ages = ages
+
+    async def call(self, address: str, call: PoolCall, timeout_ms: int) -> PoolReply:
+        assert isinstance(call, ContactCall)
+        await asyncio.sleep(0.005)
+        age = self.ages.get(address)
+        if age is None:
+            raise PeerCallError("silent", was_sent=True)
+        return ContactReply(age)
+
+
+@pytest.mark.parametrize(
+    ("ages", "may_act"),
+    [
+        ({"10.0.0.2:7000": 2000, "10.0.0.3:7000": 2000}, True),
+        ({"10.0.0.2:7000": 2000, "10.0.0.3:7000": 100}, False),
+        ({"10.0.0.2:7000": 2000, "10.0.0.3:7000": None}, False),
+    ],
+)
+def test_the_holder_of_a_duty_acts_only_in_an_outage_for_all(
+    ages: dict[str, int | None], may_act: bool
+) -> None:
+    """Guards against a holder behind a cut that orders beside its successor."""
+
+    async def main() -> None:
+        store = FakeStore()
+        registries = [build_registry(store, number) for number in (1, 2, 3)]
+        for registry in registries:
+            start(registry)
+        await asyncio.sleep(2)
+        watch = OutageWatch(
+            registries[0], FakePeers(ages), "10.0.0.1:7000", SETTINGS, LoopClock()
+        )
+        running = asyncio.create_task(watch.run())
+        assert watch.may_act()
+        store.is_down = True
+        store.members.clear()
+        await asyncio.sleep(3)
+        assert watch.may_act() is may_act
+        running.cancel()
+
+    run_virtual(main())
+
+
+def test_a_holder_that_knows_no_member_does_not_act() -> None:
+    """Guards against a lone node that takes its own silence for everyone's."""
+
+    async def main() -> None:
+        store = FakeStore()
+        registry = build_registry(store, 1)
+        start(registry)
+        await asyncio.sleep(2)
+        watch = OutageWatch(
+            registry, FakePeers({}), "10.0.0.1:7000", SETTINGS, LoopClock()
+        )
+        running = asyncio.create_task(watch.run())
+        store.is_down = True
+        await asyncio.sleep(3)
+        assert not watch.may_act()
+        running.cancel()
+
+    run_virtual(main())
