--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,366 @@
+"""The users' platform as the adapter speaks it, against small stand-ins over HTTP."""
+
+import json
+import re
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+
+from bergamotgap.domain.fleet import JobPhase, JobSpec, Queue, TaskId
+from bergamotgap.platform.documents import (
+    decode_config,
+    decode_job,
+    decode_wave,
+    decode_worker,
+    format_task,
+    parse_task,
+)
+from bergamotgap.platform.ingress import Ingress
+from bergamotgap.platform.machines import MachineCalls
+from bergamotgap.platform.settings import (
+    PlatformSettingsError,
+    build_pool_settings,
+    read_file,
+)
+from bergamotgap.platform.store import LogStore, decode_page, encode_records
+from bergamotgap.platform.workers import WorkerCalls
+from bergamotgap.pools.directory import UnreadableError
+from bergamotgap.pools.requests import (
+    JobAccepted,
+    JobCancelled,
+    JobState,
+    NoSuchJob,
+    NotAccepted,
+    OutcomeUnknown,
+    RequestOutcome,
+    WaitingCount,
+)
+from bergamotgap.ports.fleet import (
+    Accepted,
+    AppendConflictError,
+    Fence,
+    FencedError,
+    HistoryGoneError,
+    KeyedRecord,
+    Lease,
+    Look,
+    MachinesUnavailableError,
+    OtherInstance,
+    Refused,
+    SequenceError,
+    StartOrder,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    Unanswered,
+)
+from tests.fakes_pools import CONFIG, build_worker
+from tests.virtual_time import LoopClock
+
+SOURCE = Path(__file__).resolve().parent.parent / "src" / "bergamotgap"
+WIRE_NAMES = (
+    *("run-start", "run-stop", "machine-move", "machine-upkeep", "log-append"),
+    *("log-read", "log-newest", "log-join", "log-owners", "fencingToken"),
+    *("deadlineMs", "ackedThrough", "requestedMemoryMb", "pathPrefix", "antiAffinity"),
+    *("longRunning", "mayMiss", "X-Duty-Holder", "X-Expected-Instance", "keyed.op"),
+    *("keyed.servers", "keyed.status", "listenAddresses", "cloudApi", "clockMs"),
+)
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+JOB = "5c0e7a21d94b36f8"
+
+
+@asynccontextmanager
+async def serve(handle: Handler) -> AsyncIterator[tuple[aiohttp.ClientSession, str]]:
+    """Answer all calls on a loopback port."""
+    server = web.Server(handle)  # type: ignore[arg-type]
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    async with aiohttp.ClientSession() as session:
+        yield session, f"127.0.0.1:{port}"
+    await runner.cleanup()
+
+
+def answer(status: int, content: object = None) -> Handler:
+    async def handle(request: web.Request) -> web.Response:
+        body = b"" if content is None else msgspec.json.encode(content)
+        return web.Response(status=status, body=body)
+
+    return handle
+
+
+async def hang_up(request: web.Request) -> web.Response:
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
+def test_no_name_of_the_wire_is_outside_the_adapter() -> None:
+    """Guards against the platform's names in the product."""
+    found = [
+        (path.name, name)
+        for path in SOURCE.rglob("*.py")
+        if "platform" not in path.parent.name
+        for name in WIRE_NAMES
+        if re.search(rf"\b{re.escape(name)}\b", path.read_text())
+    ]
+    assert found == []
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "error"),
+    [
+        (412, {"end": 9}, AppendConflictError),
+        (409, {"reason": "fenced", "epoch": 9}, FencedError),
+        (409, {"reason": "seq", "expected": 4}, SequenceError),
+        (503, None, StoreUnavailableError),
+        (429, None, StoreUnavailableError),
+    ],
+)
+async def test_answers_to_an_append_become_the_ports_errors(
+    status: int, content: object, error: type[Exception]
+) -> None:
+    """Guards against a refused append that is taken for done."""
+    async with serve(answer(status, content)) as (session, address):
+        store = LogStore(session, address, 1000)
+        with pytest.raises(error):
+            await store.append("t", 0, [KeyedRecord("k", b"v")], fence=Fence("p", 1, 1))
+
+
+async def test_an_append_that_is_cut_off_has_an_unknown_outcome() -> None:
+    """Guards against "not accepted" for a job that the log may hold."""
+    async with serve(hang_up) as (session, address):
+        store = LogStore(session, address, 1000)
+        with pytest.raises(StoreOutcomeUnknownError):
+            await store.append("t", 0, [KeyedRecord("k", b"v")])
+    async with aiohttp.ClientSession() as session:
+        store = LogStore(session, "127.0.0.1:1", 1000)
+        with pytest.raises(StoreUnavailableError):
+            await store.append("t", 0, [KeyedRecord("k", b"v")])
+
+
+async def test_dropped_history_is_told_with_its_first_offset() -> None:
+    """Guards against a reader that waits for records that are gone."""
+    async with serve(answer(410, {"first": 7})) as (session, address):
+        with pytest.raises(HistoryGoneError) as gone:
+            await LogStore(session, address, 1000).read("t", 0, 1, 0)
+    assert gone.value.first == 7
+
+
+def test_records_are_read_as_they_were_written() -> None:
+    """Guards against keys and values that a read mixes up."""
+    records = (KeyedRecord("a", b"1"), KeyedRecord("b", None), KeyedRecord("c", b"\0"))
+    page = decode_page(5, struct.pack(">QQ", 8, 0) + encode_records(records))
+    assert (page.start, page.end, page.records) == (5, 8, records)
+    with pytest.raises(StoreUnavailableError):
+        decode_page(5, b"short")
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "outcome"),
+    [
+        (200, {"clockMs": 5}, Accepted(5)),
+        (409, {"clockMs": 5, "reason": "fence"}, Refused("fence", 5)),
+        (409, {"clockMs": 5, "reason": "room"}, Refused("room", 5)),
+        (421, None, OtherInstance()),
+        (503, None, Refused("busy")),
+        (429, {"clockMs": 5}, Refused("busy", 5)),
+    ],
+)
+async def test_answers_of_a_worker_become_outcomes(
+    status: int, content: object, outcome: object
+) -> None:
+    """Guards against a refusal that is taken for a start, and the reverse."""
+    async with serve(answer(status, content)) as (session, address):
+        info = build_worker(1)
+        worker = type(info)(**{**vars(info), "address": address})
+        order = StartOrder(TaskId(JOB, 0, 1, 17), 2, "text", "")
+        assert await WorkerCalls(session).start(worker, order, Lease(7, 9)) == outcome
+
+
+async def test_a_look_reads_runs_and_ends() -> None:
+    """Guards against ends and progress that are read from the wrong place."""
+    lists = {
+        "clockMs": 482113,
+        "born": 17,
+        "running": [[f"{JOB}.0.1.17", 2, "0b", 41, 310]],
+        "ended": [[58, f"{JOB}.0.1.9", 1, "done", ""]],
+    }
+    async with serve(answer(200, lists)) as (session, address):
+        info = build_worker(1)
+        worker = type(info)(**{**vars(info), "address": address})
+        look = await WorkerCalls(session).hold(worker, Lease(7, 9), 57, 0)
+    assert isinstance(look, Look)
+    assert (look.clock_ms, look.born_ms) == (482113, 17)
+    assert look.running[0].task == TaskId(JOB, 0, 1, 17)
+    assert (look.running[0].percent, look.running[0].figure) == (41, 310)
+    assert (look.ended[0].number, look.ended[0].how) == (58, "done")
+
+
+async def test_a_worker_that_hangs_up_may_have_heard() -> None:
+    """Guards against a second start of a run that may be at work."""
+    async with serve(hang_up) as (session, address):
+        info = build_worker(1)
+        worker = type(info)(**{**vars(info), "address": address})
+        outcome = await WorkerCalls(session).stop(worker, TaskId(JOB, 0, 0, 0), 1, 7)
+        assert outcome == Unanswered(was_sent=True)
+    async with aiohttp.ClientSession() as session:
+        worker = type(info)(**{**vars(info), "address": "127.0.0.1:1"})
+        outcome = await WorkerCalls(session).stop(worker, TaskId(JOB, 0, 0, 0), 1, 7)
+        assert outcome == Unanswered(was_sent=False)
+
+
+async def test_orders_to_machines_tell_why_they_were_refused() -> None:
+    """Guards against a move that is taken for done."""
+    async with serve(answer(409, {"reason": "busy"})) as (session, address):
+        assert await MachineCalls(session, address, "n").move("m", "p", 1) == "busy"
+    async with serve(answer(200)) as (session, address):
+        assert await MachineCalls(session, address, "n").maintain("m", 1, 1) == ""
+    async with serve(answer(429)) as (session, address):
+        with pytest.raises(MachinesUnavailableError):
+            await MachineCalls(session, address, "n").move("m", "p", 1)
+
+
+def test_a_report_that_cannot_be_read_names_no_worker() -> None:
+    """Guards against an entry of another writer that breaks the list."""
+    for value in (b"\xff", b"{}", b'{"service":3}'):
+        with pytest.raises(UnreadableError):
+            decode_worker("i-1", value)
+    entry = {
+        "service": "s",
+        "address": "10.0.0.1:1",
+        "zone": "z",
+        "state": "strange",
+        "capacity": {"cpu": 1},
+        "labels": ["a", "r1-3"],
+    }
+    with pytest.raises(UnreadableError):
+        decode_worker("i-1", json.dumps(entry).encode())
+    entry["state"] = "draining"
+    info = decode_worker("i-1", json.dumps({**entry, "new": 1}).encode())
+    assert (info.rack, info.capacity.cpu) == ("r1-3", 1)
+
+
+def test_documents_become_the_products_types() -> None:
+    """Guards against a field that is read under a wrong meaning."""
+    route = {
+        "name": "r-1",
+        "host": "a.example",
+        "pathPrefix": "/p/",
+        "service": "s",
+        "priority": 1,
+        "retryAttempts": 3,
+        "stretch": 1.6,
+        "targetLatencyMs": 600,
+    }
+    services = [{"name": "s"}, {"name": "x", "spare": True}]
+    document = {"version": 7, "routes": [route], "services": services}
+    config = decode_config(json.dumps(document).encode())
+    assert config.spare_services == {"x"}
+    queue = config.find_queue("a.example", "/p/" + JOB)
+    assert queue is not None
+    assert (queue.urgency, queue.attempts, queue.target_latency_ms) == (1, 3, 600)
+    assert config.find_queue("b.example", "/p/") is None
+    wave = decode_wave(b'{"wave":1,"machines":["m"],"durationS":20,"cap":2}')
+    assert (wave.duration_ms, wave.cap) == (20_000, 2)
+    body = {"specification": "x", "steps": [{"count": 1, "fills": True, "mayMiss": 1}]}
+    job = decode_job(JOB, "r-1", json.dumps(body).encode(), 5)
+    assert (job.steps[0].is_filler, job.steps[0].may_miss) == (True, 1)
+    assert parse_task(format_task(TaskId(JOB, 1, 2, 3))) == TaskId(JOB, 1, 2, 3)
+    for wrong in (b"{}", b'{"steps":[]}', b'{"steps":[{"count":1,"after":[4]}]}'):
+        with pytest.raises(UnreadableError):
+            decode_job(JOB, "r-1", wrong, 5)
+
+
+def test_the_settings_file_gives_addresses_and_bounds(tmp_path: Path) -> None:
+    """Guards against a node that listens or waits as another deployment does."""
+    document = {
+        "node": "front-1",
+        "zone": "z",
+        "ip": "10.1.0.9",
+        "listenAddresses": {"front": "10.1.0.9:1", "ready": "10.1.0.9:2"},
+        "internalPortRange": [7060, 7075],
+        "platform": {"address": "10.2.0.1:1", "parts": 8, "keep_s": 300},
+        "bounds": {"maxHoldMs": 3000, "visible_ms": 1500, "moveS": 2.5},
+        "heartbeatIntervalMs": 900,
+        "unknown": {},
+    }
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(document))
+    settings = build_pool_settings(read_file(path))
+    assert settings.peer_address == "10.1.0.9:7060"
+    assert (settings.run_lease_ms, settings.visible_ms) == (3000, 1500)
+    assert (settings.move_ms, settings.log_parts, settings.heartbeat_ms) == (
+        *(2500, 8, 900),
+    )
+    path.write_text("{}")
+    with pytest.raises(PlatformSettingsError):
+        read_file(path)
+
+
+class FakeRequests:
+    """Give one outcome to every request."""
+
+    def __init__(self, outcome: RequestOutcome) -> None:
+        self.outcome = outcome
+        self.waits: list[int] = []
+
+    async def submit(self, spec: JobSpec, queue: Queue, wait_ms: int) -> RequestOutcome:
+        self.waits.append(wait_ms)
+        return self.outcome
+
+    async def get_state(
+        self, job_id: str, queue: Queue, wait_ms: int
+    ) -> RequestOutcome:
+        return self.outcome
+
+    async def cancel(self, job_id: str, queue: Queue, wait_ms: int) -> RequestOutcome:
+        return self.outcome
+
+    async def count_waiting(self, queue: Queue, wait_ms: int) -> RequestOutcome:
+        return self.outcome
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "outcome", "status"),
+    [
+        ("POST", JOB, JobAccepted(), 200),
+        ("POST", JOB, NotAccepted("platform_unavailable"), 503),
+        ("POST", JOB, OutcomeUnknown("no_owner"), 504),
+        ("GET", JOB, JobState(JobPhase.RUNNING), 200),
+        ("GET", JOB, NoSuchJob(), 410),
+        ("GET", JOB, OutcomeUnknown("unsure"), 504),
+        ("DELETE", JOB, JobCancelled(), 200),
+        ("GET", "", WaitingCount(3), 200),
+        ("GET", "short", NoSuchJob(), 404),
+        ("PUT", JOB, NoSuchJob(), 405),
+    ],
+)
+async def test_outcomes_become_answers_that_are_true(
+    method: str, path: str, outcome: RequestOutcome, status: int
+) -> None:
+    """Guards against a refusal that says more than is known."""
+    ingress = Ingress(
+        FakeRequests(outcome),  # type: ignore[arg-type]
+        lambda: CONFIG,
+        lambda: True,
+        ("", "", ""),
+        LoopClock(),
+    )
+    body = {"specification": "x", "steps": [{"count": 1}]}
+    async with serve(ingress._handle) as (session, address):  # type: ignore[arg-type]
+        url = f"http://{address}/previews/{path}"
+        headers = {"Host": "previews.example"}
+        async with session.request(method, url, json=body, headers=headers) as reply:
+            assert reply.status == status
+            assert ("Retry-After" in reply.headers) is (status in (503, 504))
+        headers["Host"] = "other.example"
+        async with session.request(method, url, json=body, headers=headers) as reply:
+            assert reply.status == 404
