Say "unknown" where a refusal holds for an attempt and not for the request id

Cause: ids that had run at one entry host were answered not_run at another that could not know: not_ready after a start, no_capacity, platform_unavailable. A caller that believes it sends a second notice under a new id.

Such refusals keep their code and status and now have the outcome unknown, with a time to come back; not_run stays where the log records it (worker_refused) or the entry alone decides (does_not_fit).

Ruled out: a fresh read of the log, since an attempt elsewhere may be claimed after it.

--- a/src/bergamotgap/adapters/caller_http.py
+++ b/src/bergamotgap/adapters/caller_http.py
@@ -44,6 +44,9 @@
 MAX_DEADLINE_DIGITS = 9
 # A caller that doesn't read its answer would hold a slot and a worker.
 CALLER_PROGRESS_MS = 10_000
+# Refusals of non-idempotent work that hold for the request id, not just for an attempt:
+# the first is recorded in the log, the second depends on the entry alone.
+PROVEN_CODES = frozenset({"worker_refused", "does_not_fit"})
 RETRY_AFTER_MS = 1000
 # Closes the connection with a reset instead of an orderly end.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -117,7 +120,7 @@
             response = build_problem(
                 error.status,
                 error.code,
-                "not_run",
+                _tell_of_refusal(request, error.status),
                 error.detail,
                 RETRY_AFTER_MS if error.status == 503 else None,
             )
@@ -231,6 +234,25 @@
             return build_problem(410, "result_gone", outcome.tag)
 
 
+def _build_unproven(outcome: NotRun | Expired | Cancelled) -> web.Response:
+    """Return the answer for an attempt under a request id that did not start.
+
+    Another attempt under the id may have run at another entry host, or may run yet;
+    only refusals that the log records for the id prove the contrary.
+    """
+    if isinstance(outcome, NotRun) and outcome.code not in PROVEN_CODES:
+        retry_ms = outcome.retry_after_ms or RETRY_AFTER_MS
+        return build_problem(503, outcome.code, Unknown.tag, outcome.detail, retry_ms)
+    return build_outcome(outcome)
+
+
+def _tell_of_refusal(request: web.Request, status: int) -> str:
+    """Return the outcome of a refusal that came before the look-up of an id."""
+    is_early = status == web.HTTPServiceUnavailable.status_code
+    has_id = request.headers.get("Request-Id") is not None
+    return Unknown.tag if is_early and has_id else "not_run"
+
+
 async def _send_once(
     request: web.Request,
     run: AbstractAsyncContextManager[TaskAnswer],
@@ -245,7 +267,7 @@
             whole = Answer(answer.size, b"", answer.chunks())
             return await send_answer(request, whole, request_id)
     except NotAdmittedError as error:
-        return build_outcome(error.outcome)
+        return _build_unproven(error.outcome)
     except RequestRefusedError as error:
         return build_problem(error.status, error.code, error.outcome, error.detail)
     except WorkerError as error:
@@ -312,8 +334,9 @@
     @web.middleware
     async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
         if not gate.is_open:
+            told = _tell_of_refusal(request, 503)
             response: web.StreamResponse = build_problem(
-                503, "shutting_down", "not_run", "", RETRY_AFTER_MS
+                503, "shutting_down", told, "", RETRY_AFTER_MS
             )
             response.force_close()
             return response
--- a/src/bergamotgap/node/jobs.py
+++ b/src/bergamotgap/node/jobs.py
@@ -153,8 +153,9 @@
         try:
             return await self._writer.append(record, APPEND_TIMEOUT_MS)
         except AppendRefusedError as error:
+            # An earlier submission under the id may be in the log unread.
             code, detail = "platform_unavailable", str(error)
-            raise RequestRefusedError(503, code, "not_run", detail) from error
+            raise RequestRefusedError(503, code, "unknown", detail) from error
         except AppendUnknownError as error:
             raise RequestRefusedError(
                 504, unknown_code, "unknown", str(error)
