--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 types: install
 	$(BIN)/mypy src stand_ins
+	$(BIN)/mypy tools bench
 
 # Most of the time of the tests is waiting, for processes to start and leases to end.
 unit: install
--- a/bench/fleet_use.py
+++ b/bench/fleet_use.py
@@ -38,7 +38,7 @@
 
     @staticmethod
     def _read_bytes() -> int:
-        return psutil.net_io_counters(pernic=True)["lo"].bytes_sent
+        return int(psutil.net_io_counters(pernic=True)["lo"].bytes_sent)
 
     def read(self) -> Usage:
         """Return the use since the start: highest host for CPU and memory."""
--- a/bench/work_stream.py
+++ b/bench/work_stream.py
@@ -7,6 +7,7 @@
 import base64
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
@@ -143,7 +144,7 @@
     ]
     platform = Platform(hosts, UNLIMITED).build_app()
     settings = WorkerSettings(slots=64, run_ms=5)
-    workers = [Worker(host["host"], settings).build_app() for host in hosts]
+    workers = [Worker(str(host["host"]), settings).build_app() for host in hosts]
     async with (
         serve_app(platform, f"{LOOPBACK}:{ports[0]}") as log_address,
         serve_app(workers[0], f"{LOOPBACK}:{ports[1]}"),
@@ -156,7 +157,7 @@
         await _warm(session, callers)
         log = f"http://{log_address}/streams/work/records"
         results = {}
-        kinds = {
+        kinds: dict[str, Callable[..., Awaitable[int]]] = {
             "non-idempotent request": _request,
             "non-idempotent job": partial(_submit, "rollup-invoice"),
             "idempotent job": partial(_submit, "tool-run"),
--- a/tools/slopes_messages.py
+++ b/tools/slopes_messages.py
@@ -105,6 +105,9 @@
     async def append(self, stream: str, record_id: str, body: str) -> int:
         raise NotImplementedError
 
+    def give_way(self, pool: str, count: int) -> None:
+        raise NotImplementedError
+
 
 def _build_info(index: int) -> PeerInfo:
     return PeerInfo(
--- a/tools/slopes_state.py
+++ b/tools/slopes_state.py
@@ -253,7 +253,6 @@
         nobody,
         workers.view,
         dict,
-        lambda host: (),
         lambda: True,
         clock,
     )
