Look a job up in the log where no owner can be asked, and refuse it early

The log can deny an id that no owner heard of; a submission that was sent stays unknown.

Ruled out: 503 without a look, since an earlier attempt may have been accepted.

--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -100,7 +100,8 @@
         wait_ms = _read_wait_ms(request)
         job_id = request.path[len(queue.path_prefix) :]
         if not job_id and request.method == "GET":
-            return _convert(await self._requests.count_waiting(queue, wait_ms))
+            outcome = await self._requests.count_waiting(queue, wait_ms)
+            return _convert(outcome, is_read=True)
         if not JOB_ID.fullmatch(job_id):
             return web.Response(status=404)
         match request.method:
@@ -112,7 +113,8 @@
                     return web.Response(status=400)
                 return _convert(await self._requests.submit(spec, queue, wait_ms))
             case "GET":
-                return _convert(await self._requests.get_state(job_id, queue, wait_ms))
+                outcome = await self._requests.get_state(job_id, queue, wait_ms)
+                return _convert(outcome, is_read=True)
             case "DELETE":
                 return _convert(await self._requests.cancel(job_id, queue, wait_ms))
         return web.Response(status=405)
@@ -123,7 +125,7 @@
     return int(text) if text.isdecimal() else DEFAULT_WAIT_MS
 
 
-def _convert(outcome: RequestOutcome) -> web.Response:
+def _convert(outcome: RequestOutcome, is_read: bool = False) -> web.Response:
     match outcome:
         case JobAccepted() | JobCancelled():
             return web.Response(status=200)
@@ -136,7 +138,9 @@
         case NotAccepted():
             return _refuse(503, outcome.reason, outcome.retry_ms)
         case OutcomeUnknown():
-            return _refuse(504, outcome.reason, outcome.retry_ms)
+            # A read changes nothing, so that it may be repeated at once.
+            status = 503 if is_read else 504
+            return _refuse(status, outcome.reason, outcome.retry_ms)
 
 
 def _answer(content: Mapping[str, str | int]) -> web.Response:
--- a/src/bergamotgap/pools/asking.py
+++ b/src/bergamotgap/pools/asking.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Awaitable, Callable
 
+from bergamotgap.pools.requests import NoReply
 from bergamotgap.ports.pool_peer import PoolCall, PoolReply
 
 # Returns the owner's reply, or why there is none.
-AskOwner = Callable[[PoolCall], Awaitable[PoolReply | str]]
+AskOwner = Callable[[PoolCall], Awaitable[PoolReply | NoReply]]
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -16,12 +16,13 @@
 from bergamotgap.pools.directory import Directory
 from bergamotgap.pools.following import Follower
 from bergamotgap.pools.host_duty import HOSTS_POOL, HostDuty, ReportWave
+from bergamotgap.pools.job_table import RecordKind, format_key
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.outage_watch import OutageWatch
 from bergamotgap.pools.partitions import choose_partition
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.registry import Claim, Member, Registry
-from bergamotgap.pools.requests import JobRequests
+from bergamotgap.pools.requests import JobRequests, NoReply
 from bergamotgap.pools.runs import Confirmation, Term
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.wave_records import restore_waves
@@ -86,6 +87,7 @@
             lambda: self.directory.config,
             settings.peer_address,
             self._peers,
+            self._is_stored,
             clock,
         )
         self._watch = OutageWatch(
@@ -267,7 +269,17 @@
         finally:
             await cancel_tasks(work)
 
-    async def _ask_for_duty(self, call: PoolCall) -> PoolReply | str:
+    async def _is_stored(self, pool: str, job_id: str) -> bool | None:
+        topic, part = choose_partition(pool, self._settings.log_parts)
+        try:
+            newest = await self._ports.store.read_newest(topic, part)
+        except StoreError as error:
+            log.warning("job not looked up", job=job_id, error=str(error))
+            return None
+        kinds = (RecordKind.SPEC, RecordKind.PROGRESS)
+        return any(format_key(pool, kind, job_id) in newest.values for kind in kinds)
+
+    async def _ask_for_duty(self, call: PoolCall) -> PoolReply | NoReply:
         return await self.requests.ask(call, DUTY_CALL_MS, "")
 
     def dump(self) -> dict[str, Any]:
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -1,6 +1,6 @@
 """Requests of callers about jobs: which owner answers, and what may be said."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from bergamotgap.adapters.logs import get_logger
@@ -33,9 +33,9 @@
 RETRY_MS = 100
 # Time left to write the answer before the caller's deadline.
 ANSWER_MS = 150
-# A pool without an owner gets one within about two times to live of a member; longer
-# the request does not wait.
-OWNER_WAIT_MS = 2500
+# Longer than a hand-over takes. A pool whose owner fell silent gets another one in a
+# few seconds; the caller is told to come back then, and need not wait here.
+OWNER_WAIT_MS = 600
 CALL_MS = 1200
 RETRY_AFTER_MS = 1000
 
@@ -98,6 +98,18 @@
 )
 
 
+@dataclass(frozen=True)
+class NoReply:
+    """No owner answered; `was_sent` tells whether one may act on the call."""
+
+    reason: str
+    was_sent: bool
+
+
+# Tells whether the log holds a job of a pool; None if the log does not answer.
+IsStored = Callable[[str, str], Awaitable[bool | None]]
+
+
 class JobRequests:
     """Answer callers through the owners of the pools, this node's own included."""
 
@@ -108,6 +120,7 @@
         get_config: Callable[[], FleetConfig | None],
         own_address: str,
         peers: PoolPeers,
+        is_stored: IsStored,
         clock: Clock,
     ) -> None:
         self._pools = pools
@@ -115,6 +128,7 @@
         self._get_config = get_config
         self._own_address = own_address
         self._peers = peers
+        self._is_stored = is_stored
         self._clock = clock
 
     async def submit(self, spec: JobSpec, queue: Queue, wait_ms: int) -> RequestOutcome:
@@ -125,9 +139,21 @@
                 return JobAccepted()
             case NotAcceptedReply():
                 return NotAccepted(reply.reason, reply.retry_ms)
-            case str():
-                return OutcomeUnknown(reply)
-        return OutcomeUnknown("unsure")
+            case NoReply(was_sent=False):
+                return await self._look_up(spec.job_id, queue, reply.reason)
+        return _tell_unknown(reply)
+
+    async def _look_up(self, job_id: str, queue: Queue, reason: str) -> RequestOutcome:
+        """Read the log for a job that no owner could be asked to accept.
+
+        An earlier attempt of the caller may have been accepted, so only the log can
+        deny the id.
+        """
+        is_stored = await self._is_stored(queue.service, job_id)
+        log.info("looked up", job=job_id, pool=queue.service, is_stored=is_stored)
+        if is_stored is None:
+            return OutcomeUnknown(reason)
+        return JobAccepted() if is_stored else NotAccepted(reason)
 
     async def get_state(
         self, job_id: str, queue: Queue, wait_ms: int
@@ -138,7 +164,7 @@
             if isinstance(reply, StateReply):
                 return JobState(reply.phase)
             if not isinstance(reply, NoJobReply):
-                return OutcomeUnknown(reply if isinstance(reply, str) else "unsure")
+                return _tell_unknown(reply)
         return NoSuchJob()
 
     async def cancel(self, job_id: str, queue: Queue, wait_ms: int) -> RequestOutcome:
@@ -148,7 +174,7 @@
             if isinstance(reply, CancelledReply):
                 return JobCancelled()
             if not isinstance(reply, NoJobReply):
-                return OutcomeUnknown(reply if isinstance(reply, str) else "unsure")
+                return _tell_unknown(reply)
         return NoSuchJob()
 
     async def count_waiting(self, queue: Queue, wait_ms: int) -> RequestOutcome:
@@ -157,7 +183,7 @@
         reply = await self.ask(call, wait_ms, "")
         if isinstance(reply, CountReply):
             return WaitingCount(reply.count)
-        return OutcomeUnknown(reply if isinstance(reply, str) else "unsure")
+        return _tell_unknown(reply)
 
     def _list_pools(self, queue: Queue) -> list[str]:
         # A queue's jobs of before may be in the pool that it had then.
@@ -167,21 +193,23 @@
         others = [s for s in services if s != queue.service and s not in spare]
         return [queue.service, *others]
 
-    async def ask(self, call: PoolCall, wait_ms: int, job_id: str) -> PoolReply | str:
+    async def ask(
+        self, call: PoolCall, wait_ms: int, job_id: str
+    ) -> PoolReply | NoReply:
         """Return the owner's reply, or why there is none."""
         until_ms = self._clock.monotonic_ms() + min(wait_ms - ANSWER_MS, OWNER_WAIT_MS)
-        reason = "no_owner"
+        reason, was_sent = "no_owner", False
         while True:
             left_ms = until_ms - self._clock.monotonic_ms()
             if left_ms <= 0:
                 log.warning("no answer", job=job_id, pool=call.pool, reason=reason)
-                return reason
+                return NoReply(reason, was_sent)
             owner = self._get_owner(call.pool)
             if owner is not None:
                 try:
                     reply = await self._call_owner(owner, call, int(left_ms))
                 except PeerCallError as error:
-                    reason = str(error)
+                    reason, was_sent = str(error), was_sent or error.was_sent
                 else:
                     if not isinstance(reply, NotOwnerReply):
                         return reply
@@ -219,6 +247,10 @@
         return NotOwnerReply()
 
 
+def _tell_unknown(reply: PoolReply | NoReply) -> OutcomeUnknown:
+    return OutcomeUnknown(reply.reason if isinstance(reply, NoReply) else "unsure")
+
+
 async def _deny(pool: Pool) -> NoJobReply | UnsureReply:
     """Say that a job is not known, if no newer owner can know it."""
     return NoJobReply() if await pool.confirm_owner() else UnsureReply()
--- a/tests/test_pool_requests.py
+++ b/tests/test_pool_requests.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from bergamotgap.domain.fleet import JobPhase
 from bergamotgap.pools.requests import (
     JobAccepted,
@@ -46,8 +48,15 @@
         return reply
 
 
-def build(peers: FakePeers, owner: str | None = OTHER) -> JobRequests:
-    return JobRequests({}, lambda _: owner, lambda: CONFIG, OWN, peers, LoopClock())
+def build(
+    peers: FakePeers, owner: str | None = OTHER, is_stored: bool | None = None
+) -> JobRequests:
+    async def look_up(pool: str, job_id: str) -> bool | None:
+        return is_stored
+
+    return JobRequests(
+        {}, lambda _: owner, lambda: CONFIG, OWN, peers, look_up, LoopClock()
+    )
 
 
 def test_the_owners_answer_is_passed_on() -> None:
@@ -78,6 +87,37 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("is_stored", "expected"),
+    [(True, JobAccepted), (False, NotAccepted), (None, OutcomeUnknown)],
+)
+def test_a_job_that_no_owner_heard_of_is_looked_up_in_the_log(
+    is_stored: bool | None, expected: type
+) -> None:
+    """Guards against a refusal of an id that an earlier attempt had accepted."""
+
+    async def main() -> None:
+        for owner in (None, OTHER):
+            peers = FakePeers(PeerCallError("refused", was_sent=False))
+            requests = build(peers, owner, is_stored)
+            outcome = await requests.submit(build_job(), QUEUE, WAIT_MS)
+            assert isinstance(outcome, expected)
+
+    run_virtual(main())
+
+
+def test_a_submission_that_was_sent_is_not_denied_by_the_log() -> None:
+    """Guards against a refusal of a job that the owner is about to append."""
+
+    async def main() -> None:
+        peers = FakePeers(PeerCallError("silent", was_sent=True))
+        requests = build(peers, is_stored=False)
+        outcome = await requests.submit(build_job(), QUEUE, WAIT_MS)
+        assert isinstance(outcome, OutcomeUnknown)
+
+    run_virtual(main())
+
+
 def test_a_request_waits_for_the_successor_of_an_owner() -> None:
     """Guards against requests that fail while a pool changes its owner."""
 
