Log to standard output within a budget and without waiting; expose the pools' gauges

Cause: decisions went to standard error through a call that waits for its reader. A second's lines of one event are bounded, refusals and losses are kept, what is left out is counted.

--- a/src/bergamotgap/cli/join.py
+++ b/src/bergamotgap/cli/join.py
@@ -20,7 +20,8 @@
     # The operators' commands must not pay for loading the node.
     import uvloop
 
-    from bergamotgap.adapters.logs import configure_logs
+    from bergamotgap.adapters.logs import configure_bounded_logs
+    from bergamotgap.domain.clock import SystemClock
     from bergamotgap.platform.node import load_settings, run_node
     from bergamotgap.platform.settings import PlatformSettingsError
 
@@ -29,7 +30,7 @@
     except PlatformSettingsError as error:
         typer.echo(f"bergamotgap: {error}", err=True)
         raise typer.Exit(EXIT_USAGE) from error
-    configure_logs(log_level, node=file.node)
+    configure_bounded_logs(log_level, SystemClock(), node=file.node)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from bergamotgap.adapters.logs import get_logger
-from bergamotgap.adapters.metrics import serve_metrics
+from bergamotgap.adapters.metrics import Metrics, serve_metrics
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig
 from bergamotgap.platform.documents import decode_job
@@ -43,12 +43,14 @@
         get_config: Callable[[], FleetConfig | None],
         is_ready: Callable[[], bool],
         addresses: tuple[str, str, str],
+        metrics: Metrics,
         clock: Clock,
     ) -> None:
         self._requests = requests
         self._get_config = get_config
         self._is_ready = is_ready
         self._addresses = addresses
+        self._metrics = metrics
         self._clock = clock
         self._runners: list[web.ServerRunner] = []
         self.in_progress = 0
@@ -80,10 +82,13 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         self.in_progress += 1
+        started_ms = self._clock.monotonic_ms()
         try:
             response = await self._route(request)
         finally:
             self.in_progress -= 1
+        duration_ms = self._clock.monotonic_ms() - started_ms
+        self._metrics.note_request(request.method, str(response.status), duration_ms)
         if self.is_closing:
             response.force_close()
         return response
--- a/src/bergamotgap/platform/node.py
+++ b/src/bergamotgap/platform/node.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.adapters.metrics import Metrics
 from bergamotgap.domain.clock import Clock, SystemClock
 from bergamotgap.domain.fleet import Wave
 from bergamotgap.platform.documents import (
@@ -30,6 +31,7 @@
 from bergamotgap.platform.workers import WorkerCalls
 from bergamotgap.pools.directory import Directory
 from bergamotgap.pools.fleet_node import FleetNode, FleetPorts
+from bergamotgap.pools.gauges import register_gauges
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import KeyedRecord
 
@@ -64,6 +66,7 @@
     ):
         ports = _build_ports(file, calls, workers, clock)
         node = FleetNode(settings, ports, clock)
+        metrics = Metrics()
         addresses = (
             settings.caller_address,
             settings.ready_address,
@@ -74,8 +77,10 @@
             lambda: node.directory.config,
             lambda: node.is_ready,
             addresses,
+            metrics,
             clock,
         )
+        register_gauges(metrics, node, clock)
         async with node, ingress:
             await stop.wait()
             await _drain(node, ingress, settings, clock)
--- /dev/null
+++ b/src/bergamotgap/pools/gauges.py
@@ -0,0 +1,50 @@
+"""Gauges of a node that owns pools."""
+
+from collections.abc import Iterable
+
+from bergamotgap.adapters.metrics import Metrics, Reading
+from bergamotgap.domain.clock import Clock
+from bergamotgap.pools.fleet_node import FleetNode
+
+
+def register_gauges(metrics: Metrics, node: FleetNode, clock: Clock) -> None:
+    """Expose what operators watch; labels are pools and phases."""
+    _register_pools(metrics, node, clock)
+
+    def read_log_age() -> Iterable[Reading]:
+        yield clock.monotonic_ms() - node.registry.joined_ms, {}
+
+    def read_config() -> Iterable[Reading]:
+        config = node.directory.config
+        yield config.version if config else 0, {}
+
+    observe = metrics.observe_gauge
+    observe("log_age_ms", "Time since the log answered a renewal", read_log_age)
+    observe("configuration_version", "Version in force, 0 if none", read_config)
+
+
+def _register_pools(metrics: Metrics, node: FleetNode, clock: Clock) -> None:
+    def read_jobs() -> Iterable[Reading]:
+        for name, pool in node.pools.items():
+            for phase, count in pool.table.count_phases().items():
+                yield count, {"pool": name, "phase": phase}
+
+    def read_workers() -> Iterable[Reading]:
+        for name, pool in node.pools.items():
+            yield len(pool.runs.list_usable(clock.monotonic_ms())), {"pool": name}
+
+    def read_runs() -> Iterable[Reading]:
+        for name, pool in node.pools.items():
+            runs = sum(len(link.live) for link in pool.runs.links.values())
+            yield runs, {"pool": name}
+
+    def read_journal_age() -> Iterable[Reading]:
+        for name, pool in node.pools.items():
+            age_ms = clock.monotonic_ms() - pool.journal.confirmed_ms
+            yield age_ms, {"pool": name}
+
+    observe = metrics.observe_gauge
+    observe("pool_jobs", "Jobs of an owned pool by phase", read_jobs)
+    observe("pool_workers", "Usable workers of an owned pool", read_workers)
+    observe("pool_runs", "Runs on an owned pool's workers", read_runs)
+    observe("pool_journal_age_ms", "Time since the last append", read_journal_age)
--- /dev/null
+++ b/tests/test_log_output.py
@@ -0,0 +1,58 @@
+"""Log lines under a flood and with a reader that stopped."""
+
+import os
+import time
+
+import pytest
+import structlog
+
+from bergamotgap.adapters.log_output import (
+    MAX_BUFFER_BYTES,
+    LineBudget,
+    NonBlockingOutput,
+)
+from bergamotgap.domain.clock import ManualClock
+
+
+def test_a_stopped_reader_delays_nothing_and_misses_are_told() -> None:
+    """Guards against requests that wait for the reader of the log."""
+    reader, writer = os.pipe()
+    output = NonBlockingOutput(writer)
+    line = "x" * 999 + "\n"
+    count = 4 * MAX_BUFFER_BYTES // len(line)
+    started = time.monotonic()
+    for _ in range(count):
+        output.write(line)
+    assert time.monotonic() - started < 5
+    assert output.left_out > 0
+    left_out = output.left_out
+    os.set_blocking(reader, False)
+    text = b""
+    for _ in range(100):
+        try:
+            text += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            output.flush()
+    output.write("last\n")
+    text += os.read(reader, 1 << 20)
+    lines = text.decode().splitlines()
+    assert lines[-2:] == [f"event=lines_left_out count={left_out}", "last"]
+    assert all(len(whole) == 999 for whole in lines[:-2])
+    os.close(reader)
+    output.write("nobody reads\n")
+    os.close(writer)
+
+
+def test_a_flood_of_one_event_is_cut_and_refusals_are_kept() -> None:
+    """Guards against a log that costs more than the work, and lacks its losses."""
+    clock = ManualClock()
+    budget = LineBudget(clock, budget=3)
+    for _ in range(3):
+        budget(None, "info", {"event": "accepted"})
+    for _ in range(5):
+        with pytest.raises(structlog.DropEvent):
+            budget(None, "info", {"event": "accepted"})
+    assert budget(None, "warning", {"event": "accepted"})["left_out"] == 5
+    assert "left_out" not in budget(None, "info", {"event": "ended"})
+    clock.advance_ms(1000)
+    assert budget(None, "info", {"event": "accepted"}) == {"event": "accepted"}
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -305,6 +305,13 @@
         read_file(path)
 
 
+class FakeMetrics:
+    """Count requests by method and status."""
+
+    def note_request(self, entry: str, outcome: str, duration_ms: float) -> None:
+        assert duration_ms >= 0
+
+
 class FakeRequests:
     """Give one outcome to every request."""
 
@@ -353,6 +360,7 @@
         lambda: CONFIG,
         lambda: True,
         ("", "", ""),
+        FakeMetrics(),  # type: ignore[arg-type]
         LoopClock(),
     )
     body = {"specification": "x", "steps": [{"count": 1}]}
