--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -1,5 +1,6 @@
 """How many hosts each pool holds, and which hosts move; pure decisions."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -8,12 +9,12 @@
 HEADROOM = 1.1
 # Two moves cost about as much as two seconds of a host in a pool, so a host that idles
 # for less is not worth returning.
-RETURN_IDLE_MS = 1500
+RETURN_IDLE_MS = 1000
 # Work that has gathered is done within this time: about what is left of an objective
 # after a move.
 CLEAR_MS = 1500
 # Numbers of arrivals whose rate is read, and the bounds of their period.
-OFFER_COUNTS = (3, 6, 12)
+OFFER_COUNTS = (3, 6, 12, 24)
 OFFER_MIN_MS = 500
 OFFER_MAX_MS = 2500
 
@@ -73,7 +74,7 @@
             break
         last = recent[-count:]
         period_ms = max(OFFER_MIN_MS, now_ms - last[0][0])
-        trust = count / (count + 1)
+        trust = 1 - 1 / math.sqrt(count + 1)
         rates.append(trust * sum(work for _, work in last) / period_ms)
     return max(rates)
 
