Begin an accepted job also when its caller has given up

With the store slow a caller's deadline ended the call that waited for the append; the job lasted, a repeat was told 200, and nobody began it. Beginning is now its owner's, not the caller's.

Ruled out: a lost append, since the repeat found the job as accepted.

The test fails with the former table.

--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -1,11 +1,13 @@
 """Jobs of one pool: accepted, ended, restored from the log."""
 
+import asyncio
 from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
 import msgspec
+from aiomisc import cancel_tasks
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
@@ -74,6 +76,7 @@
         # Number of the journal's change that makes a job or its end last.
         self._accepted: dict[str, int] = {}
         self._ended: dict[str, int] = {}
+        self._beginnings: set[asyncio.Task[None]] = set()
         self.hungry: dict[str, Job] = {}
         # Time of our clock and work in 1/1000 core-ms of the last jobs that came.
         self.arrivals: deque[tuple[int, float]] = deque(maxlen=MAX_ARRIVALS)
@@ -130,34 +133,44 @@
 
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return when it lasts or is known not to."""
-        job = self._jobs.get(spec.job_id)
-        is_new = job is None
-        if job is None:
+        is_new = spec.job_id not in self._jobs
+        if is_new:
             if self._journal.is_failing:
                 log.warning("refused", job=spec.job_id, reason="log_lost")
                 return NotStored("platform_unavailable", retry_ms=1000)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
             self.arrivals.append((job.arrived_ms, spec.estimate_work()))
-            self._accepted[spec.job_id] = self._journal.put(
+            change = self._journal.put(
                 format_key(self._service, RecordKind.SPEC, spec.job_id),
                 lambda: msgspec.msgpack.encode(spec),
             )
-        change = self._accepted.get(spec.job_id, 0)
-        await self._journal.wait(change)
-        if is_new:
-            log.info(
-                "accepted",
-                job=spec.job_id,
-                queue=spec.queue,
-                steps=",".join(describe_step(step) for step in spec.steps),
-            )
-            if not job.phase.is_final:
-                job.open_due(self._clock.wall_ms())
-                self.hungry[spec.job_id] = job
-            self.on_accepted()
+            self._accepted[spec.job_id] = change
+            # The job begins when it lasts, also if its caller is gone by then.
+            beginning = asyncio.create_task(self._begin(job, change))
+            self._beginnings.add(beginning)
+            beginning.add_done_callback(self._beginnings.discard)
+        await self._journal.wait(self._accepted.get(spec.job_id, 0))
         return Stored(is_new)
 
+    async def _begin(self, job: Job, change: int) -> None:
+        await self._journal.wait(change)
+        spec = job.spec
+        log.info(
+            "accepted",
+            job=spec.job_id,
+            queue=spec.queue,
+            steps=",".join(describe_step(step) for step in spec.steps),
+        )
+        if not job.phase.is_final:
+            job.open_due(self._clock.wall_ms())
+            self.hungry[spec.job_id] = job
+        self.on_accepted()
+
+    async def close(self) -> None:
+        """Stop waiting for the log."""
+        await cancel_tasks(list(self._beginnings))
+
     def get_phase(self, job_id: str) -> JobPhase | None:
         """Return the phase that lasts; None if no such job was accepted."""
         job = self._jobs.get(job_id)
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -110,6 +110,7 @@
         """Stop all work on the pool; what runs keeps its lease."""
         self._is_active = False
         await cancel_tasks(self._tasks)
+        await self.table.close()
         await self.runs.close()
         log.info("pool lost", pool=self.service, token=self.term.token)
 
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -123,6 +123,22 @@
     run_virtual(main())
 
 
+def test_a_job_begins_although_its_caller_gave_up() -> None:
+    """Guards against a job that lasts and that nobody ever starts."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with scene.own(1) as (pool, _):
+            submitted = asyncio.create_task(pool.submit(build_job()))
+            await asyncio.sleep(0.001)
+            submitted.cancel()
+            await asyncio.sleep(3)
+            assert await pool.submit(build_job()) == Stored(is_new=False)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
 def test_a_successor_takes_over_what_runs() -> None:
     """Guards against a second run of a task that is at work at a take-over."""
 
