--- a/src/bergamotgap/platform/node.py
+++ b/src/bergamotgap/platform/node.py
@@ -28,7 +28,7 @@
     read_file,
 )
 from bergamotgap.platform.store import LogStore
-from bergamotgap.platform.workers import WorkerCalls
+from bergamotgap.platform.workers import AdviceCalls, WorkerCalls
 from bergamotgap.pools.directory import Directory
 from bergamotgap.pools.fleet_node import FleetNode, FleetPorts
 from bergamotgap.pools.gauges import register_gauges
@@ -122,6 +122,7 @@
         report_wave=report_wave,
         operator_topic=OPERATOR_TOPIC,
         workers_topic=WORKERS_TOPIC,
+        advice=AdviceCalls(calls, file.advice) if file.advice else None,
     )
 
 
--- a/src/bergamotgap/platform/workers.py
+++ b/src/bergamotgap/platform/workers.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.fleet import TaskId, WorkerInfo
 from bergamotgap.platform.documents import format_task, parse_task
 from bergamotgap.pools.directory import UnreadableError
@@ -20,6 +21,7 @@
     Refused,
     RunRow,
     StartOrder,
+    Tickets,
     Unanswered,
 )
 
@@ -29,6 +31,9 @@
 CONNECT_TIMEOUT_S = 0.4
 ADVICE_TIMEOUT_S = 3.0
 BUSY = "busy"
+NO_TICKETS = Tickets({}, 0)
+
+log = get_logger(__name__)
 
 
 class _Answer(msgspec.Struct):
@@ -43,6 +48,11 @@
     born: int = 0
 
 
+class _Good(msgspec.Struct):
+    good: list[list[Any]]
+    validityMs: float = 0  # noqa: N815
+
+
 class WorkerCalls:
     """Call workers over HTTP; one session keeps their connections."""
 
@@ -157,7 +167,7 @@
         self._session = session
         self._address = address
 
-    async def advise(self, task: TaskId, workers: Sequence[str]) -> dict[str, str]:
+    async def advise(self, task: TaskId, workers: Sequence[str]) -> Tickets:
         """Return the tickets of the workers that may run the task's step."""
         step = f"{task.job}.{task.occurrence}.{task.step}"
         body = msgspec.json.encode({"step": step, "workers": list(workers)})
@@ -169,11 +179,14 @@
                 timeout=aiohttp.ClientTimeout(total=ADVICE_TIMEOUT_S),
             ) as response:
                 if response.status != 200:
-                    return {}
-                answer = msgspec.json.decode(await response.read())
-                return {str(row[0]): str(row[1]) for row in answer["good"]}
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
-            return {}
+                    log.warning("no advice", job=task.job, status=response.status)
+                    return NO_TICKETS
+                answer = msgspec.json.decode(await response.read(), type=_Good)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+            log.warning("no advice", job=task.job, error=repr(e))
+            return NO_TICKETS
+        tickets = {str(row[0]): str(row[1]) for row in answer.good}
+        return Tickets(tickets, int(answer.validityMs))
 
 
 def _convert_refusal(status: int, content: bytes) -> Refused | OtherInstance:
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -27,6 +27,7 @@
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.wave_records import restore_waves
 from bergamotgap.ports.fleet import (
+    Advice,
     Fence,
     HistoryGoneError,
     Machines,
@@ -63,6 +64,7 @@
     report_wave: ReportWave
     operator_topic: str
     workers_topic: str
+    advice: Advice | None = None
 
 
 class FleetNode:
@@ -221,6 +223,7 @@
             self._clock,
             Confirmation(lambda: self.registry.joined_ms, self._watch.is_outage),
             lambda _: lost.set(),
+            self._ports.advice,
         )
         async with pool:
             self.pools[name] = pool
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -85,6 +85,7 @@
         # What ran where when an owner last released the pool.
         self.released = LiveRuns(0, {})
         self.on_accepted: Callable[[], None] = lambda: None
+        self.on_ended: Callable[[str], None] = lambda job_id: None
 
     @property
     def jobs(self) -> Mapping[str, Job]:
@@ -229,6 +230,7 @@
         if not job.ended_ms:
             job.ended_ms = self._clock.wall_ms()
         self.hungry.pop(job.job_id, None)
+        self.on_ended(job.job_id)
         spec_key = format_key(self._service, RecordKind.SPEC, job.job_id)
         if job.spec.steps:
             self._journal.put(spec_key, lambda: None)
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -17,8 +17,16 @@
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.runs import Confirmation, Runs, Term
 from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.tickets import TicketDesk
 from bergamotgap.pools.worker_link import WorkerLink
-from bergamotgap.ports.fleet import Fence, KeyedRecord, Store, StoreError, WorkerOrders
+from bergamotgap.ports.fleet import (
+    Advice,
+    Fence,
+    KeyedRecord,
+    Store,
+    StoreError,
+    WorkerOrders,
+)
 from bergamotgap.ports.pool_peer import DemandReply, VacatedReply
 
 TICK_MS = 200
@@ -53,12 +61,14 @@
         clock: Clock,
         confirmation: Confirmation,
         on_superseded: Callable[[str], None],
+        advice: Advice | None = None,
     ) -> None:
         self.service = service
         self.term = term
         self._store = store
         self._topic, self._part = partition
         self._orders = orders
+        self._advice = advice
         self._settings = settings
         self._clock = clock
         self._is_active = True
@@ -92,6 +102,8 @@
             self._note_superseded,
         )
         self.table.on_accepted = self.runs.changed.set
+        self._desk = TicketDesk(self._advice, self._clock, self.runs.changed.set)
+        self.table.on_ended = self._desk.forget
         self._tasks = [
             asyncio.create_task(supervise(f"journal {self.service}", self.journal.run)),
             asyncio.create_task(supervise(f"placing {self.service}", self._run_passes)),
@@ -111,6 +123,7 @@
         self._is_active = False
         await cancel_tasks(self._tasks)
         await self.table.close()
+        await self._desk.close()
         await self.runs.close()
         log.info("pool lost", pool=self.service, token=self.term.token)
 
@@ -213,11 +226,19 @@
         return still_waits
 
     def _place_task(self, job: Job, task: Task, links: list[WorkerLink]) -> bool:
+        queue = self.runs.get_queue(job)
+        tickets: Mapping[str, str] = {}
+        if queue is not None and queue.needs_advice:
+            names = [link.worker_id for link in links]
+            tickets = self._desk.get(task.task_id, names)
+            links = [link for link in links if link.worker_id in tickets]
         rooms = {id(link.room): link for link in links}
         room = choose_room([link.room for link in links], task)
         if room is None:
             return False
-        self.runs.start(task, rooms[id(room)], self.runs.choose_run(task))
+        link = rooms[id(room)]
+        ticket = tickets.get(link.worker_id, "")
+        self.runs.start(task, link, self.runs.choose_run(task), ticket)
         return True
 
     def _place_gang(self, job: Job, step: StepRun, links: list[WorkerLink]) -> bool:
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -10,6 +10,7 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
+from bergamotgap.domain.pacing import choose_pace
 from bergamotgap.domain.run_estimates import RunEstimates
 from bergamotgap.domain.task_placement import rank_job
 from bergamotgap.node.supervision import supervise
@@ -288,6 +289,32 @@
         link.used_change = self._table.note_worker(link.worker_id, is_used=True)
         self.changed.set()
 
+    def note_looked(self, link: WorkerLink) -> None:
+        """Pace the fillers by the worst tail of the tasks that serve beside them."""
+        tasks = [live.task for live in link.live.values() if not live.is_stop_sent]
+        fillers = [task for task in tasks if task.step.is_filler]
+        if not fillers:
+            return
+        ratio = max(
+            (
+                task.figure / task.step.target_ms
+                for task in tasks
+                if task.step.target_ms and not task.step.is_filler
+            ),
+            default=0.0,
+        )
+        for task in fillers:
+            percent = choose_pace(task.pace, ratio)
+            if percent != task.pace and task.phase is TaskPhase.RUNNING:
+                log.info(
+                    "paced",
+                    task=task.task_id,
+                    worker=link.worker_id,
+                    ratio=round(ratio, 2),
+                    percent=percent,
+                )
+                link.pace(task, percent)
+
     def list_usable(self, now_ms: int) -> list[WorkerLink]:
         """Return the workers that may get new work.
 
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -121,6 +121,9 @@
     def may_renew(self) -> bool:
         """Tell whether leases may be renewed."""
 
+    def note_looked(self, link: "WorkerLink") -> None:
+        """Take the end of a look, when all runs' figures are known."""
+
     async def wait_for_journal(self) -> bool:
         """Wait until what was heard lasts, for a bounded time; tell if it does."""
 
@@ -421,6 +424,7 @@
         for live in list(self.live.values()):
             if (live.task.task_id, live.run) not in running:
                 self._check_missing(live, sent_ms)
+        self._events.note_looked(self)
         if not self.has_looked:
             self.has_looked = True
             self._events.note_first_look(self)
--- a/src/bergamotgap/ports/fleet.py
+++ b/src/bergamotgap/ports/fleet.py
@@ -239,8 +239,16 @@
         """Begin a host's upkeep; return "" or the reason of a refusal."""
 
 
+@dataclass(frozen=True)
+class Tickets:
+    """Tickets by worker id, valid for a time from the call that asked for them."""
+
+    by_worker: Mapping[str, str]
+    validity_ms: int
+
+
 class Advice(Protocol):
     """Service that alone knows which workers may run a step."""
 
-    async def advise(self, task: TaskId, workers: Sequence[str]) -> dict[str, str]:
+    async def advise(self, task: TaskId, workers: Sequence[str]) -> Tickets:
         """Return the tickets of the workers that may run the task's step."""
--- a/tests/fakes_pools.py
+++ b/tests/fakes_pools.py
@@ -159,7 +159,9 @@
         self.is_silent = False
         self.fails_all = False
         self.numbers = 0
-        self.most_cpu = 0
+        # Tail in ms of all that serves here, and the pace of each task.
+        self.tail = 0
+        self.paces: dict[TaskId, int] = {}
 
     def now_ms(self) -> int:
         return int(asyncio.get_running_loop().time() * 1000)
@@ -237,7 +239,11 @@
     async def pace(
         self, info: WorkerInfo, task: TaskId, run: int, percent: int, token: int
     ) -> OrderOutcome:
-        return Accepted(0)
+        worker = await self._reach(info)
+        if worker is None:
+            return Unanswered(was_sent=True)
+        worker.paces[task] = percent
+        return Accepted(worker.now_ms())
 
     async def hold(
         self, info: WorkerInfo, lease: Lease, acked_through: int, wait_ms: int
@@ -259,7 +265,7 @@
         if refusal := worker.check(lease.token):
             return refusal
         running = tuple(
-            RunRow(task, run.order.run, "", 100, 0)
+            RunRow(task, run.order.run, "", 100, worker.tail)
             for task, run in worker.running.items()
         )
         return Look(worker.now_ms(), info.born_ms, running, tuple(worker.ended))
--- a/tests/test_fleet_domain.py
+++ b/tests/test_fleet_domain.py
@@ -5,6 +5,7 @@
 
 from bergamotgap.domain.fleet import HostInfo, JobPhase, Queue, StepSpec, TaskId, Wave
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
+from bergamotgap.domain.pacing import choose_pace
 from bergamotgap.domain.pool_sizes import (
     IdleHost,
     PoolDemand,
@@ -224,3 +225,11 @@
     candidates = list_candidates(wave, progress, listed, frozenset())
     assert candidates[0].host == "m0"
     assert not is_wave_completed(wave, progress, listed)
+
+
+def test_fillers_yield_to_a_tail_over_its_target() -> None:
+    """Guards against fillers that hold a serving task over its target."""
+    assert choose_pace(100, 1.1) == 0
+    assert choose_pace(100, 0.85) == 50
+    assert choose_pace(50, 0.7) == 50
+    assert choose_pace(90, 0.3) == 100
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -1,13 +1,15 @@
 """One owner of a pool, from a job's acceptance to its end, and its successor."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import dataclasses
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
-from bergamotgap.domain.fleet import JobPhase, StepSpec
+from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from bergamotgap.pools.job_table import NotStored, Stored
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.runs import Confirmation, Term
+from bergamotgap.ports.fleet import Tickets
 from tests.fakes_pools import (
     CONFIG,
     SETTINGS,
@@ -22,6 +24,23 @@
 PARTITION = ("keyed.jobs", 0)
 
 
+ADVISED = dataclasses.replace(
+    CONFIG, queues=(dataclasses.replace(CONFIG.queues[0], needs_advice=True),)
+)
+
+
+class FakeAdvice:
+    """Allow one worker, for a time."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def advise(self, task: TaskId, workers: Sequence[str]) -> Tickets:
+        await asyncio.sleep(0.1)
+        self.calls += 1
+        return Tickets({"w2": f"ticket-{task.step}"}, 3000)
+
+
 class Scene:
     """A log, workers, and the owners that a test starts."""
 
@@ -33,6 +52,7 @@
             name: FakeWorker(info, run_s) for name, info in self.infos.items()
         }
         self.is_confirmed = True
+        self.advice: FakeAdvice | None = None
 
     @asynccontextmanager
     async def own(
@@ -55,9 +75,10 @@
             self.clock,
             Confirmation(get_confirmed_ms, lambda: False),
             lambda _: None,
+            self.advice,
         )
         async with pool:
-            pool.update_config(CONFIG)
+            pool.update_config(ADVISED if self.advice else CONFIG)
             pool.update_workers(self.infos)
             yield pool, orders
 
@@ -139,6 +160,43 @@
     run_virtual(main())
 
 
+def test_a_step_runs_only_where_advice_allows_it() -> None:
+    """Guards against starts that a worker refuses for want of a ticket."""
+
+    async def main() -> None:
+        scene = Scene()
+        scene.advice = FakeAdvice()
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(3)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+        used = {name for name, worker in scene.workers.items() if worker.starts}
+        assert used == {"w2"}
+        assert scene.advice.calls == 2
+
+    run_virtual(main())
+
+
+def test_a_filler_is_paced_beside_a_tail_over_its_target() -> None:
+    """Guards against harm that goes on after it was seen."""
+
+    async def main() -> None:
+        scene = Scene(workers=1, run_s=60)
+        scene.workers["w1"].tail = 900
+        serving = StepSpec(count=1, cpu=1000, is_lasting=True, target_ms=500)
+        filler = StepSpec(count=1, cpu=4000, is_lasting=True, is_filler=True)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job("serving", steps=(serving,)))
+            await pool.submit(build_job("filler", steps=(filler,)))
+            await asyncio.sleep(3)
+            assert list(scene.workers["w1"].paces.values()) == [0]
+            scene.workers["w1"].tail = 100
+            await asyncio.sleep(8)
+            assert list(scene.workers["w1"].paces.values()) == [100]
+
+    run_virtual(main())
+
+
 def test_a_successor_takes_over_what_runs() -> None:
     """Guards against a second run of a task that is at work at a take-over."""
 
