--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -11,7 +11,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SOURCE = "".join(path.read_text() for path in sorted((ROOT / "src").rglob("*.py")))
 CALLERS = (ROOT / "docs" / "callers.md").read_text()
-OPERATIONS = (ROOT / "docs" / "operations.md").read_text()
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text()
 
 
 def list_cells(page: str, heading: str, column: int) -> list[str]:
@@ -37,7 +37,7 @@
         assert f'"{event}"' in SOURCE, event
 
 
-@pytest.mark.parametrize("page", ["docs/operations.md", "README.md"])
+@pytest.mark.parametrize("page", ["docs/OPERATIONS.md", "README.md"])
 def test_the_commands_exist(page: str) -> None:
     """Guards against commands that an operator copies in vain."""
     text = (ROOT / page).read_text()
