--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -178,6 +178,8 @@
         while True:
             await self._clock.sleep_ms(TICK_MS)
             await self.runs.drop_links()
+            if self.runs.may_act():
+                self.runs.stop_stalled()
             self.table.forget_old()
             self.runs.changed.set()
 
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -10,7 +10,7 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
-from bergamotgap.domain.pacing import choose_pace
+from bergamotgap.domain.pacing import FULL_PERCENT, choose_pace
 from bergamotgap.domain.run_estimates import RunEstimates
 from bergamotgap.domain.task_placement import rank_job
 from bergamotgap.node.supervision import supervise
@@ -33,6 +33,10 @@
 # A worker that fails this many runs in a row gets no work for a time.
 FAILURES_TO_HOLD_OUT = 3
 HOLD_OUT_MS = 4000
+# A task whose progress stands still so long, and for this share of its declared time,
+# while its worker was looked at twice, is not at work.
+STALL_MS = 2500
+STALL_SHARE = 0.1
 # The list of workers is this old at most when a pool changes its owner; also the time
 # that an order takes to be answered.
 SETTLE_MS = 200
@@ -228,6 +232,35 @@
             return True
         return False
 
+    def stop_stalled(self) -> None:
+        """Stop tasks that stand still while their worker answers."""
+        now_ms = self._clock.monotonic_ms()
+        for link in list(self.links.values()):
+            for live in list(link.live.values()):
+                task = live.task
+                if not self._is_stalled(link, task, now_ms):
+                    continue
+                log.warning(
+                    "run stalled",
+                    task=task.task_id,
+                    run=live.run,
+                    worker=link.worker_id,
+                    percent=task.percent,
+                    still_ms=now_ms - task.progress_ms,
+                )
+                task.failed_on.add(link.worker_id)
+                link.hold_out(HOLD_OUT_MS)
+                self.stop(task)
+
+    def _is_stalled(self, link: WorkerLink, task: Task, now_ms: int) -> bool:
+        if task.phase is not TaskPhase.RUNNING or task.step.is_lasting:
+            return False
+        # A percent of a long task takes long; a gang waits for its members.
+        ratio = self.estimates.get_ratio(self._table.jobs[task.task_id.job].spec.queue)
+        patience_ms = max(STALL_MS, STALL_SHARE * task.step.estimated_ms * ratio)
+        has_answered = link.answered_ms - task.progress_ms >= patience_ms
+        return has_answered and not task.step.is_gang and task.percent < FULL_PERCENT
+
     def save_live(self) -> None:
         """Write which jobs may have runs on which worker."""
         jobs_of_worker = {
--- a/tests/fakes_pools.py
+++ b/tests/fakes_pools.py
@@ -157,7 +157,10 @@
         self.starts: list[tuple[TaskId, int]] = []
         self.barred: dict[TaskId, int] = {}
         self.is_silent = False
+        self.is_stalled = False
         self.fails_all = False
+        # Lasting tasks show 100 once they are at work.
+        self.shows_full = False
         self.numbers = 0
         # Tail in ms of all that serves here, and the pace of each task.
         self.tail = 0
@@ -171,7 +174,7 @@
         for task, run in list(self.running.items()):
             if self.lease_s <= min(now_s, run.ends_s):
                 self.end(task, "lapsed")
-            elif run.ends_s <= now_s:
+            elif run.ends_s <= now_s and not self.is_stalled:
                 self.end(task, "failed" if self.fails_all else "done")
 
     def end(self, task: TaskId, how: str) -> None:
@@ -180,6 +183,12 @@
         self.barred[task] = max(self.barred.get(task, 0), run.order.run)
         self.ended.append(EndRow(self.numbers, task, run.order.run, how, ""))
 
+    def measure_percent(self, run: FakeRun) -> int:
+        if self.is_stalled:
+            return 7
+        left_s = run.ends_s - asyncio.get_running_loop().time()
+        return 100 if self.shows_full else int(100 * (1 - left_s / self.run_s))
+
     def check(self, token: int) -> Refused | None:
         if token < self.token:
             return Refused("fence", self.now_ms())
@@ -265,7 +274,7 @@
         if refusal := worker.check(lease.token):
             return refusal
         running = tuple(
-            RunRow(task, run.order.run, "", 100, worker.tail)
+            RunRow(task, run.order.run, "", worker.measure_percent(run), worker.tail)
             for task, run in worker.running.items()
         )
         return Look(worker.now_ms(), info.born_ms, running, tuple(worker.ended))
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -177,6 +177,23 @@
     run_virtual(main())
 
 
+def test_a_task_that_stands_still_runs_elsewhere() -> None:
+    """Guards against a job that waits for a worker which does no work."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job())
+            await asyncio.sleep(0.1)
+            for worker in scene.workers.values():
+                worker.is_stalled = bool(worker.running)
+            await asyncio.sleep(12)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
 def test_a_filler_is_paced_beside_a_tail_over_its_target() -> None:
     """Guards against harm that goes on after it was seen."""
 
@@ -429,6 +446,8 @@
     async def main() -> None:
         scene = Scene(workers=2, run_s=600)
         step = StepSpec(count=4, cpu=1000, is_lasting=True, may_miss=1)
+        for worker in scene.workers.values():
+            worker.shows_full = True
         async with scene.own(1) as (pool, _):
             await pool.submit(build_job(steps=(step,)))
             await asyncio.sleep(3)
