--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -59,7 +59,6 @@
     progress_ms: int = 0
     figure: int = 0
     pace: int = 100
-    waits_since_ms: int = 0
     failed_on: set[str] = field(default_factory=set)
 
     @property
@@ -72,12 +71,10 @@
         """Tell whether a lasting task has finished its start."""
         return self.phase is TaskPhase.RUNNING and self.percent >= 100
 
-    def wait_again(self, now_ms: int, checkpoint: str = "") -> None:
-        """Return to waiting after a run that did not end well; ms of our clock."""
+    def wait_again(self, checkpoint: str = "") -> None:
+        """Return to waiting after a run that did not end well."""
         if checkpoint:
             self.checkpoint = checkpoint
-        if self.is_active:
-            self.waits_since_ms = now_ms
         self.phase = TaskPhase.WAITING
         self.worker_id = ""
         self.percent = 0
@@ -92,7 +89,7 @@
 class StepRun:
     """One occurrence of a step: its tasks and how many are not done."""
 
-    __slots__ = ("is_lasting", "missing", "number", "occurrence", "spec", "tasks")
+    __slots__ = ("missing", "number", "occurrence", "spec", "tasks")
 
     def __init__(
         self, job_id: str, occurrence: int, number: int, spec: StepSpec
@@ -195,6 +192,11 @@
         if self._open_steps == 0 and self._opened >= self.spec.occurrences:
             self.end(JobPhase.COMPLETED, 0)
 
+    def begin(self) -> None:
+        """Note that a task has started."""
+        if self.phase is JobPhase.QUEUED:
+            self.phase = JobPhase.RUNNING
+
     def end(self, phase: JobPhase, wall_ms: int, reason: str = "") -> None:
         """Set the final phase; the first one stands."""
         if self.phase.is_final:
--- a/src/bergamotgap/domain/pacing.py
+++ b/src/bergamotgap/domain/pacing.py
@@ -1,5 +1,9 @@
 """How fast fillers may work beside tasks that serve; a pure decision."""
 
+from collections.abc import Sequence
+
+from bergamotgap.domain.job_state import Task, TaskPhase
+
 # Shares of the target at which fillers stop, slow down, and speed up again. Hysteresis
 # between the last two keeps the pace from changing with every look.
 STOP_RATIO = 1.0
@@ -18,3 +22,20 @@
     if tail_ratio < FAST_RATIO:
         return min(FULL_PERCENT, percent + RAISE_PERCENT)
     return percent
+
+
+def list_paces(tasks: Sequence[Task]) -> list[tuple[Task, int]]:
+    """Return the fillers on one worker whose pace changes, with the new one."""
+    ratios = [
+        task.figure / task.step.target_ms
+        for task in tasks
+        if task.step.target_ms and not task.step.is_filler
+    ]
+    worst = max(ratios, default=0.0)
+    fillers = [
+        task
+        for task in tasks
+        if task.step.is_filler and task.phase is TaskPhase.RUNNING
+    ]
+    paces = [(task, choose_pace(task.pace, worst)) for task in fillers]
+    return [(task, percent) for task, percent in paces if percent != task.pace]
--- a/src/bergamotgap/platform/settings.py
+++ b/src/bergamotgap/platform/settings.py
@@ -20,40 +20,23 @@
     ready: str = ""
 
 
-class _Limits(msgspec.Struct, rename="camel"):
-    cpu_share: float = 1.0
-    file_descriptors: int = 1024
-
-
 class _Bounds(msgspec.Struct, rename="camel"):
-    contact_ms: int = 3000
-    drain_timeout_ms: int = 2000
     grace_period_s: float = 6.0
-    config_apply_ms: int = 2000
     max_hold_ms: int = 10_000
-    lease_ms: int = 3000
-    cancel_ms: int = msgspec.field(name="cancel_ms", default=3000)
-    visible_ms: int = msgspec.field(name="visible_ms", default=3000)
     status_s: float = msgspec.field(name="status_s", default=120.0)
     stop_timeout_ms: int = 200
     move_s: float = 1.5
     maintenance_s: float = 2.0
-    notice_ms: int = 4500
-    harm_ms: int = 4000
-    gang_timeout_ms: int = 3000
 
 
 class _Log(msgspec.Struct, rename="camel"):
     address: str
     parts: int = 16
     min_ttl_ms: int = 1000
-    keep_s: float = msgspec.field(name="keep_s", default=300.0)
 
 
 class _Cloud(msgspec.Struct, rename="camel"):
     address: str = ""
-    rate_per_s: float = 1.0
-    duties_per_s: float = 1.0
 
 
 class PlatformFile(msgspec.Struct, rename="camel"):
@@ -65,11 +48,9 @@
     listen_addresses: _Listen
     internal_port_range: tuple[int, int]
     platform: _Log
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
     advice: str | None = None
-    orders: str = "call"
     heartbeat_interval_ms: int = 1500
 
 
@@ -93,16 +74,11 @@
         metrics_address=f"{file.ip}:{METRICS_PORT}",
         log_parts=file.platform.parts,
         member_ttl_ms=max(file.platform.min_ttl_ms, PoolSettings.member_ttl_ms),
-        drain_ms=bounds.drain_timeout_ms,
         grace_ms=int(bounds.grace_period_s * 1000),
         max_lease_ms=bounds.max_hold_ms,
-        duty_lease_ms=bounds.lease_ms,
-        visible_ms=bounds.visible_ms,
         status_ms=int(bounds.status_s * 1000),
         stop_ms=bounds.stop_timeout_ms,
         move_ms=int(bounds.move_s * 1000),
         upkeep_ms=int(bounds.maintenance_s * 1000),
-        notice_ms=bounds.notice_ms,
-        harm_ms=bounds.harm_ms,
         heartbeat_ms=file.heartbeat_interval_ms,
     )
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -23,8 +23,8 @@
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.registry import Claim, Member, Registry
 from bergamotgap.pools.requests import JobRequests, NoReply
-from bergamotgap.pools.runs import Confirmation, Term
 from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.tenure import Confirmation, Term
 from bergamotgap.pools.wave_records import restore_waves
 from bergamotgap.ports.fleet import (
     Advice,
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -15,8 +15,9 @@
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
-from bergamotgap.pools.runs import Confirmation, Runs, Term
+from bergamotgap.pools.runs import Runs
 from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.tenure import Confirmation, Term
 from bergamotgap.pools.tickets import TicketDesk
 from bergamotgap.pools.worker_link import WorkerLink
 from bergamotgap.ports.fleet import (
@@ -178,7 +179,7 @@
         while True:
             await self._clock.sleep_ms(TICK_MS)
             await self.runs.drop_links()
-            if self.runs.may_act():
+            if self.runs.tenure.may_act():
                 self.runs.stop_stalled()
             self.table.forget_old()
             self.runs.changed.set()
@@ -187,7 +188,7 @@
         while True:
             await self.runs.changed.wait()
             self.runs.changed.clear()
-            if self._is_active and self.runs.may_act():
+            if self._is_active and self.runs.tenure.may_act():
                 self._place_all()
             await self._clock.sleep_ms(PASS_GAP_MS)
 
@@ -203,7 +204,7 @@
         )
         for job in jobs:
             job.open_due(wall_ms)
-            if not links or not self.runs.is_settled(job):
+            if not links or not self.runs.tenure.is_settled(job):
                 continue
             is_late = self.runs.rank(job, now_ms)[0] > IN_TIME
             if is_late and now_ms < self._yields_until_ms:
@@ -265,7 +266,7 @@
         link = self.runs.links.get(worker_id)
         if link is None:
             # A worker that runs and is not listed yet is found within this time.
-            passed_ms = self._clock.monotonic_ms() - self.runs.started_ms
+            passed_ms = self._clock.monotonic_ms() - self.runs.tenure.started_ms
             return VacatedReply(passed_ms > self._settings.run_lease_ms)
         if not link.is_empty and not may_stop:
             return VacatedReply(False)
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -17,17 +17,12 @@
     # Three renewals fit into the time to live, each with the log five times slower than
     # its slowest answer in calm.
     member_ttl_ms: int = 1200
-    drain_ms: int = 2000
     grace_ms: int = 6000
     max_lease_ms: int = 10_000
-    duty_lease_ms: int = 3000
-    visible_ms: int = 3000
     status_ms: int = 120_000
     stop_ms: int = 200
     move_ms: int = 1500
     upkeep_ms: int = 2000
-    notice_ms: int = 4500
-    harm_ms: int = 4000
     heartbeat_ms: int = 1500
     # Outlives a take-over of the pool, which takes about two times to live.
     lease_ms: int = 4000
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -1,18 +1,23 @@
 """One life of a worker, as the pool's owner sees it: orders, lease, looks."""
 
 import asyncio
-from dataclasses import dataclass
-from typing import Protocol
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import TaskId, WorkerInfo, WorkerState
 from bergamotgap.domain.job_state import Task
 from bergamotgap.domain.task_placement import Room
+from bergamotgap.pools.link_events import (
+    LinkEvents,
+    LiveRun,
+    PaceOrder,
+    Standing,
+    StartCall,
+    StopOrder,
+)
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import (
     Accepted,
-    EndRow,
     Lease,
     Look,
     OrderOutcome,
@@ -37,97 +42,10 @@
 RETRY_MS = 250
 # A worker that refused as unhealthy gets no work for this time.
 UNHEALTHY_MS = 1000
-FENCE = "fence"
 
 log = get_logger(__name__)
 
 
-@dataclass(eq=False)
-class LiveRun:
-    """A run that is or may be on the worker and holds room there.
-
-    `accepted_ms` is when its start was answered, `barred_ms` when a stop was.
-    """
-
-    task: Task
-    run: int
-    accepted_ms: int | None = None
-    barred_ms: int | None = None
-    is_stop_sent: bool = False
-
-
-@dataclass(frozen=True)
-class StopOrder:
-    """Stop a run and bar it."""
-
-    task_id: TaskId
-    run: int
-    live: LiveRun | None
-
-
-@dataclass(frozen=True)
-class PaceOrder:
-    """Let a task work at a share of its speed."""
-
-    task_id: TaskId
-    run: int
-    percent: int
-
-
-@dataclass(frozen=True)
-class StartCall:
-    """Start a run."""
-
-    live: LiveRun
-    payload: str
-    ticket: str
-
-
-class LinkEvents(Protocol):
-    """What the pool hears from its links."""
-
-    def note_started(self, link: "WorkerLink", live: LiveRun) -> None:
-        """Take an answered start."""
-
-    def note_not_started(
-        self, link: "WorkerLink", live: LiveRun, outcome: OrderOutcome
-    ) -> None:
-        """Take a start that was refused or not sent."""
-
-    def note_unknown(self, link: "WorkerLink", live: LiveRun) -> None:
-        """Take a start without an answer."""
-
-    def note_run(self, link: "WorkerLink", row: RunRow) -> None:
-        """Take a run that is on the worker."""
-
-    def note_end(self, link: "WorkerLink", row: EndRow) -> None:
-        """Take an end when it is first listed."""
-
-    def note_lost(self, link: "WorkerLink", live: LiveRun, reason: str) -> None:
-        """Take a run that is gone and left no end."""
-
-    def note_first_look(self, link: "WorkerLink") -> None:
-        """Take a worker that now refuses former owners."""
-
-    def note_superseded(self, source: str) -> None:
-        """Take the word that there is a newer owner."""
-
-    def is_confirmed(self) -> bool:
-        """Tell whether the log confirmed this owner a short time ago."""
-
-    def may_act(self) -> bool:
-        """Tell whether no successor can have begun to act."""
-
-    def may_renew(self) -> bool:
-        """Tell whether leases may be renewed."""
-
-    def note_looked(self, link: "WorkerLink") -> None:
-        """Take the end of a look, when all runs' figures are known."""
-
-    async def wait_for_journal(self) -> bool:
-        """Wait until what was heard lasts, for a bounded time; tell if it does."""
-
-
 class WorkerLink:
     """Own the orders to one worker and the looks at it; one task for each."""
 
@@ -137,6 +55,7 @@
         token: int,
         orders: WorkerOrders,
         events: LinkEvents,
+        standing: Standing,
         settings: PoolSettings,
         clock: Clock,
     ) -> None:
@@ -153,6 +72,7 @@
         self._token = token
         self._orders = orders
         self._events = events
+        self._standing = standing
         self._settings = settings
         self._clock = clock
         self._queue: asyncio.Queue[StartCall | StopOrder | PaceOrder] = asyncio.Queue()
@@ -275,7 +195,7 @@
         live, task = call.live, call.live.task
         if self.live.get(task.task_id) is not live:
             return
-        if live.is_stop_sent or not self._events.may_act():
+        if live.is_stop_sent or not self._standing.may_act():
             self.drop_live(live)
             self._events.note_not_started(self, live, Unanswered(was_sent=False))
             return
@@ -328,7 +248,7 @@
         while True:
             if self._is_idle and not await self._wait_until_needed():
                 continue
-            if not self._events.may_renew():
+            if not self._standing.may_renew():
                 await self._clock.sleep_ms(RETRY_MS)
                 self._expire_runs()
                 continue
@@ -355,7 +275,7 @@
                 await self._wake.wait()
         except TimeoutError:
             # Without the log, answers of workers tell whether there is a successor.
-            return not self._events.is_confirmed()
+            return not self._standing.is_confirmed()
         return True
 
     async def _look(self) -> bool:
@@ -367,7 +287,7 @@
             wait_ms = 0
         elif has_barred:
             wait_ms = self._settings.stop_ms
-        elif not self._events.is_confirmed():
+        elif not self._standing.is_confirmed():
             wait_ms = IDLE_LOOK_MS
         outcome = await self._orders.hold(
             self.info, self._build_lease(), self._acked, wait_ms
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -288,7 +288,7 @@
         "listenAddresses": {"front": "10.1.0.9:1", "ready": "10.1.0.9:2"},
         "internalPortRange": [7060, 7075],
         "platform": {"address": "10.2.0.1:1", "parts": 8, "keep_s": 300},
-        "bounds": {"maxHoldMs": 3000, "visible_ms": 1500, "moveS": 2.5},
+        "bounds": {"maxHoldMs": 3000, "gracePeriodS": 4.5, "moveS": 2.5},
         "heartbeatIntervalMs": 900,
         "unknown": {},
     }
@@ -296,7 +296,7 @@
     path.write_text(json.dumps(document))
     settings = build_pool_settings(read_file(path))
     assert settings.peer_address == "10.1.0.9:7060"
-    assert (settings.run_lease_ms, settings.visible_ms) == (3000, 1500)
+    assert (settings.run_lease_ms, settings.grace_ms) == (3000, 4500)
     assert (settings.move_ms, settings.log_parts, settings.heartbeat_ms) == (
         *(2500, 8, 900),
     )
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -8,7 +8,7 @@
 from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from bergamotgap.pools.job_table import NotStored, Stored
 from bergamotgap.pools.pool import Pool
-from bergamotgap.pools.runs import Confirmation, Term
+from bergamotgap.pools.tenure import Confirmation, Term
 from bergamotgap.ports.fleet import Tickets
 from tests.fakes_pools import (
     CONFIG,
@@ -328,8 +328,8 @@
             before = sum(scene.count_starts().values())
             await asyncio.sleep(4 * SETTINGS.run_lease_ms / 1000)
             assert sum(scene.count_starts().values()) == before
-            assert not pool.runs.may_act()
-            assert not pool.runs.may_renew()
+            assert not pool.runs.tenure.may_act()
+            assert not pool.runs.tenure.may_renew()
 
     run_virtual(main())
 
