--- a/src/bergamotgap/pools/link_events.py
+++ b/src/bergamotgap/pools/link_events.py
@@ -97,5 +97,8 @@
     def may_act(self) -> bool:
         """Tell whether no successor can have begun to act."""
 
+    def may_give_up(self) -> bool:
+        """Tell whether a silent worker's runs may be taken for ended."""
+
     def may_renew(self) -> bool:
         """Tell whether leases may be renewed."""
--- a/src/bergamotgap/pools/registry.py
+++ b/src/bergamotgap/pools/registry.py
@@ -164,6 +164,8 @@
                 if generation != self._generation or self._has_dead_owner():
                     self._note_members(await self._store.list_members())
                 self._generation = generation
+                # A renewal alone says nothing about claims that came meanwhile.
+                await self.follower.refresh()
                 self.joined_ms = sent_ms
                 if self._joined_since_ms is None:
                     self._joined_since_ms = self.joined_ms
--- a/src/bergamotgap/pools/tenure.py
+++ b/src/bergamotgap/pools/tenure.py
@@ -97,6 +97,13 @@
         )
         return self._clock.monotonic_ms() - confirmed_ms
 
+    def may_give_up(self) -> bool:
+        """Tell whether a silent worker's runs may be taken for ended with their lease.
+
+        Without the log a successor may have found them and renew them.
+        """
+        return self.is_confirmed() or self._confirmation.is_outage()
+
     def may_act(self) -> bool:
         """Tell whether no successor can have begun to act.
 
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -365,7 +365,8 @@
         self._events.note_lost(self, live, reason)
 
     def _expire_runs(self) -> None:
-        if self._clock.monotonic_ms() < self.lease_end_ms:
+        is_held = self._clock.monotonic_ms() < self.lease_end_ms
+        if is_held or not self._standing.may_give_up():
             return
         for live in list(self.live.values()):
             self._lose(live, "lease_ended")
--- a/tests/fakes_pools.py
+++ b/tests/fakes_pools.py
@@ -56,6 +56,7 @@
         self.partitions: dict[tuple[str, int], Partition] = {}
         self.members: set[str] = set()
         self.is_down = False
+        self.refuses_reads = False
         self.lose_answers = 0
         self.appends = 0
 
@@ -107,6 +108,8 @@
 
     async def read(self, topic: str, part: int, start: int, wait_ms: int) -> LogPage:
         await self._serve()
+        if self.refuses_reads:
+            raise StoreUnavailableError("refused")
         partition = self.get(topic, part)
         for _ in range(wait_ms // 10):
             if len(partition.records) > start:
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -60,10 +60,10 @@
     ) -> AsyncIterator[tuple[Pool, FakeOrders]]:
         """Own the pool."""
         orders = FakeOrders(self.workers)
-        born_ms = self.clock.monotonic_ms()
+        self.lost_ms = self.clock.monotonic_ms()
 
         def get_confirmed_ms() -> int:
-            return self.clock.monotonic_ms() if self.is_confirmed else born_ms
+            return self.clock.monotonic_ms() if self.is_confirmed else self.lost_ms
 
         pool = Pool(
             "previews",
@@ -334,6 +334,29 @@
     run_virtual(main())
 
 
+def test_an_owner_without_the_log_gives_no_silent_worker_up() -> None:
+    """Guards against a second run of what a successor found beyond a cut."""
+
+    async def main() -> None:
+        scene = Scene(run_s=30)
+        async with scene.own(1) as (pool, orders):
+            await pool.submit(build_job())
+            # Past the time for which a former owner's lease may last.
+            await asyncio.sleep(2 * SETTINGS.run_lease_ms / 1000)
+            used = {name for name, worker in scene.workers.items() if worker.starts}
+            assert len(used) == 1
+            orders.cut |= used
+            await asyncio.sleep(2.5)
+            scene.lost_ms = scene.clock.monotonic_ms()
+            scene.is_confirmed = False
+            scene.store.is_down = True
+            before = sum(scene.count_starts().values())
+            await asyncio.sleep(3 * SETTINGS.run_lease_ms / 1000)
+            assert sum(scene.count_starts().values()) == before
+
+    run_virtual(main())
+
+
 def test_an_owner_without_the_log_goes_on_with_its_workers() -> None:
     """Guards against an outage of the log that stops accepted work."""
 
--- a/tests/test_pool_parts.py
+++ b/tests/test_pool_parts.py
@@ -163,6 +163,22 @@
     run_virtual(main())
 
 
+def test_a_renewal_confirms_only_with_the_claims_read() -> None:
+    """Guards against a healed holder that acts before it hears of its successor."""
+
+    async def main() -> None:
+        store = FakeStore()
+        registry = build_registry(store, 1)
+        start(registry)
+        await asyncio.sleep(2)
+        assert registry.is_confirmed()
+        store.refuses_reads = True
+        await asyncio.sleep(3)
+        assert not registry.is_confirmed()
+
+    run_virtual(main())
+
+
 def test_the_member_with_the_fewest_pools_claims() -> None:
     """Guards against one node that owns all pools."""
     claims = {"a": Claim("m1", 1, 1), "b": Claim("m2", 2, 1)}
