Let a gang start, end and fail as one

Cause: an end 'done' of one member was folded into that member alone, so a gang whose other worker was lost never completed; failures counted for each member by itself, so a gang could run more often than its attempts allow; a member whose start was refused left the others waiting until they ended alone; starts of gangs carried no ticket. Ruled out: members found by a successor, which are adopted one by one as before.

--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -25,6 +25,10 @@
     step: int
     number: int
 
+    def __str__(self) -> str:
+        """Return the name as logs show it; it begins with the job's id."""
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.number}"
+
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
     """Describe the equal tasks of one step; times in ms."""
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -181,17 +181,30 @@
         return [task for step in self._steps.values() for task in step.tasks]
 
     def note_done(self, task: Task) -> None:
-        """Note an end that stands for good; completes the job with its last task."""
-        if task.phase is TaskPhase.DONE:
+        """Note an end that stands for good; completes the job with its last task.
+
+        The members of a gang end together, so one such end stands for all of them.
+        """
+        step = self.get_step(task)
+        members = step.tasks if step.spec.is_gang else [task]
+        ended = [member for member in members if member.phase is not TaskPhase.DONE]
+        if not ended:
             return
-        task.finish()
-        step = self._steps[(task.task_id.occurrence, task.task_id.step)]
-        step.missing -= 1
+        for member in ended:
+            member.finish()
+        step.missing -= len(ended)
         if step.missing == 0:
             self._open_steps -= 1
         if self._open_steps == 0 and self._opened >= self.spec.occurrences:
             self.end(JobPhase.COMPLETED, 0)
 
+    def note_failed(self, task: Task, run: int) -> None:
+        """Count a failed run; a gang counts it for all its members."""
+        step = self.get_step(task)
+        for member in step.tasks if step.spec.is_gang else [task]:
+            member.counted_run = run
+            member.failures += 1
+
     def begin(self) -> None:
         """Note that a task has started."""
         if self.phase is JobPhase.QUEUED:
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -137,7 +137,9 @@
         is_new = spec.job_id not in self._jobs
         if is_new:
             if self._journal.is_failing:
-                log.warning("refused", job=spec.job_id, reason="log_lost")
+                log.warning(
+                    "refused", job=spec.job_id, pool=self._service, reason="log_lost"
+                )
                 return NotStored("platform_unavailable", retry_ms=1000)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
@@ -160,6 +162,7 @@
         log.info(
             "accepted",
             job=spec.job_id,
+            pool=self._service,
             queue=spec.queue,
             steps=",".join(describe_step(step) for step in spec.steps),
         )
@@ -239,6 +242,7 @@
         log.info(
             "ended",
             job=job.job_id,
+            pool=self._service,
             phase=job.phase.value,
             reason=job.failure,
             age_ms=self._clock.monotonic_ms() - job.arrived_ms,
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -75,6 +75,7 @@
         self._is_active = True
         self._confirmation = confirmation
         self._yields_until_ms = 0
+        self._wait_reasons: dict[str, str] = {}
         self._on_superseded = on_superseded
         self._tasks: list[asyncio.Task[None]] = []
         producer = f"pool/{service}"
@@ -104,7 +105,7 @@
         )
         self.table.on_accepted = self.runs.changed.set
         self._desk = TicketDesk(self._advice, self._clock, self.runs.changed.set)
-        self.table.on_ended = self._desk.forget
+        self.table.on_ended = self._note_ended
         self._tasks = [
             asyncio.create_task(supervise(f"journal {self.service}", self.journal.run)),
             asyncio.create_task(supervise(f"placing {self.service}", self._run_passes)),
@@ -205,36 +206,70 @@
         for job in jobs:
             job.open_due(wall_ms)
             if not links or not self.runs.tenure.is_settled(job):
+                self._note_wait(job, "unsettled" if links else "no_workers")
                 continue
             is_late = self.runs.rank(job, now_ms)[0] > IN_TIME
             if is_late and now_ms < self._yields_until_ms:
+                self._note_wait(job, "yields")
                 break
             if not self._place_job(job, links) and job.next_due_ms is None:
                 hungry.pop(job.job_id, None)
 
+    def _note_wait(self, job: Job, reason: str) -> None:
+        """Log why a job waits, once for each reason."""
+        if self._wait_reasons.get(job.job_id) == reason:
+            return
+        self._wait_reasons[job.job_id] = reason
+        log.info(
+            "job waits",
+            job=job.job_id,
+            pool=self.service,
+            reason=reason,
+            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
+            hungry=len(self.table.hungry),
+            workers=len(self.runs.links),
+        )
+
+    def _note_placed(self, job: Job, tasks: int) -> None:
+        self._wait_reasons.pop(job.job_id, None)
+        log.info(
+            "job placed",
+            job=job.job_id,
+            pool=self.service,
+            tasks=tasks,
+            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
+        )
+
+    def _note_ended(self, job_id: str) -> None:
+        self._wait_reasons.pop(job_id, None)
+        self._desk.forget(job_id)
+
     def _place_job(self, job: Job, links: list[WorkerLink]) -> bool:
         """Place what fits; return whether tasks of the job still wait."""
-        still_waits = False
+        still_waits, placed = False, 0
         for step in job.list_ready():
             waiting = [t for t in step.tasks if t.phase is TaskPhase.WAITING]
             if not waiting:
                 continue
             if step.spec.is_gang:
-                still_waits |= not self._place_gang(job, step, links)
+                if self._place_gang(job, step, links):
+                    placed += len(waiting)
+                else:
+                    still_waits = True
                 continue
             for task in waiting:
                 if not self._place_task(job, task, links):
                     still_waits = True
                     break
+                placed += 1
+        if placed:
+            self._note_placed(job, placed)
+        if still_waits:
+            self._note_wait(job, "no_room")
         return still_waits
 
     def _place_task(self, job: Job, task: Task, links: list[WorkerLink]) -> bool:
-        queue = self.runs.get_queue(job)
-        tickets: Mapping[str, str] = {}
-        if queue is not None and queue.needs_advice:
-            names = [link.worker_id for link in links]
-            tickets = self._desk.get(task.task_id, names)
-            links = [link for link in links if link.worker_id in tickets]
+        tickets, links = self._list_allowed(job, task, links)
         rooms = {id(link.room): link for link in links}
         room = choose_room([link.room for link in links], task)
         if room is None:
@@ -244,9 +279,21 @@
         self.runs.start(task, link, self.runs.choose_run(task), ticket)
         return True
 
+    def _list_allowed(
+        self, job: Job, task: Task, links: list[WorkerLink]
+    ) -> tuple[Mapping[str, str], list[WorkerLink]]:
+        """Return the workers that may run a task, and their tickets if it needs any."""
+        queue = self.runs.get_queue(job)
+        if queue is None or not queue.needs_advice:
+            return {}, links
+        names = [link.worker_id for link in links]
+        tickets = self._desk.get(task.task_id, names)
+        return tickets, [link for link in links if link.worker_id in tickets]
+
     def _place_gang(self, job: Job, step: StepRun, links: list[WorkerLink]) -> bool:
         if any(task.phase is not TaskPhase.WAITING for task in step.tasks):
             return False
+        tickets, links = self._list_allowed(job, step.tasks[0], links)
         rooms = {id(link.room): link for link in links}
         placed = place_gang([link.room for link in links], step)
         if placed is None:
@@ -255,7 +302,8 @@
         checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
         for task, room in placed:
             task.checkpoint = checkpoint
-            self.runs.start(task, rooms[id(room)], run)
+            link = rooms[id(room)]
+            self.runs.start(task, link, run, tickets.get(link.worker_id, ""))
         return True
 
     def vacate(self, worker_id: str, may_stop: bool) -> VacatedReply:
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from aiomisc import cancel_tasks
-
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
@@ -13,10 +11,10 @@
 from bergamotgap.domain.run_estimates import RunEstimates
 from bergamotgap.domain.stalls import is_stalled
 from bergamotgap.domain.task_placement import rank_job
-from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.link_events import LiveRun
+from bergamotgap.pools.link_keeper import LinkKeeper
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.tenure import Confirmation, Tenure, Term
 from bergamotgap.pools.worker_link import WorkerLink
@@ -60,9 +58,9 @@
         self._settings = settings
         self._clock = clock
         self._on_superseded = on_superseded
-        self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._queues: dict[str, Queue] = {}
         self.links: dict[str, WorkerLink] = {}
+        self._keeper = LinkKeeper(self.links, self._build_link)
         self.changed = asyncio.Event()
         self.estimates = RunEstimates()
         self.tenure = Tenure(
@@ -71,8 +69,7 @@
 
     async def close(self) -> None:
         """Stop all orders and looks."""
-        tasks = [task for pair in self._tasks.values() for task in pair]
-        await cancel_tasks(tasks)
+        await self._keeper.close()
 
     def get_queue(self, job: Job) -> Queue | None:
         """Return the queue of a job, if it is configured."""
@@ -90,26 +87,11 @@
 
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
         """Take over the list of the pool's workers."""
-        for worker_id, info in workers.items():
-            link = self.links.get(worker_id)
-            if link is not None and link.info.born_ms != info.born_ms:
-                link.begin_life(info)
-            if link is None:
-                self._add_link(info)
-                continue
-            if link.info.state is not info.state:
-                log.info("worker state", worker=worker_id, state=info.state.value)
-            link.info = link.room.info = info
-            link.is_listed = True
-        for link in self.links.values():
-            if link.worker_id not in workers and link.is_listed:
-                log.info("worker gone", worker=link.worker_id, runs=len(link.live))
-                link.is_listed = False
-                link.wake()
+        self._keeper.update(workers)
         self.changed.set()
 
-    def _add_link(self, info: WorkerInfo) -> None:
-        link = WorkerLink(
+    def _build_link(self, info: WorkerInfo) -> WorkerLink:
+        return WorkerLink(
             info,
             self._term.token,
             self._orders,
@@ -118,19 +100,11 @@
             self._settings,
             self._clock,
         )
-        self.links[info.worker_id] = link
-        self._tasks[info.worker_id] = [
-            asyncio.create_task(supervise(f"orders {info.worker_id}", link.run_orders)),
-            asyncio.create_task(supervise(f"looks {info.worker_id}", link.run_looks)),
-        ]
-        log.info("worker found", worker=info.worker_id, host=info.host, rack=info.rack)
 
     async def drop_links(self) -> None:
         """Close the links to workers that left and hold nothing."""
-        for link in [link for link in self.links.values() if link.is_over]:
-            del self.links[link.worker_id]
-            self._table.note_worker(link.worker_id, is_used=False)
-            await cancel_tasks(self._tasks.pop(link.worker_id))
+        for worker_id in await self._keeper.drop_over():
+            self._table.note_worker(worker_id, is_used=False)
 
     def stop_stalled(self) -> None:
         """Stop tasks that stand still while their worker answers."""
@@ -262,6 +236,7 @@
             worker=link.worker_id,
             reason=reason,
         )
+        self._stop_gang(live)
         self._requeue(live)
 
     def note_unknown(self, link: WorkerLink, live: LiveRun) -> None:
@@ -275,6 +250,16 @@
         if live.task.run == live.run:
             live.task.phase = TaskPhase.UNCERTAIN
         link.stop(live.task.task_id, live.run)
+        self._stop_gang(live)
+
+    def _stop_gang(self, live: LiveRun) -> None:
+        """Stop the other members of a gang of which one did not start."""
+        job = self._table.jobs.get(live.task.task_id.job)
+        if job is None or not live.task.step.is_gang:
+            return
+        for member in job.get_step(live.task).tasks:
+            if member is not live.task and member.run == live.run:
+                self.stop(member)
 
     def note_run(self, link: WorkerLink, row: RunRow) -> None:
         """Take over progress; adopt or stop a run that was not known."""
@@ -355,8 +340,7 @@
             self._table.hungry[job.job_id] = job
             return
         if row.how == "failed" and row.run > task.counted_run:
-            task.counted_run = row.run
-            task.failures += 1
+            job.note_failed(task, row.run)
             task.failed_on.add(link.worker_id)
             queue = self.get_queue(job)
             attempts = queue.attempts if queue else 1
--- a/tests/fakes_pools.py
+++ b/tests/fakes_pools.py
@@ -168,6 +168,7 @@
         # Tail in ms of all that serves here, and the pace of each task.
         self.tail = 0
         self.paces: dict[TaskId, int] = {}
+        self.tickets: set[str] = set()
 
     def now_ms(self) -> int:
         return int(asyncio.get_running_loop().time() * 1000)
@@ -230,6 +231,7 @@
         now_s = asyncio.get_running_loop().time()
         worker.running[order.task] = FakeRun(order, now_s + worker.run_s)
         worker.starts.append((order.task, order.run))
+        worker.tickets.add(order.ticket)
         if self.lose_starts:
             self.lose_starts -= 1
             return Unanswered(was_sent=True)
@@ -274,6 +276,8 @@
             if worker.ended:
                 break
             await asyncio.sleep(0.01)
+        if worker.is_silent:
+            return Unanswered(was_sent=True)
         if refusal := worker.check(lease.token):
             return refusal
         running = tuple(
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -9,7 +9,7 @@
 from bergamotgap.pools.job_table import NotStored, Stored
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.tenure import Confirmation, Term
-from bergamotgap.ports.fleet import Tickets
+from bergamotgap.ports.fleet import Advice, Tickets
 from tests.fakes_pools import (
     CONFIG,
     SETTINGS,
@@ -52,14 +52,15 @@
             name: FakeWorker(info, run_s) for name, info in self.infos.items()
         }
         self.is_confirmed = True
-        self.advice: FakeAdvice | None = None
+        self.advice: Advice | None = None
+        self.orders_type = FakeOrders
 
     @asynccontextmanager
     async def own(
         self, token: int, number: int = 1, is_clean: bool = True, **term: int
     ) -> AsyncIterator[tuple[Pool, FakeOrders]]:
         """Own the pool."""
-        orders = FakeOrders(self.workers)
+        orders = self.orders_type(self.workers)
         self.lost_ms = self.clock.monotonic_ms()
 
         def get_confirmed_ms() -> int:
