Tell a job's story from the logs of several nodes

Cause: an on-call engineer had to search and sort the lines of all nodes by hand, and with clocks that differ by seconds the order was wrong. Change: bergamotgap explain reads logs, corrects each node's clock by the records that all nodes read (claims, configurations), and prints the lines of a job, its pool and the log in order, and the cause. docs/events.md is made from the code by make events. Ruled out: the median of all clocks as the true time; with two nodes it moves when one clock jumps, and the test's waiting time was wrong by 2 s. Tests: tests/test_explain.py, with a clock that is 3 s ahead and then jumps to 1 s behind.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TEST_WORKERS ?= 4
 SOURCES := src stand_ins bench tools tests
 
-.PHONY: install format lint types unit test demo bench slopes binary matrix proto
+.PHONY: install format lint types unit test demo bench slopes binary matrix proto events
 
 install: $(VENV)/.installed
 
@@ -45,6 +45,9 @@
 matrix: install
 	$(BIN)/python -m tools.fault_matrix --write docs/fault-matrix.md
 
+events: install
+	$(BIN)/python -m tools.events --write docs/events.md
+
 binary: install
 	$(BIN)/python -m tools.binary --output dist/bergamotgap
 
--- /dev/null
+++ b/src/bergamotgap/adapters/job_story.py
@@ -0,0 +1,124 @@
+"""The story of one job from the nodes' log lines: what was decided, and the cause."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from bergamotgap.adapters.log_lines import LogLine
+
+# Events that explain a job's fate without naming it: they concern its pool, all pools
+# or the log.
+POOL_EVENTS = frozenset(
+    {"owner", "pool gained", "pool lost", "superseded", "settled", "pool size"}
+)
+COMMON_EVENTS = frozenset(
+    {
+        "outage of the log for all",
+        "log lost",
+        "log regained",
+        "membership lost",
+        "owner acts",
+        "owner waits",
+    }
+)
+# Sizes of pools are told while the job waits; this long before it came, the rest.
+BEFORE_MS = 2000
+# A pool that asks for so much more than it has is short.
+SHORT_RATIO = 1.2
+
+
+@dataclass(frozen=True)
+class Story:
+    """Lines of a job and of what surrounds it, in order of time, and the cause."""
+
+    lines: tuple[LogLine, ...]
+    cause: str
+
+
+def tell_story(job_id: str, lines: Sequence[LogLine]) -> Story | None:
+    """Return the story of a job from aligned lines; None if no line names it."""
+    own = [line for line in lines if _is_about(line, job_id)]
+    if not own:
+        return None
+    pools = {line.fields["pool"] for line in own if "pool" in line.fields}
+    first_ms, last_ms = own[0].time_ms - BEFORE_MS, own[-1].time_ms
+    around = [
+        line
+        for line in lines
+        if first_ms <= line.time_ms <= last_ms
+        and (
+            line.event in COMMON_EVENTS
+            or (line.event in POOL_EVENTS and line.fields.get("pool") in pools)
+        )
+    ]
+    told = sorted([*own, *around], key=lambda line: line.time_ms)
+    return Story(tuple(told), _find_cause(own, around))
+
+
+def _is_about(line: LogLine, job_id: str) -> bool:
+    task = line.fields.get("task", "")
+    return line.fields.get("job") == job_id or task.startswith(f"{job_id}.")
+
+
+def _find_cause(own: Sequence[LogLine], around: Sequence[LogLine]) -> str:
+    ends = [line for line in own if line.event == "ended"]
+    if ends:
+        return _explain_end(ends[-1].fields, own, around)
+    if any(line.event == "accepted" for line in own):
+        return f"accepted and not ended yet; {_explain_delay(own, around)}"
+    refusals = [line for line in own if "reason" in line.fields]
+    if refusals:
+        last = refusals[-1]
+        return f"not accepted: {last.fields['reason']} ({last.event}, {last.node})"
+    return "not accepted; no line tells why"
+
+
+def _explain_end(
+    end: Mapping[str, str], own: Sequence[LogLine], around: Sequence[LogLine]
+) -> str:
+    phase = end.get("phase", "")
+    if phase == "completed":
+        age_ms = end.get("age_ms", "?")
+        return f"completed after {age_ms} ms; {_explain_delay(own, around)}"
+    reason = end.get("reason", "")
+    return f"{phase}: {reason}; {_explain_delay(own, around)}"
+
+
+def _explain_delay(own: Sequence[LogLine], around: Sequence[LogLine]) -> str:
+    causes = []
+    waits = [line for line in own if line.event == "job waits"]
+    placed = [line for line in own if line.event == "job placed"]
+    if waits:
+        until_ms = next(
+            (line.time_ms for line in placed if line.time_ms > waits[0].time_ms),
+            own[-1].time_ms,
+        )
+        waited_ms = until_ms - waits[0].time_ms
+        reason = waits[0].fields.get("reason", "")
+        causes.append(f"waited {waited_ms:.0f} ms for {reason}")
+    counts = Counter(
+        (line.event, line.fields.get("reason", ""), line.fields.get("worker", ""))
+        for line in own
+        if line.event in ("run lost", "run failed", "run stalled", "start refused")
+    )
+    for (event, reason, worker), count in counts.most_common():
+        because = f" ({reason})" if reason else ""
+        causes.append(f"{count} x {event} on {worker}{because}")
+    owners = [line.event for line in around if line.event == "pool gained"]
+    if owners:
+        causes.append(f"{len(owners)} x the pool got a new owner")
+    if any(line.event == "owner waits" for line in around):
+        causes.append("the owner waited for a sign that it still owns the pool")
+    short = [line for line in around if line.event == "pool size" and _is_short(line)]
+    if short:
+        worst = max(short, key=lambda line: int(line.fields["wanted_cpu"]))
+        causes.append(
+            f"the pool was short of hosts: wanted {worst.fields['wanted_cpu']}, had "
+            f"{worst.fields['capacity_cpu']} of 1/1000 cores"
+        )
+    return "; ".join(causes) or "nothing delayed it"
+
+
+def _is_short(line: LogLine) -> bool:
+    wanted = int(line.fields.get("wanted_cpu", 0))
+    return wanted > SHORT_RATIO * int(line.fields.get("capacity_cpu", 0))
--- a/src/bergamotgap/cli/main.py
+++ b/src/bergamotgap/cli/main.py
@@ -4,6 +4,7 @@
 
 from bergamotgap.cli import catalogue, maintenance
 from bergamotgap.cli.exits import EXIT_CODES_HELP
+from bergamotgap.cli.explain import explain
 from bergamotgap.cli.join import join
 from bergamotgap.cli.serve import build_serve
 from bergamotgap.cli.status import dump, status
@@ -21,6 +22,7 @@
 app.add_typer(maintenance.app, name="maintenance")
 app.command(epilog=EXIT_CODES_HELP)(status)
 app.command(epilog=EXIT_CODES_HELP)(dump)
+app.command(epilog=EXIT_CODES_HELP)(explain)
 
 
 @app.callback()
