Wait only for the workers of a job; send callers away from a cut-off node

Change: a job's record names the workers that were given its work, and a start is sent when its worker is written (one append of about 10 ms for each group); this replaces the records of used workers and of what runs at a release. An owner that alone lost the log renews for 2 s instead of 4. A node that reaches neither the log nor a node that does, nor most members, is not ready. Ruled out: writing nothing and waiting for all workers of the pool (as before); leaving the step's next start to a successor in an outage of this node alone (test: an owner without the log goes on with its workers; so the workers that a job has stay written while it lives).

--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -33,12 +33,16 @@
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
-    """What lasts of a job beside its specification; `ended_ms` in Unix ms."""
+    """What lasts of a job beside its specification; `ended_ms` in Unix ms.
+
+    `workers` are those that may have runs of the job.
+    """
 
     phase: JobPhase
     ended_ms: int = 0
     done_steps: tuple[tuple[int, int], ...] = ()
     tasks: tuple[TaskRecord, ...] = ()
+    workers: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -113,6 +117,10 @@
         self.phase = JobPhase.QUEUED
         self.ended_ms = 0
         self.failure = ""
+        # Workers that may have runs of a former owner which this one does not know.
+        self.former_workers: set[str] = set()
+        # Workers that were given work of the job, with the change that writes each.
+        self.given: dict[str, int] = {}
         self._steps: dict[tuple[int, int], StepRun] = {}
         self._opened = 0
         self._open_steps = 0
@@ -253,10 +261,14 @@
             for task in step.tasks
             if task.phase is TaskPhase.DONE or task.failures or task.checkpoint
         )
-        return JobProgress(self.phase, self.ended_ms, done, records)
+        workers = self.former_workers.union(self.given)
+        return JobProgress(
+            self.phase, self.ended_ms, done, records, tuple(sorted(workers))
+        )
 
     def restore(self, progress: JobProgress) -> None:
         """Take over what a former owner saved."""
+        self.former_workers = set(progress.workers)
         for occurrence, number in progress.done_steps:
             for index in range(self.spec.steps[number].count):
                 task = self.get_task(TaskId(self.job_id, occurrence, number, index))
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -114,7 +114,9 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        return self.directory.config is not None and not self._is_closing
+        if self.directory.config is None or self._is_closing:
+            return False
+        return not self._watch.is_cut_off
 
     async def __aenter__(self) -> Self:
         """Listen for peers and start."""
@@ -154,10 +156,8 @@
         self.pools.clear()
         for pool in pools:
             pool.stop_placing()
-            try:
-                async with asyncio.timeout(FLUSH_MS / 1000):
-                    await pool.journal.wait(pool.journal.requested)
-            except TimeoutError:
+            journal = pool.journal
+            if not await journal.wait_for(journal.requested, FLUSH_MS):
                 log.warning("journal not flushed", pool=pool.service)
         await cancel_tasks([task for _, task in self._owners.values()])
         self._owners.clear()
@@ -215,7 +215,7 @@
     async def _run_pool(self, name: str, claim: Claim, lost: asyncio.Event) -> None:
         pool = Pool(
             name,
-            Term(claim.token, claim.term, claim.is_clean, claim.released_token),
+            Term(claim.token, claim.term, claim.is_clean, self.registry.is_steady()),
             self._ports.store,
             choose_partition(name, self._settings.log_parts),
             self._ports.orders,
--- a/src/bergamotgap/pools/host_duty.py
+++ b/src/bergamotgap/pools/host_duty.py
@@ -1,6 +1,5 @@
 """The owner of the hosts: carries out waves of upkeep and moves hosts."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 from bergamotgap.adapters.logs import get_logger
@@ -148,13 +147,10 @@
     async def _save(self, wave: Wave, progress: WaveProgress) -> bool:
         """Write the progress; tell whether it lasts within a bounded time."""
         change = save_wave(self._journal, wave.number, progress)
-        try:
-            async with asyncio.timeout(SAVE_MS / 1000):
-                await self._journal.wait(change)
-        except TimeoutError:
-            log.warning("upkeep put off", wave=wave.number, reason="log_lost")
-            return False
-        return True
+        if await self._journal.wait_for(change, SAVE_MS):
+            return True
+        log.warning("upkeep put off", wave=wave.number, reason="log_lost")
+        return False
 
     async def _vacate(self, info: HostInfo) -> bool:
         if not info.worker_id:
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -28,8 +28,6 @@
 
     SPEC = "j"
     PROGRESS = "p"
-    WORKER = "w"
-    LIVE = "live"
 
 
 @dataclass(frozen=True)
@@ -47,13 +45,6 @@
     retry_ms: int
 
 
-class LiveRuns(msgspec.Struct, frozen=True, array_like=True):
-    """Jobs with runs on each worker when the owner of this token released the pool."""
-
-    token: int
-    jobs_of_worker: dict[str, list[str]]
-
-
 SubmitOutcome = Stored | NotStored
 
 
@@ -80,10 +71,6 @@
         self.hungry: dict[str, Job] = {}
         # Time of our clock and work in 1/1000 core-ms of the last jobs that came.
         self.arrivals: deque[tuple[int, float]] = deque(maxlen=MAX_ARRIVALS)
-        # Workers that were given work and not given back, as the log has them.
-        self.used_workers: set[str] = set()
-        # What ran where when an owner last released the pool.
-        self.released = LiveRuns(0, {})
         self.on_accepted: Callable[[], None] = lambda: None
         self.on_ended: Callable[[str], None] = lambda job_id: None
 
@@ -127,10 +114,6 @@
                 self._jobs[name] = Job(spec, self._clock.monotonic_ms() - age_ms)
             case RecordKind.PROGRESS:
                 progress[name] = msgspec.msgpack.decode(value, type=JobProgress)
-            case RecordKind.WORKER:
-                self.used_workers.add(name)
-            case RecordKind.LIVE:
-                self.released = msgspec.msgpack.decode(value, type=LiveRuns)
 
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return when it lasts or is known not to."""
@@ -194,9 +177,9 @@
             if job.phase is JobPhase.QUEUED and job.spec.queue == queue
         )
 
-    def note_progress(self, job: Job) -> None:
-        """Write what must last of an open job."""
-        self._journal.put(
+    def note_progress(self, job: Job) -> int:
+        """Write what must last of an open job; return the number of the change."""
+        return self._journal.put(
             format_key(self._service, RecordKind.PROGRESS, job.job_id),
             lambda: msgspec.msgpack.encode(job.save()),
         )
@@ -206,25 +189,6 @@
         job.end(phase, self._clock.wall_ms(), reason)
         return self.note_end(job)
 
-    def note_worker(self, worker_id: str, is_used: bool) -> int:
-        """Write that a worker is used or given back; return the change's number."""
-        if is_used == (worker_id in self.used_workers):
-            return 0
-        if is_used:
-            self.used_workers.add(worker_id)
-        else:
-            self.used_workers.discard(worker_id)
-        value = b"1" if is_used else None
-        key = format_key(self._service, RecordKind.WORKER, worker_id)
-        return self._journal.put(key, lambda: value)
-
-    def note_live(self, live: LiveRuns) -> None:
-        """Write what runs where, for the next owner."""
-        self._journal.put(
-            format_key(self._service, RecordKind.LIVE, ""),
-            lambda: msgspec.msgpack.encode(live),
-        )
-
     def note_end(self, job: Job) -> int:
         """Write a job's end once; return the number of the change."""
         known = self._ended.get(job.job_id)
@@ -237,8 +201,7 @@
         spec_key = format_key(self._service, RecordKind.SPEC, job.job_id)
         if job.spec.steps:
             self._journal.put(spec_key, lambda: None)
-        self.note_progress(job)
-        self._ended[job.job_id] = self._journal.requested
+        self._ended[job.job_id] = self.note_progress(job)
         log.info(
             "ended",
             job=job.job_id,
--- a/src/bergamotgap/pools/journal.py
+++ b/src/bergamotgap/pools/journal.py
@@ -79,6 +79,17 @@
         self._waiters.append((change, future))
         await future
 
+    async def wait_for(self, change: int, limit_ms: int) -> bool:
+        """Wait until a change lasts, for a bounded time; tell whether it does."""
+        if self.is_committed(change):
+            return True
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                await self.wait(change)
+        except TimeoutError:
+            return False
+        return True
+
     async def run(self) -> None:
         """Append changes until a newer owner fences this one."""
         while True:
--- a/src/bergamotgap/pools/link_events.py
+++ b/src/bergamotgap/pools/link_events.py
@@ -51,6 +51,7 @@
 
     live: LiveRun
     payload: str
+    change: int
     ticket: str
 
 
@@ -86,6 +87,9 @@
     def note_looked(self, link: "WorkerLink") -> None:
         """Take the end of a look, when all runs' figures are known."""
 
+    async def wait_for_start(self, change: int) -> bool:
+        """Wait until a successor would know of a run; tell whether it may start."""
+
     async def wait_for_journal(self) -> bool:
         """Wait until what was heard lasts, for a bounded time; tell if it does."""
 
--- a/src/bergamotgap/pools/outage_watch.py
+++ b/src/bergamotgap/pools/outage_watch.py
@@ -4,7 +4,7 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
-from bergamotgap.pools.registry import Registry
+from bergamotgap.pools.registry import BLIND_MS, Registry
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.pool_peer import (
     ContactCall,
@@ -14,8 +14,6 @@
 )
 
 CHECK_MS = 200
-# Longer than the interval of a member's renewals, so that one of them has failed.
-BLIND_MS = 600
 CALL_MS = 300
 # A member that was listed within this time may have taken over a duty; it is longer
 # than the outages and cuts that a node survives.
@@ -46,6 +44,7 @@
         self._clock = clock
         self._all_blind_ms: int | None = None
         self._is_outage = False
+        self._is_cut_off = False
 
     def measure_age_ms(self) -> int:
         """Return the age of the last renewal that the log answered."""
@@ -62,27 +61,39 @@
         age_ms = self._clock.monotonic_ms() - self._all_blind_ms
         return age_ms < self._settings.confirm_ms
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether callers are better served by nodes elsewhere.
+
+        Neither the log nor a node that reaches it answers here, and most members do not
+        answer at all, but may well be in reach of callers.
+        """
+        return self._is_cut_off
+
     async def run(self) -> None:
         """Ask while the log is away."""
         while True:
             await self._clock.sleep_ms(CHECK_MS)
             if self.measure_age_ms() < BLIND_MS:
                 self._note_outage(is_outage=False)
+                self._note_cut_off(is_cut_off=False)
                 continue
             sent_ms = self._clock.monotonic_ms()
-            if await self._are_all_blind():
+            ages = await self._ask_members()
+            are_all_blind = all(age is not None and age >= BLIND_MS for age in ages)
+            if ages and are_all_blind:
                 self._all_blind_ms = sent_ms
                 self._note_outage(is_outage=True)
+            is_any_seeing = any(age is not None and age < BLIND_MS for age in ages)
+            is_alone = 2 * ages.count(None) > len(ages)
+            self._note_cut_off(is_alone and not is_any_seeing)
 
-    async def _are_all_blind(self) -> bool:
+    async def _ask_members(self) -> list[int | None]:
         # Members that the log no longer lists may still be alive behind a cut.
         members = self._registry.list_recent(RECENT_MS)
         addresses = {member.partition("/")[0] for member in members}
         others = sorted(addresses - {self._own_address})
-        if not others:
-            return False
-        ages = await asyncio.gather(*(self._ask(address) for address in others))
-        return all(age is not None and age >= BLIND_MS for age in ages)
+        return await asyncio.gather(*(self._ask(address) for address in others))
 
     async def _ask(self, address: str) -> int | None:
         try:
@@ -92,6 +103,13 @@
             return None
         return reply.age_ms if isinstance(reply, ContactReply) else None
 
+    def _note_cut_off(self, is_cut_off: bool) -> None:
+        if is_cut_off is not self._is_cut_off:
+            self._is_cut_off = is_cut_off
+            log.warning(
+                "cut off", is_cut_off=is_cut_off, log_age_ms=self.measure_age_ms()
+            )
+
     def _note_outage(self, is_outage: bool) -> None:
         if is_outage is not self._is_outage:
             self._is_outage = is_outage
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -139,9 +139,8 @@
             self._on_superseded(self.service)
 
     def stop_placing(self) -> None:
-        """Start nothing more, and write for a successor what runs where."""
+        """Start nothing more."""
         self._is_active = False
-        self.runs.save_live()
 
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return when it lasts or is known not to."""
@@ -322,8 +321,6 @@
         for live in list(link.live.values()):
             if live.task.step.is_lasting and self._may_stop(live.task):
                 self.runs.stop(live.task)
-        if link.is_empty and link.has_looked:
-            self.table.note_worker(worker_id, is_used=False)
         return VacatedReply(link.is_empty)
 
     def _may_stop(self, task: Task) -> bool:
--- a/src/bergamotgap/pools/registry.py
+++ b/src/bergamotgap/pools/registry.py
@@ -24,6 +24,8 @@
 # Members that start together are all known before the first claim.
 FIRST_CLAIM_MS = 1000
 CHECK_MS = 200
+# Longer than the interval of a member's renewals, so that one of them has failed.
+BLIND_MS = 600
 
 log = get_logger(__name__)
 
@@ -31,15 +33,13 @@
 class Claim(msgspec.Struct, frozen=True, array_like=True):
     """Ownership of a pool; no owner if `member` is empty. `token` is unique, rises.
 
-    `is_clean` tells that the former owner was known not to act any more;
-    `released_token` is that of a former owner that released the pool, or 0.
+    `is_clean` tells that the former owner was known not to act any more.
     """
 
     member: str
     token: int
     term: int
     is_clean: bool = False
-    released_token: int = 0
 
 
 @dataclass(frozen=True)
@@ -87,6 +87,7 @@
         self._last_seen_ms: dict[str, int] = {}
         self._generation = 0
         self._joined_since_ms: int | None = None
+        self._steady_since_ms = clock.monotonic_ms()
         self.joined_ms = 0
         self._is_leaving = False
         self._pools: frozenset[str] = frozenset()
@@ -124,6 +125,14 @@
         silent_ms = self._clock.monotonic_ms() - self.joined_ms
         return silent_ms < self._settings.member_ttl_ms
 
+    def is_steady(self) -> bool:
+        """Tell whether the log was there as long as leases of former owners last.
+
+        Owners start work without a record only while the log is away for all.
+        """
+        steady_ms = self._clock.monotonic_ms() - self._steady_since_ms
+        return steady_ms >= self._settings.former_lease_ms
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call the listener after each change of claims."""
         self._listeners.append(listener)
@@ -166,6 +175,8 @@
                 self._generation = generation
                 # A renewal alone says nothing about claims that came meanwhile.
                 await self.follower.refresh()
+                if sent_ms - self.joined_ms > BLIND_MS:
+                    self._steady_since_ms = sent_ms
                 self.joined_ms = sent_ms
                 if self._joined_since_ms is None:
                     self._joined_since_ms = self.joined_ms
@@ -246,15 +257,7 @@
         end = self.follower.end or 0
         before = self._claims.get(pool)
         term = (before.term if before else 0) + 1
-        released = 0
-        if before is not None:
-            is_release = not member
-            was_released = not before.member
-            if is_release:
-                released = before.token
-            elif was_released:
-                released = before.released_token
-        claim = Claim(member, end + 1, term, self._is_gone(before), released)
+        claim = Claim(member, end + 1, term, self._is_gone(before))
         record = KeyedRecord(pool, msgspec.msgpack.encode(claim))
         try:
             await self._store.append(OWNERS_TOPIC, 0, [record], at=end)
--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -30,6 +30,8 @@
 RUNS_PER_TERM = 1000
 # A look renews the lease at this interval at least, also while the log is away.
 JOURNAL_WAIT_MS = 500
+# An append to a log that answers sixty times slower than in calm.
+START_WAIT_MS = 600
 # A worker that fails this many runs in a row gets no work for a time.
 FAILURES_TO_HOLD_OUT = 3
 HOLD_OUT_MS = 4000
@@ -103,8 +105,7 @@
 
     async def drop_links(self) -> None:
         """Close the links to workers that left and hold nothing."""
-        for worker_id in await self._keeper.drop_over():
-            self._table.note_worker(worker_id, is_used=False)
+        await self._keeper.drop_over()
 
     def stop_stalled(self) -> None:
         """Stop tasks that stand still while their worker answers."""
@@ -131,15 +132,6 @@
         job = self._table.jobs.get(task.task_id.job)
         return self.estimates.get_ratio(job.spec.queue) if job else 1.0
 
-    def save_live(self) -> None:
-        """Write which jobs may have runs on which worker."""
-        jobs_of_worker = {
-            link.worker_id: sorted({task_id.job for task_id in link.live})
-            for link in self.links.values()
-            if link.live
-        }
-        self._table.note_live(self.tenure.describe_live(jobs_of_worker))
-
     def choose_run(self, task: Task) -> int:
         """Return the number of a task's next run."""
         first = (self._term.number - 1) * RUNS_PER_TERM + 1
@@ -153,7 +145,24 @@
         task.worker_id = link.worker_id
         task.percent = 0
         task.started_ms = task.progress_ms = self._clock.monotonic_ms()
-        link.start(task, run, job.spec.payload, ticket)
+        change = self._note_given(job, link.worker_id)
+        link.start(task, run, job.spec.payload, change, ticket)
+
+    def _note_given(self, job: Job, worker_id: str) -> int:
+        """Write that a worker may have runs of a job; return the change's number."""
+        if worker_id not in job.given:
+            job.given[worker_id] = 0
+            job.given[worker_id] = self._table.note_progress(job)
+        return job.given[worker_id]
+
+    def _forget_given(self, job: Job, worker_id: str) -> None:
+        """Leave a worker out that has no run of a lasting job any more.
+
+        Other jobs end soon, and may start there again while the log is away.
+        """
+        tasks = job.list_tasks() if job.is_lasting else []
+        if tasks and not any(task.worker_id == worker_id for task in tasks):
+            job.given.pop(worker_id, None)
 
     def stop(self, task: Task) -> None:
         """Order the end of a task's run."""
@@ -173,20 +182,17 @@
 
     async def wait_for_journal(self) -> bool:
         """Wait until what was heard lasts, for a bounded time; tell if it does."""
-        change = self._journal.requested
-        if self._journal.is_committed(change):
+        return await self._journal.wait_for(self._journal.requested, JOURNAL_WAIT_MS)
+
+    async def wait_for_start(self, change: int) -> bool:
+        """Wait until a successor would know of a run; tell whether it may start."""
+        if await self._journal.wait_for(change, START_WAIT_MS):
             return True
-        try:
-            async with asyncio.timeout(JOURNAL_WAIT_MS / 1000):
-                await self._journal.wait(change)
-        except TimeoutError:
-            return False
-        return True
+        return self.tenure.is_outage()
 
     def note_first_look(self, link: WorkerLink) -> None:
         """Use the worker from now on."""
         self.tenure.note_seen(link.worker_id)
-        link.used_change = self._table.note_worker(link.worker_id, is_used=True)
         self.changed.set()
 
     def note_looked(self, link: WorkerLink) -> None:
@@ -203,19 +209,8 @@
             link.pace(task, percent)
 
     def list_usable(self, now_ms: int) -> list[WorkerLink]:
-        """Return the workers that may get new work.
-
-        That a worker is used lasts first, so that a successor knows where runs may be;
-        while the log is away this is left out, since nobody can succeed.
-        """
-        return [
-            link
-            for link in self.links.values()
-            if link.is_usable(now_ms)
-            and (
-                self._journal.is_committed(link.used_change) or self._journal.is_failing
-            )
-        ]
+        """Return the workers that may get new work."""
+        return [link for link in self.links.values() if link.is_usable(now_ms)]
 
     def note_started(self, link: WorkerLink, live: LiveRun) -> None:
         """Count the job as running."""
@@ -299,6 +294,7 @@
         task.percent = row.percent
         task.started_ms = task.progress_ms = now_ms
         link.add_live(LiveRun(task, row.run, accepted_ms=now_ms))
+        self._note_given(job, link.worker_id)
         job.begin()
         log.info("run adopted", task=row.task, run=row.run, worker=link.worker_id)
 
@@ -320,6 +316,7 @@
         if job is None or task is None or job.phase.is_final:
             return
         self._fold_end(link, row, job, task)
+        self._forget_given(job, link.worker_id)
         if job.phase.is_final:
             self._table.note_end(job)
             self.stop_job(job)
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -29,8 +29,16 @@
     # An owner acts this long on one sign that it still is the owner. Two renewals of
     # its membership fit into it; a successor waits as long before it repeats work.
     confirm_ms: int = 1000
+    # An owner that alone has lost the log renews leases this long, enough to find out
+    # whether the log is away for all; a successor waits so much longer for leases.
+    renew_alone_ms: int = 2000
 
     @property
     def run_lease_ms(self) -> int:
         """Return the lease of what runs on a worker."""
         return min(self.lease_ms, self.max_lease_ms)
+
+    @property
+    def former_lease_ms(self) -> int:
+        """Return how long a superseded owner's leases may last after its fencing."""
+        return self.renew_alone_ms + self.run_lease_ms
--- a/src/bergamotgap/pools/tenure.py
+++ b/src/bergamotgap/pools/tenure.py
@@ -7,7 +7,7 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.job_state import Job
-from bergamotgap.pools.job_table import JobTable, LiveRuns
+from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.settings import PoolSettings
 
@@ -22,14 +22,14 @@
 class Term:
     """One time of ownership: `token` fences, `number` counts owners of the pool.
 
-    `is_clean` tells that the former owner was known not to act any more;
-    `released_token` is that of a former owner that released the pool, or 0.
+    `is_clean` tells that the former owner was known not to act any more; `is_recorded`
+    that it cannot have started anything without a record of the worker.
     """
 
     token: int
     number: int
     is_clean: bool
-    released_token: int = 0
+    is_recorded: bool = True
 
 
 @dataclass(frozen=True)
@@ -69,14 +69,13 @@
         self._clock = clock
         self.started_ms = self._looked_ms = clock.monotonic_ms()
         self._is_acting = True
-        self._restored = set(table.hungry)
-        # Workers that may run what a former owner started there.
-        self._unseen = set(table.used_workers)
-        if term.released_token and term.released_token == table.released.token:
-            # The former owner wrote which jobs have runs on which worker.
-            jobs = table.released.jobs_of_worker
-            self._unseen &= set(jobs)
-            self._restored &= {job for ids in jobs.values() for job in ids}
+        self._restored = dict(table.hungry)
+        if term.is_clean and term.is_recorded:
+            self._restored = {
+                job_id: job
+                for job_id, job in table.hungry.items()
+                if job.former_workers
+            }
 
     def is_confirmed(self) -> bool:
         """Tell whether the log confirmed this owner a short time ago."""
@@ -85,11 +84,15 @@
     def may_renew(self) -> bool:
         """Tell whether leases may be renewed.
 
-        A successor waits two leases for workers that it can't reach, so an owner that
-        alone has lost the log renews no longer than one lease.
+        A successor waits for leases of workers that it can't reach, so an owner that
+        alone has lost the log renews them for a short time only.
         """
-        is_recent = self._measure_doubt_ms() < self._settings.run_lease_ms
-        return is_recent or self._confirmation.is_outage()
+        is_recent = self._measure_doubt_ms() < self._settings.renew_alone_ms
+        return is_recent or self.is_outage()
+
+    def is_outage(self) -> bool:
+        """Tell whether the log is away for all nodes, so that there is no successor."""
+        return self._confirmation.is_outage()
 
     def _measure_doubt_ms(self) -> int:
         confirmed_ms = max(
@@ -102,7 +105,7 @@
 
         Without the log a successor may have found them and renew them.
         """
-        return self.is_confirmed() or self._confirmation.is_outage()
+        return self.is_confirmed() or self.is_outage()
 
     def may_act(self) -> bool:
         """Tell whether no successor can have begun to act.
@@ -133,9 +136,10 @@
     def is_settled(self, job: Job) -> bool:
         """Tell whether no unseen run of a restored job can be at work.
 
-        A former owner's runs are known once each worker was looked at, or most were and
-        the others' leases have ended by the slowest clock. It starts no more once it
-        has had the time to hear of that.
+        A former owner starts no more once it has had the time to hear of its successor,
+        which most workers tell it. What it started is known when the workers that it
+        wrote for the job were looked at, or their leases have ended by the slowest
+        clock.
         """
         if job.job_id not in self._restored:
             return True
@@ -147,20 +151,18 @@
             self._looked_ms = now_ms
         if now_ms < self._looked_ms + max(wait_ms, SETTLE_MS):
             return False
-        limit_ms = self.started_ms + 2 * self._settings.run_lease_ms
-        if not self._unseen or now_ms >= limit_ms:
-            counts = {"restored": len(self._restored), "unseen": len(self._unseen)}
-            log.info("settled", **counts)
-            self._restored.clear()
-            return True
-        return False
+        is_past = now_ms >= self.started_ms + self._settings.former_lease_ms
+        is_seen = not job.former_workers
+        if not self.term.is_recorded:
+            is_seen = is_seen and len(looked) == len(listed)
+        if not is_seen and not is_past:
+            return False
+        log.info("settled", job=job.job_id, unseen=len(job.former_workers))
+        job.former_workers.clear()
+        del self._restored[job.job_id]
+        return True
 
     def note_seen(self, worker_id: str) -> None:
         """Note the first look at a worker: what runs there is known."""
-        self._unseen.discard(worker_id)
-
-    def describe_live(self, jobs_of_worker: dict[str, list[str]]) -> LiveRuns:
-        """Return the jobs on each worker, those of unseen workers included."""
-        # A former owner's runs on workers that were not seen yet are not known.
-        unseen = {worker_id: sorted(self._restored) for worker_id in self._unseen}
-        return LiveRuns(self.term.token, {**jobs_of_worker, **unseen})
+        for job in self._restored.values():
+            job.former_workers.discard(worker_id)
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -66,8 +66,6 @@
         self.leaving_until_ms = 0
         self.held_out_until_ms = 0
         self.failures_in_row = 0
-        # Number of the journal's change that notes the worker as used.
-        self.used_change = 0
         self._token = token
         self._orders = orders
         self._events = events
@@ -85,7 +83,7 @@
         self.answered_ms = self.idle_since_ms = clock.monotonic_ms()
         # A former owner may have renewed until this one was seen.
         self._lease = RunLease(
-            token, settings.run_lease_ms, 2 * settings.run_lease_ms, clock
+            token, settings.run_lease_ms, settings.former_lease_ms, clock
         )
 
     @property
@@ -119,11 +117,13 @@
         """Look now if the worker was idle."""
         self._wake.set()
 
-    def start(self, task: Task, run: int, payload: str, ticket: str = "") -> None:
-        """Hold room and queue the order."""
+    def start(
+        self, task: Task, run: int, payload: str, change: int, ticket: str = ""
+    ) -> None:
+        """Hold room and queue the order; it is sent when the change lasts."""
         live = LiveRun(task, run)
         self.add_live(live)
-        self._queue.put_nowait(StartCall(live, payload, ticket))
+        self._queue.put_nowait(StartCall(live, payload, change, ticket))
 
     def add_live(self, live: LiveRun) -> None:
         """Hold room for a run."""
@@ -199,7 +199,8 @@
         live, task = call.live, call.live.task
         if self.live.get(task.task_id) is not live:
             return
-        if live.is_stop_wanted or not self._standing.may_act():
+        is_written = await self._events.wait_for_start(call.change)
+        if live.is_stop_wanted or not is_written or not self._standing.may_act():
             self.drop_live(live)
             self._events.note_not_started(self, live, Unanswered(was_sent=False))
             return
