Bound and speed up placement; take pools back after a restart; order nothing when frozen

A duty's holder waited 1.2 s after its predecessor had lapsed; it checked its own standing once a round, so a holder frozen in the middle gave an old order afterwards. Change: the search is left out where the task is larger than the most that any worker has free, and for the next task of a step where the last worker still fits; ranks are taken once; passes take a fifth of the time at most. Placing has its own module. Former lives are claimed at once; the duty's wait is 0.2 s while the log was steady, since a holder's confirmation ends before its membership lapses; each order asks again.

--- a/bench/turning_demand.py
+++ b/bench/turning_demand.py
@@ -278,7 +278,8 @@
         return self.result
 
     async def _work_on_moves(self) -> None:
-        duty = PoolMoves(self, self._ask, 1, int(MOVE_S * 1000), self.clock)
+        move_ms = int(MOVE_S * 1000)
+        duty = PoolMoves(self, self._ask, lambda: True, 1, move_ms, self.clock)
         while self._has_moves:
             await asyncio.sleep(ROUND_S)
             await duty.work(self.config, self._hosts, set())
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -124,17 +124,16 @@
         self._steps: dict[tuple[int, int], StepRun] = {}
         self._opened = 0
         self._open_steps = 0
+        # Tasks of a lasting job run until it is cancelled.
+        self.is_lasting = any(step.is_lasting for step in spec.steps)
+        # Estimated work of the longest chain of steps, and what is left of it.
+        self.chain_ms = self.left_ms = _measure_chain(spec.steps, set())
 
     @property
     def job_id(self) -> str:
         """Return the id that the caller chose."""
         return self.spec.job_id
 
-    @property
-    def is_lasting(self) -> bool:
-        """Tell whether its tasks run until the job is cancelled."""
-        return any(step.is_lasting for step in self.spec.steps)
-
     @property
     def next_due_ms(self) -> int | None:
         """Return the Unix ms when the next occurrence is due; None if all began."""
@@ -203,6 +202,7 @@
         step.missing -= len(ended)
         if step.missing == 0:
             self._open_steps -= 1
+            self._measure_left()
         if self._open_steps == 0 and self._opened >= self.spec.occurrences:
             self.end(JobPhase.COMPLETED, 0)
 
@@ -230,16 +230,11 @@
         """Return the step of a task."""
         return self._steps[(task.task_id.occurrence, task.task_id.step)]
 
-    def estimate_chain_ms(self) -> int:
-        """Return the estimated work of the longest chain of the specification."""
-        return _measure_chain(self.spec.steps, set())
-
-    def estimate_left_ms(self) -> int:
-        """Return the estimated work left on the longest chain."""
-        if self._opened != 1:
-            return self.estimate_chain_ms()
-        done = {step.number for step in self._steps.values() if not step.missing}
-        return _measure_chain(self.spec.steps, done)
+    def _measure_left(self) -> None:
+        """Note what is left of the longest chain; of repeated jobs all is."""
+        if self.spec.occurrences == 1:
+            done = {step.number for step in self._steps.values() if not step.missing}
+            self.left_ms = _measure_chain(self.spec.steps, done)
 
     def save(self) -> JobProgress:
         """Return what must last."""
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -77,9 +77,9 @@
         return (WORTHLESS, 0, job.arrived_ms)
     if job.is_lasting:
         return (IN_TIME, queue.urgency, job.arrived_ms)
-    chain_ms = job.estimate_chain_ms() * ratio
+    chain_ms = job.chain_ms * ratio
     objective_ms = queue.stretch * chain_ms + queue.target_latency_ms
-    left_ms = job.estimate_left_ms() * ratio
+    left_ms = job.left_ms * ratio
     slack_ms = job.arrived_ms + objective_ms - now_ms - left_ms
     if slack_ms >= 0:
         return (IN_TIME, queue.urgency + 1, slack_ms)
@@ -113,6 +113,18 @@
     return best
 
 
+def is_still_best(room: Room, task: Task) -> bool:
+    """Tell whether the worker that the step's last task got is best for this one too.
+
+    A short task fills the fullest worker that fits, which a worker stays that was
+    given one, as long as there is room and no rule of the step is in the way.
+    """
+    step = task.step
+    if step.is_lasting or step.is_filler or step.max_per_host or task.failed_on:
+        return False
+    return room.fits(step.size)
+
+
 def _score_room(room: Room, task: Task, key: StepKey) -> tuple[float, ...]:
     step = task.step
     has_failed = room.info.worker_id in task.failed_on
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -244,7 +244,7 @@
             log.warning("workers not read", error=str(error))
 
     async def _run_duty(self, claim: Claim) -> None:
-        wait_ms = 0 if claim.is_clean else self._settings.confirm_ms + ORDER_MS
+        wait_ms = self._choose_duty_wait_ms(claim)
         store, clock = self._ports.store, self._clock
         topic, part = choose_partition(HOSTS_POOL, self._settings.log_parts)
         lost = asyncio.Event()
@@ -272,6 +272,18 @@
         finally:
             await cancel_tasks(work)
 
+    def _choose_duty_wait_ms(self, claim: Claim) -> int:
+        """Return the time in which a former holder's orders may still arrive.
+
+        A holder that the log took for gone has lost its confirmation before that, but
+        for the one that an outage for all may have given it.
+        """
+        if claim.is_clean:
+            return 0
+        if self.registry.is_steady():
+            return ORDER_MS
+        return self._settings.confirm_ms + ORDER_MS
+
     async def _is_stored(self, pool: str, job_id: str) -> bool | None:
         topic, part = choose_partition(pool, self._settings.log_parts)
         try:
--- a/src/bergamotgap/pools/host_duty.py
+++ b/src/bergamotgap/pools/host_duty.py
@@ -59,15 +59,15 @@
         self._journal = journal
         self._progress = progress
         self._reported: dict[int, bool] = {}
-        self._moves = PoolMoves(machines, ask_owner, token, settings.move_ms, clock)
+        self._moves = PoolMoves(
+            machines, ask_owner, self._may_order, token, settings.move_ms, clock
+        )
 
     async def run(self) -> None:
         """Work on waves until cancelled."""
         while True:
             await self._clock.sleep_ms(ROUND_MS)
-            if not self._is_confirmed():
-                continue
-            if self._clock.monotonic_ms() < self._may_order_ms:
+            if not self._may_order():
                 continue
             try:
                 hosts = {i.host: i for i in await self._machines.list_hosts()}
@@ -77,6 +77,11 @@
             except MachinesUnavailableError as error:
                 log.warning("machines unavailable", error=str(error))
 
+    def _may_order(self) -> bool:
+        """Tell whether no other holder can give orders now."""
+        is_past = self._clock.monotonic_ms() >= self._may_order_ms
+        return is_past and self._is_confirmed()
+
     async def _work_on_waves(self, hosts: dict[str, HostInfo]) -> set[str]:
         """Carry out upkeep; return the hosts that must not move meanwhile."""
         open_waves = [
@@ -129,7 +134,8 @@
         may_order = await self._save(wave, progress)
         # The pool may have got another owner meanwhile, which gives the worker work.
         may_order = may_order and (info.pool in spare or await self._vacate(info))
-        if not may_order:
+        # The holder may have been frozen since the round began.
+        if not may_order or not self._may_order():
             if not is_repeated:
                 del progress.begun_ms[info.host]
                 progress.unanswered.discard(info.host)
--- /dev/null
+++ b/src/bergamotgap/pools/placing.py
@@ -0,0 +1,161 @@
+"""Placement passes of a pool: which waiting tasks start where, and why others wait."""
+
+from collections.abc import Mapping, Sequence
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.job_state import Job, StepRun, TaskPhase
+from bergamotgap.domain.task_placement import (
+    IN_TIME,
+    Room,
+    choose_room,
+    is_still_best,
+    place_gang,
+)
+from bergamotgap.pools.job_table import JobTable
+from bergamotgap.pools.runs import Runs
+from bergamotgap.pools.tickets import TicketDesk
+from bergamotgap.pools.worker_link import WorkerLink
+
+log = get_logger(__name__)
+
+
+class Placing:
+    """Place the waiting tasks of a pool's jobs, the most urgent first."""
+
+    def __init__(
+        self, service: str, table: JobTable, runs: Runs, desk: TicketDesk, clock: Clock
+    ) -> None:
+        self._service = service
+        self._table = table
+        self._runs = runs
+        self._desk = desk
+        self._clock = clock
+        self._wait_reasons: dict[str, str] = {}
+        self._links: dict[str, WorkerLink] = {}
+        # No usable worker has more free cores than this, in 1/1000.
+        self._most_free_cpu = 0
+        self.yields_until_ms = 0
+
+    def forget(self, job_id: str) -> None:
+        """Forget a job that ended."""
+        self._wait_reasons.pop(job_id, None)
+        self._desk.forget(job_id)
+
+    def place_all(self) -> None:
+        """Place what fits of all jobs that have waiting tasks."""
+        hungry = self._table.hungry
+        if not hungry:
+            return
+        now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
+        self._links = {link.worker_id: link for link in self._runs.list_usable(now_ms)}
+        self._note_free_cpu()
+        ranked = [(self._runs.rank(job, now_ms), job) for job in hungry.values()]
+        ranked.sort(key=lambda pair: pair[0])
+        for rank, job in ranked:
+            job.open_due(wall_ms)
+            if not self._links or not self._runs.tenure.is_settled(job):
+                self._note_wait(job, "unsettled" if self._links else "no_workers")
+                continue
+            if rank[0] > IN_TIME and now_ms < self.yields_until_ms:
+                self._note_wait(job, "yields")
+                break
+            if not self._place_job(job) and job.next_due_ms is None:
+                hungry.pop(job.job_id, None)
+
+    def _note_free_cpu(self) -> None:
+        self._most_free_cpu = max(
+            (link.room.free_cpu for link in self._links.values()), default=0
+        )
+
+    def _place_job(self, job: Job) -> bool:
+        """Place what fits; return whether tasks of the job still wait."""
+        still_waits, placed = False, 0
+        for step in job.list_ready():
+            waiting = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+            started = 0
+            # Nothing is searched for a task that is larger than what any worker has.
+            if waiting and step.spec.size.cpu <= self._most_free_cpu:
+                started = self._place_step(job, step)
+            placed += started
+            still_waits |= started < waiting
+        if placed:
+            self._note_free_cpu()
+            self._note_placed(job, placed)
+        if still_waits:
+            self._note_wait(job, "no_room")
+        return still_waits
+
+    def _place_step(self, job: Job, step: StepRun) -> int:
+        """Start the waiting tasks of a step that fit; return their number."""
+        tickets, links = self._list_allowed(job, step)
+        rooms = [link.room for link in links]
+        if step.spec.is_gang:
+            return self._place_gang(step, rooms, tickets)
+        started = 0
+        last: Room | None = None
+        for task in step.tasks:
+            if task.phase is not TaskPhase.WAITING:
+                continue
+            room = last
+            if room is None or not is_still_best(room, task):
+                room = last = choose_room(rooms, task)
+            if room is None:
+                break
+            link = self._links[room.info.worker_id]
+            ticket = tickets.get(link.worker_id, "")
+            self._runs.start(task, link, self._runs.choose_run(task), ticket)
+            started += 1
+        return started
+
+    def _list_allowed(
+        self, job: Job, step: StepRun
+    ) -> tuple[Mapping[str, str], list[WorkerLink]]:
+        """Return the workers that may run a step, and their tickets if it needs any."""
+        queue = self._runs.get_queue(job)
+        if queue is None or not queue.needs_advice:
+            return {}, list(self._links.values())
+        tickets = self._desk.get(step.tasks[0].task_id, list(self._links))
+        allowed = [link for name, link in self._links.items() if name in tickets]
+        return tickets, allowed
+
+    def _place_gang(
+        self, step: StepRun, rooms: Sequence[Room], tickets: Mapping[str, str]
+    ) -> int:
+        if any(task.phase is not TaskPhase.WAITING for task in step.tasks):
+            return 0
+        placed = place_gang(rooms, step)
+        if placed is None:
+            return 0
+        run = max(self._runs.choose_run(task) for task in step.tasks)
+        checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
+        for task, room in placed:
+            task.checkpoint = checkpoint
+            link = self._links[room.info.worker_id]
+            self._runs.start(task, link, run, tickets.get(link.worker_id, ""))
+        return len(placed)
+
+    def _note_wait(self, job: Job, reason: str) -> None:
+        """Log why a job waits, once for each reason."""
+        if self._wait_reasons.get(job.job_id) == reason:
+            return
+        self._wait_reasons[job.job_id] = reason
+        log.info(
+            "job waits",
+            job=job.job_id,
+            pool=self._service,
+            reason=reason,
+            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
+            hungry=len(self._table.hungry),
+            workers=len(self._runs.links),
+        )
+
+    def _note_placed(self, job: Job, tasks: int) -> None:
+        self._wait_reasons.pop(job.job_id, None)
+        log.info(
+            "job placed",
+            job=job.job_id,
+            pool=self._service,
+            tasks=tasks,
+            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
+        )
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -9,17 +9,17 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
-from bergamotgap.domain.job_state import Job, StepRun, Task, TaskPhase
+from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pool_sizes import IdleHost, estimate_offer
-from bergamotgap.domain.task_placement import IN_TIME, LATE, choose_room, place_gang
+from bergamotgap.domain.task_placement import LATE
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
+from bergamotgap.pools.placing import Placing
 from bergamotgap.pools.runs import Runs
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.tenure import Confirmation, Term
 from bergamotgap.pools.tickets import TicketDesk
-from bergamotgap.pools.worker_link import WorkerLink
 from bergamotgap.ports.fleet import (
     Advice,
     Fence,
@@ -33,6 +33,8 @@
 TICK_MS = 200
 # Placements of the same moment are decided in one pass.
 PASS_GAP_MS = 5
+# Passes take a fifth of the processor at most, so that requests and looks are answered.
+PASS_REST = 4
 # The report of a worker that was moved away stays listed for three heartbeats; so long
 # and some rounds more a worker that was given away gets no work.
 LAPSE_HEARTBEATS = 3
@@ -74,8 +76,6 @@
         self._clock = clock
         self._is_active = True
         self._confirmation = confirmation
-        self._yields_until_ms = 0
-        self._wait_reasons: dict[str, str] = {}
         self._on_superseded = on_superseded
         self._tasks: list[asyncio.Task[None]] = []
         producer = f"pool/{service}"
@@ -105,7 +105,10 @@
         )
         self.table.on_accepted = self.runs.changed.set
         self._desk = TicketDesk(self._advice, self._clock, self.runs.changed.set)
-        self.table.on_ended = self._note_ended
+        self._placing = Placing(
+            self.service, self.table, self.runs, self._desk, self._clock
+        )
+        self.table.on_ended = self._placing.forget
         self._tasks = [
             asyncio.create_task(supervise(f"journal {self.service}", self.journal.run)),
             asyncio.create_task(supervise(f"placing {self.service}", self._run_passes)),
@@ -188,122 +191,11 @@
         while True:
             await self.runs.changed.wait()
             self.runs.changed.clear()
+            began_ms = self._clock.monotonic_ms()
             if self._is_active and self.runs.tenure.may_act():
-                self._place_all()
-            await self._clock.sleep_ms(PASS_GAP_MS)
-
-    def _place_all(self) -> None:
-        now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
-        hungry = self.table.hungry
-        if not hungry:
-            return
-        links = self.runs.list_usable(now_ms)
-        jobs = sorted(
-            hungry.values(),
-            key=lambda job: self.runs.rank(job, now_ms),
-        )
-        for job in jobs:
-            job.open_due(wall_ms)
-            if not links or not self.runs.tenure.is_settled(job):
-                self._note_wait(job, "unsettled" if links else "no_workers")
-                continue
-            is_late = self.runs.rank(job, now_ms)[0] > IN_TIME
-            if is_late and now_ms < self._yields_until_ms:
-                self._note_wait(job, "yields")
-                break
-            if not self._place_job(job, links) and job.next_due_ms is None:
-                hungry.pop(job.job_id, None)
-
-    def _note_wait(self, job: Job, reason: str) -> None:
-        """Log why a job waits, once for each reason."""
-        if self._wait_reasons.get(job.job_id) == reason:
-            return
-        self._wait_reasons[job.job_id] = reason
-        log.info(
-            "job waits",
-            job=job.job_id,
-            pool=self.service,
-            reason=reason,
-            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
-            hungry=len(self.table.hungry),
-            workers=len(self.runs.links),
-        )
-
-    def _note_placed(self, job: Job, tasks: int) -> None:
-        self._wait_reasons.pop(job.job_id, None)
-        log.info(
-            "job placed",
-            job=job.job_id,
-            pool=self.service,
-            tasks=tasks,
-            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
-        )
-
-    def _note_ended(self, job_id: str) -> None:
-        self._wait_reasons.pop(job_id, None)
-        self._desk.forget(job_id)
-
-    def _place_job(self, job: Job, links: list[WorkerLink]) -> bool:
-        """Place what fits; return whether tasks of the job still wait."""
-        still_waits, placed = False, 0
-        for step in job.list_ready():
-            waiting = [t for t in step.tasks if t.phase is TaskPhase.WAITING]
-            if not waiting:
-                continue
-            if step.spec.is_gang:
-                if self._place_gang(job, step, links):
-                    placed += len(waiting)
-                else:
-                    still_waits = True
-                continue
-            for task in waiting:
-                if not self._place_task(job, task, links):
-                    still_waits = True
-                    break
-                placed += 1
-        if placed:
-            self._note_placed(job, placed)
-        if still_waits:
-            self._note_wait(job, "no_room")
-        return still_waits
-
-    def _place_task(self, job: Job, task: Task, links: list[WorkerLink]) -> bool:
-        tickets, links = self._list_allowed(job, task, links)
-        rooms = {id(link.room): link for link in links}
-        room = choose_room([link.room for link in links], task)
-        if room is None:
-            return False
-        link = rooms[id(room)]
-        ticket = tickets.get(link.worker_id, "")
-        self.runs.start(task, link, self.runs.choose_run(task), ticket)
-        return True
-
-    def _list_allowed(
-        self, job: Job, task: Task, links: list[WorkerLink]
-    ) -> tuple[Mapping[str, str], list[WorkerLink]]:
-        """Return the workers that may run a task, and their tickets if it needs any."""
-        queue = self.runs.get_queue(job)
-        if queue is None or not queue.needs_advice:
-            return {}, links
-        names = [link.worker_id for link in links]
-        tickets = self._desk.get(task.task_id, names)
-        return tickets, [link for link in links if link.worker_id in tickets]
-
-    def _place_gang(self, job: Job, step: StepRun, links: list[WorkerLink]) -> bool:
-        if any(task.phase is not TaskPhase.WAITING for task in step.tasks):
-            return False
-        tickets, links = self._list_allowed(job, step.tasks[0], links)
-        rooms = {id(link.room): link for link in links}
-        placed = place_gang([link.room for link in links], step)
-        if placed is None:
-            return False
-        run = max(self.runs.choose_run(task) for task in step.tasks)
-        checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
-        for task, room in placed:
-            task.checkpoint = checkpoint
-            link = rooms[id(room)]
-            self.runs.start(task, link, run, tickets.get(link.worker_id, ""))
-        return True
+                self._placing.place_all()
+            took_ms = self._clock.monotonic_ms() - began_ms
+            await self._clock.sleep_ms(max(PASS_GAP_MS, PASS_REST * took_ms))
 
     def vacate(self, worker_id: str, may_stop: bool) -> VacatedReply:
         """Empty a worker as far as its tasks allow; tell whether it is empty.
@@ -337,7 +229,7 @@
         """
         now_ms = self._clock.monotonic_ms()
         if must_yield:
-            self._yields_until_ms = now_ms + YIELD_MS
+            self._placing.yields_until_ms = now_ms + YIELD_MS
         links = self.runs.list_usable(now_ms)
         waiting_ms = sum(
             self._measure_waiting(job, now_ms) for job in self.table.hungry.values()
--- a/src/bergamotgap/pools/pool_moves.py
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -1,7 +1,7 @@
 """Moves of hosts between pools, as their demand turns."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
@@ -44,12 +44,14 @@
         self,
         machines: Machines,
         ask_owner: AskOwner,
+        may_order: Callable[[], bool],
         token: int,
         move_ms: int,
         clock: Clock,
     ) -> None:
         self._machines = machines
         self._ask_owner = ask_owner
+        self._may_order = may_order
         self._token = token
         self._move_ms = move_ms
         self._clock = clock
@@ -146,6 +148,9 @@
             )
             if not isinstance(reply, VacatedReply) or not reply.is_empty:
                 return
+        # The holder may have been frozen since the round began.
+        if not self._may_order():
+            return
         now_ms = self._clock.monotonic_ms()
         cpu = hosts[move.host].cpu
         self._moving[move.host] = (move.target, now_ms, cpu)
--- a/src/bergamotgap/pools/registry.py
+++ b/src/bergamotgap/pools/registry.py
@@ -23,7 +23,7 @@
 OWNERS_TOPIC = "keyed.owners"
 # Members that start together are all known before the first claim.
 FIRST_CLAIM_MS = 1000
-CHECK_MS = 200
+CHECK_MS = 100
 # Longer than the interval of a member's renewals, so that one of them has failed.
 BLIND_MS = 600
 
@@ -224,12 +224,14 @@
         now_ms = self._clock.monotonic_ms()
         if self._is_leaving or self._joined_since_ms is None:
             return False
+        claim = self._claims.get(pool)
+        if claim is not None and self._is_former_life(claim):
+            return self.is_confirmed()
         # After the log was away, all members join again before any is taken for dead.
         if now_ms - self._joined_since_ms < FIRST_CLAIM_MS:
             return False
         if not self.is_confirmed():
             return False
-        claim = self._claims.get(pool)
         if claim is not None and claim.member in self._members:
             return False
         # A member that just joined is not known to all others yet. Nobody waits for a
@@ -244,6 +246,11 @@
         claimant = choose_claimant(pool, known, self._claims)
         return claimant == self._member.name
 
+    def _is_former_life(self, claim: Claim) -> bool:
+        """Tell whether this node owned the pool in a former life, which has ended."""
+        address, _, _ = claim.member.partition("/")
+        return address == self._member.address and not self.is_own(claim)
+
     async def _claim(self, pool: str) -> None:
         try:
             await self.follower.refresh()
--- a/tests/test_fleet_domain.py
+++ b/tests/test_fleet_domain.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from bergamotgap.domain.fleet import HostInfo, JobPhase, Queue, StepSpec, TaskId, Wave
-from bergamotgap.domain.job_state import Job, Task, TaskPhase
+from bergamotgap.domain.job_state import Job, StepRun, Task, TaskPhase
 from bergamotgap.domain.pacing import choose_pace
 from bergamotgap.domain.pool_sizes import (
     IdleHost,
@@ -22,6 +22,7 @@
     WORTHLESS,
     Room,
     choose_room,
+    is_still_best,
     place_gang,
     rank_job,
 )
@@ -233,3 +234,28 @@
     assert choose_pace(100, 0.85) == 50
     assert choose_pace(50, 0.7) == 50
     assert choose_pace(90, 0.3) == 100
+
+
+@given(
+    st.lists(st.integers(0, 8000), min_size=1, max_size=6),
+    st.integers(100, 4000),
+    st.integers(1, 12),
+    st.booleans(),
+)
+def test_tasks_of_a_step_go_where_a_full_search_puts_them(
+    used: list[int], cpu: int, count: int, is_far: bool
+) -> None:
+    """Guards against a step that is placed elsewhere to save a search."""
+    spec = StepSpec(count=count, cpu=cpu, data_rack="r1" if is_far else "")
+    rooms = [Room(build_worker(number), taken) for number, taken in enumerate(used)]
+    searched = [Room(build_worker(number), taken) for number, taken in enumerate(used)]
+    last: Room | None = None
+    for task in StepRun("job", 0, 0, spec).tasks:
+        if last is None or not is_still_best(last, task):
+            last = choose_room(rooms, task)
+        best = choose_room(searched, task)
+        assert (last and last.info) == (best and best.info)
+        if last is None or best is None:
+            break
+        last.take(task)
+        best.take(task)
--- a/tests/test_host_duty.py
+++ b/tests/test_host_duty.py
@@ -66,6 +66,7 @@
         self.store = FakeStore()
         self.machines = FakeMachines()
         self.reports: list[bool] = []
+        self.is_confirmed = True
         self.is_empty: Callable[[str], bool] = lambda worker_id: True
         documents = Documents("config", "wave/", _never, _never, _never)
         self.directory = Directory(documents, self.clock)
@@ -95,7 +96,7 @@
             self.directory,
             self.ask,
             self.report,
-            lambda: True,
+            lambda: self.is_confirmed,
             SETTINGS,
             self.clock,
         )
@@ -166,3 +167,20 @@
         assert scene.reports[-1]
 
     run_virtual(main())
+
+
+def test_a_holder_that_was_frozen_in_a_round_orders_nothing() -> None:
+    """Guards against an order with a lower token after a successor's."""
+
+    async def main() -> None:
+        scene = Scene()
+
+        def freeze(worker_id: str) -> bool:
+            scene.is_confirmed = False
+            return True
+
+        scene.is_empty = freeze
+        await scene.hold(1, 3)
+        assert scene.machines.upkeeps == []
+
+    run_virtual(main())
--- a/tests/test_pool_parts.py
+++ b/tests/test_pool_parts.py
@@ -120,6 +120,29 @@
     run_virtual(main())
 
 
+def test_a_restarted_node_takes_its_pools_back_at_once() -> None:
+    """Guards against pools that wait until others notice that an owner restarted."""
+
+    async def main() -> None:
+        store = FakeStore()
+        registries = [build_registry(store, number) for number in (1, 2, 3)]
+        tasks = [start(registry) for registry in registries]
+        await asyncio.sleep(3)
+        claim = registries[0].claims["previews"]
+        victim = next(r for r in registries if r.is_own(claim))
+        for task in tasks[registries.index(victim)]:
+            task.cancel()
+        heir = build_registry(store, registries.index(victim) + 1, "2")
+        start(heir)
+        # The former life has not lapsed yet.
+        assert claim.member in store.members
+        await asyncio.sleep(0.5)
+        assert heir.is_own(heir.claims["previews"])
+        assert heir.claims["previews"].is_clean
+
+    run_virtual(main())
+
+
 def test_a_leaving_node_stays_out_of_the_group() -> None:
     """Guards against a leaving node that joins again and is left the pools."""
 
