Ask for hosts to spread lasting tasks over, and for hosts with a required label

Two of its tasks waited for 38 s beside free cores, and since they were away no task of the step could be stopped to empty the worker for its upkeep. bergamotgap explain showed 'job waits reason=no_room' from 7.8 s to 32.6 s. Change: an owner reports the workers that waiting lasting tasks must be spread over, and the labels that waiting tasks require and no worker of the pool has; the duty moves hosts for both, and does not take the former back. Ruled out: a stop or start that got lost (all were answered by 7 s). Tests: three, failing without the change.

--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -188,3 +188,4 @@
     worker_id: str
     data_centre: str
     cpu: int = 0
+    labels: frozenset[str] = frozenset()
--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -27,6 +27,7 @@
     worker_id: str
     cpu: int
     idle_ms: int
+    labels: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -39,6 +40,15 @@
     arriving_cpu: int
     workers: int
     idle: tuple[IdleHost, ...]
+    arriving_workers: int = 0
+    # Workers that the spread of waiting tasks needs, and labels that none here has.
+    least_workers: int = 0
+    labels: frozenset[str] = frozenset()
+
+    @property
+    def missing_workers(self) -> int:
+        """Return how many hosts the spread of tasks lacks, whatever their cores."""
+        return self.least_workers - self.workers - self.arriving_workers
 
     @property
     def missing_cpu(self) -> float:
@@ -86,6 +96,7 @@
     host: str
     pool: str
     cpu: int
+    labels: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -110,20 +121,29 @@
     moves: list[Move] = []
     taken: set[str] = set()
     for demand in sorted(demands, key=_rank_need):
-        missing = demand.missing_cpu
-        for giver in givers:
-            if missing <= 0:
+        missing, workers = demand.missing_cpu, demand.missing_workers
+        labels = set(demand.labels)
+        for giver in _sort_by_labels(givers, labels):
+            has_label = not labels.isdisjoint(giver.labels)
+            if missing <= 0 and workers <= 0 and not has_label:
                 break
             if giver.host in taken or giver.source == demand.pool:
                 continue
             taken.add(giver.host)
             moves.append(Move(giver.host, giver.worker_id, giver.source, demand.pool))
             missing -= giver.cpu
+            workers -= 1
+            labels -= giver.labels
     if spare_pool:
         moves += _return_idle(givers, taken, spare_pool)
     return moves
 
 
+def _sort_by_labels(givers: list["_Giver"], labels: set[str]) -> list["_Giver"]:
+    """Put hosts that have a wanted label first."""
+    return sorted(givers, key=lambda giver: labels.isdisjoint(giver.labels))
+
+
 def list_short(demands: Iterable[PoolDemand], moves: Iterable[Move]) -> set[str]:
     """Return the pools that lack a host beyond those that the moves bring."""
     coming = Counter(move.target for move in moves)
@@ -144,6 +164,7 @@
     cpu: int
     idle_ms: int
     is_spare: bool
+    labels: frozenset[str]
 
 
 def _rank_need(demand: PoolDemand) -> float:
@@ -152,7 +173,10 @@
 
 
 def _list_spare(spare: Iterable[SpareHost]) -> list[_Giver]:
-    return [_Giver(host.host, "", host.pool, host.cpu, 0, True) for host in spare]
+    return [
+        _Giver(host.host, "", host.pool, host.cpu, 0, True, host.labels)
+        for host in spare
+    ]
 
 
 def _list_idle(demands: Iterable[PoolDemand]) -> list[_Giver]:
@@ -162,7 +186,7 @@
         keeps = demand.workers
         for idle in sorted(demand.idle, key=lambda idle: -idle.idle_ms):
             # The last worker stays, so that a pool never answers with nothing.
-            if left < idle.cpu or keeps <= 1:
+            if left < idle.cpu or keeps <= max(1, demand.least_workers):
                 break
             left -= idle.cpu
             keeps -= 1
@@ -174,6 +198,7 @@
                     idle.cpu,
                     idle.idle_ms,
                     False,
+                    idle.labels,
                 )
             )
     return givers
--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -109,6 +109,7 @@
     zone: str = ""
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     id: str | None = ""
+    labels: list[str] = []
 
 
 class HostPage(msgspec.Struct, rename="camel"):
@@ -127,6 +128,7 @@
                 host.id or "",
                 host.zone,
                 host.capacity.cpu,
+                frozenset(host.labels),
             )
             for host in self.machines
         ]
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -1,6 +1,7 @@
 """The owner of one pool: accepts its jobs and places their tasks on its workers."""
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, Self
 
@@ -20,6 +21,7 @@
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.tenure import Confirmation, Term
 from bergamotgap.pools.tickets import TicketDesk
+from bergamotgap.pools.worker_link import WorkerLink
 from bergamotgap.ports.fleet import (
     Advice,
     Fence,
@@ -240,6 +242,7 @@
                 link.worker_id,
                 link.info.capacity.cpu,
                 now_ms - link.idle_since_ms,
+                link.info.labels,
             )
             for link in links
             if link.is_empty
@@ -251,8 +254,35 @@
             capacity_cpu=sum(link.info.capacity.cpu for link in links),
             workers=len(links),
             idle=idle,
+            least_workers=self._count_spread(),
+            labels=self._list_lacking_labels(links),
         )
 
+    def _count_spread(self) -> int:
+        """Return the workers that waiting lasting tasks need to be spread over."""
+        return max(
+            (
+                math.ceil(step.spec.count / step.spec.max_per_host)
+                for job in self.table.hungry.values()
+                if job.is_lasting
+                for step in job.list_ready()
+                if step.spec.max_per_host
+            ),
+            default=0,
+        )
+
+    def _list_lacking_labels(self, links: list[WorkerLink]) -> tuple[str, ...]:
+        """Return the labels that waiting tasks require and no worker has."""
+        wanted = {
+            step.spec.requirement
+            for job in self.table.hungry.values()
+            for step in job.list_ready()
+            if step.spec.requirement
+        }
+        for link in links:
+            wanted -= link.info.labels
+        return tuple(sorted(wanted))
+
     def _measure_waiting(self, job: Job, now_ms: int) -> float:
         """Return the work of a job that waits, in 1/1000 core-ms."""
         ratio = self.runs.estimates.get_ratio(job.spec.queue)
--- a/src/bergamotgap/pools/pool_moves.py
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -69,7 +69,7 @@
         demands = await self._read_demands(config, hosts, kept)
         self._log_sizes(demands)
         spare = [
-            SpareHost(info.host, info.pool, info.cpu)
+            SpareHost(info.host, info.pool, info.cpu, info.labels)
             for info in hosts.values()
             if info.pool in config.spare_services
             and info.state == UP
@@ -105,9 +105,16 @@
                 and hosts[host.host].worker_id == host.worker_id
                 and host.host not in kept
             )
-            arriving_cpu = sum(
-                cpu for to, _, cpu in self._moving.values() if to == pool
-            )
+            arriving = [
+                (host, cpu) for host, (to, _, cpu) in self._moving.items() if to == pool
+            ]
+            arriving_cpu = sum(cpu for _, cpu in arriving)
+            coming = {
+                label
+                for host, _ in arriving
+                if host in hosts
+                for label in hosts[host].labels
+            }
             demands.append(
                 PoolDemand(
                     pool,
@@ -122,6 +129,9 @@
                     arriving_cpu,
                     reply.workers,
                     idle,
+                    len(arriving),
+                    reply.least_workers,
+                    frozenset(reply.labels) - coming,
                 )
             )
         return demands
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -113,7 +113,9 @@
 class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
     """Cores in 1/1000: in use, offered each second, of the usable workers.
 
-    `waiting_ms` is the work that waits, in 1/1000 core-ms.
+    `waiting_ms` is the work that waits, in 1/1000 core-ms. `least_workers` and `labels`
+    are what waiting tasks need beside cores: workers to spread over, labels that no
+    usable worker has.
     """
 
     used_cpu: int
@@ -122,6 +124,8 @@
     capacity_cpu: int
     workers: int
     idle: tuple[IdleHost, ...]
+    least_workers: int = 0
+    labels: tuple[str, ...] = ()
 
 
 class ContactReply(msgspec.Struct, frozen=True, tag="contact_was"):
--- a/tests/test_fleet_domain.py
+++ b/tests/test_fleet_domain.py
@@ -1,5 +1,7 @@
 """Pure decisions on jobs, placement, sizes of pools and upkeep."""
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -159,6 +161,31 @@
     assert [(move.host, move.target) for move in moves] == [("m1", "misc")]
 
 
+def test_a_pool_gets_the_workers_that_its_tasks_must_be_spread_over() -> None:
+    """Guards against lasting tasks that wait beside free cores of one worker."""
+    narrow = dataclasses.replace(demand("a", 0, 1), least_workers=3)
+    spare = [SpareHost(f"m{number}", "misc", 8000) for number in range(4)]
+    assert [move.target for move in plan_moves([narrow], spare, "misc")] == ["a", "a"]
+    served = dataclasses.replace(narrow, arriving_workers=2)
+    assert plan_moves([served], spare, "misc") == []
+    full = dataclasses.replace(
+        demand("a", 0, 3, idle(1), idle(2), idle(3)), least_workers=3
+    )
+    assert plan_moves([full], [], "misc") == []
+
+
+def test_a_pool_gets_a_host_with_the_label_that_a_task_requires() -> None:
+    """Guards against a task that waits for a kind of worker that stays elsewhere."""
+    plain, large = (
+        SpareHost("m1", "misc", 8000, frozenset({"small"})),
+        SpareHost("m2", "misc", 8000, frozenset({"large"})),
+    )
+    wanting = dataclasses.replace(demand("a", 0, 1), labels=frozenset({"large"}))
+    moves = plan_moves([wanting], [plain, large], "misc")
+    assert [(move.host, move.target) for move in moves] == [("m2", "a")]
+    assert plan_moves([wanting], [plain], "misc") == []
+
+
 def test_a_host_that_idles_shortly_is_kept() -> None:
     """Guards against moves that cost more than the host does."""
     assert plan_moves([demand("a", 0, 2, idle(1, 100), idle(2, 100))], [], "m") == []
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -617,3 +617,22 @@
             assert orders.looks - before <= 400 * 1.1
 
     run_virtual(main())
+
+
+def test_an_owner_asks_for_workers_to_spread_lasting_tasks_over() -> None:
+    """Guards against a lasting job of which half waits for a second worker."""
+
+    async def main() -> None:
+        scene = Scene(workers=1)
+        lasting = StepSpec(count=4, cpu=100, max_per_host=2, is_lasting=True)
+        special = StepSpec(count=1, cpu=100, requirement="large")
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job("spread", steps=(lasting,)))
+            await pool.submit(build_job("special", steps=(special,)))
+            await asyncio.sleep(0.2)
+            asked = pool.measure_demand(must_yield=False)
+            assert asked.least_workers == 2
+            assert asked.labels == ("large",)
+
+    run_virtual(main())
