Let an unanswered order hold up no other; soak real nodes in random faults

Cause: while orders are carried out late (applied_late, 5% of the orders unanswered) each unanswered order kept the worker's queue of orders for 0.8 s, and kept the worker out of use for 0.25 s more. Change: the next order goes out after 50 ms without an answer, on another connection, four at most; orders and looks end after 0.5 s; whether a worker is silent decides on new work. Tests: one, failing without the change. OrderQueue has its own module. tools/soak.py: three real nodes by signals, links to the log, lost answers, crashed workers, against stand_ins/users_platform.py; judged by what the workers saw and by what callers were told.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TEST_WORKERS ?= 4
 SOURCES := src stand_ins bench tools tests
 
-.PHONY: install format lint types unit test demo bench slopes binary matrix proto events
+.PHONY: install format lint types unit test demo bench slopes binary matrix proto events soak
 
 install: $(VENV)/.installed
 
@@ -48,6 +48,9 @@
 events: install
 	$(BIN)/python -m tools.events --write docs/events.md
 
+soak: install
+	$(BIN)/python -m tools.soak
+
 binary: install
 	$(BIN)/python -m tools.binary --output dist/bergamotgap
 
--- a/src/bergamotgap/platform/node.py
+++ b/src/bergamotgap/platform/node.py
@@ -32,11 +32,13 @@
 from bergamotgap.pools.directory import Directory
 from bergamotgap.pools.fleet_node import FleetNode, FleetPorts
 from bergamotgap.pools.gauges import register_gauges
+from bergamotgap.pools.order_queue import MAX_SENDING
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import KeyedRecord
 
-# One connection for looks and one for orders.
-CONNECTIONS_PER_WORKER = 2
+# One connection for looks and one for orders, and one for each order that may be under
+# way beside one without an answer.
+CONNECTIONS_PER_WORKER = 1 + MAX_SENDING
 # Between two uses of a connection to a worker, in s; longer than a lull of its work.
 KEEP_ALIVE_S = 60
 # The platform needs two misses, a second apart, to send no new connections.
--- a/src/bergamotgap/platform/workers.py
+++ b/src/bergamotgap/platform/workers.py
@@ -25,9 +25,9 @@
     Unanswered,
 )
 
-# Many times a call between data centres (5 ms); a worker on a silent connection is
+# A hundred times a call between data centres (5 ms); a worker on a silent connection is
 # tried again well within its lease.
-ORDER_TIMEOUT_S = 0.8
+ORDER_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.4
 ADVICE_TIMEOUT_S = 3.0
 BUSY = "busy"
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -15,6 +15,7 @@
     StartCall,
     StopOrder,
 )
+from bergamotgap.pools.order_queue import Order, OrderQueue
 from bergamotgap.pools.run_lease import RunLease
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import (
@@ -70,7 +71,7 @@
         self._standing = standing
         self._settings = settings
         self._clock = clock
-        self._queue: asyncio.Queue[StartCall | StopOrder | PaceOrder] = asyncio.Queue()
+        self._queue = OrderQueue(self._send)
         self._wake = asyncio.Event()
         self._wake.set()
         self._born_ms = 0
@@ -121,7 +122,7 @@
         """Hold room and queue the order; it is sent when the change lasts."""
         live = LiveRun(task, run)
         self.add_live(live)
-        self._queue.put_nowait(StartCall(live, payload, change, ticket))
+        self._queue.put(StartCall(live, payload, change, ticket))
 
     def add_live(self, live: LiveRun) -> None:
         """Hold room for a run."""
@@ -144,7 +145,7 @@
             live.is_stop_wanted = live.is_stop_sent = True
         else:
             live = None
-        self._queue.put_nowait(StopOrder(task_id, run, live))
+        self._queue.put(StopOrder(task_id, run, live))
         self.wake()
 
     def note_unknown_run(self, row: RunRow) -> None:
@@ -156,7 +157,7 @@
     def pace(self, task: Task, percent: int) -> None:
         """Queue a change of a task's speed."""
         task.pace = percent
-        self._queue.put_nowait(PaceOrder(task.task_id, task.run, percent))
+        self._queue.put(PaceOrder(task.task_id, task.run, percent))
 
     def leave_for(self, duration_ms: int) -> None:
         """Give the worker no new work for a time, since it is to be emptied."""
@@ -181,17 +182,18 @@
         self.held_out_until_ms = max(self.held_out_until_ms, until_ms)
 
     async def run_orders(self) -> None:
-        """Send one order after the other."""
-        while True:
-            order = await self._queue.get()
-            if isinstance(order, StartCall):
-                await self._send_start(order)
-            elif isinstance(order, StopOrder):
-                await self._send_stop(order)
-            else:
-                await self._orders.pace(
-                    self.info, order.task_id, order.run, order.percent, self._token
-                )
+        """Send orders until cancelled."""
+        await self._queue.run()
+
+    async def _send(self, order: Order) -> None:
+        if isinstance(order, StartCall):
+            await self._send_start(order)
+        elif isinstance(order, StopOrder):
+            await self._send_stop(order)
+        else:
+            await self._orders.pace(
+                self.info, order.task_id, order.run, order.percent, self._token
+            )
 
     async def _send_start(self, call: StartCall) -> None:
         live, task = call.live, call.live.task
@@ -215,7 +217,6 @@
                 self._events.note_started(self, live)
                 self.wake()
             case Unanswered(was_sent=True):
-                self.hold_out(RETRY_MS)
                 self._events.note_unknown(self, live)
             case Refused(reason="fence"):
                 self._events.note_superseded(f"worker {self.worker_id}")
--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -38,6 +38,8 @@
 )
 
 CALL_S = 0.005
+# A call without an answer ends after this time.
+SILENCE_S = 0.5
 SETTINGS = PoolSettings("node", "dc-1", "", "", "10.0.0.1:7000", "")
 
 
@@ -151,6 +153,7 @@
 
     order: StartOrder
     ends_s: float
+    began_s: float = 0.0
 
 
 class FakeWorker:
@@ -177,6 +180,9 @@
         self.tail = 0
         self.paces: dict[TaskId, int] = {}
         self.tickets: set[str] = set()
+        # When each run that has ended was at work, in s, and the most runs at once.
+        self.spans: list[tuple[TaskId, float, float]] = []
+        self.most_running = 0
 
     def now_ms(self) -> int:
         """Return the worker's clock."""
@@ -187,13 +193,23 @@
         now_s = asyncio.get_running_loop().time()
         for task, run in list(self.running.items()):
             if self.lease_s <= min(now_s, run.ends_s):
-                self.end(task, "lapsed")
+                self.end(task, "lapsed", self.lease_s)
             elif run.ends_s <= now_s and not self.is_stalled:
-                self.end(task, "failed" if self.fails_all else "done")
+                self.end(task, "failed" if self.fails_all else "done", run.ends_s)
 
-    def end(self, task: TaskId, how: str) -> None:
+    def die(self) -> None:
+        """End all runs without a word."""
+        self.settle()
+        now_s = asyncio.get_running_loop().time()
+        for task, run in self.running.items():
+            self.spans.append((task, run.began_s, now_s))
+        self.running.clear()
+
+    def end(self, task: TaskId, how: str, ended_s: float | None = None) -> None:
         """End a run and list its end."""
         run = self.running.pop(task)
+        now_s = asyncio.get_running_loop().time()
+        self.spans.append((task, run.began_s, ended_s or now_s))
         self.numbers += 1
         self.barred[task] = max(self.barred.get(task, 0), run.order.run)
         self.ended.append(EndRow(self.numbers, task, run.order.run, how, ""))
@@ -228,7 +244,7 @@
         await asyncio.sleep(CALL_S)
         worker = self.workers.get(info.worker_id)
         if worker is None or worker.is_silent or info.worker_id in self.cut:
-            await asyncio.sleep(0.8)
+            await asyncio.sleep(SILENCE_S)
             return None
         worker.settle()
         return worker
@@ -240,6 +256,7 @@
         worker = await self._reach(info)
         if worker is None or self.drop_starts:
             self.drop_starts -= worker is not None
+            await asyncio.sleep(SILENCE_S)
             return Unanswered(was_sent=True)
         if refusal := worker.check(lease.token):
             return refusal
@@ -247,7 +264,9 @@
         if order.run <= worker.barred.get(order.task, 0):
             return Refused("old", worker.now_ms())
         now_s = asyncio.get_running_loop().time()
-        worker.running[order.task] = FakeRun(order, now_s + worker.choose_run_s(order))
+        run_s = worker.choose_run_s(order)
+        worker.running[order.task] = FakeRun(order, now_s + run_s, now_s)
+        worker.most_running = max(worker.most_running, len(worker.running))
         worker.starts.append((order.task, order.run))
         worker.tickets.add(order.ticket)
         if self.lose_starts:
@@ -262,6 +281,7 @@
         worker = await self._reach(info)
         if worker is None or self.drop_stops:
             self.drop_stops -= worker is not None
+            await asyncio.sleep(SILENCE_S)
             return Unanswered(was_sent=True)
         if refusal := worker.check(token):
             return refusal
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -494,6 +494,24 @@
     run_virtual(main())
 
 
+def test_an_order_without_an_answer_holds_up_no_other() -> None:
+    """Guards against a worker that stands still for each order whose answer is lost."""
+
+    async def main() -> None:
+        scene = Scene(workers=1)
+        async with scene.own(1) as (pool, orders):
+            await asyncio.sleep(0.2)
+            orders.drop_starts = 1
+            await pool.submit(build_job(steps=(StepSpec(count=6, cpu=1000),)))
+            await asyncio.sleep(0.3)
+            assert len(scene.count_starts()) == 5
+            await asyncio.sleep(3)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+            assert set(scene.count_starts().values()) == {1}
+
+    run_virtual(main())
+
+
 def test_a_stop_without_an_answer_is_sent_again() -> None:
     """Guards against a task that waits for ever for the fate of an unanswered run."""
 
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,306 @@
+"""Play random faults against real nodes on a stand-in of the users' platform.
+
+    python -m tools.soak --seed 7 --seconds 60
+
+Real processes, killed, frozen and stopped by signals; links to the log with and without
+resets and silence; answers of the log and of workers that get lost; workers that crash.
+Exits with 1 and the findings if work was lost, ran twice at once, was said not to run
+although it ran, or a worker held more than its capacity.
+"""
+
+import asyncio
+import itertools
+import json
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+import aiohttp
+import typer
+
+from bergamotgap.domain.fleet import TaskId
+from stand_ins.link import Link
+from stand_ins.users_platform import SPARE, UsersPlatform
+from tools.fleet_plan import pick_ports
+
+POOLS = {"previews": 3, "audits": 3, SPARE: 3}
+NODES = 3
+RUN_S = 0.4
+STEP: dict[str, Any] = {
+    "count": 3,
+    "cpu": 1500,
+    "requestedMemoryMb": 100,
+    "estimatedMs": 400,
+}
+STEPS = [STEP, {**STEP, "after": [0]}]
+SETTLE_S = 40.0
+# A caller repeats an id at most so often, as the users' callers do.
+TRIES = 5
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@dataclass
+class Node:
+    """One process, its settings and its own link to the log."""
+
+    name: str
+    path: Path
+    front: str
+    link: Link
+    process: asyncio.subprocess.Process | None = None
+
+
+@dataclass
+class Record:
+    """What callers were told of each job."""
+
+    accepted: set[str] = field(default_factory=set)
+    # Ids whose every try was refused as never to run.
+    refused: set[str] = field(default_factory=set)
+    answers: Counter[int] = field(default_factory=Counter)
+    faults: Counter[str] = field(default_factory=Counter)
+
+
+class Soak:
+    """Own the nodes and the platform of one run."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._stack = AsyncExitStack()
+        self._platform = UsersPlatform(POOLS, RUN_S, seed)
+        self._nodes: list[Node] = []
+        self.record = Record()
+
+    async def run(self) -> list[str]:
+        """Play the run; return what was found."""
+        async with self._stack:
+            await self._stack.enter_async_context(self._platform)
+            folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+            for number in range(NODES):
+                await self._add_node(number, Path(folder))
+            self._stack.push_async_callback(self._end_nodes)
+            await asyncio.gather(*(self._start(node) for node in self._nodes))
+            async with aiohttp.ClientSession() as self._session:
+                await asyncio.sleep(5)
+                callers = asyncio.create_task(self._run_callers())
+                await self._run_faults()
+                await self._heal()
+                await callers
+                states = await self._wait_for_ends()
+        return self._judge(states)
+
+    async def _add_node(self, number: int, folder: Path) -> None:
+        link = Link(self._platform.log_server.address)
+        await self._stack.enter_async_context(link)
+        front, ready, peer = pick_ports(3)
+        settings = {
+            "node": f"n{number}",
+            "zone": "dc-1",
+            # Each node has an address of its own for its peers and its metrics.
+            "ip": f"127.0.0.{number + 2}",
+            "listenAddresses": {
+                "front": f"127.0.0.1:{front}",
+                "ready": f"127.0.0.1:{ready}",
+            },
+            "internalPortRange": [peer, peer],
+            "platform": {"address": link.address},
+            "cloudApi": {"address": self._platform.host_server.address},
+        }
+        path = folder / f"n{number}.json"
+        path.write_text(json.dumps(settings))
+        self._nodes.append(Node(f"n{number}", path, f"127.0.0.1:{front}", link))
+
+    async def _start(self, node: Node) -> None:
+        output = (node.path.with_suffix(".log")).open("ab")
+        node.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bergamotgap",
+            "join",
+            env={"BERGAMOTGAP_CONFIG": str(node.path), "PYTHONPATH": str(ROOT / "src")},
+            stdout=output,
+            stderr=output,
+        )
+
+    async def _end_nodes(self) -> None:
+        for node in self._nodes:
+            if node.process is not None and node.process.returncode is None:
+                node.process.kill()
+                await node.process.wait()
+
+    async def _run_callers(self) -> None:
+        calls = []
+        for number in range(int(self._seconds * 3)):
+            pool = self._rng.choice([pool for pool in POOLS if pool != SPARE])
+            calls.append(asyncio.create_task(self._submit(f"{number:016x}", pool)))
+            await asyncio.sleep(1 / 3)
+        await asyncio.gather(*calls)
+
+    async def _submit(self, job_id: str, pool: str) -> None:
+        statuses: list[int] = []
+        for _ in range(TRIES):
+            node = self._rng.choice(self._nodes)
+            status = await self._call("POST", node, pool, job_id)
+            self.record.answers[status] += 1
+            statuses.append(status)
+            if status == 200:
+                self.record.accepted.add(f"{pool}/{job_id}")
+                return
+            await asyncio.sleep(0.3)
+        if all(status in (429, 503) for status in statuses):
+            self.record.refused.add(job_id)
+
+    async def _call(self, method: str, node: Node, pool: str, job_id: str) -> int:
+        body = json.dumps({"specification": "soak", "steps": STEPS})
+        try:
+            async with self._session.request(
+                method,
+                f"http://{node.front}/{pool}/{job_id}",
+                data=body if method == "POST" else None,
+                headers={"Host": f"{pool}.example", "X-Request-Deadline": "3000"},
+                timeout=aiohttp.ClientTimeout(total=3.5),
+            ) as response:
+                text = await response.text()
+                if method == "GET" and response.status == 200:
+                    return 200 if json.loads(text)["state"] == "completed" else 202
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def _run_faults(self) -> None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._seconds
+        faults = [
+            self._kill,
+            self._freeze,
+            self._terminate,
+            self._cut_link,
+            self._silence_link,
+            self._stop_log,
+            self._lose_log_answers,
+            self._lose_worker_answers,
+            self._crash_worker,
+        ]
+        while loop.time() < until_s:
+            fault = self._rng.choice(faults)
+            self.record.faults[fault.__name__.strip("_")] += 1
+            await fault(self._rng.choice(self._nodes), self._rng.uniform(0.3, 4.0))
+            await asyncio.sleep(self._rng.uniform(0.0, 2.0))
+
+    async def _kill(self, node: Node, duration_s: float) -> None:
+        assert node.process is not None
+        node.process.kill()
+        await node.process.wait()
+        await asyncio.sleep(duration_s / 2)
+        await self._start(node)
+
+    async def _terminate(self, node: Node, duration_s: float) -> None:
+        assert node.process is not None
+        node.process.terminate()
+        try:
+            await asyncio.wait_for(node.process.wait(), 8)
+        except TimeoutError:
+            node.process.kill()
+        await self._start(node)
+
+    async def _freeze(self, node: Node, duration_s: float) -> None:
+        assert node.process is not None
+        node.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(duration_s)
+        node.process.send_signal(signal.SIGCONT)
+
+    async def _cut_link(self, node: Node, duration_s: float) -> None:
+        node.link.cut()
+        await asyncio.sleep(duration_s)
+        node.link.restore()
+
+    async def _silence_link(self, node: Node, duration_s: float) -> None:
+        node.link.silence()
+
+    async def _stop_log(self, node: Node, duration_s: float) -> None:
+        self._platform.log.is_down = True
+        await asyncio.sleep(duration_s)
+        self._platform.log.is_down = False
+
+    async def _lose_log_answers(self, node: Node, duration_s: float) -> None:
+        self._platform.log.lose_share = 0.3
+        await asyncio.sleep(duration_s)
+        self._platform.log.lose_share = 0.0
+
+    async def _lose_worker_answers(self, node: Node, duration_s: float) -> None:
+        workers = [host.worker for host in self._platform.hosts.values() if host.worker]
+        for worker in workers:
+            worker.lose_share = 0.1
+        await asyncio.sleep(duration_s)
+        for worker in workers:
+            worker.lose_share = 0.0
+
+    async def _crash_worker(self, node: Node, duration_s: float) -> None:
+        self._platform.crash(self._rng.choice(list(self._platform.hosts.values())))
+
+    async def _heal(self) -> None:
+        for node in self._nodes:
+            node.link.restore()
+
+    async def _wait_for_ends(self) -> dict[str, int]:
+        """Ask for each accepted job until it is completed or time is up."""
+        until_s = asyncio.get_running_loop().time() + SETTLE_S
+        states = dict.fromkeys(self.record.accepted, 0)
+        while asyncio.get_running_loop().time() < until_s:
+            open_jobs = [name for name, status in states.items() if status != 200]
+            if not open_jobs:
+                break
+            for name in open_jobs:
+                pool, job_id = name.split("/")
+                node = self._rng.choice(self._nodes)
+                states[name] = await self._call("GET", node, pool, job_id)
+            await asyncio.sleep(0.5)
+        return states
+
+    def _judge(self, states: dict[str, int]) -> list[str]:
+        found = [f"lost: {name} {code}" for name, code in states.items() if code != 200]
+        for worker in self._platform.workers:
+            if worker.most_running * STEP["cpu"] > worker.info.capacity.cpu:
+                found.append(f"above capacity: {worker.info.worker_id}")
+        runs: dict[TaskId, list[tuple[float, float, str]]] = {}
+        for worker in self._platform.workers:
+            for task, began_s, ended_s in worker.spans:
+                span = (began_s, ended_s, worker.info.worker_id)
+                runs.setdefault(task, []).append(span)
+        for task, spans in runs.items():
+            spans.sort()
+            for former, later in itertools.pairwise(spans):
+                if later[0] < former[1]:
+                    found.append(f"twice at once: {task} {former} {later}")
+            if task.job in self.record.refused:
+                found.append(f"refused but ran: {task}")
+        return found
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="of faults, callers and lost answers")] = 1,
+    seconds: Annotated[float, typer.Option(help="how long faults come")] = 60.0,
+) -> None:
+    """Soak the nodes in random faults, and judge what the workers saw."""
+    soak = Soak(seed, seconds)
+    found = asyncio.run(soak.run())
+    record = soak.record
+    typer.echo(
+        f"seed {seed}: {len(record.accepted)} accepted, {len(record.refused)} refused"
+    )
+    typer.echo(f"answers {dict(record.answers)}")
+    typer.echo(f"faults {dict(record.faults)}")
+    for finding in found:
+        typer.echo(finding)
+    raise typer.Exit(1 if found else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
