Give hosts that idle beside late work to work that can be in time

The pool of court-brief held 24 of 30 hosts after its burst, of which up to 14 idled: its late work had to yield to the other pool, which had nothing, but still counted as demand, so no idle host was given away. The other pool asked for 1,077,986 and had 0. Change: owners report late work apart; it counts as demand only while no other pool lacks hosts for work that can be in time, and only such work makes a pool short, so that two pools with late work do not yield to each other for ever. Ruled out: room (hosts idled), silent workers (19, all answered), the cut of two nodes.

--- a/src/bergamotgap/adapters/job_story.py
+++ b/src/bergamotgap/adapters/job_story.py
@@ -25,6 +25,10 @@
 BEFORE_MS = 2000
 # A pool that asks for so much more than it has is short.
 SHORT_RATIO = 1.2
+# Events of a task after which it has to start again.
+DELAYS = frozenset(
+    {"run lost", "run failed", "run stalled", "start refused", "start unanswered"}
+)
 
 
 @dataclass(frozen=True)
@@ -99,7 +103,7 @@
     counts = Counter(
         (line.event, line.fields.get("reason", ""), line.fields.get("worker", ""))
         for line in own
-        if line.event in ("run lost", "run failed", "run stalled", "start refused")
+        if line.event in DELAYS
     )
     for (event, reason, worker), count in counts.most_common():
         because = f" ({reason})" if reason else ""
--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -32,10 +32,14 @@
 
 @dataclass(frozen=True)
 class PoolDemand:
-    """What a pool asks for and has, in 1/1000 cores; hosts on their way count."""
+    """What a pool asks for and has, in 1/1000 cores; hosts on their way count.
+
+    `urgent_cpu` is the part that work asks for which can still be in time.
+    """
 
     pool: str
     wanted_cpu: int
+    urgent_cpu: int
     capacity_cpu: int
     arriving_cpu: int
     workers: int
@@ -145,12 +149,16 @@
 
 
 def list_short(demands: Iterable[PoolDemand], moves: Iterable[Move]) -> set[str]:
-    """Return the pools that lack a host beyond those that the moves bring."""
+    """Return the pools that lack a host beyond those that the moves bring.
+
+    Only work that can be in time counts: two pools with late work must not both wait
+    for the other.
+    """
     coming = Counter(move.target for move in moves)
     return {
         demand.pool
         for demand in demands
-        if demand.missing_cpu > 0
+        if demand.urgent_cpu * HEADROOM > demand.capacity_cpu + demand.arriving_cpu
         and not coming[demand.pool]
         and demand.arriving_cpu == 0
     }
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -12,7 +12,7 @@
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pool_sizes import IdleHost, estimate_offer
-from bergamotgap.domain.task_placement import LATE
+from bergamotgap.domain.task_placement import IN_TIME, LATE
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
@@ -233,9 +233,14 @@
         if must_yield:
             self._placing.yields_until_ms = now_ms + YIELD_MS
         links = self.runs.list_usable(now_ms)
-        waiting_ms = sum(
-            self._measure_waiting(job, now_ms) for job in self.table.hungry.values()
-        )
+        waiting_ms = late_ms = 0.0
+        for job in self.table.hungry.values():
+            worth = self.runs.rank(job, now_ms)[0]
+            if worth == IN_TIME:
+                waiting_ms += self._measure_waiting(job)
+            else:
+                share = 1.0 if worth == LATE else WORTHLESS_SHARE
+                late_ms += share * self._measure_waiting(job)
         idle = tuple(
             IdleHost(
                 link.info.host,
@@ -254,6 +259,7 @@
             capacity_cpu=sum(link.info.capacity.cpu for link in links),
             workers=len(links),
             idle=idle,
+            late_ms=late_ms,
             least_workers=self._count_spread(),
             labels=self._list_lacking_labels(links),
         )
@@ -283,17 +289,15 @@
             wanted -= link.info.labels
         return tuple(sorted(wanted))
 
-    def _measure_waiting(self, job: Job, now_ms: int) -> float:
+    def _measure_waiting(self, job: Job) -> float:
         """Return the work of a job that waits, in 1/1000 core-ms."""
         ratio = self.runs.estimates.get_ratio(job.spec.queue)
-        work_ms = sum(
+        return sum(
             task.step.size.cpu * max(MIN_RUN_MS, task.step.estimated_ms * ratio)
             for step in job.list_ready()
             for task in step.tasks
             if task.phase is TaskPhase.WAITING
         )
-        is_worthless = self.runs.rank(job, now_ms)[0] > LATE
-        return work_ms * (WORTHLESS_SHARE if is_worthless else 1)
 
     def dump(self) -> dict[str, Any]:
         """Return the pool's state for a state dump."""
--- a/src/bergamotgap/pools/pool_moves.py
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -89,11 +89,10 @@
     ) -> list[PoolDemand]:
         demands = []
         pools = sorted(set(config.services) - config.spare_services)
+        # Late work yields to work of other pools that can be in time.
+        yielding = {pool: bool(self._short - {pool}) for pool in pools}
         replies = await asyncio.gather(
-            *(
-                self._ask_owner(DemandCall(pool, bool(self._short - {pool})))
-                for pool in pools
-            )
+            *(self._ask_owner(DemandCall(pool, yielding[pool])) for pool in pools)
         )
         for pool, reply in zip(pools, replies, strict=True):
             if not isinstance(reply, DemandReply):
@@ -115,16 +114,13 @@
                 if host in hosts
                 for label in hosts[host].labels
             }
+            held_cpu = reply.capacity_cpu + arriving_cpu
+            late_ms = 0.0 if yielding[pool] else reply.late_ms
             demands.append(
                 PoolDemand(
                     pool,
-                    forecast_demand(
-                        reply.used_cpu,
-                        reply.waiting_ms,
-                        reply.offered_cpu,
-                        reply.capacity_cpu + arriving_cpu,
-                        self._move_ms + DISCOVERY_MS,
-                    ),
+                    self._forecast(reply, reply.waiting_ms + late_ms, held_cpu),
+                    self._forecast(reply, reply.waiting_ms, held_cpu),
                     reply.capacity_cpu,
                     arriving_cpu,
                     reply.workers,
@@ -136,6 +132,12 @@
             )
         return demands
 
+    def _forecast(self, reply: DemandReply, waiting_ms: float, held_cpu: int) -> int:
+        lead_ms = self._move_ms + DISCOVERY_MS
+        return forecast_demand(
+            reply.used_cpu, waiting_ms, reply.offered_cpu, held_cpu, lead_ms
+        )
+
     def _log_sizes(self, demands: list[PoolDemand]) -> None:
         now_ms = self._clock.monotonic_ms()
         if now_ms - self._logged_ms < SIZES_LOG_MS:
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -113,7 +113,8 @@
 class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
     """Cores in 1/1000: in use, offered each second, of the usable workers.
 
-    `waiting_ms` is the work that waits, in 1/1000 core-ms. `least_workers` and `labels`
+    `waiting_ms` is the work that waits and can be in time, in 1/1000 core-ms, `late_ms`
+    what waits beside it. `least_workers` and `labels`
     are what waiting tasks need beside cores: workers to spread over, labels that no
     usable worker has.
     """
@@ -124,6 +125,7 @@
     capacity_cpu: int
     workers: int
     idle: tuple[IdleHost, ...]
+    late_ms: float = 0.0
     least_workers: int = 0
     labels: tuple[str, ...] = ()
 
--- a/tests/test_fleet_domain.py
+++ b/tests/test_fleet_domain.py
@@ -143,7 +143,7 @@
 
 
 def demand(pool: str, wanted: int, workers: int, *hosts: IdleHost) -> PoolDemand:
-    return PoolDemand(pool, wanted, 8000 * workers, 0, workers, hosts)
+    return PoolDemand(pool, wanted, wanted, 8000 * workers, 0, workers, hosts)
 
 
 def test_hosts_move_to_where_work_waits_spare_ones_first() -> None:
@@ -197,6 +197,12 @@
     assert list_short(demands, plan_moves(demands, [], "misc")) == {"a"}
 
 
+def test_a_pool_that_lacks_hosts_for_late_work_only_is_not_short() -> None:
+    """Guards against two pools whose late work yields to the other's for ever."""
+    late = dataclasses.replace(demand("a", 80_000, 2), urgent_cpu=1000)
+    assert list_short([late, demand("b", 0, 1)], []) == set()
+
+
 def test_the_offered_work_follows_a_turn_and_not_one_job() -> None:
     """Guards against sizes that follow a turn late or take one job for a turn."""
     turn = [(10_000 + 50 * n, 8000 * 100.0) for n in range(12)]
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -654,3 +654,24 @@
             assert asked.labels == ("large",)
 
     run_virtual(main())
+
+
+def test_an_owner_tells_late_work_from_work_that_can_be_in_time() -> None:
+    """Guards against late work that is taken for urgent when hosts are divided."""
+
+    async def main() -> None:
+        scene = Scene(workers=1, run_s=9)
+        step = StepSpec(count=9, cpu=4000, estimated_ms=1000)
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job(steps=(step,)))
+            await asyncio.sleep(0.1)
+            fresh = pool.measure_demand(must_yield=False)
+            assert fresh.waiting_ms > 0
+            assert fresh.late_ms == 0
+            await asyncio.sleep(2)
+            old = pool.measure_demand(must_yield=False)
+            assert old.waiting_ms == 0
+            assert old.late_ms > 0
+
+    run_virtual(main())
