--- a/tools/soak.py
+++ b/tools/soak.py
@@ -70,9 +70,10 @@
 class Soak:
     """Own the nodes and the platform of one run."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, logs: Path | None = None) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
+        self._logs = logs
         self._stack = AsyncExitStack()
         self._platform = UsersPlatform(POOLS, RUN_S, seed)
         self._nodes: list[Node] = []
@@ -82,9 +83,12 @@
         """Play the run; return what was found."""
         async with self._stack:
             await self._stack.enter_async_context(self._platform)
-            folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+            folder = self._logs
+            if folder is None:
+                created = self._stack.enter_context(tempfile.TemporaryDirectory())
+                folder = Path(created)
             for number in range(NODES):
-                await self._add_node(number, Path(folder))
+                await self._add_node(number, folder)
             self._stack.push_async_callback(self._end_nodes)
             await asyncio.gather(*(self._start(node) for node in self._nodes))
             async with aiohttp.ClientSession() as self._session:
@@ -287,9 +291,12 @@
 def main(
     seed: Annotated[int, typer.Option(help="of faults, callers and lost answers")] = 1,
     seconds: Annotated[float, typer.Option(help="how long faults come")] = 60.0,
+    logs: Annotated[Path | None, typer.Option(help="folder that keeps logs")] = None,
 ) -> None:
     """Soak the nodes in random faults, and judge what the workers saw."""
-    soak = Soak(seed, seconds)
+    if logs is not None:
+        logs.mkdir(parents=True, exist_ok=True)
+    soak = Soak(seed, seconds, logs)
     found = asyncio.run(soak.run())
     record = soak.record
     typer.echo(
