End late work on hosts that other pools need for work that can be in time

A late job earns a tenth of one in time or less, and the work that is thrown away is priced far below either. Change: owners name the workers whose runs are all of late jobs, and the cores in use by late work; if a pool lacks hosts for work that can be in time, the duty has such workers emptied, two a round, and moves them. Lasting tasks are never stopped for it, a pool that is short itself gives none, and hosts of a wave stay. Ruled out: ending late work within its own pool (tasks there are as short as the wait).

--- a/bench/turning_demand.py
+++ b/bench/turning_demand.py
@@ -243,7 +243,7 @@
         if isinstance(call, DemandCall):
             return pool.measure_demand(call.must_yield)
         assert isinstance(call, VacateCall)
-        return pool.vacate(call.worker_id, call.may_stop)
+        return pool.vacate(call.worker_id, call.may_stop, call.stops_late)
 
     async def play(self, samples: list[Sample]) -> Result:
         """Play the day and return what it earned and cost."""
--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -48,6 +48,13 @@
     # Workers that the spread of waiting tasks needs, and labels that none here has.
     least_workers: int = 0
     labels: frozenset[str] = frozenset()
+    # Hosts that run only work which can't be in time any more.
+    late: tuple[IdleHost, ...] = ()
+
+    @property
+    def urgently_missing_cpu(self) -> float:
+        """Return what work lacks that can be in time; below 0 if it lacks nothing."""
+        return self.urgent_cpu * HEADROOM - self.capacity_cpu - self.arriving_cpu
 
     @property
     def missing_workers(self) -> int:
@@ -158,12 +165,40 @@
     return {
         demand.pool
         for demand in demands
-        if demand.urgent_cpu * HEADROOM > demand.capacity_cpu + demand.arriving_cpu
+        if demand.urgently_missing_cpu > 0
         and not coming[demand.pool]
         and demand.arriving_cpu == 0
     }
 
 
+def plan_preemptions(
+    demands: Sequence[PoolDemand], moves: Sequence[Move]
+) -> list[Move]:
+    """Return hosts to take from late work for work of other pools that can be in time.
+
+    What the planned moves bring counts first. A pool that lacks hosts for such work
+    itself gives none, and each pool keeps a worker.
+    """
+    coming = Counter(move.target for move in moves)
+    leaving = Counter(move.source for move in moves)
+    planned: list[Move] = []
+    for demand in sorted(demands, key=_rank_need):
+        missing = 0.0 if coming[demand.pool] else demand.urgently_missing_cpu
+        for giver in demands:
+            if giver.pool == demand.pool or giver.urgently_missing_cpu > 0:
+                continue
+            for host in giver.late:
+                left = giver.workers - leaving[giver.pool]
+                if missing <= 0 or left <= max(1, giver.least_workers):
+                    break
+                if any(move.host == host.host for move in planned):
+                    continue
+                leaving[giver.pool] += 1
+                missing -= host.cpu
+                planned.append(Move(host.host, host.worker_id, giver.pool, demand.pool))
+    return planned
+
+
 @dataclass(frozen=True)
 class _Giver:
     host: str
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, Self
 
@@ -16,6 +17,7 @@
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
+from bergamotgap.pools.link_events import LiveRun
 from bergamotgap.pools.placing import Placing
 from bergamotgap.pools.runs import Runs
 from bergamotgap.pools.settings import PoolSettings
@@ -199,21 +201,29 @@
             took_ms = self._clock.monotonic_ms() - began_ms
             await self._clock.sleep_ms(max(PASS_GAP_MS, PASS_REST * took_ms))
 
-    def vacate(self, worker_id: str, may_stop: bool) -> VacatedReply:
+    def vacate(
+        self, worker_id: str, may_stop: bool, stops_late: bool = False
+    ) -> VacatedReply:
         """Empty a worker as far as its tasks allow; tell whether it is empty.
 
-        Without `may_stop` a worker that runs anything is left as it is.
+        Without `may_stop` a worker that runs anything is left as it is. `stops_late`
+        ends the runs of jobs that can't be in time, which start again elsewhere.
         """
         link = self.runs.links.get(worker_id)
         if link is None:
             # A worker that runs and is not listed yet is found within this time.
             passed_ms = self._clock.monotonic_ms() - self.runs.tenure.started_ms
             return VacatedReply(passed_ms > self._settings.run_lease_ms)
-        if not link.is_known or (not link.is_empty and not may_stop):
+        may_empty = may_stop or stops_late
+        if not link.is_known or (not link.is_empty and not may_empty):
             return VacatedReply(False)
+        now_ms = self._clock.monotonic_ms()
         link.leave_for(LAPSE_HEARTBEATS * self._settings.heartbeat_ms + LEAVE_MS)
         for live in list(link.live.values()):
-            if live.task.step.is_lasting and self._may_stop(live.task):
+            if live.task.step.is_lasting:
+                if may_stop and self._may_stop(live.task):
+                    self.runs.stop(live.task)
+            elif stops_late and self._is_late(live.task, now_ms):
                 self.runs.stop(live.task)
         return VacatedReply(link.is_empty)
 
@@ -241,6 +251,8 @@
             else:
                 share = 1.0 if worth == LATE else WORTHLESS_SHARE
                 late_ms += share * self._measure_waiting(job)
+        late_runs = self._list_late_runs(links, now_ms)
+        late_counts = Counter(link.worker_id for link, _ in late_runs)
         idle = tuple(
             IdleHost(
                 link.info.host,
@@ -260,10 +272,37 @@
             workers=len(links),
             idle=idle,
             late_ms=late_ms,
+            late_cpu=sum(live.task.step.size.cpu for _, live in late_runs),
+            late=tuple(
+                IdleHost(link.info.host, link.worker_id, link.info.capacity.cpu, 0)
+                for link in links
+                if link.live and len(link.live) == late_counts[link.worker_id]
+            ),
             least_workers=self._count_spread(),
             labels=self._list_lacking_labels(links),
         )
 
+    def _list_late_runs(
+        self, links: list[WorkerLink], now_ms: int
+    ) -> list[tuple[WorkerLink, LiveRun]]:
+        """Return the runs of jobs that can't be in time any more."""
+        late_jobs: dict[str, bool] = {}
+        runs = []
+        for link in links:
+            for live in link.live.values():
+                job_id = live.task.task_id.job
+                if job_id not in late_jobs:
+                    late_jobs[job_id] = self._is_late(live.task, now_ms)
+                if late_jobs[job_id]:
+                    runs.append((link, live))
+        return runs
+
+    def _is_late(self, task: Task, now_ms: int) -> bool:
+        job = self.table.jobs.get(task.task_id.job)
+        if job is None or job.is_lasting:
+            return False
+        return self.runs.rank(job, now_ms)[0] > IN_TIME
+
     def _count_spread(self) -> int:
         """Return the workers that waiting lasting tasks need to be spread over."""
         return max(
--- a/src/bergamotgap/pools/pool_moves.py
+++ b/src/bergamotgap/pools/pool_moves.py
@@ -1,18 +1,20 @@
 """Moves of hosts between pools, as their demand turns."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, HostInfo
 from bergamotgap.domain.pool_sizes import (
+    IdleHost,
     Move,
     PoolDemand,
     SpareHost,
     forecast_demand,
     list_short,
     plan_moves,
+    plan_preemptions,
 )
 from bergamotgap.domain.upkeep_plan import UP
 from bergamotgap.pools.asking import AskOwner
@@ -31,6 +33,10 @@
 SIZES_LOG_MS = 1000
 # Time from a worker's start to its first task: its report, the reading of it, a look.
 DISCOVERY_MS = 300
+# Late work is ended on so many hosts in one round. Its stops take 200 ms, and a host
+# that isn't empty then runs something that must not end.
+MAX_PREEMPTIONS = 2
+EMPTY_MS = 1000
 # Moves ordered in one round; keeps within the platform's rate with ten rounds a second.
 MAX_MOVES = 6
 
@@ -59,6 +65,8 @@
         self._moving: dict[str, tuple[str, int, int]] = {}
         self._logged_ms = 0
         self._short: set[str] = set()
+        # Hosts whose late work ends for a move, and until when they are asked for.
+        self._emptying: dict[str, tuple[Move, int]] = {}
         self._refused: set[tuple[str, str]] = set()
 
     async def work(
@@ -83,6 +91,37 @@
             move for move in planned if (move.host, move.target) not in self._refused
         ]
         await asyncio.gather(*(self._order(move, hosts) for move in moves[:MAX_MOVES]))
+        for move in plan_preemptions(demands, planned)[:MAX_PREEMPTIONS]:
+            self._begin_emptying(move)
+        await self._empty_hosts(hosts, kept)
+
+    def _begin_emptying(self, move: Move) -> None:
+        if move.host in self._emptying:
+            return
+        until_ms = self._clock.monotonic_ms() + EMPTY_MS
+        self._emptying[move.host] = (move, until_ms)
+        log.info(
+            "late work preempted",
+            host=move.host,
+            worker=move.worker_id,
+            source=move.source,
+            target=move.target,
+        )
+
+    async def _empty_hosts(self, hosts: Mapping[str, HostInfo], kept: set[str]) -> None:
+        """Order the moves of hosts whose late work has ended."""
+        for host, (move, until_ms) in list(self._emptying.items()):
+            is_there = host in hosts and hosts[host].worker_id == move.worker_id
+            if self._clock.monotonic_ms() > until_ms or not is_there or host in kept:
+                del self._emptying[host]
+                continue
+            call = VacateCall(
+                move.source, move.worker_id, may_stop=False, stops_late=True
+            )
+            reply = await self._ask_owner(call)
+            if isinstance(reply, VacatedReply) and reply.is_empty:
+                del self._emptying[host]
+                await self._order(move, hosts)
 
     async def _read_demands(
         self, config: FleetConfig, hosts: Mapping[str, HostInfo], kept: set[str]
@@ -97,16 +136,14 @@
         for pool, reply in zip(pools, replies, strict=True):
             if not isinstance(reply, DemandReply):
                 continue
-            idle = tuple(
-                host
-                for host in reply.idle
-                if host.host in hosts
-                and hosts[host.host].worker_id == host.worker_id
-                and host.host not in kept
-            )
             arriving = [
                 (host, cpu) for host, (to, _, cpu) in self._moving.items() if to == pool
             ]
+            arriving += [
+                (host, hosts[host].cpu)
+                for host, (move, _) in self._emptying.items()
+                if move.target == pool and host in hosts
+            ]
             arriving_cpu = sum(cpu for _, cpu in arriving)
             coming = {
                 label
@@ -119,23 +156,39 @@
             demands.append(
                 PoolDemand(
                     pool,
-                    self._forecast(reply, reply.waiting_ms + late_ms, held_cpu),
-                    self._forecast(reply, reply.waiting_ms, held_cpu),
+                    self._forecast(reply, 0, reply.waiting_ms + late_ms, held_cpu),
+                    self._forecast(reply, reply.late_cpu, reply.waiting_ms, held_cpu),
                     reply.capacity_cpu,
                     arriving_cpu,
                     reply.workers,
-                    idle,
+                    self._list_movable(reply.idle, hosts, kept),
                     len(arriving),
                     reply.least_workers,
                     frozenset(reply.labels) - coming,
+                    self._list_movable(reply.late, hosts, kept),
                 )
             )
         return demands
 
-    def _forecast(self, reply: DemandReply, waiting_ms: float, held_cpu: int) -> int:
+    def _list_movable(
+        self, listed: Iterable[IdleHost], hosts: Mapping[str, HostInfo], kept: set[str]
+    ) -> tuple[IdleHost, ...]:
+        return tuple(
+            host
+            for host in listed
+            if host.host in hosts
+            and hosts[host.host].worker_id == host.worker_id
+            and host.host not in kept
+            and host.host not in self._emptying
+        )
+
+    def _forecast(
+        self, reply: DemandReply, late_cpu: int, waiting_ms: float, held_cpu: int
+    ) -> int:
         lead_ms = self._move_ms + DISCOVERY_MS
+        used_cpu = reply.used_cpu - late_cpu
         return forecast_demand(
-            reply.used_cpu, waiting_ms, reply.offered_cpu, held_cpu, lead_ms
+            used_cpu, waiting_ms, reply.offered_cpu, held_cpu, lead_ms
         )
 
     def _log_sizes(self, demands: list[PoolDemand]) -> None:
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -241,7 +241,7 @@
             case WaitingCall():
                 return CountReply(pool.table.count_waiting(call.queue))
             case VacateCall():
-                return pool.vacate(call.worker_id, call.may_stop)
+                return pool.vacate(call.worker_id, call.may_stop, call.stops_late)
             case DemandCall():
                 return pool.measure_demand(call.must_yield)
         return NotOwnerReply()
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -47,12 +47,14 @@
 class VacateCall(msgspec.Struct, frozen=True, tag="vacate"):
     """Empty a worker within its tasks' limits; asked again until it is empty.
 
-    Without `may_stop` only a worker that runs nothing is given away.
+    Without `may_stop` only a worker that runs nothing is given away. With `stops_late`
+    the runs of jobs end that can't be in time any more.
     """
 
     pool: str
     worker_id: str
     may_stop: bool
+    stops_late: bool = False
 
 
 class DemandCall(msgspec.Struct, frozen=True, tag="demand"):
@@ -113,10 +115,10 @@
 class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
     """Cores in 1/1000: in use, offered each second, of the usable workers.
 
-    `waiting_ms` is the work that waits and can be in time, in 1/1000 core-ms, `late_ms`
-    what waits beside it. `least_workers` and `labels`
-    are what waiting tasks need beside cores: workers to spread over, labels that no
-    usable worker has.
+    `waiting_ms` is the work that waits and can be in time, in 1/1000 core-ms. `late_ms`
+    waits beside it, `late_cpu` is the part in use by work that can't be in time, and
+    `late` the workers that run nothing else. `least_workers` and `labels` are what
+    waiting tasks need beside cores: workers to spread over, labels that none has.
     """
 
     used_cpu: int
@@ -126,6 +128,8 @@
     workers: int
     idle: tuple[IdleHost, ...]
     late_ms: float = 0.0
+    late_cpu: int = 0
+    late: tuple[IdleHost, ...] = ()
     least_workers: int = 0
     labels: tuple[str, ...] = ()
 
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -675,3 +675,36 @@
             assert old.late_ms > 0
 
     run_virtual(main())
+
+
+def test_a_worker_of_late_work_is_emptied_and_its_tasks_run_again() -> None:
+    """Guards against a preemption that loses a task, or ends work that is in time."""
+
+    async def main() -> None:
+        scene = Scene(workers=2, run_s=9)
+        step = StepSpec(count=1, cpu=8000, estimated_ms=1000)
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job("old", steps=(step,)))
+            await asyncio.sleep(2)
+            await pool.submit(build_job("new", steps=(step,)))
+            await asyncio.sleep(0.1)
+            late = pool.measure_demand(must_yield=False).late
+            runs = {
+                worker_id: {task.job for task in worker.running}
+                for worker_id, worker in scene.workers.items()
+            }
+            assert [runs[host.worker_id] for host in late] == [{"old"}]
+            worker_id = late[0].worker_id
+            assert not pool.vacate(worker_id, may_stop=False).is_empty
+            assert not pool.vacate(worker_id, may_stop=False, stops_late=True).is_empty
+            await asyncio.sleep(0.5)
+            assert pool.vacate(worker_id, may_stop=False, stops_late=True).is_empty
+            other = next(name for name in scene.workers if name != worker_id)
+            pool.vacate(other, may_stop=False, stops_late=True)
+            await asyncio.sleep(0.5)
+            assert scene.workers[other].running
+            await asyncio.sleep(30)
+            assert pool.table.get_phase("old") is JobPhase.COMPLETED
+
+    run_virtual(main())
