Judge running work by what it has done; keep what a pool's own urgent work needs

A job whose last step was at work counted as late, since the whole step was taken for left; and a pool gave hosts that its own work in time needed. Change: what the last tasks have done counts; a pool gives late hosts beyond its urgent demand only.

--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -176,29 +176,50 @@
 ) -> list[Move]:
     """Return hosts to take from late work for work of other pools that can be in time.
 
-    What the planned moves bring counts first. A pool that lacks hosts for such work
-    itself gives none, and each pool keeps a worker.
+    What the planned moves bring counts first. A pool keeps what such work of its own
+    asks for, and a worker.
     """
     coming = Counter(move.target for move in moves)
-    leaving = Counter(move.source for move in moves)
+    givers = _list_late(demands, moves)
     planned: list[Move] = []
     for demand in sorted(demands, key=_rank_need):
         missing = 0.0 if coming[demand.pool] else demand.urgently_missing_cpu
-        for giver in demands:
-            if giver.pool == demand.pool or giver.urgently_missing_cpu > 0:
-                continue
-            for host in giver.late:
-                left = giver.workers - leaving[giver.pool]
-                if missing <= 0 or left <= max(1, giver.least_workers):
-                    break
-                if any(move.host == host.host for move in planned):
-                    continue
-                leaving[giver.pool] += 1
-                missing -= host.cpu
-                planned.append(Move(host.host, host.worker_id, giver.pool, demand.pool))
+        for giver in [giver for giver in givers if giver.source != demand.pool]:
+            if missing <= 0:
+                break
+            givers.remove(giver)
+            missing -= giver.cpu
+            move = Move(giver.host, giver.worker_id, giver.source, demand.pool)
+            planned.append(move)
     return planned
 
 
+def _list_late(demands: Iterable[PoolDemand], moves: Sequence[Move]) -> list["_Giver"]:
+    """Return the hosts with late work that their pools can do without."""
+    leaving = Counter(move.source for move in moves)
+    givers: list[_Giver] = []
+    for demand in demands:
+        surplus_cpu = -demand.urgently_missing_cpu
+        left = demand.workers - leaving[demand.pool]
+        for host in demand.late:
+            if surplus_cpu < host.cpu or left <= max(1, demand.least_workers):
+                break
+            surplus_cpu -= host.cpu
+            left -= 1
+            givers.append(
+                _Giver(
+                    host.host,
+                    host.worker_id,
+                    demand.pool,
+                    host.cpu,
+                    0,
+                    False,
+                    host.labels,
+                )
+            )
+    return givers
+
+
 @dataclass(frozen=True)
 class _Giver:
     host: str
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -301,6 +301,12 @@
         job = self.table.jobs.get(task.task_id.job)
         if job is None or job.is_lasting:
             return False
+        if job.job_id not in self.table.hungry:
+            # All its tasks are at work; what they have done since counts for it.
+            starts = [one.started_ms for one in job.list_tasks() if one.is_active]
+            passed_ms = now_ms - max(starts, default=now_ms)
+            ratio = self.runs.estimates.get_ratio(job.spec.queue)
+            now_ms -= int(min(passed_ms, job.left_ms * ratio))
         return self.runs.rank(job, now_ms)[0] > IN_TIME
 
     def _count_spread(self) -> int:
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -117,3 +117,6 @@
         PoolDemand("b", 90_000, 90_000, 8000, 0, 1, ()),
     ]
     assert plan_preemptions(both, []) == []
+    # A pool whose own urgent work fills it gives nothing, though late work runs there.
+    full = PoolDemand("a", 24_000, 20_000, 24_000, 0, 3, (), late=late)
+    assert plan_preemptions([full, both[1]], []) == []
