Send no start that was given up while it waited; wait for members that are late

A start waits up to 0.6 s for its record. If the run was given up meanwhile (its worker began a new life, or all leases there ended), its task started elsewhere and then the first start was sent too. After an outage of the log one of 35 nodes renewed first, took all others for dead and claimed all five pools, on the smallest kind of node. Change: the run is looked at again after the wait; while most nodes of the last 30 s are missing, nobody claims for 2 s. Tests: two, failing without the change.

--- a/src/bergamotgap/pools/outage_watch.py
+++ b/src/bergamotgap/pools/outage_watch.py
@@ -4,7 +4,7 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
-from bergamotgap.pools.registry import BLIND_MS, Registry
+from bergamotgap.pools.registry import BLIND_MS, RECENT_MS, Registry
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.pool_peer import (
     ContactCall,
@@ -15,9 +15,6 @@
 
 CHECK_MS = 200
 CALL_MS = 300
-# A member that was listed within this time may have taken over a duty; it is longer
-# than the outages and cuts that a node survives.
-RECENT_MS = 30_000
 
 log = get_logger(__name__)
 
--- a/src/bergamotgap/pools/registry.py
+++ b/src/bergamotgap/pools/registry.py
@@ -26,6 +26,12 @@
 CHECK_MS = 100
 # Longer than the interval of a member's renewals, so that one of them has failed.
 BLIND_MS = 600
+# When most members are missing at once, they are late to renew rather than dead. They
+# are waited for, about two renewals with a log that answers sixty times slower.
+FEW_MEMBERS_MS = 2000
+# A member that was listed within this time may come back or have taken over a duty; it
+# is longer than the outages and cuts that a node survives.
+RECENT_MS = 30_000
 # Of a member that does not tell its cores, in 1/1000.
 DEFAULT_CPU = 1000
 
@@ -95,6 +101,8 @@
         self._members: frozenset[str] = frozenset()
         self._first_seen_ms: dict[str, int] = {}
         self._last_seen_ms: dict[str, int] = {}
+        # Since when most of the members of a short time ago are missing.
+        self._few_since_ms: int | None = None
         self._generation = 0
         self._joined_since_ms: int | None = None
         self._steady_since_ms = clock.monotonic_ms()
@@ -206,6 +214,12 @@
         for member in members | self._members:
             self._last_seen_ms[member] = now_ms
         self._members = members
+        # Lives of one node count once.
+        recent = {name.partition("/")[0] for name in self.list_recent(RECENT_MS)}
+        if 2 * len(members) >= len(recent):
+            self._few_since_ms = None
+        elif self._few_since_ms is None:
+            self._few_since_ms = now_ms
 
     def _note_join_failed(self, error: StoreError) -> None:
         silent_ms = self._clock.monotonic_ms() - self.joined_ms
@@ -240,7 +254,7 @@
         # After the log was away, all members join again before any is taken for dead.
         if now_ms - self._joined_since_ms < FIRST_CLAIM_MS:
             return False
-        if not self.is_confirmed():
+        if not self.is_confirmed() or self._is_waiting_for_most(now_ms):
             return False
         if claim is not None and claim.member in self._members:
             return False
@@ -256,6 +270,11 @@
         claimant = choose_claimant(pool, known, self._claims)
         return claimant == self._member.name
 
+    def _is_waiting_for_most(self, now_ms: int) -> bool:
+        """Tell whether most members may still come back, as after an outage."""
+        since_ms = self._few_since_ms
+        return since_ms is not None and now_ms - since_ms < FEW_MEMBERS_MS
+
     def _is_former_life(self, claim: Claim) -> bool:
         """Tell whether this node owned the pool in a former life, which has ended."""
         address, _, _ = claim.member.partition("/")
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -200,6 +200,9 @@
         if self.live.get(task.task_id) is not live:
             return
         is_written = await self._events.wait_for_start(call.change)
+        # The run may have been given up meanwhile, and started elsewhere.
+        if self.live.get(task.task_id) is not live:
+            return
         if live.is_stop_wanted or not is_written or not self._standing.may_act():
             self.drop_live(live)
             self._events.note_not_started(self, live, Unanswered(was_sent=False))
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -727,3 +727,27 @@
             assert pool.measure_demand(must_yield=False).late == ()
 
     run_virtual(main())
+
+
+def test_a_start_that_waits_for_its_record_is_not_sent_after_it_was_given_up() -> None:
+    """Guards against a run that is started although its task runs elsewhere."""
+
+    async def main() -> None:
+        scene = Scene(workers=2, run_s=3)
+        step = StepSpec(count=1, cpu=8000)
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.3)
+            submitted = asyncio.create_task(pool.submit(build_job(steps=(step,))))
+            await asyncio.sleep(0.007)
+            scene.store.is_down = True
+            await submitted
+            await asyncio.sleep(0.1)
+            # The worker of the start that waits begins a new life, while it waits.
+            used = next(link for link in pool.runs.links.values() if link.live)
+            born = dataclasses.replace(used.info, born_ms=2)
+            pool.update_workers({**scene.infos, used.worker_id: born})
+            scene.store.is_down = False
+            await asyncio.sleep(2)
+            assert set(scene.count_starts().values()) == {1}
+
+    run_virtual(main())
--- a/tests/test_pool_parts.py
+++ b/tests/test_pool_parts.py
@@ -143,6 +143,32 @@
     run_virtual(main())
 
 
+def test_one_member_alone_does_not_claim_all_after_an_outage() -> None:
+    """Guards against one node that gets all pools since it renewed first."""
+
+    async def main() -> None:
+        store = FakeStore()
+        registries = [build_registry(store, number) for number in (1, 2, 3)]
+        tasks = [start(registry) for registry in registries]
+        await asyncio.sleep(3)
+        before = dict(registries[0].claims)
+        loser = next(r for r in registries if not any(map(r.is_own, before.values())))
+        # All but one are late to renew.
+        for registry, own in zip(registries, tasks, strict=True):
+            if registry is not loser:
+                own[1].cancel()
+        store.members = {loser._member.name}
+        await asyncio.sleep(1.5)
+        assert loser.claims == before
+        for registry in registries:
+            if registry is not loser:
+                start(registry)
+        await asyncio.sleep(3)
+        assert loser.claims == before
+
+    run_virtual(main())
+
+
 def test_a_leaving_node_stays_out_of_the_group() -> None:
     """Guards against a leaving node that joins again and is left the pools."""
 
