--- a/src/bergamotgap/pools/runs.py
+++ b/src/bergamotgap/pools/runs.py
@@ -252,7 +252,9 @@
             run=live.run,
             worker=link.worker_id,
         )
-        if live.task.run == live.run:
+        # A run that was given up meanwhile decides nothing on its task any more.
+        is_current = live.task.run == live.run
+        if is_current and live.task.phase is TaskPhase.STARTING:
             live.task.phase = TaskPhase.UNCERTAIN
         link.stop(live.task.task_id, live.run)
         self._stop_gang(live)
--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -751,3 +751,21 @@
             assert set(scene.count_starts().values()) == {1}
 
     run_virtual(main())
+
+
+def test_a_start_that_gets_no_answer_after_it_was_given_up_holds_up_no_task() -> None:
+    """Guards against a task that waits for ever for a run on a former life."""
+
+    async def main() -> None:
+        scene = Scene(workers=1)
+        async with scene.own(1) as (pool, orders):
+            await asyncio.sleep(0.3)
+            orders.drop_starts = 1
+            await pool.submit(build_job(steps=(StepSpec(count=1, cpu=8000),)))
+            await asyncio.sleep(0.2)
+            born = dataclasses.replace(scene.infos["w1"], born_ms=2)
+            pool.update_workers({"w1": born})
+            await asyncio.sleep(5)
+            assert pool.table.get_phase("job-1") is JobPhase.COMPLETED
+
+    run_virtual(main())
