--- a/stand_ins/users_platform.py
+++ b/stand_ins/users_platform.py
@@ -1,11 +1,9 @@
 """The users' platform over HTTP: log, hosts' service and workers, in one process."""
 
 import asyncio
-import base64
 import itertools
 import random
-import struct
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, replace
 from typing import Any, Self
@@ -16,148 +14,21 @@
 from bergamotgap.domain.fleet import Size, TaskId, WorkerInfo, WorkerState
 from bergamotgap.ports.fleet import (
     Accepted,
-    AppendConflictError,
-    Fence,
-    FencedError,
     KeyedRecord,
     Lease,
     Look,
     OrderOutcome,
     Refused,
-    SequenceError,
     StartOrder,
 )
-from stand_ins.pools import FakeOrders, FakeStore, FakeWorker
+from stand_ins.pools import FakeOrders, FakeWorker
+from stand_ins.users_log import Server, UsersLog, build_answer
 
 MOVE_S = 1.5
 UPKEEP_S = 2.0
 HEARTBEAT_S = 1.5
 LAPSE_HEARTBEATS = 3
 SPARE = "spare"
-Answer = tuple[int, Mapping[str, Any]]
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
-
-class Server:
-    """One HTTP listener on a loopback port."""
-
-    def __init__(self, handle: Handler) -> None:
-        self._runner = web.ServerRunner(web.Server(handle, access_log=None))
-        self.address = ""
-
-    async def __aenter__(self) -> Self:
-        """Listen."""
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
-        return self
-
-    async def __aexit__(self, *exception: object) -> None:
-        """Close."""
-        await self._runner.cleanup()
-
-
-class UsersLog:
-    """The log service; `is_down` refuses, `lose_share` of the answers get lost."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.store = FakeStore()
-        self.is_down = False
-        self.lose_share = 0.0
-        self._rng = rng
-        self._members: dict[str, float] = {}
-        self._generation = 1
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one call."""
-        body = await request.read()
-        if self.is_down:
-            return web.Response(status=503)
-        calls: dict[str, Callable[[web.BaseRequest, bytes], Awaitable[web.Response]]]
-        calls = {
-            "/log-append": self._append,
-            "/log-read": self._read,
-            "/log-newest": self._read_newest,
-            "/log-join": self._join,
-            "/log-leave": self._leave,
-            "/log-owners": self._list_owners,
-        }
-        response = await calls[request.path](request, body)
-        if self._rng.random() < self.lose_share and request.transport is not None:
-            request.transport.abort()
-        return response
-
-    async def _append(self, request: web.BaseRequest, body: bytes) -> web.Response:
-        query = request.query
-        fence = None
-        if "producer" in query:
-            epoch, sequence = int(query["epoch"]), int(query["sequence"])
-            fence = Fence(query["producer"], epoch, sequence)
-        at = int(query["at"]) if "at" in query else None
-        try:
-            offset = await self.store.append(
-                query["topic"],
-                int(query["part"]),
-                _read_records(body),
-                at=at,
-                fence=fence,
-            )
-        except AppendConflictError as error:
-            return _answer(412, {"end": error.end})
-        except FencedError:
-            return _answer(409, {"reason": "fenced"})
-        except SequenceError as error:
-            return _answer(409, {"reason": "seq", "expected": error.expected})
-        return _answer(200, {"offset": offset})
-
-    async def _read(self, request: web.BaseRequest, body: bytes) -> web.Response:
-        query = request.query
-        start, wait_ms = int(query["from"]), int(query.get("waitMs", 0))
-        page = await self.store.read(
-            query["topic"], int(query["part"]), start, min(wait_ms, 2000)
-        )
-        chunks = [struct.pack(">QQ", page.end, 0)]
-        for record in page.records:
-            key, value = record.key.encode(), record.value or b""
-            chunks.append(struct.pack(">IB", 1 + len(key) + len(value), len(key)))
-            chunks.append(key + value)
-        return web.Response(body=b"".join(chunks))
-
-    async def _read_newest(self, request: web.BaseRequest, body: bytes) -> web.Response:
-        query = request.query
-        newest = await self.store.read_newest(query["topic"], int(query["part"]))
-        items = [
-            {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
-            for key, value in newest.values.items()
-        ]
-        return _answer(200, {"items": items, "more": False, "end": newest.end})
-
-    async def _join(self, request: web.BaseRequest, body: bytes) -> web.Response:
-        call = msgspec.json.decode(body)
-        until_s = asyncio.get_running_loop().time() + call["ttlMs"] / 1000
-        if call["member"] not in self._list_live():
-            self._generation += 1
-        self._members[call["member"]] = until_s
-        return _answer(200, {"generation": self._generation, "parts": []})
-
-    async def _leave(self, request: web.BaseRequest, body: bytes) -> web.Response:
-        self._members.pop(msgspec.json.decode(body)["member"], None)
-        self._generation += 1
-        return _answer(200, {})
-
-    async def _list_owners(self, request: web.BaseRequest, body: bytes) -> web.Response:
-        rows = [["nodes.0", n, name, 0] for n, name in enumerate(self._list_live())]
-        return _answer(200, {"owners": rows})
-
-    def _list_live(self) -> list[str]:
-        now_s = asyncio.get_running_loop().time()
-        live = [name for name, until_s in self._members.items() if until_s > now_s]
-        if len(live) != len(self._members):
-            self._members = {name: self._members[name] for name in live}
-            self._generation += 1
-        return live
 
 
 @dataclass
@@ -338,18 +209,18 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         if request.path == "/machines":
-            return _answer(
+            return build_answer(
                 200, {"machines": [self._show(h) for h in self.hosts.values()]}
             )
         call = msgspec.json.decode(body)
         host = self.hosts[call["machine"]]
         if host.state != "up":
-            return _answer(409, {"reason": "busy"})
+            return build_answer(409, {"reason": "busy"})
         is_move = request.path == "/machine-move"
         host.state = "moving" if is_move else "upkeep"
         pool = call["pool"] if is_move else host.pool
         self._start(self._change(host, pool, MOVE_S if is_move else UPKEEP_S))
-        return _answer(200, {})
+        return build_answer(200, {})
 
     def _show(self, host: Host) -> Mapping[str, Any]:
         worker_id = host.worker.fake.info.worker_id if host.worker else ""
@@ -364,25 +235,6 @@
         }
 
 
-def _answer(status: int, content: Mapping[str, Any]) -> web.Response:
-    return web.Response(
-        status=status,
-        body=msgspec.json.encode(content),
-        content_type="application/json",
-    )
-
-
-def _read_records(body: bytes) -> list[KeyedRecord]:
-    records, position = [], 0
-    while position < len(body):
-        length, size = struct.unpack_from(">IB", body, position)
-        content = body[position + 5 : position + 4 + length]
-        key, value = content[:size].decode(), content[size:]
-        records.append(KeyedRecord(key, value or None))
-        position += 4 + length
-    return records
-
-
 def _read_task(name: str) -> TaskId:
     job, occurrence, step, number = name.split(".")
     return TaskId(job, int(occurrence), int(step), int(number))
@@ -391,9 +243,9 @@
 def _convert_outcome(outcome: OrderOutcome | Look | object) -> web.Response:
     match outcome:
         case Accepted():
-            return _answer(200, {"clockMs": outcome.clock_ms})
+            return build_answer(200, {"clockMs": outcome.clock_ms})
         case Refused():
-            return _answer(
+            return build_answer(
                 409, {"clockMs": outcome.clock_ms or 0, "reason": outcome.reason}
             )
         case Look():
@@ -405,7 +257,7 @@
                 [row.number, str(row.task), row.run, row.how, row.checkpoint]
                 for row in outcome.ended
             ]
-            return _answer(
+            return build_answer(
                 200,
                 {
                     "clockMs": outcome.clock_ms,
--- /dev/null
+++ b/tests/pool_scene.py
@@ -0,0 +1,91 @@
+"""A log, workers and owners of one pool, for tests of these."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+
+from bergamotgap.domain.fleet import TaskId
+from bergamotgap.pools.pool import Pool
+from bergamotgap.pools.tenure import Confirmation, Term
+from bergamotgap.ports.fleet import Advice, Tickets
+from stand_ins.pools import (
+    CONFIG,
+    SETTINGS,
+    FakeOrders,
+    FakeStore,
+    FakeWorker,
+    build_worker,
+)
+from stand_ins.virtual_time import LoopClock
+
+PARTITION = ("keyed.jobs", 0)
+
+
+ADVISED = dataclasses.replace(
+    CONFIG, queues=(dataclasses.replace(CONFIG.queues[0], needs_advice=True),)
+)
+
+
+class FakeAdvice:
+    """Allow one worker, for a time."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def advise(self, task: TaskId, workers: Sequence[str]) -> Tickets:
+        await asyncio.sleep(0.1)
+        self.calls += 1
+        return Tickets({"w2": f"ticket-{task.step}"}, 3000)
+
+
+class Scene:
+    """A log, workers, and the owners that a test starts."""
+
+    def __init__(self, workers: int = 3, run_s: float = 0.5) -> None:
+        self.store = FakeStore()
+        self.clock = LoopClock()
+        self.infos = {f"w{n}": build_worker(n) for n in range(1, workers + 1)}
+        self.workers = {
+            name: FakeWorker(info, run_s) for name, info in self.infos.items()
+        }
+        self.is_confirmed = True
+        self.is_outage = False
+        self.advice: Advice | None = None
+        self.orders_type = FakeOrders
+
+    @asynccontextmanager
+    async def own(
+        self, token: int, number: int = 1, is_clean: bool = True, **term: bool
+    ) -> AsyncIterator[tuple[Pool, FakeOrders]]:
+        """Own the pool."""
+        orders = self.orders_type(self.workers)
+        self.lost_ms = self.clock.monotonic_ms()
+
+        def get_confirmed_ms() -> int:
+            return self.clock.monotonic_ms() if self.is_confirmed else self.lost_ms
+
+        pool = Pool(
+            "previews",
+            Term(token, number, is_clean, **term),
+            self.store,
+            PARTITION,
+            orders,
+            SETTINGS,
+            self.clock,
+            Confirmation(get_confirmed_ms, lambda: self.is_outage),
+            lambda _: None,
+            self.advice,
+        )
+        async with pool:
+            pool.update_config(ADVISED if self.advice else CONFIG)
+            pool.update_workers(self.infos)
+            yield pool, orders
+
+    def count_starts(self) -> dict[object, int]:
+        """Return how often each task was started."""
+        counts: dict[object, int] = {}
+        for worker in self.workers.values():
+            for task, _ in worker.starts:
+                counts[task] = counts.get(task, 0) + 1
+        return counts
--- /dev/null
+++ b/tests/test_pool_demand.py
@@ -0,0 +1,158 @@
+"""What an owner asks for, and the workers that it gives away."""
+
+import asyncio
+
+from bergamotgap.domain.fleet import JobPhase, StepSpec
+from stand_ins.pools import build_job
+from stand_ins.virtual_time import run_virtual
+from tests.pool_scene import Scene
+
+
+def test_a_worker_is_given_away_only_when_it_is_empty() -> None:
+    """Guards against a move that ends what runs on the host."""
+
+    async def main() -> None:
+        scene = Scene(run_s=2)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(0.5)
+            used = [name for name, worker in scene.workers.items() if worker.running]
+            free = [name for name in scene.workers if name not in used]
+            assert not pool.vacate(used[0], may_stop=False).is_empty
+            assert pool.vacate(free[0], may_stop=False).is_empty
+            assert not pool.vacate("unlisted", may_stop=True).is_empty
+
+    run_virtual(main())
+
+
+def test_a_worker_that_was_not_looked_at_is_not_given_away() -> None:
+    """Guards against an upkeep that ends what runs on a worker unknown to its owner."""
+
+    async def main() -> None:
+        scene = Scene(workers=2)
+        async with scene.own(1) as (pool, orders):
+            orders.cut = {"w1"}
+            await asyncio.sleep(0.5)
+            assert not pool.vacate("w1", may_stop=True).is_empty
+            assert pool.vacate("w2", may_stop=True).is_empty
+            # All leases that a former owner can have given there have ended.
+            await asyncio.sleep(8)
+            assert pool.vacate("w1", may_stop=True).is_empty
+
+    run_virtual(main())
+
+
+def test_a_maintained_worker_gives_its_lasting_tasks_away_one_by_one() -> None:
+    """Guards against an upkeep that takes more tasks away than a step may miss."""
+
+    async def main() -> None:
+        scene = Scene(workers=2, run_s=600)
+        step = StepSpec(count=4, cpu=1000, is_lasting=True, may_miss=1)
+        for worker in scene.workers.values():
+            worker.shows_full = True
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job(steps=(step,)))
+            await asyncio.sleep(3)
+            for _ in range(100):
+                if pool.vacate("w1", may_stop=True).is_empty:
+                    break
+                running = sum(len(w.running) for w in scene.workers.values())
+                assert running >= 3
+                await asyncio.sleep(0.1)
+            assert pool.vacate("w1", may_stop=True).is_empty
+            await asyncio.sleep(1)
+            assert len(scene.workers["w2"].running) == 4
+
+    run_virtual(main())
+
+
+def test_an_owner_asks_for_workers_to_spread_lasting_tasks_over() -> None:
+    """Guards against a lasting job of which half waits for a second worker."""
+
+    async def main() -> None:
+        scene = Scene(workers=1)
+        lasting = StepSpec(count=4, cpu=100, max_per_host=2, is_lasting=True)
+        special = StepSpec(count=1, cpu=100, requirement="large")
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job("spread", steps=(lasting,)))
+            await pool.submit(build_job("special", steps=(special,)))
+            await asyncio.sleep(0.2)
+            asked = pool.measure_demand(must_yield=False)
+            assert asked.least_workers == 2
+            assert asked.labels == ("large",)
+
+    run_virtual(main())
+
+
+def test_an_owner_tells_late_work_from_work_that_can_be_in_time() -> None:
+    """Guards against late work that is taken for urgent when hosts are divided."""
+
+    async def main() -> None:
+        scene = Scene(workers=1, run_s=9)
+        step = StepSpec(count=9, cpu=4000, estimated_ms=1000)
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job(steps=(step,)))
+            await asyncio.sleep(0.1)
+            fresh = pool.measure_demand(must_yield=False)
+            assert fresh.waiting_ms > 0
+            assert fresh.late_ms == 0
+            await asyncio.sleep(2)
+            old = pool.measure_demand(must_yield=False)
+            assert old.waiting_ms == 0
+            assert old.late_ms > 0
+
+    run_virtual(main())
+
+
+def test_a_worker_of_late_work_is_emptied_and_its_tasks_run_again() -> None:
+    """Guards against a preemption that loses a task, or ends work that is in time."""
+
+    async def main() -> None:
+        scene = Scene(workers=2, run_s=9)
+        step = StepSpec(count=1, cpu=8000, estimated_ms=1000)
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            await pool.submit(build_job("old", steps=(step,)))
+            await asyncio.sleep(2.5)
+            await pool.submit(build_job("new", steps=(step,)))
+            await asyncio.sleep(0.1)
+            late = pool.measure_demand(must_yield=False).late
+            runs = {
+                worker_id: {task.job for task in worker.running}
+                for worker_id, worker in scene.workers.items()
+            }
+            assert [runs[host.worker_id] for host in late] == [{"old"}]
+            worker_id = late[0].worker_id
+            assert not pool.vacate(worker_id, may_stop=False).is_empty
+            assert not pool.vacate(worker_id, may_stop=False, stops_late=True).is_empty
+            await asyncio.sleep(0.5)
+            assert pool.vacate(worker_id, may_stop=False, stops_late=True).is_empty
+            other = next(name for name in scene.workers if name != worker_id)
+            pool.vacate(other, may_stop=False, stops_late=True)
+            await asyncio.sleep(0.5)
+            assert scene.workers[other].running
+            await asyncio.sleep(30)
+            assert pool.table.get_phase("old") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
+def test_a_job_whose_last_tasks_are_at_work_in_time_is_not_late() -> None:
+    """Guards against a preemption of work that is about to end in time."""
+
+    async def main() -> None:
+        scene = Scene(workers=1, run_s=1.0)
+        step = StepSpec(count=1, cpu=8000, estimated_ms=1000)
+        async with scene.own(1) as (pool, _):
+            await asyncio.sleep(0.2)
+            # Objective 2,200 ms, started at once: in time although at 900 ms a whole
+            # step more would not be.
+            job = build_job("running", steps=(step,))
+            await pool.submit(job)
+            pool.table.jobs["running"].arrived_ms -= 1000
+            await asyncio.sleep(0.9)
+            assert pool.measure_demand(must_yield=False).late == ()
+
+    run_virtual(main())
--- a/tests/test_pool_gangs.py
+++ b/tests/test_pool_gangs.py
@@ -7,7 +7,7 @@
 from bergamotgap.ports.fleet import Lease, OrderOutcome, Refused, StartOrder, Tickets
 from stand_ins.pools import FakeOrders, WorkerInfo, build_job
 from stand_ins.virtual_time import run_virtual
-from tests.test_pool_owner import Scene
+from tests.pool_scene import Scene
 
 # Each worker has room for one member, so that a gang of two takes two workers.
 GANG = StepSpec(count=2, cpu=5000, memory_mb=100, estimated_ms=500, is_gang=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
     StoreUnavailableError,
 )
 from stand_ins.pools import FakeWorker, build_worker
-from stand_ins.users_platform import Server, UsersLog
+from stand_ins.users_log import Server, UsersLog
 from tools.soak import Soak
 
 TOPIC = "keyed.t"
