Stop no lasting task beside a stop of the pool's former owner

Change: a new owner stops lasting tasks only after 1.5 s, two looks at each worker. Ruled out: the answer 'empty' for a worker that was not looked at (mended before, tested). Test: one, failing without the change.

--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -46,6 +46,8 @@
 # A task holds its room about this long at least, orders and looks included; lasting
 # tasks declare no time.
 MIN_RUN_MS = 300
+# By then a new owner has looked at each worker that answers, and once more.
+FIRST_LOOKS_MS = 1300
 # Work that earns nothing any more asks for little, so that it ends some time.
 WORTHLESS_SHARE = 0.1
 # Longer than the interval at which demand is read.
@@ -228,6 +230,10 @@
         return VacatedReply(link.is_empty)
 
     def _may_stop(self, task: Task) -> bool:
+        # A former owner's stops show as ends only after their own time and a look.
+        owned_ms = self._clock.monotonic_ms() - self.runs.tenure.started_ms
+        if owned_ms < self._settings.stop_ms + FIRST_LOOKS_MS:
+            return False
         # Reports are a look old, so a task may be at work before it is seen to be.
         others = self.table.jobs[task.task_id.job].get_step(task).tasks
         away = sum(not other.is_at_work for other in others if other is not task)
--- a/tests/test_pool_demand.py
+++ b/tests/test_pool_demand.py
@@ -156,3 +156,31 @@
             assert pool.measure_demand(must_yield=False).late == ()
 
     run_virtual(main())
+
+
+def test_a_new_owner_stops_no_lasting_task_beside_a_stop_of_the_former_one() -> None:
+    """Guards against two stops of one step by two owners, one after the other."""
+
+    async def main() -> None:
+        scene = Scene(workers=2, run_s=60)
+        for worker in scene.workers.values():
+            worker.shows_full = True
+        lasting = StepSpec(count=2, cpu=100, is_lasting=True, may_miss=1)
+        async with scene.own(1) as (pool, _):
+            await pool.submit(build_job(steps=(lasting,)))
+            await asyncio.sleep(2)
+            used = next(name for name, w in scene.workers.items() if w.running)
+        async with scene.own(2, number=2) as (pool, _):
+            await asyncio.sleep(0.5)
+            pool.vacate(used, may_stop=True)
+            await asyncio.sleep(0.3)
+            assert all(run == 1 for w in scene.workers.values() for _, run in w.starts)
+            running = sum(len(w.running) for w in scene.workers.values())
+            assert running == 2
+            await asyncio.sleep(1)
+            pool.vacate(used, may_stop=True)
+            await asyncio.sleep(0.5)
+            starts = [run for w in scene.workers.values() for _, run in w.starts]
+            assert len(starts) == 3
+
+    run_virtual(main())
