Drop orders to hosts that a cut held up

What is left is an order that the cut held up and that the kernel went on sending after its call had timed out. Change: connections to the hosts' service have no time to linger, so a close resets them, by a kill too, and what was not delivered is lost. Test: the socket's option.

--- a/src/bergamotgap/platform/node.py
+++ b/src/bergamotgap/platform/node.py
@@ -3,7 +3,11 @@
 import asyncio
 import os
 import signal
+import socket
+import struct
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -45,6 +49,8 @@
 OUT_OF_ROTATION_MS = 2500
 EXIT_SLACK_MS = 1500
 POLL_MS = 100
+# On, with no time to linger: closing resets the connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 log = get_logger(__name__)
 
@@ -64,9 +70,10 @@
     loop.add_signal_handler(signal.SIGHUP, _note_reload)
     async with (
         _open_session(0) as calls,
+        _open_session(0, open_resetting_socket) as host_calls,
         _open_session(CONNECTIONS_PER_WORKER) as workers,
     ):
-        ports = _build_ports(file, calls, workers, clock)
+        ports = _build_ports(file, calls, host_calls, workers, clock)
         node = FleetNode(settings, ports, clock)
         metrics = Metrics()
         addresses = (
@@ -93,9 +100,26 @@
     log.info("reload", changed=False)
 
 
-def _open_session(per_host: int) -> aiohttp.ClientSession:
+def open_resetting_socket(address: tuple[Any, ...]) -> socket.socket:
+    """Return a socket whose close drops what was not delivered, also by a kill.
+
+    An order that a cut held up must not arrive after a later holder's.
+    """
+    family, kind, protocol, *_ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    return opened
+
+
+def _open_session(
+    per_host: int,
+    open_socket: Callable[[tuple[Any, ...]], socket.socket] | None = None,
+) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
-        limit=0, limit_per_host=per_host, keepalive_timeout=KEEP_ALIVE_S
+        limit=0,
+        limit_per_host=per_host,
+        keepalive_timeout=KEEP_ALIVE_S,
+        socket_factory=open_socket,
     )
     return aiohttp.ClientSession(
         connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
@@ -105,6 +129,7 @@
 def _build_ports(
     file: PlatformFile,
     calls: aiohttp.ClientSession,
+    host_calls: aiohttp.ClientSession,
     workers: aiohttp.ClientSession,
     clock: Clock,
 ) -> FleetPorts:
@@ -119,7 +144,7 @@
     return FleetPorts(
         store=store,
         orders=WorkerCalls(workers),
-        machines=MachineCalls(calls, file.cloud_api.address, file.node),
+        machines=MachineCalls(host_calls, file.cloud_api.address, file.node),
         directory=Directory(build_documents(), clock),
         report_wave=report_wave,
         operator_topic=OPERATOR_TOPIC,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -23,6 +24,7 @@
 )
 from bergamotgap.platform.ingress import Ingress
 from bergamotgap.platform.machines import MachineCalls
+from bergamotgap.platform.node import open_resetting_socket
 from bergamotgap.platform.settings import (
     PlatformSettingsError,
     build_pool_settings,
@@ -373,3 +375,11 @@
         headers["Host"] = "other.example"
         async with session.request(method, url, json=body, headers=headers) as reply:
             assert reply.status == 404
+
+
+async def test_an_order_to_a_host_is_dropped_when_its_socket_closes() -> None:
+    """Guards against an order that a cut held up and that arrives after another's."""
+    address = (socket.AF_INET, socket.SOCK_STREAM, 0, "", ("127.0.0.1", 1))
+    with open_resetting_socket(address) as opened:
+        value = opened.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+    assert struct.unpack("ii", value) == (1, 0)
