Take idle and late hosts from a pool by one piece of code

Cause: _list_late repeated the loop of _list_idle that takes hosts while a pool has cores and workers to spare. Checked: formatter, linter, types, tests of the domain, moves, demand and turning demand.

--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -199,24 +199,9 @@
     leaving = Counter(move.source for move in moves)
     givers: list[_Giver] = []
     for demand in demands:
+        workers = demand.workers - leaving[demand.pool]
         surplus_cpu = -demand.urgently_missing_cpu
-        left = demand.workers - leaving[demand.pool]
-        for host in demand.late:
-            if surplus_cpu < host.cpu or left <= max(1, demand.least_workers):
-                break
-            surplus_cpu -= host.cpu
-            left -= 1
-            givers.append(
-                _Giver(
-                    host.host,
-                    host.worker_id,
-                    demand.pool,
-                    host.cpu,
-                    0,
-                    False,
-                    host.labels,
-                )
-            )
+        givers += _take_surplus(demand, demand.late, surplus_cpu, workers)
     return givers
 
 
@@ -246,25 +231,34 @@
 def _list_idle(demands: Iterable[PoolDemand]) -> list[_Giver]:
     givers: list[_Giver] = []
     for demand in demands:
-        left = -demand.missing_cpu
-        keeps = demand.workers
-        for idle in sorted(demand.idle, key=lambda idle: -idle.idle_ms):
-            # The last worker stays, so that a pool never answers with nothing.
-            if left < idle.cpu or keeps <= max(1, demand.least_workers):
-                break
-            left -= idle.cpu
-            keeps -= 1
-            givers.append(
-                _Giver(
-                    idle.host,
-                    idle.worker_id,
-                    demand.pool,
-                    idle.cpu,
-                    idle.idle_ms,
-                    False,
-                    idle.labels,
-                )
+        longest_first = sorted(demand.idle, key=lambda idle: -idle.idle_ms)
+        surplus_cpu = -demand.missing_cpu
+        givers += _take_surplus(demand, longest_first, surplus_cpu, demand.workers)
+    return givers
+
+
+def _take_surplus(
+    demand: PoolDemand, hosts: Iterable[IdleHost], surplus_cpu: float, workers: int
+) -> list[_Giver]:
+    """Return the first hosts of a pool that it can do without."""
+    givers: list[_Giver] = []
+    for host in hosts:
+        # The last worker stays, so that a pool never answers with nothing.
+        if surplus_cpu < host.cpu or workers <= max(1, demand.least_workers):
+            break
+        surplus_cpu -= host.cpu
+        workers -= 1
+        givers.append(
+            _Giver(
+                host.host,
+                host.worker_id,
+                demand.pool,
+                host.cpu,
+                host.idle_ms,
+                False,
+                host.labels,
             )
+        )
     return givers
 
 
