--- a/src/bergamotgap/adapters/pool_grpc.py
+++ b/src/bergamotgap/adapters/pool_grpc.py
@@ -56,7 +56,10 @@
                 or "failed to connect" not in details
             )
             raise PeerCallError(f"{error.code().name}: {details}", was_sent) from error
-        return msgspec.msgpack.decode(body, type=PoolReply)
+        try:
+            return msgspec.msgpack.decode(body, type=PoolReply)
+        except msgspec.MsgspecError as error:
+            raise PeerCallError(f"malformed reply: {error}", was_sent=True) from error
 
     async def close(self) -> None:
         """Close all channels."""
--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -1,6 +1,6 @@
 """Decode the platform's documents: configuration, worker reports, waves and jobs."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -25,6 +25,16 @@
 WAVE_PREFIX = "wave/"
 
 
+# Figures beyond any use would exceed what a record of the log can hold.
+_MAX_FIGURE = 10**15
+_Natural = Annotated[int, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
+_Positive = Annotated[int, msgspec.Meta(ge=1, le=_MAX_FIGURE)]
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
+# Tasks of a job in all its occurrences. Each takes about 500 bytes of its owner's
+# memory, so a job takes 50 MB at most.
+MAX_TASKS_PER_JOB = 100_000
+
+
 class _Route(msgspec.Struct, rename="camel"):
     name: str
     service: str
@@ -74,32 +84,32 @@
 
 
 class _Step(msgspec.Struct, rename="camel"):
-    count: int
-    cpu: int = 0
-    requested_memory_mb: int = 0
-    gpus: int = 0
-    estimated_ms: float = 0
-    after: tuple[int, ...] = ()
+    count: _Positive
+    cpu: _Natural = 0
+    requested_memory_mb: _Natural = 0
+    gpus: _Natural = 0
+    estimated_ms: _Duration = 0
+    after: tuple[_Natural, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requirements: Any = ""
     data_rack: str = ""
-    anti_affinity: int = 0
+    anti_affinity: _Natural = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: _Duration = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: _Natural = 0
 
 
 class _Job(msgspec.Struct, rename="camel"):
     steps: list[_Step]
     specification: str = ""
-    repetitions: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repetitions: _Natural = 0
+    start_at_ms: _Natural = 0
+    interval_ms: _Natural = 0
 
 
 class _Host(msgspec.Struct):
@@ -209,11 +219,15 @@
     job = _decode(body, _Job)
     steps = tuple(_convert_step(step) for step in job.steps)
     if not steps or any(
-        step.count < 1 or any(not 0 <= n < len(steps) for n in step.after)
-        for step in steps
+        before >= number for number, step in enumerate(steps) for before in step.after
     ):
         raise UnreadableDocumentError(
-            "a job needs steps, each with a task, and `after` must name its own steps"
+            "a job needs steps, and `after` must name earlier ones"
+        )
+    tasks = sum(step.count for step in steps) * max(1, job.repetitions)
+    if tasks > MAX_TASKS_PER_JOB:
+        raise UnreadableDocumentError(
+            f"{tasks} tasks are more than the {MAX_TASKS_PER_JOB} of one job"
         )
     return JobSpec(
         job_id=job_id,
@@ -273,7 +287,7 @@
 def _decode(value: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise UnreadableDocumentError(
             f"malformed {kind.__name__[1:].lower()} document: {error}"
         ) from error
--- a/src/bergamotgap/platform/store.py
+++ b/src/bergamotgap/platform/store.py
@@ -34,6 +34,8 @@
 # members.
 GROUP_TOPICS = tuple(f"nodes.{number}" for number in range(4))
 PAGE_HEADER = struct.Struct(">QQ")
+# A key's length is one byte.
+MAX_KEY_BYTES = 255
 RECORD_LENGTH = struct.Struct(">I")
 T = TypeVar("T")
 
@@ -58,15 +60,27 @@
     end: int
 
 
+class _GonePayload(msgspec.Struct):
+    first: int = 0
+
+
 class _JoinPayload(msgspec.Struct):
     generation: int
 
 
+class _OwnerRow(msgspec.Struct, array_like=True):
+    topic: str
+    partition: int
+    member: str | None
+
+
 def encode_records(records: Sequence[KeyedRecord]) -> bytes:
-    """Encode the request body of an append to a keyed topic."""
+    """Encode the request body of an append; raises StoreError for a key too long."""
     chunks = []
     for record in records:
         key = record.key.encode()
+        if len(key) > MAX_KEY_BYTES:
+            raise StoreUnavailableError(f"key {record.key[:40]!r} is too long")
         value = record.value or b""
         chunks.append(RECORD_LENGTH.pack(1 + len(key) + len(value)))
         chunks.append(bytes((len(key),)) + key + value)
@@ -74,23 +88,28 @@
 
 
 def decode_page(start_offset: int, body: bytes) -> KeyedLogPage:
-    """Decode a read's response; raises StoreUnavailableError if it lacks the header."""
+    """Decode a read's response; raises StoreUnavailableError if it is cut short."""
     if len(body) < PAGE_HEADER.size:
         raise StoreUnavailableError("read response is shorter than its header")
     end, _first = PAGE_HEADER.unpack_from(body)
     records: list[KeyedRecord] = []
     position = PAGE_HEADER.size
-    while position + RECORD_LENGTH.size <= len(body):
+    while position < len(body):
+        content_start = position + RECORD_LENGTH.size
+        if content_start > len(body):
+            raise StoreUnavailableError("read response ends within a record's length")
         (length,) = RECORD_LENGTH.unpack_from(body, position)
-        position += RECORD_LENGTH.size
-        content = body[position : position + length]
-        position += length
-        records.append(_decode_record(content))
+        position = content_start + length
+        if position > len(body):
+            raise StoreUnavailableError("read response ends within a record")
+        records.append(_decode_record(body[content_start:position]))
     return KeyedLogPage(start_offset, end, tuple(records))
 
 
 def _decode_record(content: bytes) -> KeyedRecord:
     key_length = content[0] if content else 0
+    if len(content) < 1 + key_length:
+        raise StoreUnavailableError("a record is shorter than its key")
     key = content[1 : 1 + key_length].decode(errors="replace")
     value = content[1 + key_length :]
     return KeyedRecord(key, value or None)
@@ -133,7 +152,11 @@
         )
         if status not in (200, 409, 412):
             raise StoreUnavailableError(f"append answered {status}")
-        answer = _decode(body, _AppendPayload)
+        try:
+            answer = _decode(body, _AppendPayload)
+        except StoreUnavailableError as error:
+            # The records may be in the log whatever the answer was to say.
+            raise StoreOutcomeUnknownError(f"append: {error}") from error
         if status == 412:
             raise AppendConflictError(answer.end)
         if status == 409:
@@ -170,7 +193,7 @@
                 raise StoreUnavailableError(f"newest values answered {status}")
             page = _decode(body, _NewestPayload)
             for item in page.items:
-                values[item.key] = base64.b64decode(item.value)
+                values[item.key] = _decode_value(item)
             end = page.end if end is None else end
             if not page.more or not page.items:
                 return NewestValues(values, end)
@@ -200,9 +223,15 @@
         if status != 200:
             raise StoreUnavailableError(f"list of members answered {status}")
         answer = _decode(body, dict[str, Any])
-        # The only list has a row for each partition: topic, number, member, and more.
+        # The only list has a row for each partition.
         rows = next((rows for rows in answer.values() if isinstance(rows, list)), [])
-        return frozenset(str(row[2]) for row in rows if len(row) > 2 and row[2])
+        try:
+            owners = msgspec.convert(rows, list[_OwnerRow])
+        except msgspec.ValidationError as error:
+            raise StoreUnavailableError(
+                f"malformed list of members: {error}"
+            ) from error
+        return frozenset(owner.member for owner in owners if owner.member)
 
     async def leave(self, member: str) -> None:
         """Leave the group."""
@@ -240,12 +269,18 @@
 
 
 def _decode_first_offset(body: bytes) -> int:
-    answer = _decode(body, dict[str, Any])
-    return int(answer.get("first", 0))
+    return _decode(body, _GonePayload).first
+
+
+def _decode_value(item: _NewestItem) -> bytes:
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise StoreUnavailableError(f"value of {item.key!r}: {error}") from error
 
 
 def _decode(body: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise StoreUnavailableError(f"malformed response: {error}") from error
--- a/src/bergamotgap/platform/workers.py
+++ b/src/bergamotgap/platform/workers.py
@@ -41,15 +41,44 @@
     reason: str = BUSY_REASON
 
 
+class _RunRow(msgspec.Struct, array_like=True):
+    """A row of `running`.
+
+    The last field is the tail latency or the CPU use of the last half second,
+    depending on the kind of task.
+    """
+
+    task: str
+    run: int
+    saved: str | None
+    percent: float
+    latency_or_cpu: float | None = 0
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    """A row of `ended`."""
+
+    sequence: int
+    task: str
+    run: int
+    outcome: str
+    saved: str | None = ""
+
+
 class _PollPayload(msgspec.Struct):
     clockMs: int  # noqa: N815
-    running: list[list[Any]]
-    ended: list[list[Any]]
+    running: list[_RunRow]
+    ended: list[_EndRow]
     born: int = 0
 
 
+class _TicketRow(msgspec.Struct, array_like=True):
+    worker: str
+    ticket: str
+
+
 class _TicketsPayload(msgspec.Struct):
-    good: list[list[Any]]
+    good: list[_TicketRow]
     validityMs: float = 0  # noqa: N815
 
 
@@ -123,10 +152,13 @@
             return PollReply(
                 answer.clockMs,
                 answer.born,
-                tuple(_parse_run_report(row) for row in answer.running),
-                tuple(_parse_end_report(row) for row in answer.ended),
+                tuple(_convert_run(row) for row in answer.running),
+                tuple(_convert_end(row) for row in answer.ended),
+            )
+        except (msgspec.MsgspecError, UnreadableDocumentError) as error:
+            log.warning(
+                "poll reply not decoded", worker=worker.worker_id, error=str(error)
             )
-        except (msgspec.MsgspecError, UnreadableDocumentError, IndexError):
             return Unanswered(was_sent=True)
 
     async def _send_order(
@@ -193,7 +225,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             log.warning("advice request failed", job=task.job, error=repr(e))
             return NO_TICKETS
-        tickets = {str(row[0]): str(row[1]) for row in answer.good}
+        tickets = {row.worker: row.ticket for row in answer.good}
         return Tickets(tickets, int(answer.validityMs))
 
 
@@ -212,21 +244,17 @@
         return _OrderPayload()
 
 
-def _parse_run_report(row: list[Any]) -> RunReport:
-    # The fourth field is the progress in percent. The fifth is the tail latency or the
-    # CPU use of the last half second, depending on the kind of task.
-    latency_or_cpu = row[4] if len(row) > 4 else 0
+def _convert_run(row: _RunRow) -> RunReport:
     return RunReport(
-        parse_task_name(row[0]),
-        int(row[1]),
-        row[2],
-        int(row[3]),
-        int(latency_or_cpu or 0),
+        parse_task_name(row.task),
+        row.run,
+        row.saved or "",
+        int(row.percent),
+        int(row.latency_or_cpu or 0),
     )
 
 
-def _parse_end_report(row: list[Any]) -> EndReport:
-    sequence, task, run, outcome, checkpoint = row[:5]
+def _convert_end(row: _EndRow) -> EndReport:
     return EndReport(
-        int(sequence), parse_task_name(task), int(run), outcome, checkpoint or ""
+        row.sequence, parse_task_name(row.task), row.run, row.outcome, row.saved or ""
     )
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -95,7 +95,12 @@
             clock,
         )
         self._outage_detector = OutageDetector(
-            self.registry, self._peers, settings.peer_address, settings, clock
+            self.registry,
+            self._peers,
+            settings.peer_address,
+            lambda: bool(self._owner_tasks),
+            settings,
+            clock,
         )
         store = ports.store
         self._operator_follower = PartitionFollower(
--- a/src/bergamotgap/pools/journal.py
+++ b/src/bergamotgap/pools/journal.py
@@ -48,7 +48,9 @@
         self._sequence = fence.sequence
         self._clock = clock
         self._on_fenced = on_fenced
-        self._dirty_keys: dict[str, Encoder] = {}
+        # Number and encoder of the newest change of each key that is not appended yet.
+        self._dirty_keys: dict[str, tuple[int, Encoder]] = {}
+        self._unencodable_changes: set[int] = set()
         self._wake = asyncio.Event()
         self._last_change = 0
         self._committed_change = 0
@@ -63,16 +65,17 @@
 
     def is_committed(self, change: int) -> bool:
         """Return whether a change is durable in the log."""
-        return change <= self._committed_change
+        is_past = change <= self._committed_change
+        return is_past and change not in self._unencodable_changes
 
     def put(self, key: str, encode: Encoder) -> int:
         """Queue a change of a key and return its number.
 
         `encode` is called when the batch is built; None deletes the key.
         """
-        self._dirty_keys.pop(key, None)
-        self._dirty_keys[key] = encode
         self._last_change += 1
+        self._dirty_keys.pop(key, None)
+        self._dirty_keys[key] = (self._last_change, encode)
         self._wake.set()
         return self._last_change
 
@@ -101,27 +104,47 @@
             await self._wake.wait()
             self._wake.clear()
             while self._dirty_keys:
-                records, change = self._take_batch()
-                if not await self._append(records):
+                taken, records, change = self._take_batch()
+                try:
+                    is_appended = await self._append(records)
+                except Exception:
+                    # The changes stay queued for the next run, behind newer ones.
+                    self._dirty_keys = taken | self._dirty_keys
+                    self._wake.set()
+                    raise
+                if not is_appended:
                     self._on_fenced()
                     return
                 self._committed_change = change
                 self._release_waiters()
 
-    def _take_batch(self) -> tuple[list[KeyedRecord], int]:
+    def _take_batch(
+        self,
+    ) -> tuple[dict[str, tuple[int, Encoder]], list[KeyedRecord], int]:
+        """Return the batch's changes, their records and the number of the last one."""
+        taken: dict[str, tuple[int, Encoder]] = {}
         records: list[KeyedRecord] = []
         size = 0
         # `_dirty_keys` is ordered by the last change of each key, and an earlier change
         # of a key may have been superseded by a later one that is still queued. So
         # changes count as committed only with a batch that takes all keys.
         for key in list(self._dirty_keys):
-            value = self._dirty_keys.pop(key)()
+            number, encode = self._dirty_keys.pop(key)
+            try:
+                value = encode()
+            except Exception:
+                # It is left out, or it would hold up all others; it never counts as
+                # committed.
+                log.exception("change not encoded", part=self._part, key=key)
+                self._unencodable_changes.add(number)
+                continue
+            taken[key] = (number, encode)
             records.append(KeyedRecord(key, value))
             size += len(key) + len(value or b"")
             if size >= MAX_BATCH_BYTES:
                 break
         change = self._last_change if not self._dirty_keys else self._committed_change
-        return records, change
+        return taken, records, change
 
     async def _append(self, records: list[KeyedRecord]) -> bool:
         delay_ms = RETRY_MIN_MS
@@ -157,7 +180,7 @@
     def _release_waiters(self) -> None:
         waiting = []
         for change, future in self._waiters:
-            if change <= self._committed_change and not future.done():
+            if self.is_committed(change) and not future.done():
                 future.set_result(None)
             elif not future.done():
                 waiting.append((change, future))
--- a/src/bergamotgap/pools/order_queue.py
+++ b/src/bergamotgap/pools/order_queue.py
@@ -5,7 +5,9 @@
 
 from aiomisc import cancel_tasks
 
+from bergamotgap.adapters.logs import get_logger
 from bergamotgap.pools.link_interface import PaceOrder, PendingStart, StopOrder
+from bergamotgap.ports.fleet import OrderOutcome, Unanswered
 
 # An order that was not answered within this time, ten times that of a call to another
 # data centre, no longer holds up the next one.
@@ -13,9 +15,22 @@
 # Orders to one worker that may be unanswered at the same time.
 MAX_UNANSWERED_ORDERS = 4
 
+log = get_logger(__name__)
 Order = PendingStart | StopOrder | PaceOrder
 
 
+async def await_outcome(call: Awaitable[OrderOutcome]) -> OrderOutcome:
+    """Return an order's outcome, also where the call raises an unexpected error.
+
+    The order may have been sent by then, so such a call counts as unanswered.
+    """
+    try:
+        return await call
+    except Exception:
+        log.exception("order failed")
+        return Unanswered(was_sent=True)
+
+
 class OrderQueue:
     """Send orders in turn; an unanswered order delays the others only briefly."""
 
@@ -43,6 +58,7 @@
                     sending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
                 )
                 for future in done:
-                    future.result()
+                    if future.exception() is not None:
+                        log.error("order not processed", error=repr(future.exception()))
         finally:
             await cancel_tasks(sending)
--- a/src/bergamotgap/pools/outage_detector.py
+++ b/src/bergamotgap/pools/outage_detector.py
@@ -1,9 +1,11 @@
 """Distinguishes an outage of the log for all nodes from one for this node alone."""
 
 import asyncio
+import random
+from collections.abc import Callable
 
 from bergamotgap.adapters.logs import get_logger
-from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.clock import MS_PER_SECOND, Clock
 from bergamotgap.pools.ownership_registry import (
     LOG_SILENT_MS,
     RECENT_MEMBER_MS,
@@ -19,6 +21,14 @@
 
 CHECK_INTERVAL_MS = 200
 CALL_TIMEOUT_MS = 300
+# Queries per second by one node; each takes a fraction of a millisecond of a core.
+MAX_QUERIES_PER_S = 200
+# With a round of queries at this interval, an outage is seen again before the last
+# observation of it expires.
+MAX_CHECK_INTERVAL_MS = 500
+# Members that a node without pools queries: it decides nothing but whether callers are
+# better served elsewhere, and a majority of so many shows that.
+SAMPLED_MEMBERS = 12
 
 log = get_logger(__name__)
 
@@ -35,9 +45,11 @@
         registry: OwnershipRegistry,
         peers: PoolPeerClient,
         own_address: str,
+        has_pools: Callable[[], bool],
         settings: PoolSettings,
         clock: Clock,
     ) -> None:
+        self._has_pools = has_pools
         self._registry = registry
         self._peers = peers
         self._own_address = own_address
@@ -77,17 +89,23 @@
     async def run(self) -> None:
         """Query the members at an interval while the log does not answer."""
         while True:
-            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            await self._clock.sleep_ms(self._choose_interval_ms())
             if self.measure_log_age_ms() < LOG_SILENT_MS:
                 self._set_outage(is_outage=False)
                 self._set_cut_off(is_cut_off=False)
                 continue
             sent_ms = self._clock.monotonic_ms()
-            ages = await self._query_members()
+            others = self._list_others()
+            # Only an owner acts on an outage, and only an answer of each member that
+            # could succeed it shows one.
+            is_complete = self._has_pools()
+            if not is_complete:
+                others = random.sample(others, min(SAMPLED_MEMBERS, len(others)))
+            ages = await asyncio.gather(*map(self._query_member, others))
             have_all_lost_log = all(
                 age is not None and age >= LOG_SILENT_MS for age in ages
             )
-            if ages and have_all_lost_log:
+            if ages and is_complete and have_all_lost_log:
                 self._outage_seen_ms = sent_ms
                 self._set_outage(is_outage=True)
             is_log_reached = any(
@@ -96,14 +114,17 @@
             are_most_silent = 2 * ages.count(None) > len(ages)
             self._set_cut_off(are_most_silent and not is_log_reached)
 
-    async def _query_members(self) -> list[int | None]:
+    def _choose_interval_ms(self) -> float:
+        queries = len(self._registry.members) if self._has_pools() else SAMPLED_MEMBERS
+        interval_ms = queries * MS_PER_SECOND / MAX_QUERIES_PER_S
+        return min(MAX_CHECK_INTERVAL_MS, max(CHECK_INTERVAL_MS, interval_ms))
+
+    def _list_others(self) -> list[str]:
+        """Return the addresses of the other members."""
         # Members that the log no longer lists may be alive behind a network partition.
         members = self._registry.list_recent_members(RECENT_MEMBER_MS)
         addresses = {member.partition("/")[0] for member in members}
-        others = sorted(addresses - {self._own_address})
-        return await asyncio.gather(
-            *(self._query_member(address) for address in others)
-        )
+        return sorted(addresses - {self._own_address})
 
     async def _query_member(self, address: str) -> int | None:
         try:
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -35,9 +35,10 @@
 ANSWER_MARGIN_MS = 150
 # Longest wait for an owner's answer; longer than a hand-over of a pool takes. If an
 # owner stops responding, a successor takes a few seconds; the caller is told to retry
-# then rather than kept waiting.
+# then rather than kept waiting, unless the first owner may have accepted the change.
 OWNER_WAIT_MS = 600
-CALL_TIMEOUT_MS = 1200
+# Longest wait for one attempt, so that a successor is called soon after its claim.
+CALL_TIMEOUT_MS = 600
 RETRY_AFTER_MS = 1000
 
 log = get_logger(__name__)
@@ -210,10 +211,13 @@
     async def call_owner(
         self, call: PoolCall, wait_ms: int, job_id: str
     ) -> PoolReply | NoReply:
-        """Call the owner of the call's pool; return its reply or a NoReply."""
-        until_ms = self._clock.monotonic_ms() + min(
-            wait_ms - ANSWER_MARGIN_MS, OWNER_WAIT_MS
-        )
+        """Call the owner of the call's pool; return its reply or a NoReply.
+
+        A change that an owner may have received is repeated until shortly before the
+        caller's deadline, since only the owner or its successor can tell its outcome.
+        """
+        last_ms = self._clock.monotonic_ms() + wait_ms - ANSWER_MARGIN_MS
+        until_ms = min(last_ms, self._clock.monotonic_ms() + OWNER_WAIT_MS)
         reason, was_sent = "no_owner", False
         while True:
             left_ms = until_ms - self._clock.monotonic_ms()
@@ -231,6 +235,8 @@
                     reply = await self._call_owner_once(owner, call, int(left_ms))
                 except PeerCallError as error:
                     reason, was_sent = str(error), was_sent or error.was_sent
+                    if was_sent and isinstance(call, SubmitCall | CancelCall):
+                        until_ms = last_ms
                 else:
                     if not isinstance(reply, NotOwnerReply):
                         return reply
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -15,7 +15,7 @@
     PendingStart,
     StopOrder,
 )
-from bergamotgap.pools.order_queue import Order, OrderQueue
+from bergamotgap.pools.order_queue import Order, OrderQueue, await_outcome
 from bergamotgap.pools.run_lease import RunLease
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import (
@@ -211,7 +211,7 @@
         order = StartOrder(
             task.task_id, live.run, call.payload, task.checkpoint, call.ticket
         )
-        outcome = await self._orders.start(self.info, order, lease)
+        outcome = await await_outcome(self._orders.start(self.info, order, lease))
         now_ms = self._clock.monotonic_ms()
         self._record_outcome(outcome, now_ms)
         match outcome:
@@ -235,8 +235,8 @@
         live = order.live_run
         if live is not None and self.runs.get(order.task_id) is not live:
             return
-        outcome = await self._orders.stop(
-            self.info, order.task_id, order.run, self._token
+        outcome = await await_outcome(
+            self._orders.stop(self.info, order.task_id, order.run, self._token)
         )
         self._record_outcome(outcome, self._clock.monotonic_ms())
         match outcome:
--- a/tests/test_pool_parts.py
+++ b/tests/test_pool_parts.py
@@ -300,7 +300,12 @@
             start_registry(registry)
         await asyncio.sleep(2)
         detector = OutageDetector(
-            registries[0], FakePeers(ages), "10.0.0.1:7000", SETTINGS, LoopClock()
+            registries[0],
+            FakePeers(ages),
+            "10.0.0.1:7000",
+            lambda: True,
+            SETTINGS,
+            LoopClock(),
         )
         running = asyncio.create_task(detector.run())
         assert detector.may_act()
@@ -322,7 +327,12 @@
         start_registry(registry)
         await asyncio.sleep(2)
         detector = OutageDetector(
-            registry, FakePeers({}), "10.0.0.1:7000", SETTINGS, LoopClock()
+            registry,
+            FakePeers({}),
+            "10.0.0.1:7000",
+            lambda: True,
+            SETTINGS,
+            LoopClock(),
         )
         running = asyncio.create_task(detector.run())
         store.is_down = True
@@ -356,7 +366,12 @@
             start_registry(registry)
         await asyncio.sleep(2)
         detector = OutageDetector(
-            registries[0], FakePeers(ages), "10.0.0.1:7000", SETTINGS, LoopClock()
+            registries[0],
+            FakePeers(ages),
+            "10.0.0.1:7000",
+            lambda: True,
+            SETTINGS,
+            LoopClock(),
         )
         running = asyncio.create_task(detector.run())
         await asyncio.sleep(1)
--- a/tests/test_pool_requests.py
+++ b/tests/test_pool_requests.py
@@ -137,6 +137,29 @@
     run_virtual(main())
 
 
+def test_a_submission_that_was_sent_is_repeated_until_a_successor_answers() -> None:
+    """Guards against "unknown" for a job where waiting for the successor settles it.
+
+    After such an answer, a caller can't tell whether to submit its job again. A call
+    that changes nothing is answered early all the same.
+    """
+
+    async def main() -> None:
+        silent = [PeerCallError("silent", was_sent=True)] * 15
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        requests = build_requests(FakePeers(*silent, AcceptedReply(True)))
+        outcome = await requests.submit(build_job(), QUEUE, 3000)
+        assert outcome == JobAccepted()
+        assert 1.5 < loop.time() - started < 2.5
+        started = loop.time()
+        requests = build_requests(FakePeers(*silent, JobStateReply(JobPhase.QUEUED)))
+        assert isinstance(await requests.get_state("a", QUEUE, 3000), OutcomeUnknown)
+        assert loop.time() - started < 1
+
+    run_virtual(main())
+
+
 def test_a_job_is_reported_missing_only_by_confirmed_owners() -> None:
     """Guards against 410 for a job that a newer owner has accepted."""
 
