Keep the runs of a worker that was silent for half of its lease

Cause: while a worker is silent its lease is not extended, and the first poll that it answers again waited up to a second for an end, so the lease lapsed during that poll: work was started again though the worker was well. Such a poll now returns at once, and the next one, which renews, follows without a pause.

A node that regains a pool after the log has deleted some history used its list of workers from the earlier term until the next read; it now reads the newest reports. A claim that is read twice no longer brings an older owner back.

Ruled out: extending the lease of a silent worker. An order without an answer may be carried out later, so its runs could never count as ended.

--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -29,7 +29,6 @@
 from bergamotgap.ports.fleet import (
     AdviceService,
     Fence,
-    HistoryGoneError,
     MachineService,
     Store,
     StoreError,
@@ -192,8 +191,6 @@
             if self.pools:
                 try:
                     await self._workers_follower.refresh()
-                except HistoryGoneError:
-                    self._workers_follower.next_offset = None
                 except StoreError as error:
                     log.debug("worker reports not read", error=str(error))
             await self._clock.sleep_ms(WORKERS_READ_INTERVAL_MS)
--- a/src/bergamotgap/pools/ownership_registry.py
+++ b/src/bergamotgap/pools/ownership_registry.py
@@ -180,6 +180,11 @@
         except msgspec.MsgspecError as error:
             log.error("claim not decoded", pool=record.key, error=str(error))
             return
+        known = self._claims.get(record.key)
+        if known is not None and claim.token <= known.token:
+            # The newest values are read in pages, so records behind the first page's
+            # end may be read once more.
+            return
         self._claims[record.key] = claim
         log.info(
             "owner",
--- a/src/bergamotgap/pools/partition_follower.py
+++ b/src/bergamotgap/pools/partition_follower.py
@@ -58,12 +58,7 @@
                 else:
                     await self._read_changes(self.next_offset)
             except HistoryGoneError as error:
-                log.warning(
-                    "log records deleted before they were read",
-                    topic=self._topic,
-                    first=error.first_offset,
-                )
-                self.next_offset = None
+                self._handle_history_gone(error)
             except StoreError as error:
                 if not self._is_failing:
                     log.warning(
@@ -75,13 +70,30 @@
                 await self._clock.sleep_ms(RETRY_MS)
 
     async def refresh(self) -> None:
-        """Read the records appended since the last read; raises StoreError."""
-        if self.next_offset is None:
-            await self._read_newest_values()
-        else:
-            self._apply_page(
-                await self._store.read(self._topic, self._part, self.next_offset, 0)
-            )
+        """Read the records appended since the last read; raises StoreError.
+
+        Where the log has deleted some of them, the newest values are read, so that keys
+        which were deleted meanwhile are dropped.
+        """
+        if self.next_offset is not None:
+            try:
+                page = await self._store.read(
+                    self._topic, self._part, self.next_offset, 0
+                )
+            except HistoryGoneError as error:
+                self._handle_history_gone(error)
+            else:
+                self._apply_page(page)
+                return
+        await self._read_newest_values()
+
+    def _handle_history_gone(self, error: HistoryGoneError) -> None:
+        log.warning(
+            "log records deleted before they were read",
+            topic=self._topic,
+            first=error.first_offset,
+        )
+        self.next_offset = None
 
     async def _read_newest_values(self) -> None:
         newest = await self._store.read_newest_values(self._topic, self._part)
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -259,11 +259,14 @@
                 await self._clock.sleep_ms(RETRY_MS)
                 self._remove_expired_runs()
                 continue
-            has_answered = await self._poll()
-            if not has_answered:
+            was_silent = self._is_silent
+            if not await self._poll():
                 await self._clock.sleep_ms(RETRY_MS)
                 self._remove_expired_runs()
                 continue
+            if was_silent:
+                # Only a further poll renews the lease, which may be about to expire.
+                continue
             is_saved = await self._events.wait_for_journal()
             if is_saved:
                 self._acked_end_sequence = self._last_end_sequence
@@ -288,12 +291,10 @@
 
     async def _poll(self) -> bool:
         sent_ms = self._clock.monotonic_ms()
-        has_stops = any(live.is_stop_sent for live in self.runs.values())
-        # A stopped run ends within the stop timeout; the first poll returns at once.
         wait_ms = POLL_WAIT_MS
-        if not self.was_polled or not self.runs:
+        if not self.was_polled or not self.runs or self._is_silent:
             wait_ms = 0
-        elif has_stops:
+        elif any(live.is_stop_sent for live in self.runs.values()):
             wait_ms = self._settings.stop_timeout_ms
         elif not self._ownership.is_confirmed():
             wait_ms = IDLE_POLL_MS
