--- a/src/bergamotgap/node/following.py
+++ b/src/bergamotgap/node/following.py
@@ -278,7 +278,9 @@
         self._stream.fold_records(batch.records)
         if batch.age_ms < NO_CONTACT_AGE_MS:
             self._stream.record_contact(batch.age_ms)
-        if not batch.records:
+        # A batch that is not full reached the relay's end, also while records come
+        # without a pause.
+        if len(batch.records) < MAX_PAGE_RECORDS:
             self._is_caught_up = True
         if batch.age_ms > MAX_RELAY_AGE_MS and not batch.records:
             raise SourceLostError("the relay itself has no contact with the platform")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,7 +11,7 @@
 from bergamotgap.domain.folding import Applied, Effect, Rejected, Stamp
 from bergamotgap.domain.records import HostRemoved, Record, encode_batch, wrap_record
 from bergamotgap.node import writer as writer_module
-from bergamotgap.node.following import StreamFollower
+from bergamotgap.node.following import MAX_PAGE_RECORDS, StreamFollower
 from bergamotgap.node.membership import Membership
 from bergamotgap.node.platform_health import PlatformHealth
 from bergamotgap.node.snapshots import (
@@ -27,7 +27,7 @@
     Stream,
 )
 from bergamotgap.node.writer import StreamWriter
-from bergamotgap.ports.peer import Checkpoint, Digest, PeerInfo, StateCopy
+from bergamotgap.ports.peer import Checkpoint, Digest, PeerInfo, RelayBatch, StateCopy
 from bergamotgap.ports.platform import LogRecord
 from tests.fakes_platform import FakePeers, FakePlatform
 
@@ -277,6 +277,25 @@
         await wait_for_names(stream, "a", "b", "c", "d")
 
 
+async def test_a_host_catches_up_though_records_come_without_a_pause() -> None:
+    """Guards against a restarted host that is not ready while jobs keep coming in."""
+    clock, peers = SystemClock(), FakePeers({})
+    follower = StreamFollower(
+        build_stream(),
+        Names.decode,
+        PlatformHealth(FakePlatform(), clock),
+        peers,
+        build_membership(clock, peers),
+        clock,
+    )
+    full = [build_log_record(n, f"n{n}") for n in range(MAX_PAGE_RECORDS)]
+    await follower._apply_batch("peer", RelayBatch(tuple(full), 0, 0))
+    assert not follower.is_caught_up
+    one = build_log_record(MAX_PAGE_RECORDS, "last")
+    await follower._apply_batch("peer", RelayBatch((one,), 0, 0))
+    assert follower.is_caught_up
+
+
 @pytest.mark.fault("cut_from_platform", "start")
 async def test_start_without_platform_and_peers_is_not_ready() -> None:
     """Guards against a host that serves an empty catalogue."""
--- a/tools/fleet_plan.py
+++ b/tools/fleet_plan.py
@@ -1,11 +1,14 @@
 """Names, addresses and data centres of the processes of a local fleet."""
 
+import fcntl
 import random
 import socket
+import tempfile
 import tomllib
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any
+from pathlib import Path
+from typing import Any, TextIO
 
 LOOPBACK = "127.0.0.1"
 # Below the kernel's ephemeral range, so that no outgoing connection takes a port
@@ -17,7 +20,9 @@
 CONNECTIONS_PER_WORKER = 64
 DATA_CENTRE_COUNT = 3
 
-_picked_ports: set[int] = set()
+# Lock files of the ports that this process has reserved.
+LOCK_DIRECTORY = Path(tempfile.gettempdir()) / "bergamotgap-ports"
+_reserved_ports: dict[int, TextIO] = {}
 
 
 @dataclass(frozen=True)
@@ -32,20 +37,33 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Return free loopback ports; a process gets no port twice."""
-    # Consecutive ports from a random first one: two fleets that start at the same time
-    # rarely overlap, unlike two sets of random ports.
+    """Return free loopback ports; no port is picked twice while its picker lives."""
+    # Consecutive ports from a random first one, so that few are locked by others.
     first = random.SystemRandom().randrange(len(PORT_RANGE))
     ports: list[int] = []
     for port in (*PORT_RANGE[first:], *PORT_RANGE[:first]):
         if len(ports) == count:
             break
-        if port not in _picked_ports and _is_free(port):
+        if _is_free(port) and reserve_port(port):
             ports.append(port)
-    _picked_ports.update(ports)
     return ports
 
 
+def reserve_port(port: int) -> bool:
+    """Reserve a port until this process ends; return False if it is reserved."""
+    if port in _reserved_ports:
+        return False
+    LOCK_DIRECTORY.mkdir(exist_ok=True)
+    lock = (LOCK_DIRECTORY / str(port)).open("w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return False
+    _reserved_ports[port] = lock
+    return True
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
