--- a/src/bergamotgap/node/claims.py
+++ b/src/bergamotgap/node/claims.py
@@ -77,7 +77,7 @@
     """Progress of one job or request, which its driver task updates.
 
     `stage` is "queued" until something begins that can't be undone, then "claiming" or
-    "running". `address` and `task` name the worker and the task of the running attempt.
+    "running". `host`, `address` and `task` are those of the running attempt.
     `failures` describes the started attempts that gave no result, as `host: reason`.
     `last_refusing_host` is the host that refused an attempt last and is avoided by the
     next one.
@@ -85,6 +85,7 @@
 
     stage: str = "queued"
     is_cancelled: bool = False
+    host: str = ""
     address: str = ""
     task: str = ""
     claimed: Claimed | None = None
@@ -172,6 +173,7 @@
                 end = TaskEnd("not_run", "claim_lapsed")
             else:
                 progress.stage = "running"
+                progress.host = placement.host
                 progress.address, progress.task = placement.address, claimed.task
                 end = await self._dispatch(work, placement, claimed)
             if end.state == "not_run":
--- a/src/bergamotgap/node/job_runs.py
+++ b/src/bergamotgap/node/job_runs.py
@@ -161,6 +161,7 @@
     ) -> Ended | None:
         progress.stage = "running"
         address = self._claims.find_address(claim.worker)
+        progress.host = claim.worker
         progress.address, progress.task = address or "", claim.task
         overrun_limit_at_ms = job.deadline_at_ms + MAX_OVERRUN_MS
         is_overdue = self._log_clock.to_monotonic_ms(overrun_limit_at_ms) <= (
@@ -194,6 +195,7 @@
             body = base64.b64decode(job.body)
             order = build_order(entry, placement, body, LEASE_MS)
             progress.stage = "running"
+            progress.host = placement.host
             progress.address, progress.task = placement.address, order.task
             end = await self._task_runner.run_task(
                 placement.address,
--- a/src/bergamotgap/node/jobs.py
+++ b/src/bergamotgap/node/jobs.py
@@ -268,7 +268,7 @@
             # An accepted job must not be lost because of a bug, so it is run again.
             log.error("job run failed", job=driver.job.job, error=repr(run.exception()))
             if progress.stage != "queued":
-                progress.failures.append(f"{progress.address}: no outcome")
+                progress.failures.append(f"{progress.host}: no outcome")
             await self._clock.sleep_ms(RESTART_DELAY_MS)
         progress.stage = "queued"
         return None
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -2,12 +2,16 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Any
 
 import pytest
 
 from bergamotgap.domain.records import Ended, JobAccepted
+from bergamotgap.node.placement import Placement
 from bergamotgap.node.work_errors import RequestRefusedError
-from tests.fakes_work import HOSTS, FakeFleet, run_ready_tasks
+from tests.fakes_work import HOSTS, FakeFleet, FakePlacer, run_ready_tasks
 from tests.job_cases import assert_one_outcome_per_job, wait_for_outcome
 
 
@@ -65,6 +69,32 @@
     assert len(fleet.log.list_applied(JobAccepted)) == 1
 
 
+async def test_a_job_whose_attempt_raises_avoids_that_host(
+    fleet: FakeFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against repeats on a host whose attempts end in an unexpected error."""
+    run, place = fleet.workers.run, FakePlacer.place
+    tried: list[str] = []
+
+    @asynccontextmanager
+    async def place_at_address(*args: Any) -> AsyncIterator[Placement]:
+        async with place(*args) as placement:
+            yield replace(placement, address=f"{placement.host}.example:80")
+
+    def raise_first(address: str, *args: Any) -> Any:
+        host = address.removesuffix(".example:80")
+        tried.append(host)
+        if len(tried) == 1:
+            raise RuntimeError("unexpected")
+        return run(host, *args)
+
+    monkeypatch.setattr(FakePlacer, "place", place_at_address)
+    monkeypatch.setattr(fleet.workers, "run", raise_first)
+    job = await fleet.submit("a", "tool-run")
+    assert await wait_for_outcome(fleet, job) == "done"
+    assert tried[0] != tried[1]
+
+
 async def test_failing_job_ends_with_its_reason_and_counts_against_no_worker(
     fleet: FakeFleet,
 ) -> None:
