--- a/src/bergamotgap/pools/journal.py
+++ b/src/bergamotgap/pools/journal.py
@@ -106,7 +106,7 @@
             while self._dirty_keys:
                 taken, records, change = self._take_batch()
                 try:
-                    is_appended = await self._append(records)
+                    is_appended = not records or await self._append(records)
                 except Exception:
                     # The changes stay queued for the next run, behind newer ones.
                     self._dirty_keys = taken | self._dirty_keys
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -211,6 +211,27 @@
     run_virtual(main())
 
 
+def test_a_change_that_cannot_be_encoded_is_not_durable_and_holds_up_no_other() -> None:
+    """Guards against one job that stops a pool's journal, or is lost silently."""
+
+    def raise_error() -> bytes:
+        raise OverflowError("unexpected")
+
+    async def main() -> None:
+        store = FakeStore()
+        journal = Journal(store, "t", 0, Fence("p", 1, 0), LoopClock(), lambda: None)
+        running = asyncio.create_task(journal.run())
+        broken = journal.put("broken", raise_error)
+        await asyncio.sleep(1)
+        assert store.appends == 0
+        await journal.wait_committed(journal.put("key", lambda: b"value"))
+        assert not journal.is_committed(broken)
+        assert not await journal.wait_committed_within(broken, 1000)
+        running.cancel()
+
+    run_virtual(main())
+
+
 def test_a_task_whose_start_raises_runs_all_the_same() -> None:
     """Guards against a task that waits forever for an order that ended in an error."""
 
