--- a/bench/turning_demand.py
+++ b/bench/turning_demand.py
@@ -283,16 +283,9 @@
         return self.result
 
     async def _run_mover(self) -> None:
-        move_ms = int(MOVE_S * 1000)
-        mover = HostMover(
-            self,
-            self._call_owner,
-            lambda: True,
-            1,
-            self._moves_per_round,
-            move_ms,
-            self.clock,
-        )
+        token, move_ms = 1, int(MOVE_S * 1000)
+        limits = (token, self._moves_per_round, move_ms)
+        mover = HostMover(self, self._call_owner, lambda: True, *limits, self.clock)
         while self._has_moves:
             await asyncio.sleep(ROUND_S)
             await mover.run_round(self.config, self._hosts, set())
--- a/tests/test_operators_warnings.py
+++ b/tests/test_operators_warnings.py
@@ -11,11 +11,17 @@
 from bergamotgap.domain.fleet import JobPhase, StepSpec
 from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
 from bergamotgap.pools.partition_follower import PartitionFollower
-from bergamotgap.ports.fleet import HistoryGoneError, KeyedLogPage, KeyedRecord
+from bergamotgap.ports.fleet import (
+    Fence,
+    HistoryGoneError,
+    KeyedLogPage,
+    KeyedRecord,
+)
 from stand_ins.pools import SETTINGS, FakeStore, build_job
 from stand_ins.virtual_time import LoopClock, run_virtual
-from tests.pool_scene import Scene
+from tests.pool_scene import PARTITION, Scene
 
+PRODUCER = "pool/previews"
 LONG_STEP = StepSpec(count=6, cpu=1000, estimated_ms=8000)
 
 
@@ -86,23 +92,36 @@
     run_virtual(main())
 
 
+class PausingClock(LoopClock):
+    """Clock of a process that was paused for `paused_ms`."""
+
+    paused_ms = 0
+
+    def monotonic_ms(self) -> int:
+        return super().monotonic_ms() + self.paused_ms
+
+
 def test_an_owner_paused_beyond_its_permission_starts_nothing() -> None:
     """Guards against a start by a process that was paused while it lost its pool."""
 
     async def main() -> None:
-        scene = Scene(workers=1, run_s=1)
-        async with scene.run_owner(1) as (pool, orders):
+        scene = Scene()
+        clock = scene.clock = PausingClock()
+        async with scene.run_owner(1) as (pool, _):
             await asyncio.sleep(0.5)
-            # The store answers the record of the start only after the pause.
-            orders.unreachable_workers = set(scene.workers)
+            submission = asyncio.create_task(pool.submit(build_job()))
+            links = pool.run_tracker.links
+            while not any(link.runs for link in links.values()):
+                await asyncio.sleep(0.001)
+            # The starts wait for their record, whose append was sent before the pause.
             scene.is_confirmed = False
-            scene.confirmation_lost_ms = scene.clock.monotonic_ms() - 5000
-            pool.journal.last_append_ms = scene.clock.monotonic_ms() - 5000
-            for link in pool.run_tracker.links.values():
-                link.answered_ms -= 5000
-            await pool.submit(build_job())
-            pool.journal.last_append_ms = scene.clock.monotonic_ms() - 5000
+            scene.confirmation_lost_ms = clock.monotonic_ms()
+            clock.paused_ms = 5000
+            await scene.store.append(
+                *PARTITION, [KeyedRecord("owner", b"2")], fence=Fence(PRODUCER, 2, 0)
+            )
             await asyncio.sleep(3)
+            submission.cancel()
         assert scene.count_starts() == {}
 
     run_virtual(main())
@@ -160,9 +179,7 @@
         for record in records:
             await store.append("keyed.owners", 0, [record])
         await registry.follower.refresh()
-        registry.follower.next_offset = 0
-        for record in (records[0],):
-            registry._apply_record(record)
+        registry._apply_record(records[0])
         assert registry.get_owner_address("p") == "b:1"
 
     run_virtual(main())
