Log whether a lost worker has crashed, and which runs it took along

The log said that a run was lost when its lease ended, and neither whether the worker had crashed or was cut off nor which runs were just starting. A later life of the same host now proves a crash, an answer of the lost life disproves it. Polls of stalled runs and the runs of a worker move to modules of their own, without a change of behaviour.

--- a/src/bergamotgap/adapters/job_explanation.py
+++ b/src/bergamotgap/adapters/job_explanation.py
@@ -28,7 +28,14 @@
 SHORTAGE_RATIO = 1.2
 # Events after which a task has to be started again.
 DELAY_EVENTS = frozenset(
-    {"run lost", "run failed", "run stalled", "start refused", "start unanswered"}
+    {
+        "run ended by crash",
+        "run lost",
+        "run failed",
+        "run stalled",
+        "start refused",
+        "start unanswered",
+    }
 )
 
 
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -1,10 +1,11 @@
 """Metrics gauges of a node that owns pools."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from bergamotgap.adapters.metrics import GaugeReading, Metrics
 from bergamotgap.domain.clock import Clock
 from bergamotgap.pools.fleet_node import FleetNode
+from bergamotgap.pools.pool import Pool
 
 
 def register_gauges(metrics: Metrics, node: FleetNode, clock: Clock) -> None:
@@ -29,24 +30,31 @@
             for phase, count in pool.job_table.count_jobs_by_phase().items():
                 yield count, {"pool": name, "phase": phase}
 
-    def read_workers() -> Iterable[GaugeReading]:
-        for name, pool in node.pools.items():
-            yield len(pool.run_tracker.list_usable_links(clock.monotonic_ms())), {
-                "pool": name
-            }
-
-    def read_runs() -> Iterable[GaugeReading]:
-        for name, pool in node.pools.items():
-            runs = sum(len(link.runs) for link in pool.run_tracker.links.values())
-            yield runs, {"pool": name}
-
-    def read_journal_age() -> Iterable[GaugeReading]:
-        for name, pool in node.pools.items():
-            age_ms = clock.monotonic_ms() - pool.journal.last_append_ms
-            yield age_ms, {"pool": name}
-
-    observe = metrics.observe_gauge
-    observe("pool_jobs", "Jobs of an owned pool by phase", read_jobs)
-    observe("pool_workers", "Usable workers of an owned pool", read_workers)
-    observe("pool_runs", "Runs on an owned pool's workers", read_runs)
-    observe("pool_journal_age_ms", "Time since the last append", read_journal_age)
+    def observe(name: str, description: str, read: Callable[[Pool], float]) -> None:
+        metrics.observe_gauge(
+            name,
+            description,
+            lambda: [(read(pool), {"pool": key}) for key, pool in node.pools.items()],
+        )
+
+    metrics.observe_gauge("pool_jobs", "Jobs of an owned pool by phase", read_jobs)
+    observe(
+        "pool_workers",
+        "Usable workers of an owned pool",
+        lambda pool: len(pool.run_tracker.list_usable_links(clock.monotonic_ms())),
+    )
+    observe(
+        "pool_runs",
+        "Runs on an owned pool's workers",
+        lambda pool: sum(len(link.runs) for link in pool.run_tracker.links.values()),
+    )
+    observe(
+        "pool_journal_age_ms",
+        "Time since the last append",
+        lambda pool: clock.monotonic_ms() - pool.journal.last_append_ms,
+    )
+    observe(
+        "pool_crashes",
+        "Crashes of workers with runs in this term",
+        lambda pool: pool.crash_watch.crashes,
+    )
--- a/src/bergamotgap/pools/link_interface.py
+++ b/src/bergamotgap/pools/link_interface.py
@@ -1,5 +1,6 @@
 """Runs and orders of a worker link, and its interfaces to the pool."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -17,7 +18,9 @@
 
     `start_accepted_ms` is when the worker accepted the start, `stop_accepted_ms` when
     it accepted a stop. A requested stop is repeated until it is accepted;
-    `is_stop_sent` is cleared when a stop has to be sent again.
+    `is_stop_sent` is cleared when a stop has to be sent again. `is_start_sent`: the
+    worker may have received the start. `has_survived_start`: a poll listed the run some
+    time after its start.
     """
 
     task: Task
@@ -26,6 +29,19 @@
     stop_accepted_ms: int | None = None
     is_stop_requested: bool = False
     is_stop_sent: bool = False
+    is_start_sent: bool = False
+    has_survived_start: bool = False
+
+
+def build_adopted_run(task: Task, run: int, now_ms: int) -> LiveRun:
+    """Return a run that a poll listed and that another owner had started."""
+    return LiveRun(
+        task,
+        run,
+        start_accepted_ms=now_ms,
+        is_start_sent=True,
+        has_survived_start=True,
+    )
 
 
 @dataclass(frozen=True)
@@ -79,6 +95,11 @@
     def handle_ended(self, link: "WorkerLink", end: EndReport) -> None:
         """Handle the end of a run when a poll first lists it."""
 
+    def handle_worker_lost(
+        self, link: "WorkerLink", runs: Sequence[LiveRun], reason: str
+    ) -> None:
+        """Handle the loss of all runs at once; each is reported after this call."""
+
     def handle_lost(self, link: "WorkerLink", live: LiveRun, reason: str) -> None:
         """Handle a run that is gone from the worker without a reported end."""
 
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -15,12 +15,14 @@
 from bergamotgap.domain.pool_sizes import IdleHost
 from bergamotgap.domain.task_placement import LATE, ON_TIME
 from bergamotgap.node.supervision import supervise
+from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.link_interface import LiveRun
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.stalled_runs import stop_stalled_runs
 from bergamotgap.pools.task_placer import TaskPlacer
 from bergamotgap.pools.ticket_cache import TicketCache
 from bergamotgap.pools.worker_link import WorkerLink
@@ -94,6 +96,7 @@
             store, self._topic, self._part, fence, clock, self._handle_fenced
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
+        self.crash_watch = CrashWatch(name, clock)
 
     async def __aenter__(self) -> Self:
         """Fence former owners, restore the jobs and start; raises StoreError."""
@@ -113,6 +116,7 @@
             self._clock,
             self._confirmation,
             self._handle_superseded,
+            self.crash_watch,
         )
         self.job_table.on_job_accepted = self.run_tracker.placement_needed.set
         self._ticket_cache = TicketCache(
@@ -200,7 +204,7 @@
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
             await self.run_tracker.close_removable_links()
             if self.run_tracker.ownership.may_act():
-                self.run_tracker.stop_stalled_runs()
+                stop_stalled_runs(self.run_tracker, self.job_table, self._clock)
             self.job_table.delete_expired_jobs()
             self.run_tracker.placement_needed.set()
 
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -1,7 +1,7 @@
 """Tracks the runs of a pool's tasks by the reports of its workers."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import MS_PER_SECOND, Clock
@@ -9,11 +9,11 @@
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pacing import list_pace_changes
 from bergamotgap.domain.run_time_ratios import RunTimeRatios
-from bergamotgap.domain.stalls import is_stalled
 from bergamotgap.domain.task_placement import JobRank, rank_job
+from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.journal import Journal
-from bergamotgap.pools.link_interface import LiveRun
+from bergamotgap.pools.link_interface import LiveRun, build_adopted_run
 from bergamotgap.pools.link_manager import LinkManager
 from bergamotgap.pools.ownership_guard import LogConfirmation, OwnershipGuard, Term
 from bergamotgap.pools.settings import PoolSettings
@@ -40,6 +40,8 @@
 # A worker that fails this many runs in a row is quarantined.
 FAILURES_TO_QUARANTINE = 3
 QUARANTINE_MS = 4000
+# A run that a poll lists this long after its start has survived the start.
+START_MS = 200
 
 log = get_logger(__name__)
 
@@ -60,8 +62,10 @@
         clock: Clock,
         confirmation: LogConfirmation,
         on_superseded: Callable[[str], None],
+        crash_watch: CrashWatch,
     ) -> None:
         self._term = term
+        self._crash_watch = crash_watch
         self._job_table = job_table
         self._journal = journal
         self._orders = orders
@@ -98,6 +102,7 @@
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
         """Apply the current list of the pool's workers."""
         self._link_manager.update_workers(workers)
+        self._crash_watch.update_workers(workers)
         self.placement_needed.set()
 
     def _build_link(self, info: WorkerInfo) -> WorkerLink:
@@ -115,31 +120,6 @@
         """Close the links to workers that left and hold no runs."""
         await self._link_manager.close_removable_links()
 
-    def stop_stalled_runs(self) -> None:
-        """Stop runs without progress on workers that answer; quarantine the workers."""
-        now_ms = self._clock.monotonic_ms()
-        for link in list(self.links.values()):
-            for live in list(link.runs.values()):
-                task = live.task
-                ratio = self._get_estimate_ratio(task)
-                if not is_stalled(task, ratio, link.answered_ms):
-                    continue
-                log.warning(
-                    "run stalled",
-                    task=task.task_id,
-                    run=live.run,
-                    worker=link.worker_id,
-                    percent=task.percent,
-                    still_ms=now_ms - task.progress_changed_ms,
-                )
-                task.failed_on.add(link.worker_id)
-                link.quarantine(QUARANTINE_MS)
-                self.stop_run(task)
-
-    def _get_estimate_ratio(self, task: Task) -> float:
-        job = self._job_table.jobs.get(task.task_id.job)
-        return self.estimates.get_ratio(job.spec.queue) if job else 1.0
-
     def choose_run_number(self, task: Task) -> int:
         """Return the number of a task's next run, above those of its earlier runs."""
         first = (self._term.number - 1) * RUNS_PER_TERM + 1
@@ -215,6 +195,7 @@
 
     def handle_polled(self, link: WorkerLink) -> None:
         """Pace filler tasks by the worst tail latency of the serving tasks there."""
+        self._crash_watch.record_answer(link.info)
         tasks = [live.task for live in link.runs.values() if not live.is_stop_requested]
         for task, percent in list_pace_changes(tasks):
             log.info(
@@ -291,6 +272,9 @@
         if report.percent != task.percent:
             task.progress_changed_ms = self._clock.monotonic_ms()
         task.percent = report.percent
+        if live.start_accepted_ms is not None:
+            age_ms = self._clock.monotonic_ms() - live.start_accepted_ms
+            live.has_survived_start |= age_ms >= START_MS
         task.latency_or_cpu = report.latency_or_cpu
         task.checkpoint = report.checkpoint or task.checkpoint
 
@@ -305,7 +289,7 @@
         if job.phase.is_final or task.phase is not TaskPhase.WAITING:
             # The run is not wanted, but holds capacity until it is gone.
             task = Task(report.task, task.step)
-            link.add_run(LiveRun(task, report.run, start_accepted_ms=now_ms))
+            link.add_run(build_adopted_run(task, report.run, now_ms))
             link.queue_stop(report.task, report.run)
             return
         task.phase = TaskPhase.RUNNING
@@ -313,7 +297,7 @@
         task.worker_id = link.worker_id
         task.percent = report.percent
         task.started_ms = task.progress_changed_ms = now_ms
-        link.add_run(LiveRun(task, report.run, start_accepted_ms=now_ms))
+        link.add_run(build_adopted_run(task, report.run, now_ms))
         self._record_assigned_worker(job, link.worker_id)
         job.mark_started()
         log.info("run adopted", task=report.task, run=report.run, worker=link.worker_id)
@@ -377,6 +361,13 @@
             task.requeue(end.checkpoint)
             self._job_table.pending[job.job_id] = job
 
+    def handle_worker_lost(
+        self, link: WorkerLink, runs: Sequence[LiveRun], reason: str
+    ) -> None:
+        """Watch the worker, unless it was being drained."""
+        if not link.is_leaving:
+            self._crash_watch.record_loss(link.info, runs, reason)
+
     def handle_lost(self, link: WorkerLink, live: LiveRun, reason: str) -> None:
         """Return a task to waiting whose run is gone without a reported end."""
         if reason != "stopped":
--- /dev/null
+++ b/src/bergamotgap/pools/stalled_runs.py
@@ -0,0 +1,37 @@
+"""Stops runs that make no progress on workers that answer."""
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.job_state import Task
+from bergamotgap.domain.stalls import is_stalled
+from bergamotgap.pools.job_table import JobTable
+from bergamotgap.pools.run_tracker import QUARANTINE_MS, RunTracker
+
+log = get_logger(__name__)
+
+
+def stop_stalled_runs(tracker: RunTracker, job_table: JobTable, clock: Clock) -> None:
+    """Stop runs without progress on workers that answer; quarantine the workers."""
+    now_ms = clock.monotonic_ms()
+    for link in list(tracker.links.values()):
+        for live in list(link.runs.values()):
+            task = live.task
+            ratio = _get_estimate_ratio(tracker, job_table, task)
+            if not is_stalled(task, ratio, link.answered_ms):
+                continue
+            log.warning(
+                "run stalled",
+                task=task.task_id,
+                run=live.run,
+                worker=link.worker_id,
+                percent=task.percent,
+                still_ms=now_ms - task.progress_changed_ms,
+            )
+            task.failed_on.add(link.worker_id)
+            link.quarantine(QUARANTINE_MS)
+            tracker.stop_run(task)
+
+
+def _get_estimate_ratio(tracker: RunTracker, job_table: JobTable, task: Task) -> float:
+    job = job_table.jobs.get(task.task_id.job)
+    return tracker.estimates.get_ratio(job.spec.queue) if job else 1.0
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -4,9 +4,8 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.fleet import TaskId, WorkerInfo, WorkerState
+from bergamotgap.domain.fleet import TaskId, WorkerInfo
 from bergamotgap.domain.job_state import Task
-from bergamotgap.domain.task_placement import WorkerCapacity
 from bergamotgap.pools.link_interface import (
     LinkEventHandler,
     LiveRun,
@@ -18,6 +17,7 @@
 from bergamotgap.pools.order_queue import Order, OrderQueue, await_outcome
 from bergamotgap.pools.run_lease import RunLease
 from bergamotgap.pools.settings import PoolSettings
+from bergamotgap.pools.tracked_worker import TrackedWorker
 from bergamotgap.ports.fleet import (
     Accepted,
     Lease,
@@ -44,7 +44,7 @@
 log = get_logger(__name__)
 
 
-class WorkerLink:
+class WorkerLink(TrackedWorker):
     """Send orders to one worker and poll it, each in its own asyncio task."""
 
     def __init__(
@@ -57,20 +57,15 @@
         settings: PoolSettings,
         clock: Clock,
     ) -> None:
-        self.info = info
-        self.capacity = WorkerCapacity(info)
-        self.runs: dict[TaskId, LiveRun] = {}
+        super().__init__(info, clock)
         self.was_polled = False
         self.is_listed = True
-        self.draining_until_ms = 0
-        self.quarantined_until_ms = 0
         self.consecutive_failures = 0
         self._token = token
         self._orders = orders
         self._events = events
         self._ownership = ownership
         self._settings = settings
-        self._clock = clock
         self._queue = OrderQueue(self._send)
         self._poll_requested = asyncio.Event()
         self._poll_requested.set()
@@ -79,17 +74,12 @@
         self._is_silent = False
         self._last_end_sequence = 0
         self._acked_end_sequence = 0
-        self.answered_ms = self.idle_since_ms = clock.monotonic_ms()
+        self.answered_ms = clock.monotonic_ms()
         # A former owner may have renewed the lease until its token was refused.
         self._lease = RunLease(
             token, settings.run_lease_ms, settings.former_lease_ms, clock
         )
 
-    @property
-    def worker_id(self) -> str:
-        """The worker's id."""
-        return self.info.worker_id
-
     @property
     def are_runs_known(self) -> bool:
         """Whether every run that may be on the worker is known."""
@@ -107,8 +97,7 @@
             and self.is_listed
             and not self._unknown_runs
             and not self._is_silent
-            and now_ms >= self.draining_until_ms
-            and self.info.state is WorkerState.READY
+            and not self.is_leaving
             and now_ms >= self.quarantined_until_ms
         )
 
@@ -124,18 +113,6 @@
         self.add_run(live)
         self._queue.put(PendingStart(live, payload, change, ticket))
 
-    def add_run(self, live: LiveRun) -> None:
-        """Track a run and hold capacity for it."""
-        self.runs[live.task.task_id] = live
-        self.capacity.reserve(live.task)
-
-    def remove_run(self, live: LiveRun) -> None:
-        """Stop tracking a run and release its capacity."""
-        if self.runs.get(live.task.task_id) is live:
-            del self.runs[live.task.task_id]
-            self.capacity.release(live.task)
-            self.idle_since_ms = self._clock.monotonic_ms()
-
     def queue_stop(self, task_id: TaskId, run: int) -> None:
         """Queue a stop of a run, unless one is queued or sent already."""
         live = self.runs.get(task_id)
@@ -159,16 +136,11 @@
         task.pace = percent
         self._queue.put(PaceOrder(task.task_id, task.run, percent))
 
-    def withhold_work(self, duration_ms: int) -> None:
-        """Give the worker no new work for a time because it is being drained."""
-        self.draining_until_ms = self._clock.monotonic_ms() + duration_ms
-
     def handle_restart(self, info: WorkerInfo) -> None:
         """Switch to a new incarnation of the worker; runs of the former are lost."""
         log.info("listed as restarted", worker=self.worker_id, runs=len(self.runs))
+        self._remove_runs(list(self.runs.values()), "restart")
         self.info = self.capacity.info = info
-        for live in list(self.runs.values()):
-            self._remove_lost_run(live, "restart")
         self.was_polled = False
         self.draining_until_ms = self.quarantined_until_ms = 0
         self._last_end_sequence = self._acked_end_sequence = self._incarnation_ms = 0
@@ -176,11 +148,6 @@
         self._is_silent = False
         self.request_poll()
 
-    def quarantine(self, duration_ms: int) -> None:
-        """Give the worker no new work for at least `duration_ms`."""
-        until_ms = self._clock.monotonic_ms() + duration_ms
-        self.quarantined_until_ms = max(self.quarantined_until_ms, until_ms)
-
     async def run_orders(self) -> None:
         """Send queued orders until cancelled."""
         await self._queue.run()
@@ -211,6 +178,7 @@
         order = StartOrder(
             task.task_id, live.run, call.payload, task.checkpoint, call.ticket
         )
+        live.is_start_sent = True
         outcome = await await_outcome(self._orders.start(self.info, order, lease))
         now_ms = self._clock.monotonic_ms()
         self._record_outcome(outcome, now_ms)
@@ -360,9 +328,12 @@
     def _handle_polled_restart(self) -> None:
         log.warning("worker restarted", worker=self.worker_id, runs=len(self.runs))
         self._last_end_sequence = self._acked_end_sequence = 0
-        for live in list(self.runs.values()):
-            if live.start_accepted_ms is not None or live.is_stop_requested:
-                self._remove_lost_run(live, "restart")
+        runs = [
+            live
+            for live in self.runs.values()
+            if live.start_accepted_ms is not None or live.is_stop_requested
+        ]
+        self._remove_runs(runs, "restart")
 
     def _check_missing_run(self, live: LiveRun, sent_ms: int) -> None:
         stop_ms = live.stop_accepted_ms
@@ -375,6 +346,12 @@
         ):
             self._remove_lost_run(live, "vanished")
 
+    def _remove_runs(self, runs: list[LiveRun], reason: str) -> None:
+        if runs:
+            self._events.handle_worker_lost(self, runs, reason)
+        for live in runs:
+            self._remove_lost_run(live, reason)
+
     def _remove_lost_run(self, live: LiveRun, reason: str) -> None:
         self.remove_run(live)
         self._events.handle_lost(self, live, reason)
@@ -382,8 +359,7 @@
     def _remove_expired_runs(self) -> None:
         if not self._lease.is_expired or not self._ownership.may_abandon_runs():
             return
-        for live in list(self.runs.values()):
-            self._remove_lost_run(live, "lease_ended")
+        self._remove_runs(list(self.runs.values()), "lease_ended")
 
     @property
     def is_removable(self) -> bool:
