Try tasks apart from others after a crash, and give up those at fault

What callers saw: a job whose task crashes each worker that starts it never ended, and took the runs of all its neighbours along, worker after worker. Cause: a run that was lost with its worker went back to waiting uncounted. Class of the fault: a retry without a budget.

A task that was on a crashed worker and had not survived its start, or was lost before, is now tried on a worker without other starts, and its step with it. A job is given up, as failed, after two crashes of workers that had started one of its tasks, if only it can have caused both, or after one such crash and another while most jobs of the queue crash workers, or after four of any kind. New jobs of a queue are tried first while a third of its jobs crash workers. What a task is exposed to is recorded with its job before each trial, so the count outlives the owner.

--- /dev/null
+++ b/src/bergamotgap/domain/crash_suspicion.py
@@ -0,0 +1,118 @@
+"""Which tasks are suspected of a worker's crash, and when one is given up."""
+
+from collections import deque
+from collections.abc import Collection
+from typing import NamedTuple
+
+import msgspec
+
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.job_state import Exposure, Task
+
+# A run that a poll lists this long after its start has survived the start.
+START_MS = 200
+# A task that was tried alone for this long may run beside others again.
+TRIAL_MS = 1000
+# A task that works this long doesn't cause the crashes counted for it: over days, the
+# workers of a task crash for other reasons as well.
+ACQUITTAL_MS = 60_000
+# A task is given up after so many crashes that only it can have caused, or after so
+# many crashes of any kind, for tasks that crash their workers long after the start.
+BLAMED_CRASHES_TO_GIVE_UP = 2
+MIN_CRASHES_TO_GIVE_UP = 2
+CRASHES_TO_GIVE_UP = 4
+# Outcomes by which a pool judges how likely a job of a queue crashes its worker.
+OUTCOMES_REMEMBERED = 12
+MIN_OUTCOMES = 4
+OUTCOME_TTL_MS = 15_000
+# Above this share of jobs that crash workers, one blamed crash is enough to give up a
+# task. Above the other, new jobs are tried apart from others: a worker usually starts
+# tasks of three jobs or more at a time.
+CONVICTION_SHARE = 1 / 2
+PROBATION_SHARE = 1 / 3
+
+
+class LostRun(NamedTuple):
+    """A run that was lost with its worker, and whether it had survived its start."""
+
+    task: Task
+    has_survived_start: bool
+
+
+def record_loss(runs: Collection[LostRun], worker_id: str) -> None:
+    """Mark the suspects among the tasks of a worker that was lost.
+
+    Suspects are the tasks that had not survived their start, and those that were lost
+    before. If only one job has tasks of the first kind, the crash is blamed on them.
+    """
+    starting_jobs = {run.task.task_id.job for run in runs if not run.has_survived_start}
+    for task, has_survived_start in runs:
+        was_lost_before = bool(task.crashed_workers) or len(task.exposures) > 1
+        if not has_survived_start or was_lost_before:
+            task.runs_alone = True
+        exposure = task.get_exposure(worker_id)
+        if exposure is not None:
+            is_blamed = not has_survived_start and len(starting_jobs) == 1
+            task.begin_exposure(msgspec.structs.replace(exposure, is_blamed=is_blamed))
+
+
+def record_crash(task: Task, exposure: Exposure) -> None:
+    """Count a proven crash of a worker that is known to have started the task."""
+    task.end_exposure(exposure.worker_id)
+    if exposure.has_started:
+        task.crashed_workers = (*task.crashed_workers, exposure.worker_id)
+        task.blamed_crashes += exposure.is_blamed
+    task.runs_alone = task.runs_alone or len(task.crashed_workers) > 1
+
+
+def record_age(task: Task, age_ms: int) -> None:
+    """Release a task from trial, and later acquit it, by the age of its run."""
+    if age_ms >= TRIAL_MS:
+        task.runs_alone = False
+    if age_ms >= ACQUITTAL_MS:
+        task.crashed_workers, task.blamed_crashes = (), 0
+
+
+def is_given_up(task: Task, crash_share: float) -> bool:
+    """Return whether the task crashed so many workers that it must not start again.
+
+    A worker may crash for another reason at the start of a task. That is unlikely while
+    most jobs of the queue crash workers (`crash_share`), so one blamed crash is enough
+    then.
+    """
+    needed = 1 if crash_share > CONVICTION_SHARE else BLAMED_CRASHES_TO_GIVE_UP
+    crashes = len(task.crashed_workers)
+    return crashes >= CRASHES_TO_GIVE_UP or (
+        crashes >= MIN_CRASHES_TO_GIVE_UP and task.blamed_crashes >= needed
+    )
+
+
+class StartOutcomes:
+    """Remember whether the jobs that a queue started last crashed their workers."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        # By queue: time (monotonic, ms), job, and whether it was blamed for a crash.
+        self._outcomes: dict[str, deque[tuple[int, str, bool]]] = {}
+
+    def record_crash(self, queue: str, job_id: str) -> None:
+        """Record that a job was blamed for a crash."""
+        outcomes = self._outcomes.setdefault(queue, deque(maxlen=OUTCOMES_REMEMBERED))
+        outcomes.append((self._clock.monotonic_ms(), job_id, True))
+
+    def record_survival(self, queue: str, job_id: str) -> None:
+        """Record that a worker survived a start of a job; once for a job in a row."""
+        outcomes = self._outcomes.get(queue)
+        if outcomes and outcomes[-1][1:] != (job_id, False):
+            outcomes.append((self._clock.monotonic_ms(), job_id, False))
+
+    def measure_crash_share(self, queue: str) -> float:
+        """Return the share of jobs blamed for a crash; 0 if too few are known."""
+        outcomes = self._outcomes.get(queue)
+        if not outcomes:
+            return 0.0
+        since_ms = self._clock.monotonic_ms() - OUTCOME_TTL_MS
+        recent = [crashed for at_ms, _, crashed in outcomes if at_ms >= since_ms]
+        if not recent:
+            del self._outcomes[queue]
+        return sum(recent) / len(recent) if len(recent) >= MIN_OUTCOMES else 0.0
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -23,6 +23,20 @@
     DONE = 4
 
 
+class Exposure(msgspec.Struct, frozen=True, array_like=True):
+    """One life of a worker that may have a run of a task, or was lost with it.
+
+    `has_started`: the run is known to have started. If that life has crashed,
+    `is_blamed` tells that only this job can have caused it.
+    """
+
+    worker_id: str
+    incarnation_ms: int
+    host: str
+    has_started: bool = False
+    is_blamed: bool = False
+
+
 class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
     """Persisted state of a task whose step is not done; fields as in `Task`."""
 
@@ -33,6 +47,10 @@
     failures: int
     is_done: bool
     checkpoint: str
+    exposures: tuple[Exposure, ...] = ()
+    crashed_workers: tuple[str, ...] = ()
+    blamed_crashes: int = 0
+    runs_alone: bool = False
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -55,6 +73,9 @@
     `percent` is the reported progress, `progress_changed_ms` when it last changed and
     `pace` the percentage of full speed at which a filler may work. `latency_or_cpu` is
     the worker's latest report: a tail latency in ms or the CPU use in 1/1000 cores.
+    `crashed_workers` names the workers that crashed with a run of the task, and
+    `blamed_crashes` counts those whose crash only this job can have caused. A task that
+    `runs_alone` shares no worker with other tasks that start.
     """
 
     task_id: TaskId
@@ -72,6 +93,10 @@
     latency_or_cpu: int = 0
     pace: int = 100
     failed_on: set[str] = field(default_factory=set)
+    exposures: tuple[Exposure, ...] = ()
+    crashed_workers: tuple[str, ...] = ()
+    blamed_crashes: int = 0
+    runs_alone: bool = False
 
     @property
     def is_active(self) -> bool:
@@ -83,6 +108,27 @@
         """Return whether a long-running task has completed its startup."""
         return self.phase is TaskPhase.RUNNING and self.percent >= 100
 
+    def begin_exposure(self, exposure: Exposure) -> None:
+        """Record that a worker may get a run of the task."""
+        self.end_exposure(exposure.worker_id)
+        self.exposures = (*self.exposures, exposure)
+
+    def get_exposure(self, worker_id: str) -> Exposure | None:
+        """Return the exposure of a worker, if any."""
+        return next((e for e in self.exposures if e.worker_id == worker_id), None)
+
+    def confirm_start(self, worker_id: str) -> None:
+        """Record that a worker has started a run of the task."""
+        exposure = self.get_exposure(worker_id)
+        if exposure is not None:
+            self.begin_exposure(msgspec.structs.replace(exposure, has_started=True))
+
+    def end_exposure(self, worker_id: str) -> None:
+        """Record that a worker has no run of the task any more."""
+        self.exposures = tuple(
+            exposure for exposure in self.exposures if exposure.worker_id != worker_id
+        )
+
     def requeue(self, checkpoint: str = "") -> None:
         """Return to WAITING after a run that did not succeed."""
         if checkpoint:
@@ -96,6 +142,8 @@
         """Mark the task as done after a successful run; this is final."""
         self.phase = TaskPhase.DONE
         self.worker_id = ""
+        self.exposures = ()
+        self.runs_alone = False
 
 
 class StepOccurrence:
@@ -115,6 +163,24 @@
         ]
         self.unfinished_tasks = spec.count
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether a task must be tried apart from other jobs, and the step with it.
+
+        Tasks of one step often behave alike.
+        """
+        return any(task.runs_alone for task in self.tasks)
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a task was ever started."""
+        return any(task.run for task in self.tasks)
+
+    def require_trial(self) -> None:
+        """Let the tasks start on a worker apart from other jobs only."""
+        for task in self.tasks:
+            task.runs_alone = True
+
 
 class Job:
     """State of one job, derived from its specification and the ends of its runs.
@@ -200,6 +266,15 @@
             )
         ]
 
+    def is_waiting_for_trial(self) -> bool:
+        """Return whether tasks wait for a trial on a worker apart from other jobs."""
+        return any(
+            task.phase is TaskPhase.WAITING
+            for step in self.list_ready_steps()
+            if step.has_suspects
+            for task in step.tasks
+        )
+
     def list_tasks(self) -> list[Task]:
         """Return the tasks of all occurrences that have begun."""
         return [task for step in self._steps.values() for task in step.tasks]
@@ -277,11 +352,19 @@
                 task.failures,
                 task.phase is TaskPhase.DONE,
                 task.checkpoint,
+                task.exposures,
+                task.crashed_workers,
+                task.blamed_crashes,
+                task.runs_alone,
             )
             for step in self._steps.values()
             if step.unfinished_tasks
             for task in step.tasks
-            if task.phase is TaskPhase.DONE or task.failures or task.checkpoint
+            if task.phase is TaskPhase.DONE
+            or task.failures
+            or task.checkpoint
+            or task.exposures
+            or task.crashed_workers
         )
         workers = self.former_workers.union(self.assigned_workers)
         return JobProgress(
@@ -304,6 +387,10 @@
                 continue
             task.counted_run, task.failures = record.counted_run, record.failures
             task.checkpoint = record.checkpoint
+            task.exposures = record.exposures
+            task.crashed_workers = record.crashed_workers
+            task.blamed_crashes = record.blamed_crashes
+            task.runs_alone = record.runs_alone
             if record.is_done:
                 self.record_done(task)
         if not self.phase.is_final:
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -58,3 +58,13 @@
         "Crashes of workers with runs in this term",
         lambda pool: pool.crash_watch.crashes,
     )
+    observe(
+        "pool_suspects",
+        "Tasks suspected of a crash in this term",
+        lambda pool: pool.crash_watch.suspects,
+    )
+    observe(
+        "pool_given_up",
+        "Jobs given up in this term because a task crashes workers",
+        lambda pool: pool.crash_watch.given_up,
+    )
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -198,6 +198,19 @@
             lambda: msgspec.msgpack.encode(job.save()),
         )
 
+    def record_assigned_worker(
+        self, job: Job, worker_id: str, needs_record: bool = False
+    ) -> int:
+        """Record that a worker may have runs of a job; return the number of the change.
+
+        With `needs_record`, the present state is recorded also where the worker was
+        recorded before.
+        """
+        if needs_record or worker_id not in job.assigned_workers:
+            job.assigned_workers[worker_id] = 0
+            job.assigned_workers[worker_id] = self.record_progress(job)
+        return job.assigned_workers[worker_id]
+
     def end_job(self, job: Job, phase: JobPhase, reason: str = "") -> int:
         """End a job; return the number of the change that makes the end durable."""
         job.end(phase, self._clock.wall_ms(), reason)
@@ -252,6 +265,17 @@
         return dict(Counter(job.phase.value for job in self._jobs.values()))
 
 
+def forget_assigned_worker(job: Job, worker_id: str) -> None:
+    """Forget a worker that has no more runs of a long-running job.
+
+    Workers of other jobs are kept: those jobs end soon, and may start there again while
+    the log does not answer.
+    """
+    tasks = job.list_tasks() if job.is_long_running else []
+    if tasks and not any(task.worker_id == worker_id for task in tasks):
+        job.assigned_workers.pop(worker_id, None)
+
+
 def describe_step(step: StepSpec) -> str:
     """Format a step for a log line: tasks, 1/1000 cores, estimated ms and kind.
 
--- a/src/bergamotgap/pools/link_interface.py
+++ b/src/bergamotgap/pools/link_interface.py
@@ -67,12 +67,16 @@
 
 @dataclass(frozen=True)
 class PendingStart:
-    """Start a run once the journal change that names its worker is committed."""
+    """Start a run once the journal change that names its worker is committed.
+
+    `needs_record`: it doesn't start without a record, not even in an outage of the log.
+    """
 
     live_run: LiveRun
     payload: str
     journal_change: int
     ticket: str
+    needs_record: bool
 
 
 class LinkEventHandler(Protocol):
@@ -115,7 +119,7 @@
     def choose_poll_gap_ms(self) -> float:
         """Return how long to wait between two polls of a worker."""
 
-    async def wait_until_start_allowed(self, change: int) -> bool:
+    async def wait_until_start_allowed(self, change: int, needs_record: bool) -> bool:
         """Wait until a successor would know of a run; return whether it may start."""
 
     async def wait_for_journal(self) -> bool:
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -1,8 +1,6 @@
 """Owner of one pool: accepts its jobs and places their tasks on its workers."""
 
 import asyncio
-import math
-from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, Self
 
@@ -11,21 +9,18 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
-from bergamotgap.domain.job_state import Job, Task, TaskPhase
-from bergamotgap.domain.pool_sizes import IdleHost
-from bergamotgap.domain.task_placement import LATE, ON_TIME
+from bergamotgap.domain.job_state import Job, Task
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
-from bergamotgap.pools.link_interface import LiveRun
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
+from bergamotgap.pools.pool_demand import is_task_late, measure_demand
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.stalled_runs import stop_stalled_runs
 from bergamotgap.pools.task_placer import TaskPlacer
 from bergamotgap.pools.ticket_cache import TicketCache
-from bergamotgap.pools.worker_link import WorkerLink
 from bergamotgap.ports.fleet import (
     AdviceService,
     Fence,
@@ -46,14 +41,8 @@
 # drained worker gets no work for that time and a margin of some controller rounds.
 EXPIRY_HEARTBEATS = 3
 DRAIN_MARGIN_MS = 1000
-# Shortest time that a task holds its capacity, orders and polls included. It is also
-# the estimate for long-running tasks, which declare no run time.
-MIN_RUN_ESTIMATE_MS = 300
 # Within this time a new owner has polled each worker that answers at least twice.
 FIRST_POLLS_MS = 1300
-# Share of the work that can only end too late to be of value that a pool's demand
-# includes. It is above 0 so that such work still ends at some time.
-WORTHLESS_SHARE = 0.1
 # How long late work is not placed after a request to yield; longer than the interval
 # between such requests.
 YIELD_DURATION_MS = 400
@@ -96,7 +85,7 @@
             store, self._topic, self._part, fence, clock, self._handle_fenced
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
-        self.crash_watch = CrashWatch(name, clock)
+        self.crash_watch = CrashWatch(name, self.job_table, clock, self._give_up_job)
 
     async def __aenter__(self) -> Self:
         """Fence former owners, restore the jobs and start; raises StoreError."""
@@ -106,6 +95,7 @@
         )
         newest = await self._store.read_newest_values(self._topic, self._part)
         open_jobs = self.job_table.restore(newest.values)
+        self.crash_watch.watch_inherited_runs()
         self.journal.last_append_ms = self._clock.monotonic_ms()
         self.run_tracker = RunTracker(
             self.term,
@@ -123,7 +113,12 @@
             self._advice, self._clock, self.run_tracker.placement_needed.set
         )
         self._task_placer = TaskPlacer(
-            self.name, self.job_table, self.run_tracker, self._ticket_cache, self._clock
+            self.name,
+            self.job_table,
+            self.run_tracker,
+            self._ticket_cache,
+            self.crash_watch,
+            self._clock,
         )
         self.job_table.on_job_ended = self._task_placer.forget_job
         self._tasks = [
@@ -181,6 +176,10 @@
         await self.job_table.wait_for_durable_end(job)
         return True
 
+    def _give_up_job(self, job: Job) -> None:
+        self.run_tracker.stop_job_runs(job)
+        self.job_table.end_job(job, JobPhase.FAILED, "crashes_workers")
+
     async def confirm_ownership(self) -> bool:
         """Return whether the log shows no newer owner, as of this call."""
         try:
@@ -245,7 +244,9 @@
             if live.task.step.is_long_running:
                 if may_stop and self._may_stop_task(live.task):
                     self.run_tracker.stop_run(live.task)
-            elif stops_late and self._is_task_late(live.task, now_ms):
+            elif stops_late and is_task_late(
+                live.task, self.job_table, self.run_tracker, now_ms
+            ):
                 self.run_tracker.stop_run(live.task)
         return DrainReply(link.is_empty)
 
@@ -261,118 +262,15 @@
         return unavailable < max(1, task.step.max_unavailable)
 
     def measure_demand(self, must_yield: bool) -> DemandReply:
-        """Return the cores that tasks need, and the idle workers.
+        """Return what the pool needs and can give away.
 
-        Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts.
         With `must_yield` no late work is started for a while, so that workers become
         idle.
         """
         now_ms = self._clock.monotonic_ms()
         if must_yield:
             self._task_placer.late_work_paused_until_ms = now_ms + YIELD_DURATION_MS
-        links = self.run_tracker.list_usable_links(now_ms)
-        waiting_ms = late_ms = 0.0
-        for job in self.job_table.pending.values():
-            lateness = self.run_tracker.rank_job(job, now_ms)[0]
-            if lateness == ON_TIME:
-                waiting_ms += self._measure_waiting_work(job)
-            else:
-                share = 1.0 if lateness == LATE else WORTHLESS_SHARE
-                late_ms += share * self._measure_waiting_work(job)
-        late_runs = self._list_late_runs(links, now_ms)
-        late_counts = Counter(link.worker_id for link, _ in late_runs)
-        idle = tuple(
-            IdleHost(
-                link.info.host,
-                link.worker_id,
-                link.info.capacity.cpu,
-                now_ms - link.idle_since_ms,
-                link.info.labels,
-            )
-            for link in links
-            if link.is_empty
-        )
-        return DemandReply(
-            used_cpu=sum(link.capacity.used_cpu for link in links),
-            waiting_ms=waiting_ms,
-            offered_cpu=self.job_table.offered_load.estimate(now_ms),
-            capacity_cpu=sum(link.info.capacity.cpu for link in links),
-            workers=len(links),
-            idle=idle,
-            late_ms=late_ms,
-            late_cpu=sum(live.task.step.size.cpu for _, live in late_runs),
-            late=tuple(
-                IdleHost(link.info.host, link.worker_id, link.info.capacity.cpu, 0)
-                for link in links
-                if link.runs and len(link.runs) == late_counts[link.worker_id]
-            ),
-            least_workers=self._count_workers_to_spread(),
-            labels=self._list_missing_labels(links),
-        )
-
-    def _list_late_runs(
-        self, links: list[WorkerLink], now_ms: int
-    ) -> list[tuple[WorkerLink, LiveRun]]:
-        """Return the runs of jobs that can't be on time any more."""
-        late_jobs: dict[str, bool] = {}
-        runs = []
-        for link in links:
-            for live in link.runs.values():
-                job_id = live.task.task_id.job
-                if job_id not in late_jobs:
-                    late_jobs[job_id] = self._is_task_late(live.task, now_ms)
-                if late_jobs[job_id]:
-                    runs.append((link, live))
-        return runs
-
-    def _is_task_late(self, task: Task, now_ms: int) -> bool:
-        job = self.job_table.jobs.get(task.task_id.job)
-        if job is None or job.is_long_running:
-            return False
-        if job.job_id not in self.job_table.pending:
-            # All tasks of the job are running. The work that they have done since
-            # their start is not in `remaining_path_ms` yet, so it is credited here.
-            starts = [other.started_ms for other in job.list_tasks() if other.is_active]
-            passed_ms = now_ms - max(starts, default=now_ms)
-            ratio = self.run_tracker.estimates.get_ratio(job.spec.queue)
-            now_ms -= int(min(passed_ms, job.remaining_path_ms * ratio))
-        return self.run_tracker.rank_job(job, now_ms)[0] > ON_TIME
-
-    def _count_workers_to_spread(self) -> int:
-        """Return how many workers long-running tasks need to be spread over."""
-        return max(
-            (
-                math.ceil(step.spec.count / step.spec.max_per_host)
-                for job in self.job_table.pending.values()
-                if job.is_long_running
-                for step in job.list_ready_steps()
-                if step.spec.max_per_host
-            ),
-            default=0,
-        )
-
-    def _list_missing_labels(self, links: list[WorkerLink]) -> tuple[str, ...]:
-        """Return the labels that waiting tasks require and no usable worker has."""
-        wanted = {
-            step.spec.requirement
-            for job in self.job_table.pending.values()
-            for step in job.list_ready_steps()
-            if step.spec.requirement
-        }
-        for link in links:
-            wanted -= link.info.labels
-        return tuple(sorted(wanted))
-
-    def _measure_waiting_work(self, job: Job) -> float:
-        """Return the work of a job's waiting tasks, in 1/1000 core-ms."""
-        ratio = self.run_tracker.estimates.get_ratio(job.spec.queue)
-        return sum(
-            task.step.size.cpu
-            * max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
-            for step in job.list_ready_steps()
-            for task in step.tasks
-            if task.phase is TaskPhase.WAITING
-        )
+        return measure_demand(self.job_table, self.run_tracker, now_ms)
 
     def dump(self) -> dict[str, Any]:
         """Return the pool's state for a state dump."""
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -5,13 +5,19 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import MS_PER_SECOND, Clock
-from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
+from bergamotgap.domain.crash_suspicion import START_MS, record_age
+from bergamotgap.domain.fleet import (
+    FleetConfig,
+    JobPhase,
+    Queue,
+    WorkerInfo,
+)
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pacing import list_pace_changes
 from bergamotgap.domain.run_time_ratios import RunTimeRatios
 from bergamotgap.domain.task_placement import JobRank, rank_job
 from bergamotgap.pools.crash_watch import CrashWatch
-from bergamotgap.pools.job_table import JobTable
+from bergamotgap.pools.job_table import JobTable, forget_assigned_worker
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.link_interface import LiveRun, build_adopted_run
 from bergamotgap.pools.link_manager import LinkManager
@@ -40,8 +46,8 @@
 # A worker that fails this many runs in a row is quarantined.
 FAILURES_TO_QUARANTINE = 3
 QUARANTINE_MS = 4000
-# A run that a poll lists this long after its start has survived the start.
-START_MS = 200
+# Reasons for which a run is gone while its worker is up.
+ENDED_REASONS = frozenset({"stopped", "vanished"})
 
 log = get_logger(__name__)
 
@@ -135,26 +141,12 @@
         task.worker_id = link.worker_id
         task.percent = 0
         task.started_ms = task.progress_changed_ms = self._clock.monotonic_ms()
-        change = self._record_assigned_worker(job, link.worker_id)
+        self._crash_watch.record_start(task, link.info, link.incarnation_ms)
+        change = self._job_table.record_assigned_worker(
+            job, link.worker_id, task.runs_alone
+        )
         link.queue_start(task, run, job.spec.payload, change, ticket)
 
-    def _record_assigned_worker(self, job: Job, worker_id: str) -> int:
-        """Record that a worker may have runs of a job; return the journal change."""
-        if worker_id not in job.assigned_workers:
-            job.assigned_workers[worker_id] = 0
-            job.assigned_workers[worker_id] = self._job_table.record_progress(job)
-        return job.assigned_workers[worker_id]
-
-    def _forget_assigned_worker(self, job: Job, worker_id: str) -> None:
-        """Forget a worker that has no more runs of a long-running job.
-
-        Workers of other jobs are kept: those jobs end soon, and may start there again
-        while the log does not answer.
-        """
-        tasks = job.list_tasks() if job.is_long_running else []
-        if tasks and not any(task.worker_id == worker_id for task in tasks):
-            job.assigned_workers.pop(worker_id, None)
-
     def stop_run(self, task: Task) -> None:
         """Queue a stop of a task's run if it is active."""
         link = self.links.get(task.worker_id)
@@ -182,11 +174,11 @@
         busy = sum(not link.is_empty for link in self.links.values())
         return max(POLL_GAP_MS, busy * MS_PER_SECOND / MAX_POLLS_PER_S)
 
-    async def wait_until_start_allowed(self, change: int) -> bool:
+    async def wait_until_start_allowed(self, change: int, needs_record: bool) -> bool:
         """Wait until a successor would know of a run; return whether it may start."""
         if await self._journal.wait_committed_within(change, START_RECORD_WAIT_MS):
             return True
-        return self.ownership.is_log_down_for_all()
+        return self.ownership.is_log_down_for_all() and not needs_record
 
     def handle_first_poll(self, link: WorkerLink) -> None:
         """Record that the worker's runs are known; it may get tasks from now on."""
@@ -195,7 +187,7 @@
 
     def handle_polled(self, link: WorkerLink) -> None:
         """Pace filler tasks by the worst tail latency of the serving tasks there."""
-        self._crash_watch.record_answer(link.info)
+        self._crash_watch.record_answer(link.worker_id, link.incarnation_ms)
         tasks = [live.task for live in link.runs.values() if not live.is_stop_requested]
         for task, percent in list_pace_changes(tasks):
             log.info(
@@ -214,6 +206,7 @@
     def handle_started(self, link: WorkerLink, live: LiveRun) -> None:
         """Mark the task and its job as running."""
         task = live.task
+        task.confirm_start(link.worker_id)
         if task.run == live.run and task.phase is TaskPhase.STARTING:
             task.phase = TaskPhase.RUNNING
             self._job_table.jobs[task.task_id.job].mark_started()
@@ -231,6 +224,7 @@
             reason=reason,
         )
         self._stop_gang(live)
+        live.task.end_exposure(link.worker_id)
         self._requeue(live)
 
     def handle_start_unanswered(self, link: WorkerLink, live: LiveRun) -> None:
@@ -274,7 +268,10 @@
         task.percent = report.percent
         if live.start_accepted_ms is not None:
             age_ms = self._clock.monotonic_ms() - live.start_accepted_ms
-            live.has_survived_start |= age_ms >= START_MS
+            if age_ms >= START_MS and not live.has_survived_start:
+                live.has_survived_start = True
+                self._crash_watch.record_survival(task)
+            record_age(task, age_ms)
         task.latency_or_cpu = report.latency_or_cpu
         task.checkpoint = report.checkpoint or task.checkpoint
 
@@ -298,7 +295,7 @@
         task.percent = report.percent
         task.started_ms = task.progress_changed_ms = now_ms
         link.add_run(build_adopted_run(task, report.run, now_ms))
-        self._record_assigned_worker(job, link.worker_id)
+        self._job_table.record_assigned_worker(job, link.worker_id)
         job.mark_started()
         log.info("run adopted", task=report.task, run=report.run, worker=link.worker_id)
 
@@ -319,8 +316,11 @@
             link.consecutive_failures = 0
         if job is None or task is None or job.phase.is_final:
             return
+        task.end_exposure(link.worker_id)
+        if end.outcome == "done":
+            self._crash_watch.record_survival(task)
         self._fold_end(link, end, job, task)
-        self._forget_assigned_worker(job, link.worker_id)
+        forget_assigned_worker(job, link.worker_id)
         if job.phase.is_final:
             self._job_table.record_end(job)
             self.stop_job_runs(job)
@@ -364,12 +364,13 @@
     def handle_worker_lost(
         self, link: WorkerLink, runs: Sequence[LiveRun], reason: str
     ) -> None:
-        """Watch the worker, unless it was being drained."""
-        if not link.is_leaving:
-            self._crash_watch.record_loss(link.info, runs, reason)
+        """Watch the worker until it is known whether it crashed."""
+        self._crash_watch.record_loss(link.info, runs, reason)
 
     def handle_lost(self, link: WorkerLink, live: LiveRun, reason: str) -> None:
         """Return a task to waiting whose run is gone without a reported end."""
+        if reason in ENDED_REASONS:
+            live.task.end_exposure(link.worker_id)
         if reason != "stopped":
             log.warning(
                 "run lost",
@@ -379,6 +380,9 @@
                 reason=reason,
             )
         self._requeue(live)
+        job = self._job_table.jobs.get(live.task.task_id.job)
+        if reason in ENDED_REASONS and job is not None and not job.phase.is_final:
+            self._job_table.record_progress(job)
 
     def _requeue(self, live: LiveRun) -> None:
         task = live.task
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -12,9 +12,11 @@
     is_still_best_worker,
     place_gang,
 )
+from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.ticket_cache import TicketCache
+from bergamotgap.pools.trial_workers import TrialWorkers
 from bergamotgap.pools.worker_link import WorkerLink
 
 log = get_logger(__name__)
@@ -29,15 +31,21 @@
         job_table: JobTable,
         run_tracker: RunTracker,
         ticket_cache: TicketCache,
+        crash_watch: CrashWatch,
         clock: Clock,
     ) -> None:
+        self._crash_watch = crash_watch
         self._pool = pool
         self._job_table = job_table
         self._run_tracker = run_tracker
         self._ticket_cache = ticket_cache
         self._clock = clock
         self._wait_reasons: dict[str, str] = {}
+        # The usable workers, without those that are reserved for trials.
         self._links: dict[str, WorkerLink] = {}
+        self._trial_workers = TrialWorkers(run_tracker.links, clock)
+        # Jobs of the present pass with suspected tasks that wait.
+        self._trial_jobs: list[Job] = []
         # Largest number of free 1/1000 cores on any usable worker.
         self._most_free_cpu = 0
         self.late_work_paused_until_ms = 0
@@ -46,6 +54,7 @@
         """Forget the wait reason and tickets of a job that ended."""
         self._wait_reasons.pop(job_id, None)
         self._ticket_cache.forget_job(job_id)
+        self._trial_workers.forget_job(job_id)
 
     def place_waiting_tasks(self) -> None:
         """Run one pass over all pending jobs and start the tasks that fit."""
@@ -53,9 +62,9 @@
         if not pending:
             return
         now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
-        self._links = {
-            link.worker_id: link for link in self._run_tracker.list_usable_links(now_ms)
-        }
+        self._trial_workers.release_unused(self._job_table.jobs)
+        usable = self._run_tracker.list_usable_links(now_ms)
+        self._links = {link.worker_id: link for link in usable if not link.trial_job}
         self._update_most_free_cpu()
         ranked = [
             (self._run_tracker.rank_job(job, now_ms), job) for job in pending.values()
@@ -63,14 +72,19 @@
         ranked.sort(key=lambda pair: pair[0])
         for rank, job in ranked:
             job.begin_due_occurrences(wall_ms)
-            if not self._links or not self._run_tracker.ownership.is_recovered(job):
-                self._log_wait(job, "unsettled" if self._links else "no_workers")
+            if not usable or not self._run_tracker.ownership.is_recovered(job):
+                self._log_wait(job, "unsettled" if usable else "no_workers")
                 continue
             if rank[0] > ON_TIME and now_ms < self.late_work_paused_until_ms:
                 self._log_wait(job, "yields")
                 break
             if not self._place_job(job) and job.next_due_ms is None:
                 pending.pop(job.job_id, None)
+        # Jobs that were not blamed for a crash yet are most likely innocent.
+        for job in sorted(self._trial_jobs, key=_count_blamed_crashes):
+            is_on_time = self._run_tracker.rank_job(job, now_ms)[0] == ON_TIME
+            self._place_trial(job, usable, is_on_time)
+        self._trial_jobs.clear()
 
     def _update_most_free_cpu(self) -> None:
         self._most_free_cpu = max(
@@ -79,8 +93,14 @@
 
     def _place_job(self, job: Job) -> bool:
         """Start the tasks of a job that fit; return whether any still wait."""
-        still_waits, placed = False, 0
+        still_waits, has_suspects, placed = False, False, 0
+        is_on_probation = self._crash_watch.is_queue_on_probation(job.spec.queue)
         for step in job.list_ready_steps():
+            if is_on_probation and not step.has_started:
+                step.require_trial()
+            if step.has_suspects:
+                has_suspects = True
+                continue
             waiting = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
             started = 0
             # Skip the search if no worker has enough free cores for one task.
@@ -91,13 +111,15 @@
         if placed:
             self._update_most_free_cpu()
             self._log_placed(job, placed)
-        if still_waits:
+        if has_suspects:
+            self._trial_jobs.append(job)
+        elif still_waits:
             self._log_wait(job, "no_room")
-        return still_waits
+        return still_waits or has_suspects
 
     def _place_step(self, job: Job, step: StepOccurrence) -> int:
         """Start the waiting tasks of a step that fit; return how many."""
-        tickets, links = self._list_allowed_links(job, step)
+        tickets, links = self._list_allowed_links(job, step, list(self._links.values()))
         capacities = [link.capacity for link in links]
         if step.spec.is_gang:
             return self._place_gang(step, capacities, tickets)
@@ -119,18 +141,61 @@
             started += 1
         return started
 
+    def _place_trial(
+        self, job: Job, usable: list[WorkerLink], is_on_time: bool
+    ) -> None:
+        """Start the steps with suspected tasks on workers without other starts."""
+        placed = 0
+        still_waits = False
+        for step in job.list_ready_steps():
+            tasks = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
+            if not tasks or not step.has_suspects:
+                continue
+            tickets, links = self._list_allowed_links(job, step, usable)
+            if step.spec.is_gang:
+                placed += self._try_gang(job, step, links, tickets)
+                continue
+            for task in tasks:
+                link = self._trial_workers.choose(job, task, links, is_on_time)
+                if link is None:
+                    still_waits = True
+                    break
+                run = self._run_tracker.choose_run_number(task)
+                ticket = tickets.get(link.worker_id, "")
+                self._run_tracker.start_run(task, link, run, ticket)
+                placed += 1
+        if placed:
+            self._log_placed(job, placed)
+        if still_waits:
+            self._log_wait(job, "trial")
+
+    def _try_gang(
+        self,
+        job: Job,
+        step: StepOccurrence,
+        links: Sequence[WorkerLink],
+        tickets: Mapping[str, str],
+    ) -> int:
+        candidates = self._trial_workers.choose_for_gang(job, links)
+        before = {link.worker_id for link in candidates if link.is_empty}
+        capacities = [link.capacity for link in candidates]
+        started = self._place_gang(step, capacities, tickets)
+        used = [link for link in candidates if link.worker_id in before and link.runs]
+        if started:
+            self._trial_workers.reserve_for_gang(job, used)
+        return started
+
     def _list_allowed_links(
-        self, job: Job, step: StepOccurrence
+        self, job: Job, step: StepOccurrence, links: list[WorkerLink]
     ) -> tuple[Mapping[str, str], list[WorkerLink]]:
         """Return the tickets by worker id, if needed, and the workers allowed."""
         queue = self._run_tracker.get_queue(job)
         if queue is None or not queue.needs_advice:
-            return {}, list(self._links.values())
+            return {}, links
         tickets = self._ticket_cache.get_tickets(
-            step.tasks[0].task_id, list(self._links)
+            step.tasks[0].task_id, [link.worker_id for link in links]
         )
-        allowed = [link for name, link in self._links.items() if name in tickets]
-        return tickets, allowed
+        return tickets, [link for link in links if link.worker_id in tickets]
 
     def _place_gang(
         self,
@@ -147,7 +212,7 @@
         checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
         for task, capacity in placed:
             task.checkpoint = checkpoint
-            link = self._links[capacity.info.worker_id]
+            link = self._run_tracker.links[capacity.info.worker_id]
             self._run_tracker.start_run(
                 task, link, run, tickets.get(link.worker_id, "")
             )
@@ -177,3 +242,7 @@
             tasks=tasks,
             age_ms=self._clock.monotonic_ms() - job.arrived_ms,
         )
+
+
+def _count_blamed_crashes(job: Job) -> int:
+    return max((task.blamed_crashes for task in job.list_tasks()), default=0)
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -85,6 +85,11 @@
         """Whether every run that may be on the worker is known."""
         return self.was_polled or self._lease.is_expired
 
+    @property
+    def incarnation_ms(self) -> int:
+        """The life of the worker that answered last, or the listed one."""
+        return self._incarnation_ms or self.info.incarnation_ms
+
     @property
     def is_empty(self) -> bool:
         """Whether no run is tracked on the worker, nor was an unknown one found."""
@@ -111,7 +116,7 @@
         """Hold capacity and queue the start; it is sent once `change` is committed."""
         live = LiveRun(task, run)
         self.add_run(live)
-        self._queue.put(PendingStart(live, payload, change, ticket))
+        self._queue.put(PendingStart(live, payload, change, ticket, task.runs_alone))
 
     def queue_stop(self, task_id: TaskId, run: int) -> None:
         """Queue a stop of a run, unless one is queued or sent already."""
@@ -166,7 +171,9 @@
         live, task = call.live_run, call.live_run.task
         if self.runs.get(task.task_id) is not live:
             return
-        is_allowed = await self._events.wait_until_start_allowed(call.journal_change)
+        is_allowed = await self._events.wait_until_start_allowed(
+            call.journal_change, call.needs_record
+        )
         # The run may have been abandoned meanwhile and its task started elsewhere.
         if self.runs.get(task.task_id) is not live:
             return
