Look for the cause of a loss also when the list of workers doesn't change

The proof of a crash, a later life of the same host, was looked for only when the list of workers changed. If the later life was listed before the lease of the runs ended, and nothing after it, the crash was never counted. The test of a start that never arrived found it: no crash was counted after 7 s. Losses are now resolved in each round of housekeeping, every 200 ms.

--- a/src/bergamotgap/pools/crash_watch.py
+++ b/src/bergamotgap/pools/crash_watch.py
@@ -60,6 +60,8 @@
         self._clock = clock
         self._give_up = give_up
         self._lost: dict[tuple[str, int], LostWorker] = {}
+        # When the newest listed life of each host began (Unix ms).
+        self._born_ms: dict[str, int] = {}
         self._outcomes = StartOutcomes(clock)
         self.crashes = self.suspects = self.given_up = 0
 
@@ -127,15 +129,21 @@
         return self._outcomes.measure_crash_share(queue) > PROBATION_SHARE
 
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
-        """Look for later lives of the hosts of lost workers."""
-        if not self._lost:
-            return
-        born_ms: dict[str, int] = {}
+        """Apply the current list of the pool's workers."""
+        self._born_ms = {}
         for info in workers.values():
-            born_ms[info.host] = max(born_ms.get(info.host, 0), info.incarnation_ms)
+            born_ms = self._born_ms.get(info.host, 0)
+            self._born_ms[info.host] = max(born_ms, info.incarnation_ms)
+        self.resolve_losses()
+
+    def resolve_losses(self) -> None:
+        """Look for later lives of the hosts of lost workers.
+
+        A later life may be listed before the runs count as lost, and nothing after it.
+        """
         now_ms = self._clock.monotonic_ms()
         for key, lost in list(self._lost.items()):
-            if born_ms.get(lost.host, 0) > lost.incarnation_ms:
+            if self._born_ms.get(lost.host, 0) > lost.incarnation_ms:
                 del self._lost[key]
                 self._record_crash(lost)
             elif now_ms - lost.lost_ms > WATCH_MS:
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -202,6 +202,7 @@
         while True:
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
             await self.run_tracker.close_removable_links()
+            self.crash_watch.resolve_losses()
             if self.run_tracker.ownership.may_act():
                 stop_stalled_runs(self.run_tracker, self.job_table, self._clock)
             self.job_table.delete_expired_jobs()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -128,6 +128,30 @@
     run_virtual(main())
 
 
+def test_a_task_is_not_blamed_for_a_crash_before_its_start_arrived() -> None:
+    """Guards against a job given up for workers that never started its tasks."""
+
+    async def main() -> None:
+        scene = CrashScene(lambda task: False, workers=6)
+        one = StepSpec(count=1, cpu=8000, memory_mb=100, estimated_ms=500)
+        async with scene.run_owner(1) as (pool, orders):
+            await asyncio.sleep(0.5)
+            orders.drop_starts = 1
+            await pool.submit(build_job("job", steps=(one,)))
+            await asyncio.sleep(0.05)
+            for name, link in list(pool.run_tracker.links.items()):
+                if link.runs:
+                    scene.crash(name)
+            await asyncio.sleep(7)
+            assert pool.crash_watch.crashes == 1
+            task = pool.job_table.jobs["job"].list_tasks()[0]
+            assert task.crashed_workers == ()
+            await asyncio.sleep(8)
+            assert pool.job_table.get_durable_phase("job") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
 def test_a_suspect_waits_for_its_record_in_an_outage_of_the_log() -> None:
     """Guards against a trial that a successor would not know of."""
 
