Let trials of a flood of crashing tasks leave room for other jobs

Now a pool asks for a host for each four jobs that wait for a trial, jobs with the least to do with crashes go first, and a job that is tried because of others of its queue is released once it survived its start (0.2 s for 1 s), as a poll on a trial worker shows.

--- a/src/bergamotgap/domain/crash_suspicion.py
+++ b/src/bergamotgap/domain/crash_suspicion.py
@@ -75,7 +75,9 @@
 
 def record_age(task: Task, age_ms: int) -> None:
     """Release a task from trial, and later acquit it, by the age of its run."""
-    if age_ms >= TRIAL_MS:
+    # Tasks that no worker crashed under are tried because of others of their queue.
+    trial_ms = TRIAL_MS if task.crashed_workers else START_MS
+    if age_ms >= trial_ms:
         task.runs_alone = False
     if age_ms >= ACQUITTAL_MS:
         task.crashed_workers, task.blamed_crashes = (), 0
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -18,6 +18,9 @@
 # Share of the work that can only end too late to be of value that a pool's demand
 # includes. It is above 0 so that such work still ends at some time.
 WORTHLESS_SHARE = 0.1
+# Jobs that wait for a trial per worker that the pool asks for. A trial that ends with a
+# crash takes its worker about three seconds.
+TRIALS_PER_WORKER = 4
 
 
 def measure_demand(
@@ -111,9 +114,8 @@
     needed = _count_workers_to_spread(job_table)
     if any(link.is_empty and not link.trial_job for link in links):
         return needed
-    pending = job_table.pending.values()
-    is_trial_waiting = any(job.is_waiting_for_trial() for job in pending)
-    return max(needed, len(links) + is_trial_waiting)
+    waiting = sum(job.is_waiting_for_trial() for job in job_table.pending.values())
+    return max(needed, len(links) + math.ceil(waiting / TRIALS_PER_WORKER))
 
 
 def _count_workers_to_spread(job_table: JobTable) -> int:
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -19,6 +19,9 @@
 from bergamotgap.pools.trial_workers import TrialWorkers
 from bergamotgap.pools.worker_link import WorkerLink
 
+# Shortest time between two lines about one job that waits.
+WAIT_LOG_GAP_MS = 1000
+
 log = get_logger(__name__)
 
 
@@ -40,7 +43,8 @@
         self._run_tracker = run_tracker
         self._ticket_cache = ticket_cache
         self._clock = clock
-        self._wait_reasons: dict[str, str] = {}
+        # Reason of the last line about each job that waits, and its time.
+        self._wait_reasons: dict[str, tuple[str, int]] = {}
         # The usable workers, without those that are reserved for trials.
         self._links: dict[str, WorkerLink] = {}
         self._trial_workers = TrialWorkers(run_tracker.links, clock)
@@ -80,8 +84,8 @@
                 break
             if not self._place_job(job) and job.next_due_ms is None:
                 pending.pop(job.job_id, None)
-        # Jobs that were not blamed for a crash yet are most likely innocent.
-        for job in sorted(self._trial_jobs, key=_count_blamed_crashes):
+        # Jobs with the least to do with crashes are most likely innocent.
+        for job in sorted(self._trial_jobs, key=_count_crashes):
             is_on_time = self._run_tracker.rank_job(job, now_ms)[0] == ON_TIME
             self._place_trial(job, usable, is_on_time)
         self._trial_jobs.clear()
@@ -219,16 +223,22 @@
         return len(placed)
 
     def _log_wait(self, job: Job, reason: str) -> None:
-        """Log why a job waits, unless the last logged reason is the same."""
-        if self._wait_reasons.get(job.job_id) == reason:
+        """Log why a job waits, unless the reason is the last logged one or too new.
+
+        With few workers the reason can change with each pass.
+        """
+        now_ms = self._clock.monotonic_ms()
+        last_reason, logged_ms = self._wait_reasons.get(job.job_id, ("", 0))
+        is_too_new = last_reason and now_ms - logged_ms < WAIT_LOG_GAP_MS
+        if last_reason == reason or is_too_new:
             return
-        self._wait_reasons[job.job_id] = reason
+        self._wait_reasons[job.job_id] = (reason, now_ms)
         log.info(
             "job waits",
             job=job.job_id,
             pool=self._pool,
             reason=reason,
-            age_ms=self._clock.monotonic_ms() - job.arrived_ms,
+            age_ms=now_ms - job.arrived_ms,
             hungry=len(self._job_table.pending),
             workers=len(self._run_tracker.links),
         )
@@ -244,5 +254,8 @@
         )
 
 
-def _count_blamed_crashes(job: Job) -> int:
-    return max((task.blamed_crashes for task in job.list_tasks()), default=0)
+def _count_crashes(job: Job) -> tuple[int, int]:
+    """Return the most blamed crashes, and the most crashes, of any task of a job."""
+    return max(
+        (task.blamed_crashes, len(task.crashed_workers)) for task in job.list_tasks()
+    )
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -4,6 +4,7 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.crash_suspicion import START_MS
 from bergamotgap.domain.fleet import TaskId, WorkerInfo
 from bergamotgap.domain.job_state import Task
 from bergamotgap.pools.link_interface import (
@@ -273,6 +274,8 @@
             wait_ms = self._settings.stop_timeout_ms
         elif not self._ownership.is_confirmed():
             wait_ms = IDLE_POLL_MS
+        elif self.trial_job:
+            wait_ms = START_MS
         outcome = await self._orders.poll(
             self.info, self._build_lease(), self._acked_end_sequence, wait_ms
         )
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -240,3 +240,34 @@
             assert pool.job_table.get_durable_phase("bad") is JobPhase.FAILED
 
     run_virtual(main())
+
+
+def test_crashes_of_a_flood_leave_workers_for_other_jobs() -> None:
+    """Guards against a flood of such tasks that takes all workers of a pool.
+
+    Pattern: every job of a queue crashes its worker for some seconds, then healthy jobs
+    come.
+    """
+
+    async def main() -> None:
+        scene = CrashScene(lambda task: task.job.startswith("bad"), workers=8)
+        async with scene.run_owner(1) as (pool, _):
+            for number in range(20):
+                await pool.submit(build_job(f"bad-{number}", steps=(SMALL,)))
+                await asyncio.sleep(0.1)
+            for number in range(5):
+                await pool.submit(build_job(f"good-{number}", steps=(SMALL,)))
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(12)
+            for number in range(5):
+                phase = pool.job_table.get_durable_phase(f"good-{number}")
+                assert phase is JobPhase.COMPLETED
+            await asyncio.sleep(60)
+            phases = {
+                pool.job_table.get_durable_phase(f"bad-{number}")
+                for number in range(20)
+            }
+            assert phases == {JobPhase.FAILED}
+            assert all(len(c) <= MAX_CRASHES for c in scene.crashes.values())
+
+    run_virtual(main())
