List that a successor starts a crashing job of serve anew

Requests of the product's own interface are retried twice at most, within a budget of a tenth of the entry's requests, and non-idempotent work runs at most once, so these are bounded.

--- a/tests/test_job_takeover.py
+++ b/tests/test_job_takeover.py
@@ -41,6 +41,21 @@
     assert taken.node.startswith("b/")
 
 
+async def test_attempts_of_a_dead_host_count_for_its_successor(
+    fleet: FakeFleet,
+) -> None:
+    """Guards against a job that crashes workers being tried anew by each owner.
+
+    An idempotent job may be started on three workers, whoever owns it.
+    """
+    fleet.workers.failing = {"w1", "w2", "w3"}
+    job = await fleet.submit("a", "tool-run")
+    await wait_for(fleet, lambda: len(fleet.workers.started_on) == 2)
+    await fleet.kill("a")
+    assert await wait_for_outcome(fleet, job) == "failed"
+    assert len(fleet.workers.started_on) == 3
+
+
 @pytest.mark.fault("crash", "queue")
 async def test_each_job_of_a_dead_host_is_taken_by_one_of_several(
     fleet: FakeFleet,
