Keep the runs of a restarted worker that a poll showed before the list did

Found while testing which losses count as crashes. A worker that restarts under its id is seen by a poll, up to seconds before the list of workers shows it. Its old runs were then lost and started again, there too; when the list showed the restart, the new runs were taken for lost as well, started a third time beside the runs that were at work (TWICE), and counted as a second crash. The stand-in worker now answers polls with its own life instead of the one that the owner knows. Now a restart that a poll has shown changes nothing when it is listed.

--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -144,6 +144,10 @@
 
     def handle_restart(self, info: WorkerInfo) -> None:
         """Switch to a new incarnation of the worker; runs of the former are lost."""
+        if info.incarnation_ms == self._incarnation_ms:
+            # A poll showed it before, and what runs now runs there.
+            self.info = self.capacity.info = info
+            return
         log.info("listed as restarted", worker=self.worker_id, runs=len(self.runs))
         self._remove_runs(list(self.runs.values()), "restart")
         self.info = self.capacity.info = info
--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -353,7 +353,10 @@
             for task, run in worker.running.items()
         )
         return PollReply(
-            worker.now_ms(), info.incarnation_ms, running, tuple(worker.ended)
+            worker.now_ms(),
+            worker.info.incarnation_ms,
+            running,
+            tuple(worker.ended),
         )
 
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -1,6 +1,7 @@
 """Tasks that crash each worker that starts them: who is given up, and at what cost."""
 
 import asyncio
+import dataclasses
 
 from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from stand_ins.pools import build_job
@@ -271,3 +272,34 @@
             assert all(len(c) <= MAX_CRASHES for c in scene.crashes.values())
 
     run_virtual(main())
+
+
+def test_a_restart_that_a_poll_showed_first_is_counted_once() -> None:
+    """Guards against runs of a restarted worker that are started twice.
+
+    The worker restarts under its id. A poll shows it before the list of workers does.
+    """
+
+    async def main() -> None:
+        scene = CrashScene(lambda task: False, workers=2, run_s=3)
+        one = StepSpec(count=1, cpu=8000, memory_mb=100, estimated_ms=3000)
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job("job", steps=(one,)))
+            await asyncio.sleep(1)
+            (name,) = (name for name, w in scene.workers.items() if w.running)
+            (other,) = set(scene.workers) - {name}
+            worker = scene.workers[name]
+            worker.crash()
+            worker.info = dataclasses.replace(worker.info, incarnation_ms=2)
+            scene.workers[other].is_silent = True
+            await asyncio.sleep(1.6)
+            assert worker.running
+            scene.workers[other].is_silent = False
+            scene.infos[name] = worker.info
+            scene.publish_workers()
+            await asyncio.sleep(10)
+            assert scene.count_starts_of(TaskId("job", 0, 0, 0)) == 2
+            assert pool.crash_watch.crashes == 1
+            assert pool.job_table.get_durable_phase("job") is JobPhase.COMPLETED
+
+    run_virtual(main())
