--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -102,3 +102,19 @@
     names = {event.name for event in list_events()}
     explained = {one.split('"')[1] for one in LINES if 'event="' in one and JOB in one}
     assert explained | POOL_EVENTS | FLEET_EVENTS | set(SHARED_EVENTS) <= names
+
+
+def test_the_workers_that_crashed_under_a_job_are_named() -> None:
+    """Guards against a given-up job whose crashed workers can't be found."""
+    lines = [
+        line(1, "a", "accepted", job=JOB, pool="previews"),
+        line(2, "a", "run ended by crash", task=f"{JOB}.0.0.1", worker="w1"),
+        line(6, "b", "run ended by crash", task=f"{JOB}.0.0.1", worker="w2"),
+        line(6, "b", "ended", job=JOB, phase="failed", reason="crashes_workers"),
+    ]
+    explanation = explain_job(JOB, align_clocks(parse_lines(lines)))
+    assert explanation is not None
+    assert explanation.cause == (
+        "failed: crashes_workers; 1 x run ended by crash on w1; "
+        "1 x run ended by crash on w2"
+    )
