Don't let a successor blame a task for a crash long after its trial

Found on reading the diff. The record of a trial says that a crash of that worker is to be blamed on the task. It stayed after the trial had passed, so a successor that took over as the worker crashed, even minutes later, blamed the task; twice, and a healthy lasting job was given up. A task that has passed its trial is no longer marked. Trials because of the queue are also asked only of tasks that wait: a successor does not know the runs of tasks that are done, and would have kept the step on trial to its end.

--- a/src/bergamotgap/domain/crash_suspicion.py
+++ b/src/bergamotgap/domain/crash_suspicion.py
@@ -77,8 +77,11 @@
     """Release a task from trial, and later acquit it, by the age of its run."""
     # Tasks that no worker crashed under are tried because of others of their queue.
     trial_ms = TRIAL_MS if task.crashed_workers else START_MS
-    if age_ms >= trial_ms:
+    if task.runs_alone and age_ms >= trial_ms:
         task.runs_alone = False
+        exposure = task.get_exposure(task.worker_id)
+        if exposure is not None:
+            task.begin_exposure(msgspec.structs.replace(exposure, is_blamed=False))
     if age_ms >= ACQUITTAL_MS:
         task.crashed_workers, task.blamed_crashes = (), 0
 
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -177,9 +177,10 @@
         return any(task.run for task in self.tasks)
 
     def require_trial(self) -> None:
-        """Let the tasks start on a worker apart from other jobs only."""
+        """Let the waiting tasks start on a worker apart from other jobs only."""
         for task in self.tasks:
-            task.runs_alone = True
+            if task.phase is TaskPhase.WAITING:
+                task.runs_alone = True
 
 
 class Job:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -303,3 +303,40 @@
             assert pool.job_table.get_durable_phase("job") is JobPhase.COMPLETED
 
     run_virtual(main())
+
+
+def test_a_crash_long_after_a_trial_is_not_blamed_by_a_successor() -> None:
+    """Guards against a lasting job given up for crashes long after its trials.
+
+    The owner is killed together with the worker, so the successor goes by the record.
+    """
+
+    async def main() -> None:
+        scene = CrashScene(lambda task: False, workers=3)
+        lasting = StepSpec(count=1, cpu=1000, is_long_running=True)
+        for worker in scene.workers.values():
+            worker.choose_run_s = lambda order: 600.0
+        for token in range(1, 5):
+            async with scene.run_owner(token, term_number=token) as (pool, _):
+                if token == 1:
+                    await pool.submit(build_job("job", steps=(lasting,)))
+                await asyncio.sleep(0.1)
+                job = pool.job_table.jobs["job"]
+                (task,) = job.list_tasks()
+                for _ in range(1500):
+                    await asyncio.sleep(0.01)
+                    if task.is_active and not task.runs_alone:
+                        break
+                await asyncio.sleep(3)
+                pool.job_table.record_progress(job)
+                await asyncio.sleep(0.5)
+            (name,) = (name for name, w in scene.workers.items() if w.running)
+            scene.crash(name)
+        async with scene.run_owner(5, term_number=5) as (pool, _):
+            await asyncio.sleep(15)
+            assert pool.crash_watch.crashes == 1
+            assert pool.job_table.get_durable_phase("job") is JobPhase.RUNNING
+            (task,) = pool.job_table.jobs["job"].list_tasks()
+            assert task.blamed_crashes == 0
+
+    run_virtual(main())
