--- a/src/bergamotgap/domain/crash_suspicion.py
+++ b/src/bergamotgap/domain/crash_suspicion.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.job_state import Exposure, Task
+from bergamotgap.domain.job_records import Exposure
+from bergamotgap.domain.job_state import Task
 
 # A run that a poll lists this long after its start has survived the start.
 START_MS = 200
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec, TaskId
+from bergamotgap.domain.job_records import Exposure, JobProgress, TaskRecord
 
 
 class TaskPhase(IntEnum):
@@ -23,49 +24,6 @@
     DONE = 4
 
 
-class Exposure(msgspec.Struct, frozen=True, array_like=True):
-    """One life of a worker that may have a run of a task, or was lost with it.
-
-    If that life crashes, a task that `is_suspect` may have caused it: the run is known
-    to have started. `is_blamed`: no other job can have caused it.
-    """
-
-    worker_id: str
-    incarnation_ms: int
-    host: str
-    is_suspect: bool = False
-    is_blamed: bool = False
-
-
-class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Persisted state of a task whose step is not done; fields as in `Task`."""
-
-    occurrence: int
-    step: int
-    number: int
-    counted_run: int
-    failures: int
-    is_done: bool
-    checkpoint: str
-    exposures: tuple[Exposure, ...] = ()
-    crashed_workers: tuple[str, ...] = ()
-    blamed_crashes: int = 0
-    runs_alone: bool = False
-
-
-class JobProgress(msgspec.Struct, frozen=True, array_like=True):
-    """Persisted state of a job beside its specification; `ended_ms` in Unix ms.
-
-    `workers` names the workers that may have runs of the job.
-    """
-
-    phase: JobPhase
-    ended_ms: int = 0
-    done_steps: tuple[tuple[int, int], ...] = ()
-    tasks: tuple[TaskRecord, ...] = ()
-    workers: tuple[str, ...] = ()
-
-
 @dataclass(slots=True, eq=False)
 class Task:
     """One task; `run` numbers its latest run, which is on `worker_id` while active.
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -12,7 +12,8 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec
-from bergamotgap.domain.job_state import Job, JobProgress
+from bergamotgap.domain.job_records import JobProgress
+from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.offered_load import OfferedLoad
 from bergamotgap.pools.journal import Journal
 
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -6,12 +6,7 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import MS_PER_SECOND, Clock
 from bergamotgap.domain.crash_suspicion import START_MS, record_age
-from bergamotgap.domain.fleet import (
-    FleetConfig,
-    JobPhase,
-    Queue,
-    WorkerInfo,
-)
+from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pacing import list_pace_changes
 from bergamotgap.domain.run_time_ratios import RunTimeRatios
--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -352,12 +352,8 @@
             )
             for task, run in worker.running.items()
         )
-        return PollReply(
-            worker.now_ms(),
-            worker.info.incarnation_ms,
-            running,
-            tuple(worker.ended),
-        )
+        life_ms = worker.info.incarnation_ms
+        return PollReply(worker.now_ms(), life_ms, running, tuple(worker.ended))
 
 
 def build_worker(number: int, pool: str = "previews", cpu: int = 8000) -> WorkerInfo:
