Reserve the workers on which a gang is tried

The reservation asked whether a worker was empty after the gang's starts had been queued there, so it never held, and other jobs could start beside a gang under suspicion. The workers that were empty before are now reserved. The new test fails on the commit before (no worker reserved) and passes now; it first failed for another reason, since its job had not begun. A test of the changing capacity had the same slip and set nothing on trial; it now checks that its job has begun, and passes.

--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -181,12 +181,10 @@
         tickets: Mapping[str, str],
     ) -> int:
         candidates = self._trial_workers.choose_for_gang(job, links)
-        before = {link.worker_id for link in candidates if link.is_empty}
+        empty = [link for link in candidates if link.is_empty]
         capacities = [link.capacity for link in candidates]
         started = self._place_gang(step, capacities, tickets)
-        used = [link for link in candidates if link.worker_id in before and link.runs]
-        if started:
-            self._trial_workers.reserve_for_gang(job, used)
+        self._trial_workers.reserve_for_gang(job, [link for link in empty if link.runs])
         return started
 
     def _list_allowed_links(
--- a/src/bergamotgap/pools/trial_workers.py
+++ b/src/bergamotgap/pools/trial_workers.py
@@ -100,10 +100,9 @@
         return empty[: max(0, self._limit(EMPTY_SHARE) - in_trial)]
 
     def reserve_for_gang(self, job: Job, links: Iterable[WorkerLink]) -> None:
-        """Keep other jobs off the empty workers that a gang is tried on."""
+        """Keep other jobs off the workers that a gang is tried on."""
         for link in links:
-            if link.is_empty and not link.trial_job:
-                self._reserve(link, job)
+            self._reserve(link, job)
 
     def forget_job(self, job_id: str) -> None:
         """Forget a job that ended."""
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -82,7 +82,10 @@
         async with scene.run_owner(1) as (pool, _):
             publish_capacity(scene, pool, "w1", 500)
             await pool.submit(build_job("job", steps=(TASK,)))
-            for task in pool.job_table.jobs["job"].list_tasks():
+            job = pool.job_table.jobs["job"]
+            job.begin_due_occurrences(scene.clock.wall_ms())
+            assert len(job.list_tasks()) == TASK.count
+            for task in job.list_tasks():
                 task.runs_alone = True
             await asyncio.sleep(4)
             assert not scene.count_starts()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -340,3 +340,25 @@
             assert task.blamed_crashes == 0
 
     run_virtual(main())
+
+
+def test_the_workers_of_a_gang_on_trial_take_no_other_job() -> None:
+    """Guards against jobs that start beside a gang that may crash its workers."""
+
+    async def main() -> None:
+        scene = CrashScene(lambda task: False, workers=4, run_s=2)
+        gang = StepSpec(count=2, cpu=5000, memory_mb=100, is_gang=True)
+        async with scene.run_owner(1) as (pool, _):
+            await asyncio.sleep(0.3)
+            await pool.submit(build_job("gang", steps=(gang,)))
+            job = pool.job_table.jobs["gang"]
+            job.begin_due_occurrences(scene.clock.wall_ms())
+            assert len(job.list_tasks()) == 2
+            for task in job.list_tasks():
+                task.runs_alone = True
+            await asyncio.sleep(0.1)
+            links = pool.run_tracker.links.values()
+            assert sum(bool(link.runs) for link in links) == 2
+            assert [link.trial_job for link in links if link.runs] == ["gang"] * 2
+
+    run_virtual(main())
