--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -2,10 +2,13 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
+if TYPE_CHECKING:
+    from bergamotgap.domain.customers import Customers
+
 NO_LIMIT = 0
 
 
@@ -76,6 +79,8 @@
     repetitions: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
+    # Name of the customer that submitted the job; empty if its queue needs no key.
+    customer: str = ""
 
     @property
     def occurrences(self) -> int:
@@ -107,7 +112,8 @@
     A job is on time if it ends within `stretch` times its critical path plus
     `target_latency_ms`. A job fails once one of its tasks has failed `attempts` times;
     failures of long-running tasks are not limited. With `needs_advice`, tasks run only
-    on workers for which there is a ticket of the advice service.
+    on workers for which there is a ticket of the advice service. A call to a queue that
+    `is_public` needs no key, and its jobs belong to no customer.
     """
 
     name: str
@@ -120,16 +126,25 @@
     target_latency_ms: int = 0
     timeout_ms: int = 0
     needs_advice: bool = False
+    is_public: bool = False
 
 
 @dataclass(frozen=True)
 class FleetConfig:
-    """One accepted version of the queues and services."""
+    """One accepted version of the queues, services and customers.
+
+    `customers` is None where callers need no keys.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     services: tuple[str, ...]
     spare_services: frozenset[str] = frozenset()
+    customers: "Customers | None" = None
+
+    def needs_key(self, queue: Queue) -> bool:
+        """Return whether calls to a queue must carry a customer's key."""
+        return self.customers is not None and not queue.is_public
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix that matches the path."""
--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -4,6 +4,12 @@
 
 import msgspec
 
+from bergamotgap.domain.customers import (
+    Customer,
+    Customers,
+    InvalidCustomersError,
+    build_customers,
+)
 from bergamotgap.domain.fleet import (
     FleetConfig,
     HostInfo,
@@ -30,6 +36,7 @@
 _Natural = Annotated[int, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
 _Positive = Annotated[int, msgspec.Meta(ge=1, le=_MAX_FIGURE)]
 _Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
 # Tasks of a job in all its occurrences. Each takes about 500 bytes of its owner's
 # memory, so a job takes 50 MB at most.
 MAX_TASKS_PER_JOB = 100_000
@@ -46,6 +53,7 @@
     target_latency_ms: float = 0
     timeout_ms: float = 0
     advice: Any = None
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -53,10 +61,24 @@
     spare: bool = False
 
 
+class _Cap(msgspec.Struct, rename="camel"):
+    cpu: _Natural = 0
+    requested_memory_mb: _Natural = 0
+    gpus: _Natural = 0
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    weight: _Weight = 1.0
+    cap: _Cap = msgspec.field(default_factory=_Cap)
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
+    tenants: list[_Tenant] | None = None
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -166,6 +188,7 @@
             target_latency_ms=int(route.target_latency_ms),
             timeout_ms=int(route.timeout_ms),
             needs_advice=bool(route.advice),
+            is_public=route.public,
         )
         for route in document.routes
     )
@@ -174,9 +197,30 @@
         queues,
         tuple(service.name for service in document.services),
         frozenset(service.name for service in document.services if service.spare),
+        _convert_tenants(document.tenants),
     )
 
 
+def _convert_tenants(tenants: list[_Tenant] | None) -> Customers | None:
+    if tenants is None:
+        return None
+    rows = [
+        (
+            Customer(
+                tenant.name,
+                tenant.weight,
+                Size(tenant.cap.cpu, tenant.cap.requested_memory_mb, tenant.cap.gpus),
+            ),
+            tenant.api_keys,
+        )
+        for tenant in tenants
+    ]
+    try:
+        return build_customers(rows)
+    except InvalidCustomersError as error:
+        raise UnreadableDocumentError(f"malformed config document: {error}") from error
+
+
 def decode_worker(worker_id: str, value: bytes) -> WorkerInfo:
     """Decode a worker's report; raises UnreadableDocumentError."""
     entry = _decode(value, _Entry)
@@ -214,7 +258,9 @@
     return msgspec.json.encode({"wave": wave.number, "state": state})
 
 
-def decode_job(job_id: str, queue: str, body: bytes, accepted_ms: int) -> JobSpec:
+def decode_job(
+    job_id: str, queue: str, body: bytes, accepted_ms: int, customer: str = ""
+) -> JobSpec:
     """Decode a submitted job; raises UnreadableDocumentError."""
     job = _decode(body, _Job)
     steps = tuple(_convert_step(step) for step in job.steps)
@@ -238,6 +284,7 @@
         repetitions=job.repetitions,
         start_at_ms=job.start_at_ms,
         interval_ms=job.interval_ms,
+        customer=customer,
     )
 
 
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Self
 
 import msgspec
@@ -10,7 +11,8 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.metrics import Metrics, serve_metrics
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.fleet import FleetConfig
+from bergamotgap.domain.customers import digest_key
+from bergamotgap.domain.fleet import FleetConfig, Queue
 from bergamotgap.platform.documents import decode_job
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
 from bergamotgap.pools.requests import (
@@ -18,32 +20,48 @@
     JobCancelled,
     JobRequests,
     JobState,
+    KeyRejected,
     NoSuchJob,
     NotAccepted,
     OutcomeUnknown,
     RequestOutcome,
     WaitingCount,
 )
+from bergamotgap.ports.pool_peer import KeyUse
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 DEADLINE_HEADER = "X-Request-Deadline"
+KEY_HEADER = "X-Key"
 # Used when a request states no deadline.
 DEFAULT_WAIT_MS = 3000
 CLOSE_TIMEOUT_S = 1.0
+# When callers with an unknown key are told to return to a node that has lost the log;
+# the platform sends them to another node by then.
+STALE_RETRY_MS = 1000
 
 log = get_logger(__name__)
 
 
+@dataclass(frozen=True)
+class Caller:
+    """The customer that a call comes from, and its key; empty if none is needed."""
+
+    customer: str = ""
+    key: KeyUse | None = None
+
+
 class Ingress:
     """Serve callers' requests, readiness checks and metrics over HTTP.
 
     `addresses` are those for callers, for readiness checks and for metrics.
+    `is_config_current` tells whether the configuration is known to be the newest.
     """
 
     def __init__(
         self,
         requests: JobRequests,
         get_config: Callable[[], FleetConfig | None],
+        is_config_current: Callable[[], bool],
         is_ready: Callable[[], bool],
         addresses: tuple[str, str, str],
         metrics: Metrics,
@@ -51,6 +69,7 @@
     ) -> None:
         self._requests = requests
         self._get_config = get_config
+        self._is_config_current = is_config_current
         self._is_ready = is_ready
         self._addresses = addresses
         self._metrics = metrics
@@ -105,6 +124,36 @@
         queue = config.find_queue(host, request.path)
         if queue is None:
             return web.Response(status=404)
+        caller = self._identify_caller(request, config, queue)
+        if isinstance(caller, web.Response):
+            return caller
+        return await self._answer(request, body, queue, caller)
+
+    def _identify_caller(
+        self, request: web.BaseRequest, config: FleetConfig, queue: Queue
+    ) -> Caller | web.Response:
+        """Return the caller, or the response to a caller without a valid key."""
+        if config.customers is None or not config.needs_key(queue):
+            return Caller()
+        digest = digest_key(request.headers.get(KEY_HEADER, ""))
+        customer = config.customers.find_by_digest(digest)
+        if customer is not None:
+            return Caller(customer.name, KeyUse(digest, config.version))
+        is_current = self._is_config_current()
+        log.warning(
+            "key rejected",
+            queue=queue.name,
+            version=config.version,
+            reason="unknown" if is_current else "stale_configuration",
+        )
+        if is_current:
+            return _build_unauthorized_response()
+        # A newer configuration, which this node can't read, may have the key.
+        return _build_retry_response(503, "stale_configuration", STALE_RETRY_MS)
+
+    async def _answer(
+        self, request: web.BaseRequest, body: bytes, queue: Queue, caller: Caller
+    ) -> web.Response:
         wait_ms = _read_wait_ms(request)
         job_id = request.path[len(queue.path_prefix) :]
         if not job_id and request.method == "GET":
@@ -115,19 +164,23 @@
         match request.method:
             case "POST":
                 try:
-                    spec = decode_job(job_id, queue.name, body, self._clock.wall_ms())
+                    spec = decode_job(
+                        job_id, queue.name, body, self._clock.wall_ms(), caller.customer
+                    )
                 except UnreadableDocumentError as error:
                     log.warning("malformed job rejected", job=job_id, reason=str(error))
                     return web.Response(status=400)
                 return _build_response(
-                    await self._requests.submit(spec, queue, wait_ms)
+                    await self._requests.submit(spec, queue, wait_ms, caller.key)
                 )
             case "GET":
-                outcome = await self._requests.get_state(job_id, queue, wait_ms)
+                outcome = await self._requests.get_state(
+                    job_id, queue, wait_ms, caller.key
+                )
                 return _build_response(outcome, is_read=True)
             case "DELETE":
                 return _build_response(
-                    await self._requests.cancel(job_id, queue, wait_ms)
+                    await self._requests.cancel(job_id, queue, wait_ms, caller.key)
                 )
         return web.Response(status=405)
 
@@ -147,6 +200,8 @@
             return _build_json_response({"waiting": outcome.count})
         case NoSuchJob():
             return web.Response(status=410)
+        case KeyRejected():
+            return _build_unauthorized_response()
         case NotAccepted():
             return _build_retry_response(503, outcome.reason, outcome.retry_ms)
         case OutcomeUnknown():
@@ -155,6 +210,10 @@
             return _build_retry_response(status, outcome.reason, outcome.retry_ms)
 
 
+def _build_unauthorized_response() -> web.Response:
+    return web.Response(status=401, headers={"WWW-Authenticate": KEY_HEADER})
+
+
 def _build_json_response(content: Mapping[str, str | int]) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(content), content_type="application/json"
--- a/src/bergamotgap/platform/node.py
+++ b/src/bergamotgap/platform/node.py
@@ -88,6 +88,7 @@
         ingress = Ingress(
             node.requests,
             lambda: node.fleet_view.config,
+            lambda: node.is_config_current,
             lambda: node.is_ready,
             addresses,
             metrics,
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -20,7 +20,7 @@
 from bergamotgap.pools.outage_detector import OutageDetector
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
-from bergamotgap.pools.partition_follower import PartitionFollower
+from bergamotgap.pools.partition_follower import READ_WAIT_MS, PartitionFollower
 from bergamotgap.pools.partitions import choose_partition
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.requests import JobRequests, NoReply
@@ -47,6 +47,9 @@
 TAKEOVER_RETRY_MS = 200
 FLUSH_TIMEOUT_MS = 400
 CONTROLLER_CALL_TIMEOUT_MS = 1000
+# A waiting read of the configuration ends after READ_WAIT_MS; the rest is for an answer
+# of a slow log.
+MAX_CONFIG_AGE_MS = READ_WAIT_MS + 1000
 # The last order of a former host controller is answered within this time.
 ORDER_ANSWER_MS = 200
 
@@ -124,6 +127,12 @@
             return False
         return not self._outage_detector.is_cut_off
 
+    @property
+    def is_config_current(self) -> bool:
+        """Whether the log has shown recently that there is no newer configuration."""
+        age_ms = self._clock.monotonic_ms() - self._operator_follower.synced_ms
+        return age_ms <= MAX_CONFIG_AGE_MS
+
     async def __aenter__(self) -> Self:
         """Listen for calls from peers and start the background tasks."""
         self._exit_stack.push_async_callback(self._peers.close)
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -18,6 +18,8 @@
     JobNotFoundReply,
     JobStateCall,
     JobStateReply,
+    KeyRejectedReply,
+    KeyUse,
     NotAcceptedReply,
     NotOwnerReply,
     OwnershipUncertainReply,
@@ -81,6 +83,11 @@
     retry_ms: int = RETRY_AFTER_MS
 
 
+@dataclass(frozen=True)
+class KeyRejected:
+    """The caller's key is not valid any more; nothing was done."""
+
+
 @dataclass(frozen=True)
 class OutcomeUnknown:
     """The outcome is not known; the request may be repeated with the same job id."""
@@ -96,6 +103,7 @@
     | WaitingCount
     | NoSuchJob
     | NotAccepted
+    | KeyRejected
     | OutcomeUnknown
 )
 
@@ -133,14 +141,18 @@
         self._is_stored = is_stored
         self._clock = clock
 
-    async def submit(self, spec: JobSpec, queue: Queue, wait_ms: int) -> RequestOutcome:
+    async def submit(
+        self, spec: JobSpec, queue: Queue, wait_ms: int, key: KeyUse | None = None
+    ) -> RequestOutcome:
         """Submit a job to the pool of its queue and wait `wait_ms` at most."""
         reply = await self.call_owner(
-            SubmitCall(queue.service, spec), wait_ms, spec.job_id
+            SubmitCall(queue.service, spec, key), wait_ms, spec.job_id
         )
         match reply:
             case AcceptedReply():
                 return JobAccepted()
+            case KeyRejectedReply():
+                return KeyRejected()
             case NotAcceptedReply():
                 return NotAccepted(reply.reason, reply.retry_ms)
             case NoReply(was_sent=False):
@@ -167,7 +179,7 @@
         return JobAccepted() if is_stored else NotAccepted(reason)
 
     async def get_state(
-        self, job_id: str, queue: Queue, wait_ms: int
+        self, job_id: str, queue: Queue, wait_ms: int, key: KeyUse | None = None
     ) -> RequestOutcome:
         """Return a job's state.
 
@@ -175,19 +187,29 @@
         such job.
         """
         for pool in self._list_candidate_pools(queue):
-            reply = await self.call_owner(JobStateCall(pool, job_id), wait_ms, job_id)
+            reply = await self.call_owner(
+                JobStateCall(pool, job_id, key), wait_ms, job_id
+            )
             if isinstance(reply, JobStateReply):
                 return JobState(reply.phase)
+            if isinstance(reply, KeyRejectedReply):
+                return KeyRejected()
             if not isinstance(reply, JobNotFoundReply):
                 return _build_outcome_unknown(reply)
         return NoSuchJob()
 
-    async def cancel(self, job_id: str, queue: Queue, wait_ms: int) -> RequestOutcome:
+    async def cancel(
+        self, job_id: str, queue: Queue, wait_ms: int, key: KeyUse | None = None
+    ) -> RequestOutcome:
         """Cancel a job in whichever pool holds it."""
         for pool in self._list_candidate_pools(queue):
-            reply = await self.call_owner(CancelCall(pool, job_id), wait_ms, job_id)
+            reply = await self.call_owner(
+                CancelCall(pool, job_id, key), wait_ms, job_id
+            )
             if isinstance(reply, CancelledReply):
                 return JobCancelled()
+            if isinstance(reply, KeyRejectedReply):
+                return KeyRejected()
             if not isinstance(reply, JobNotFoundReply):
                 return _build_outcome_unknown(reply)
         return NoSuchJob()
@@ -255,6 +277,11 @@
         pool = self._pools.get(call.pool)
         if pool is None:
             return NotOwnerReply()
+        if self._is_key_withdrawn(call):
+            return KeyRejectedReply()
+        return await self._answer_from_pool(pool, call)
+
+    async def _answer_from_pool(self, pool: Pool, call: PoolCall) -> PoolReply:
         match call:
             case SubmitCall():
                 outcome = await pool.submit(call.spec)
@@ -279,6 +306,33 @@
                 return pool.measure_demand(call.must_yield)
         return NotOwnerReply()
 
+    def _is_key_withdrawn(self, call: PoolCall) -> bool:
+        """Return whether this node's configuration is newer and lacks the call's key.
+
+        An entry host that is cut off from the log goes on with the keys that it knew.
+        """
+        if not isinstance(call, SubmitCall | JobStateCall | CancelCall):
+            return False
+        config, key = self._get_config(), call.key
+        if key is None or config is None or config.customers is None:
+            return False
+        if config.version <= key.config_version:
+            return False
+        customer = config.customers.find_by_digest(key.digest)
+        is_of_job = not isinstance(call, SubmitCall) or (
+            customer is not None and customer.name == call.spec.customer
+        )
+        if customer is not None and is_of_job:
+            return False
+        log.warning(
+            "key rejected",
+            pool=call.pool,
+            version=config.version,
+            sender_version=key.config_version,
+            reason="withdrawn",
+        )
+        return True
+
 
 def _build_outcome_unknown(reply: PoolReply | NoReply) -> OutcomeUnknown:
     return OutcomeUnknown(reply.reason if isinstance(reply, NoReply) else "unsure")
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -19,11 +19,19 @@
         self.was_sent = was_sent
 
 
+class KeyUse(msgspec.Struct, frozen=True, array_like=True):
+    """Digest of a caller's key, and the configuration by which it was valid."""
+
+    digest: str
+    config_version: int
+
+
 class SubmitCall(msgspec.Struct, frozen=True, tag="submit"):
     """Request to accept a job into a pool."""
 
     pool: str
     spec: JobSpec
+    key: KeyUse | None = None
 
 
 class JobStateCall(msgspec.Struct, frozen=True, tag="state"):
@@ -31,6 +39,7 @@
 
     pool: str
     job_id: str
+    key: KeyUse | None = None
 
 
 class CancelCall(msgspec.Struct, frozen=True, tag="cancel"):
@@ -38,6 +47,7 @@
 
     pool: str
     job_id: str
+    key: KeyUse | None = None
 
 
 class CountWaitingCall(msgspec.Struct, frozen=True, tag="waiting"):
@@ -90,6 +100,10 @@
     retry_ms: int
 
 
+class KeyRejectedReply(msgspec.Struct, frozen=True, tag="key_rejected"):
+    """A newer configuration than the sender's has withdrawn the caller's key."""
+
+
 class JobStateReply(msgspec.Struct, frozen=True, tag="state_is"):
     """State of a job."""
 
@@ -166,6 +180,7 @@
 PoolReply = (
     AcceptedReply
     | NotAcceptedReply
+    | KeyRejectedReply
     | JobStateReply
     | JobNotFoundReply
     | CancelledReply
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -332,16 +332,20 @@
         self.outcome = outcome
         self.waits: list[int] = []
 
-    async def submit(self, spec: JobSpec, queue: Queue, wait_ms: int) -> RequestOutcome:
+    async def submit(
+        self, spec: JobSpec, queue: Queue, wait_ms: int, key: object
+    ) -> RequestOutcome:
         self.waits.append(wait_ms)
         return self.outcome
 
     async def get_state(
-        self, job_id: str, queue: Queue, wait_ms: int
+        self, job_id: str, queue: Queue, wait_ms: int, key: object
     ) -> RequestOutcome:
         return self.outcome
 
-    async def cancel(self, job_id: str, queue: Queue, wait_ms: int) -> RequestOutcome:
+    async def cancel(
+        self, job_id: str, queue: Queue, wait_ms: int, key: object
+    ) -> RequestOutcome:
         return self.outcome
 
     async def count_waiting_jobs(self, queue: Queue, wait_ms: int) -> RequestOutcome:
@@ -372,6 +376,7 @@
         FakeRequests(outcome),  # type: ignore[arg-type]
         lambda: CONFIG,
         lambda: True,
+        lambda: True,
         ("", "", ""),
         FakeMetrics(),  # type: ignore[arg-type]
         LoopClock(),
