--- a/src/bergamotgap/domain/offered_load.py
+++ b/src/bergamotgap/domain/offered_load.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Container
 
 # Fewest arrivals from which a rate is estimated; further rates are estimated from
 # twice as many each, up to all arrivals of the longest period.
@@ -25,31 +26,36 @@
     """
 
     def __init__(self) -> None:
-        # Arrival time (monotonic, ms) and work (1/1000 core-ms), oldest first.
-        self._arrivals: deque[tuple[int, float]] = deque(maxlen=MAX_ARRIVALS)
+        # Arrival time (monotonic, ms), work (1/1000 core-ms) and customer; the oldest
+        # is first.
+        self._arrivals: deque[tuple[int, float, str]] = deque(maxlen=MAX_ARRIVALS)
 
     @property
     def arrivals(self) -> int:
         """Return how many arrivals are kept."""
         return len(self._arrivals)
 
-    def record(self, at_ms: int, work: float) -> None:
+    def record(self, at_ms: int, work: float, customer: str = "") -> None:
         """Record the arrival of a job with `work` in 1/1000 core-ms."""
-        self._arrivals.append((at_ms, work))
+        self._arrivals.append((at_ms, work, customer))
         self._forget_old(at_ms)
 
-    def estimate(self, now_ms: int) -> float:
+    def estimate(self, now_ms: int, skipped: Container[str] = ()) -> float:
         """Return the work that arrives per ms, in 1/1000 cores.
 
+        Jobs of `skipped` customers are left out.
+
         Returns the highest of several rates over the latest arrivals. Rates from fewer
         arrivals are scaled down more: a pool with many small jobs reacts to a change in
         load at once, while one large job in a pool with few jobs doesn't look like one.
         """
         self._forget_old(now_ms)
-        total = sum(work for _, work in self._arrivals)
+        total = sum(work for _, work, name in self._arrivals if name not in skipped)
         highest = total / MAX_PERIOD_MS
         work, count, next_count = 0.0, 0, MIN_ARRIVALS
-        for at_ms, job_work in reversed(self._arrivals):
+        for at_ms, job_work, name in reversed(self._arrivals):
+            if name in skipped:
+                continue
             work += job_work
             count += 1
             if count < next_count:
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -13,6 +13,7 @@
 from bergamotgap.adapters.pool_grpc import GrpcPoolPeerClient, GrpcPoolServer
 from bergamotgap.domain.clock import Clock
 from bergamotgap.node.supervision import supervise
+from bergamotgap.pools.cap_coordinator import CapCoordinator
 from bergamotgap.pools.fleet_view import FleetView
 from bergamotgap.pools.host_controller import HOSTS_POOL, HostController, ReportWave
 from bergamotgap.pools.job_table import RecordKind, format_record_key
@@ -207,6 +208,8 @@
     def _handle_claims_change(self) -> None:
         if self._is_closing:
             return
+        for pool in self.pools.values():
+            self._require_newest_coordinator(pool)
         for name, claim in self.registry.claims.items():
             owned = self._owner_tasks.get(name)
             if owned is not None and owned[0] != claim.token:
@@ -251,6 +254,7 @@
             self._ports.advice,
         )
         async with pool:
+            self._require_newest_coordinator(pool)
             self.pools[name] = pool
             try:
                 if self.fleet_view.config is not None:
@@ -262,6 +266,12 @@
                 if self.pools.get(name) is pool:
                     del self.pools[name]
 
+    def _require_newest_coordinator(self, pool: Pool) -> None:
+        """Let an owner refuse the grants of former host controllers."""
+        claim = self.registry.claims.get(HOSTS_POOL)
+        if claim is not None:
+            pool.customer_usage.require_coordinator(claim.token)
+
     async def _refresh_workers(self) -> None:
         try:
             await self._workers_follower.refresh()
@@ -270,6 +280,28 @@
 
     async def _run_host_controller(self, claim: Claim) -> None:
         delay_ms = self._choose_controller_delay_ms(claim)
+        coordinator = self._build_cap_coordinator(claim)
+        caps = asyncio.create_task(supervise("customer caps", coordinator.run))
+        try:
+            await self._run_host_duty(claim, delay_ms)
+        finally:
+            await cancel_tasks([caps])
+
+    def _build_cap_coordinator(self, claim: Claim) -> CapCoordinator:
+        return CapCoordinator(
+            claim.token,
+            lambda: {
+                name: other.token
+                for name, other in self.registry.claims.items()
+                if name != HOSTS_POOL and other.member
+            },
+            lambda: self.fleet_view.config,
+            self._call_owner_for_controller,
+            self._outage_detector.may_act,
+            self._clock,
+        )
+
+    async def _run_host_duty(self, claim: Claim, delay_ms: int) -> None:
         store, clock = self._ports.store, self._clock
         topic, part = choose_partition(HOSTS_POOL, self._settings.log_parts)
         lost = asyncio.Event()
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -4,6 +4,7 @@
 
 from bergamotgap.adapters.metrics import GaugeReading, Metrics
 from bergamotgap.domain.clock import Clock
+from bergamotgap.pools.cap_gauges import register_cap_gauges
 from bergamotgap.pools.fleet_node import FleetNode
 from bergamotgap.pools.pool import Pool
 
@@ -11,6 +12,7 @@
 def register_gauges(metrics: Metrics, node: FleetNode, clock: Clock) -> None:
     """Register the gauges of the node and of its pools, labelled by pool and phase."""
     _register_pool_gauges(metrics, node, clock)
+    register_cap_gauges(metrics, node)
 
     def read_log_age() -> Iterable[GaugeReading]:
         yield clock.monotonic_ms() - node.registry.last_renewal_ms, {}
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -136,7 +136,9 @@
                 return NotStored("platform_unavailable", retry_ms=1000)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
-            self.offered_load.record(job.arrived_ms, spec.estimate_work())
+            self.offered_load.record(
+                job.arrived_ms, spec.estimate_work(), spec.customer
+            )
             change = self._journal.put(
                 format_record_key(self._pool, RecordKind.SPEC, spec.job_id),
                 lambda: msgspec.msgpack.encode(spec),
--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -174,6 +174,28 @@
         del self._unrecovered_jobs[job.job_id]
         return True
 
+    @property
+    def unrecovered_jobs(self) -> int:
+        """The number of restored jobs whose runs may not all be known."""
+        return len(self._unrecovered_jobs)
+
+    def list_jobs_with_unknown_runs(self) -> list[Job]:
+        """Return the restored jobs with tasks that may run unknown to this owner.
+
+        A former owner started no task without a record of the worker, unless the log
+        was down for all nodes.
+        """
+        if not self._unrecovered_jobs:
+            return []
+        passed_ms = self._clock.monotonic_ms() - self.started_ms
+        are_leases_expired = passed_ms >= self._settings.former_lease_ms
+        return [
+            job
+            for job in self._unrecovered_jobs.values()
+            if (job.former_workers or not self.term.are_former_starts_recorded)
+            and not (job.phase.is_final and are_leases_expired)
+        ]
+
     def record_first_poll(self, worker_id: str) -> None:
         """Record the first poll of a worker: all runs there are known from now on."""
         for job in self._unrecovered_jobs.values():
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -12,6 +12,7 @@
 from bergamotgap.domain.job_state import Job, Task
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.crash_watch import CrashWatch
+from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
@@ -112,6 +113,9 @@
         self._ticket_cache = TicketCache(
             self._advice, self._clock, self.run_tracker.placement_needed.set
         )
+        self.customer_usage = CustomerUsage(
+            self.name, self.job_table, self.run_tracker, self._clock
+        )
         self._task_placer = TaskPlacer(
             self.name,
             self.job_table,
@@ -119,6 +123,7 @@
             self._ticket_cache,
             self.crash_watch,
             self._clock,
+            self.customer_usage,
         )
         self.job_table.on_job_ended = self._task_placer.forget_job
         self._tasks = [
@@ -192,6 +197,7 @@
 
     def update_config(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
+        self.customer_usage.update_config(config)
         self.run_tracker.update_config(config)
 
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
@@ -271,7 +277,8 @@
         now_ms = self._clock.monotonic_ms()
         if must_yield:
             self._task_placer.late_work_paused_until_ms = now_ms + YIELD_DURATION_MS
-        return measure_demand(self.job_table, self.run_tracker, now_ms)
+        work = self.customer_usage.limit_demand(self.job_table.pending.values())
+        return measure_demand(self.job_table, self.run_tracker, now_ms, work)
 
     def dump(self) -> dict[str, Any]:
         """Return the pool's state for a state dump."""
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -2,10 +2,12 @@
 
 import math
 from collections import Counter
+from itertools import islice
 
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pool_sizes import IdleHost
 from bergamotgap.domain.task_placement import LATE, ON_TIME
+from bergamotgap.pools.customer_usage import StartableWork
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.link_interface import LiveRun
 from bergamotgap.pools.run_tracker import RunTracker
@@ -24,21 +26,24 @@
 
 
 def measure_demand(
-    job_table: JobTable, run_tracker: RunTracker, now_ms: int
+    job_table: JobTable, run_tracker: RunTracker, now_ms: int, work: StartableWork
 ) -> DemandReply:
     """Return the cores that tasks need, and the idle workers.
 
-    Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts.
+    Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts. `work`
+    leaves out what caps of customers hold back; the use of these customers counts in
+    place of their offered load.
     """
     links = run_tracker.list_usable_links(now_ms)
     waiting_ms = late_ms = 0.0
-    for job in job_table.pending.values():
+    for job in work.jobs:
         lateness = run_tracker.rank_job(job, now_ms)[0]
         if lateness == ON_TIME:
-            waiting_ms += _measure_waiting_work(job, run_tracker)
+            waiting_ms += _measure_waiting_work(job, run_tracker, work)
         else:
             share = 1.0 if lateness == LATE else WORTHLESS_SHARE
-            late_ms += share * _measure_waiting_work(job, run_tracker)
+            late_ms += share * _measure_waiting_work(job, run_tracker, work)
+    offered_cpu = job_table.offered_load.estimate(now_ms, work.held_back)
     late_runs = _list_late_runs(links, job_table, run_tracker, now_ms)
     late_counts = Counter(link.worker_id for link, _ in late_runs)
     idle = tuple(
@@ -55,7 +60,7 @@
     return DemandReply(
         used_cpu=sum(link.capacity.used_cpu for link in links),
         waiting_ms=waiting_ms,
-        offered_cpu=job_table.offered_load.estimate(now_ms),
+        offered_cpu=offered_cpu + work.held_back_cpu,
         capacity_cpu=sum(link.info.capacity.cpu for link in links),
         workers=len(links),
         idle=idle,
@@ -66,8 +71,8 @@
             for link in links
             if link.runs and len(link.runs) == late_counts[link.worker_id]
         ),
-        least_workers=_count_workers_needed(job_table, links),
-        labels=_list_missing_labels(job_table, links),
+        least_workers=_count_workers_needed(work.jobs, links),
+        labels=_list_missing_labels(work.jobs, links),
     )
 
 
@@ -109,21 +114,21 @@
     return run_tracker.rank_job(job, now_ms)[0] > ON_TIME
 
 
-def _count_workers_needed(job_table: JobTable, links: list[WorkerLink]) -> int:
+def _count_workers_needed(jobs: list[Job], links: list[WorkerLink]) -> int:
     """Return how many workers the spread of tasks and their trials need."""
-    needed = _count_workers_to_spread(job_table)
+    needed = _count_workers_to_spread(jobs)
     if any(link.is_empty and not link.trial_job for link in links):
         return needed
-    waiting = sum(job.is_waiting_for_trial() for job in job_table.pending.values())
+    waiting = sum(job.is_waiting_for_trial() for job in jobs)
     return max(needed, len(links) + math.ceil(waiting / TRIALS_PER_WORKER))
 
 
-def _count_workers_to_spread(job_table: JobTable) -> int:
+def _count_workers_to_spread(jobs: list[Job]) -> int:
     """Return how many workers long-running tasks need to be spread over."""
     return max(
         (
             math.ceil(step.spec.count / step.spec.max_per_host)
-            for job in job_table.pending.values()
+            for job in jobs
             if job.is_long_running
             for step in job.list_ready_steps()
             if step.spec.max_per_host
@@ -132,13 +137,11 @@
     )
 
 
-def _list_missing_labels(
-    job_table: JobTable, links: list[WorkerLink]
-) -> tuple[str, ...]:
+def _list_missing_labels(jobs: list[Job], links: list[WorkerLink]) -> tuple[str, ...]:
     """Return the labels that waiting tasks require and no usable worker has."""
     wanted = {
         step.spec.requirement
-        for job in job_table.pending.values()
+        for job in jobs
         for step in job.list_ready_steps()
         if step.spec.requirement
     }
@@ -147,12 +150,18 @@
     return tuple(sorted(wanted))
 
 
-def _measure_waiting_work(job: Job, run_tracker: RunTracker) -> float:
+def _measure_waiting_work(
+    job: Job, run_tracker: RunTracker, work: StartableWork
+) -> float:
     """Return the work of a job's waiting tasks, in 1/1000 core-ms."""
     ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-    return sum(
-        task.step.size.cpu * max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
+    waiting = (
+        task
         for step in job.list_ready_steps()
         for task in step.tasks
         if task.phase is TaskPhase.WAITING
     )
+    return sum(
+        task.step.size.cpu * max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
+        for task in islice(waiting, work.tasks.get(job.job_id))
+    )
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -12,6 +12,7 @@
     AcceptedReply,
     CancelCall,
     CancelledReply,
+    CapCall,
     CountWaitingCall,
     DemandCall,
     DrainCall,
@@ -304,6 +305,8 @@
                 return pool.drain_worker(call.worker_id, call.may_stop, call.stops_late)
             case DemandCall():
                 return pool.measure_demand(call.must_yield)
+            case CapCall():
+                return pool.customer_usage.answer(call)
         return NotOwnerReply()
 
     def _is_key_withdrawn(self, call: PoolCall) -> bool:
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -13,6 +13,7 @@
     place_gang,
 )
 from bergamotgap.pools.crash_watch import CrashWatch
+from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.ticket_cache import TicketCache
@@ -36,8 +37,10 @@
         ticket_cache: TicketCache,
         crash_watch: CrashWatch,
         clock: Clock,
+        customer_usage: CustomerUsage,
     ) -> None:
         self._crash_watch = crash_watch
+        self._customer_usage = customer_usage
         self._pool = pool
         self._job_table = job_table
         self._run_tracker = run_tracker
@@ -63,6 +66,7 @@
     def place_waiting_tasks(self) -> None:
         """Run one pass over all pending jobs and start the tasks that fit."""
         pending = self._job_table.pending
+        self._customer_usage.begin_pass()
         if not pending:
             return
         now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
@@ -118,15 +122,18 @@
         if has_suspects:
             self._trial_jobs.append(job)
         elif still_waits:
-            self._log_wait(job, "no_room")
+            self._log_wait(job, self._get_wait_reason(job, "no_room"))
         return still_waits or has_suspects
 
     def _place_step(self, job: Job, step: StepOccurrence) -> int:
         """Start the waiting tasks of a step that fit; return how many."""
+        members = step.spec.count if step.spec.is_gang else 1
+        if self._customer_usage.is_at_cap(job, step.spec.size, members):
+            return 0
         tickets, links = self._list_allowed_links(job, step, list(self._links.values()))
         capacities = [link.capacity for link in links]
         if step.spec.is_gang:
-            return self._place_gang(step, capacities, tickets)
+            return self._place_gang(job, step, capacities, tickets)
         started = 0
         last_capacity: WorkerCapacity | None = None
         for task in step.tasks:
@@ -137,6 +144,8 @@
                 capacity = last_capacity = choose_task_worker(capacities, task)
             if capacity is None:
                 break
+            if not self._customer_usage.may_start(job, step.spec.size):
+                break
             link = self._links[capacity.info.worker_id]
             ticket = tickets.get(link.worker_id, "")
             self._run_tracker.start_run(
@@ -160,6 +169,9 @@
                 placed += self._try_gang(job, step, links, tickets)
                 continue
             for task in tasks:
+                if not self._customer_usage.may_start(job, step.spec.size):
+                    still_waits = True
+                    break
                 link = self._trial_workers.choose(job, task, links, is_on_time)
                 if link is None:
                     still_waits = True
@@ -170,8 +182,8 @@
                 placed += 1
         if placed:
             self._log_placed(job, placed)
-        if still_waits:
-            self._log_wait(job, "trial")
+        if still_waits or self._customer_usage.is_held_back(job):
+            self._log_wait(job, self._get_wait_reason(job, "trial"))
 
     def _try_gang(
         self,
@@ -183,7 +195,7 @@
         candidates = self._trial_workers.choose_for_gang(job, links)
         empty = [link for link in candidates if link.is_empty]
         capacities = [link.capacity for link in candidates]
-        started = self._place_gang(step, capacities, tickets)
+        started = self._place_gang(job, step, capacities, tickets)
         self._trial_workers.reserve_for_gang(job, [link for link in empty if link.runs])
         return started
 
@@ -201,6 +213,7 @@
 
     def _place_gang(
         self,
+        job: Job,
         step: StepOccurrence,
         capacities: Sequence[WorkerCapacity],
         tickets: Mapping[str, str],
@@ -210,6 +223,8 @@
         placed = place_gang(capacities, step)
         if placed is None:
             return 0
+        if not self._customer_usage.may_start(job, step.spec.size, len(placed)):
+            return 0
         run = max(self._run_tracker.choose_run_number(task) for task in step.tasks)
         checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
         for task, capacity in placed:
@@ -220,6 +235,11 @@
             )
         return len(placed)
 
+    def _get_wait_reason(self, job: Job, reason: str) -> str:
+        """Return the reason for which a job waits if the cap doesn't hold it back."""
+        is_held_back = self._customer_usage.is_held_back(job)
+        return "customer_cap" if is_held_back else reason
+
     def _log_wait(self, job: Job, reason: str) -> None:
         """Log why a job waits, unless the reason is the last logged one or too new.
 
--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -14,6 +14,8 @@
         self.info = info
         self.capacity = WorkerCapacity(info)
         self.runs: dict[TaskId, LiveRun] = {}
+        # Number of changes of `runs` so far.
+        self.run_changes = 0
         self.idle_since_ms = clock.monotonic_ms()
         self.draining_until_ms = 0
         self.quarantined_until_ms = 0
@@ -35,12 +37,14 @@
     def add_run(self, live: LiveRun) -> None:
         """Track a run and hold capacity for it."""
         self.runs[live.task.task_id] = live
+        self.run_changes += 1
         self.capacity.reserve(live.task)
 
     def remove_run(self, live: LiveRun) -> None:
         """Stop tracking a run and release its capacity."""
         if self.runs.get(live.task.task_id) is live:
             del self.runs[live.task.task_id]
+            self.run_changes += 1
             self.capacity.release(live.task)
             self.idle_since_ms = self._clock.monotonic_ms()
 
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bergamotgap.domain.customer_caps import CustomerUse
 from bergamotgap.domain.fleet import JobPhase, JobSpec
 from bergamotgap.domain.pool_sizes import IdleHost
 
@@ -87,6 +88,22 @@
     pool: str = ""
 
 
+class CapCall(msgspec.Struct, frozen=True, tag="cap"):
+    """Grants of customers' caps to a pool by the coordinator with this token.
+
+    `grants` are shares beyond the base share, for the owner with `owner_token` only;
+    those not named are 0, and None leaves all as they are. A pool with a permit for a
+    customer may exceed its share by one task.
+    """
+
+    pool: str
+    token: int
+    sequence: int
+    owner_token: int = 0
+    grants: dict[str, float] | None = None
+    permits: tuple[str, ...] = ()
+
+
 class AcceptedReply(msgspec.Struct, frozen=True, tag="accepted"):
     """The job is stored durably; `is_new` is false if it already was."""
 
@@ -154,6 +171,20 @@
     labels: tuple[str, ...] = ()
 
 
+class CapReply(msgspec.Struct, frozen=True, tag="cap_is"):
+    """What an owner holds and uses of customers' caps, by customer.
+
+    `token` and `sequence` are the highest that the owner has seen of a coordinator;
+    `base` is the share of each cap that it uses without a grant.
+    """
+
+    owner_token: int
+    token: int
+    sequence: int
+    base: float
+    uses: dict[str, CustomerUse]
+
+
 class LogContactReply(msgspec.Struct, frozen=True, tag="contact_was"):
     """Time since the log last responded to the sender, in ms."""
 
@@ -176,6 +207,7 @@
     | DrainCall
     | DemandCall
     | LogContactCall
+    | CapCall
 )
 PoolReply = (
     AcceptedReply
@@ -188,6 +220,7 @@
     | DrainReply
     | DemandReply
     | LogContactReply
+    | CapReply
     | NotOwnerReply
     | OwnershipUncertainReply
 )
--- /dev/null
+++ b/tests/test_cap_coordinator.py
@@ -0,0 +1,373 @@
+"""Customers' caps over several pools: what owners start, and how grants follow demand.
+
+Each pool has three workers of 8 cores; the cap is 16 cores unless stated otherwise.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+import structlog
+
+from bergamotgap.domain.customer_caps import BASE_SETTLE_MS
+from bergamotgap.domain.fleet import FleetConfig, JobPhase, Size
+from bergamotgap.ports.pool_peer import CapCall
+from stand_ins.virtual_time import run_virtual
+from tests.cap_scene import CAP_CORES, CapScene, build_config, change_cap
+
+
+async def submit_stream(
+    scene: CapScene, pool: str, duration_s: float, jobs_per_s: int = 100
+) -> None:
+    """Submit jobs of one task of one core, which takes 0.3 s, for a time."""
+    waits = []
+    for number in range(int(duration_s * jobs_per_s)):
+        job_id = f"{pool}-{len(scene.jobs)}-{number}"
+        waits.append(asyncio.create_task(scene.submit(pool, job_id)))
+        await asyncio.sleep(1 / jobs_per_s)
+    await asyncio.gather(*waits)
+
+
+def test_demand_that_turns_from_pool_to_pool_keeps_most_of_the_cap() -> None:
+    """Guards against grants that stay where the demand was."""
+
+    async def main() -> None:
+        scene = CapScene()
+        async with scene.run():
+            await asyncio.sleep(0.5)
+            for turn in range(6):
+                pool = scene.pools[turn % 4]
+                await submit_stream(scene, pool, 2.0)
+                for job_id, job in list(scene.jobs.items()):
+                    if job.queue == f"q-{pool}":
+                        await scene.owners[pool].cancel(job_id)
+        assert scene.measure_peak() <= CAP_CORES
+        mean = scene.measure_mean(1.0, 12.0)
+        print(f"mean use {mean:.2f} of {CAP_CORES} cores")
+        # Three quarters of the cap and a pool's part of the rest are 13 cores.
+        assert mean >= 0.6 * CAP_CORES
+
+    run_virtual(main())
+
+
+def test_demand_in_all_pools_uses_the_whole_cap() -> None:
+    """Guards against parts of a cap that no pool may use though all have work."""
+
+    async def main() -> None:
+        scene = CapScene()
+        async with scene.run():
+            for pool in scene.pools:
+                await scene.submit(pool, f"j-{pool}", tasks=200)
+            await asyncio.sleep(3)
+        assert scene.measure_peak() <= CAP_CORES
+        assert scene.measure_mean(1.0, 3.0) >= 0.85 * CAP_CORES
+
+    run_virtual(main())
+
+
+def test_without_a_coordinator_grants_stay_and_the_cap_is_held() -> None:
+    """Guards against a cap exceeded, or unused, while the coordinator is lost."""
+
+    async def main() -> None:
+        scene = CapScene()
+        async with scene.run(has_coordinator=False):
+            async with scene.run_coordinator():
+                await scene.submit("p1", "j-p1", tasks=300)
+                await asyncio.sleep(1)
+            for pool in scene.pools[1:]:
+                await scene.submit(pool, f"j-{pool}", tasks=50)
+            await asyncio.sleep(2)
+            assert scene.count_cores(pool="p1") >= 12
+            # The base share of 16 cores over 4 pools is one core.
+            assert scene.count_cores(pool="p2") == 1
+            async with scene.run_coordinator():
+                await asyncio.sleep(2)
+                cores = [scene.count_cores(pool=pool) for pool in scene.pools]
+                assert min(cores) >= 3
+        assert scene.measure_peak() <= CAP_CORES
+
+    run_virtual(main())
+
+
+def test_runs_that_a_successor_does_not_know_count() -> None:
+    """Guards against a cap exceeded because a new owner hasn't polled all workers.
+
+    The coordinator is lost too, so nobody remembers the grants.
+    """
+
+    async def main() -> None:
+        scene = CapScene(run_s=60)
+        async with scene.run(has_coordinator=False):
+            async with scene.run_coordinator():
+                await scene.submit("p1", "long", tasks=30)
+                await asyncio.sleep(1)
+            assert scene.count_cores(pool="p1") == 13
+            await scene.stop_owner("p1")
+            scene.orders["p1"].unreachable_workers = set(scene.workers["p1"])
+            await scene.start_owner("p1")
+            async with scene.run_coordinator():
+                for pool in scene.pools[1:]:
+                    await scene.submit(pool, f"j-{pool}", tasks=30)
+                await asyncio.sleep(3)
+                assert scene.measure_peak() <= CAP_CORES
+                scene.orders["p1"].unreachable_workers.clear()
+                await asyncio.sleep(3)
+        assert scene.measure_peak() <= CAP_CORES
+        assert scene.count_cores() >= CAP_CORES - 1
+
+    run_virtual(main())
+
+
+def test_a_lowered_cap_stops_nothing_and_starts_nothing() -> None:
+    """Guards against starts above a lowered cap, and against tasks stopped for it."""
+
+    async def main() -> None:
+        scene = CapScene(run_s=2.0)
+        async with scene.run():
+            for pool in scene.pools:
+                await scene.submit(pool, f"j-{pool}", tasks=40)
+            await asyncio.sleep(1.5)
+            before = scene.count_cores()
+            assert before >= CAP_CORES - 3
+            scene.set_config(change_cap(scene.config, 4))
+            starts = sum(
+                len(w.starts) for p in scene.workers.values() for w in p.values()
+            )
+            await asyncio.sleep(0.2)
+            assert scene.count_cores() == before
+            await asyncio.sleep(6)
+            after = [sample["acme"] for sample in scene.samples[-300:]]
+            assert max(after) <= 4
+            assert max(after) >= 3
+            now = sum(len(w.starts) for p in scene.workers.values() for w in p.values())
+            assert now > starts
+
+    run_virtual(main())
+
+
+def test_a_raised_cap_starts_waiting_tasks_at_once() -> None:
+    """Guards against tasks that wait until something else wakes the placement."""
+
+    async def main() -> None:
+        scene = CapScene(build_config(acme=4), run_s=60)
+        async with scene.run():
+            await scene.submit("p1", "job", tasks=20)
+            await asyncio.sleep(2)
+            assert scene.count_cores() == 3
+            scene.set_config(change_cap(scene.config, 16))
+            await asyncio.sleep(0.1)
+            assert scene.count_cores() >= 12
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_cap_is_held_under_any_faults(seed: int) -> None:
+    """Guards against a cap exceeded by lost, late and overtaken calls.
+
+    Owners and coordinators are replaced while demand turns between the pools.
+    """
+
+    async def main() -> None:
+        chance = random.Random(seed)
+        scene = CapScene()
+        largest = 4
+
+        def choose_delays(call: CapCall) -> tuple[float | None, float | None]:
+            delays = [0.002, 0.002, 0.05, 0.4, 0.9, None]
+            return chance.choice(delays), chance.choice(delays)
+
+        scene.choose_delays = choose_delays
+        number = 0
+        async with scene.run(has_coordinator=False):
+            for _ in range(6):
+                async with scene.run_coordinator():
+                    for _ in range(15):
+                        number += 1
+                        pool = chance.choice(scene.pools)
+                        cores = chance.choice([1, 1, 2, largest])
+                        await scene.submit(pool, f"j{number}", 20, cores)
+                        await asyncio.sleep(chance.random() / 4)
+                        if chance.random() < 0.2:
+                            await scene.stop_owner(pool)
+                            await asyncio.sleep(chance.random() / 10)
+                            await scene.start_owner(pool)
+        assert scene.measure_peak() <= CAP_CORES + largest
+        assert scene.measure_peak() >= CAP_CORES / 4
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("cores", [7, 8])
+def test_a_task_larger_than_the_cap_starts_alone(cores: int) -> None:
+    """Guards against a task that never starts because it exceeds its customer's cap."""
+
+    async def main() -> None:
+        scene = CapScene(build_config(acme=6), run_s=0.5)
+        async with scene.run():
+            for pool in ("p1", "p2"):
+                await scene.submit(pool, f"small-{pool}", tasks=300)
+            await asyncio.sleep(1)
+            for pool in ("p3", "p4"):
+                await scene.submit(pool, f"large-{pool}", tasks=2, cores=cores)
+            await asyncio.sleep(12)
+            for pool in ("p3", "p4"):
+                phase = scene.owners[pool].job_table.get_durable_phase(f"large-{pool}")
+                assert phase is JobPhase.COMPLETED
+            ended = sum(len(w.run_intervals) for w in scene.workers["p1"].values())
+            assert ended > 10
+        assert scene.measure_peak() <= 6 + cores
+
+    run_virtual(main())
+
+
+def test_a_gang_starts_only_if_all_members_fit_under_the_cap() -> None:
+    """Guards against a gang that exceeds a cap by more than one task."""
+
+    async def main() -> None:
+        scene = CapScene(build_config(acme=8), run_s=0.5)
+        async with scene.run():
+            await scene.submit("p1", "fits", tasks=3, cores=2, is_gang=True)
+            await scene.submit("p2", "too-large", tasks=6, cores=3, is_gang=True)
+            await asyncio.sleep(6)
+            fits = scene.owners["p1"].job_table.get_durable_phase("fits")
+            assert fits is JobPhase.COMPLETED
+            assert not any(w.starts for w in scene.workers["p2"].values())
+            assert "too-large" in scene.owners["p2"].job_table.pending
+
+    run_virtual(main())
+
+
+def test_held_back_work_blocks_no_other_customer_and_asks_for_no_hosts() -> None:
+    """Guards against one customer's burst that takes hosts or time from others."""
+
+    async def main() -> None:
+        scene = CapScene(build_config(acme=4, other=None), run_s=2.0)
+        async with scene.run(has_coordinator=True):
+            with structlog.testing.capture_logs() as lines:
+                for number in range(10):
+                    await scene.submit("p1", f"burst-{number}", tasks=20)
+                await asyncio.sleep(1)
+                await scene.submit("p1", "other", tasks=3, customer="other")
+                await asyncio.sleep(0.1)
+                assert scene.count_cores("other") == 3
+                pool = scene.owners["p1"]
+                assert len(pool.job_table.pending) == 10
+                demand = pool.measure_demand(must_yield=False)
+                assert demand.waiting_ms + demand.late_ms == 0
+                assert demand.offered_cpu <= 3000 + 3 * 300
+            waits = [line for line in lines if line["event"] == "job waits"]
+            assert {line["reason"] for line in waits} == {"customer_cap"}
+            reached = [
+                line for line in lines if line["event"] == "customer cap reached"
+            ]
+            assert 1 <= len(reached) <= 2
+            await asyncio.sleep(4.2)
+            assert scene.count_cores() == 3
+        assert scene.measure_peak() == 3
+
+    run_virtual(main())
+
+
+def test_demand_includes_what_the_cap_permits() -> None:
+    """Guards against a pool without hosts that never gets any for a capped customer."""
+
+    async def main() -> None:
+        scene = CapScene(workers=0)
+        async with scene.run():
+            await scene.submit("p1", "job", tasks=40)
+            await asyncio.sleep(1)
+            demand = scene.owners["p1"].measure_demand(must_yield=False)
+            # 13 of the 40 tasks, each of one core for 300 ms.
+            assert demand.waiting_ms + demand.late_ms == 13 * 1000 * 300
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    "config", [build_config(), build_config(acme=None), build_config(acme=Size())]
+)
+def test_without_caps_no_message_is_sent(config: FleetConfig) -> None:
+    """Guards against costs for deployments whose customers have no caps."""
+
+    async def main() -> None:
+        scene = CapScene(config)
+        async with scene.run():
+            await scene.submit("p1", "job", tasks=24)
+            await asyncio.sleep(0.2)
+            assert scene.count_cores() == 24
+        assert scene.calls == []
+
+    run_virtual(main())
+
+
+def test_calls_are_few_in_a_fleet_of_many_pools() -> None:
+    """Guards against a coordinator whose calls take a core, and against slow grants."""
+
+    async def main() -> None:
+        scene = CapScene(build_config(58, **{f"c{n}": 8 for n in range(86)}), workers=1)
+        async with scene.run():
+            await asyncio.sleep(1)
+            scene.calls.clear()
+            await asyncio.sleep(2)
+            assert len(scene.calls) <= 200
+            await scene.submit("p7", "job", tasks=6, customer="c5")
+            await asyncio.sleep(1.5)
+            assert scene.measure_peak("c5") == 6
+            scene.calls.clear()
+            await asyncio.sleep(2)
+            sent = {name for call in scene.calls for name in call.grants or {}}
+            assert sent <= {"c5"}
+
+    run_virtual(main())
+
+
+def test_one_unreachable_pool_does_not_delay_the_others() -> None:
+    """Guards against rounds that wait for the slowest owner."""
+
+    async def main() -> None:
+        scene = CapScene()
+        async with scene.run():
+            await asyncio.sleep(0.5)
+            scene.choose_delays = lambda call: (
+                (None, None) if call.pool == "p4" else (0.002, 0.002)
+            )
+            await scene.submit("p1", "job", tasks=40)
+            await asyncio.sleep(0.3)
+            assert scene.count_cores(pool="p1") == 13
+
+    run_virtual(main())
+
+
+def test_new_and_removed_pools_keep_the_cap() -> None:
+    """Guards against base shares above a quarter while nodes differ in version."""
+
+    async def main() -> None:
+        scene = CapScene(build_config(4, acme=CAP_CORES), run_s=0.5)
+        small = dataclasses.replace(scene.config, services=("p1", "p2", "misc"))
+        scene.config = small
+        removed = ("p3", "p4")
+        scene.pools = ["p1", "p2"]
+        async with scene.run():
+            for pool in scene.pools:
+                await scene.submit(pool, f"j-{pool}", tasks=900)
+            await asyncio.sleep(1)
+            assert scene.count_cores() >= CAP_CORES - 2
+            # Owners of new pools know the new version first.
+            scene.config = dataclasses.replace(
+                small, version=2, services=("p1", "p2", *removed, "misc")
+            )
+            for pool in removed:
+                await scene.start_owner(pool, first_term=1)
+                await scene.submit(pool, f"j-{pool}", tasks=900)
+            await asyncio.sleep(2)
+            scene.set_config(scene.config)
+            await asyncio.sleep(2 + BASE_SETTLE_MS / 1000)
+            assert scene.count_cores(pool="p3") >= 3
+            scene.set_config(dataclasses.replace(small, version=3))
+            await asyncio.sleep(2 + BASE_SETTLE_MS / 1000)
+            assert scene.count_cores(pool="p1") >= 4
+        assert scene.measure_peak() <= CAP_CORES
+
+    run_virtual(main())
