--- a/src/bergamotgap/domain/cap_grants.py
+++ b/src/bergamotgap/domain/cap_grants.py
@@ -99,11 +99,6 @@
         is_held = self.uses.get(customer, NO_USE).has_permit
         return is_held or any(customer in call.permits for call in self.sent)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether the pool has nothing of capped customers, nor grants for them."""
-        return not self.uses and not any(call.grants for call in self.sent)
-
 
 class GrantLedger:
     """Claims of all pools as one coordinator knows them.
--- a/src/bergamotgap/domain/customer_caps.py
+++ b/src/bergamotgap/domain/customer_caps.py
@@ -88,6 +88,11 @@
     )
 
 
+def can_ever_fit(size: Size, base: float, cap: Size, count: int) -> bool:
+    """Return whether a gang fits into the largest share of a pool and one task more."""
+    return fits_share((0, 0, 0), size, base + 1 - BASE_SHARE, cap, count, 1)
+
+
 def count_fitting(
     used: Sequence[int], size: Size, share: float, cap: Size, count: int
 ) -> int:
--- a/src/bergamotgap/pools/cap_coordinator.py
+++ b/src/bergamotgap/pools/cap_coordinator.py
@@ -22,8 +22,8 @@
 # Calls to owners per second in a fleet with many pools. Each takes about half a
 # millisecond of a core on both sides.
 MAX_CALLS_PER_S = 200
-# A pool without jobs or use of capped customers is called in every third round; it has
-# its base share meanwhile.
+# Among more pools than can be called in each round, one without jobs or use of capped
+# customers is called in every third round; it has its base share meanwhile.
 IDLE_ROUNDS = 3
 # The owner of a removed pool that has not answered for this time has lost its leases,
 # so nothing runs there any more.
@@ -68,6 +68,7 @@
         may_act: Callable[[], bool],
         clock: Clock,
     ) -> None:
+        self.token = token
         self._list_claims = list_claims
         self._get_config = get_config
         self._call_owner = call_owner
@@ -83,16 +84,18 @@
         try:
             while not self._ledger.is_superseded:
                 config = self._get_config()
+                calls = 0
                 if config is not None and list_caps(config) and self._may_act():
-                    self._run_round(config)
-                pools_ms = len(self._calls) * MS_PER_SECOND / MAX_CALLS_PER_S
-                await self._clock.sleep_ms(max(ROUND_INTERVAL_MS, pools_ms))
-            log.warning("cap coordinator superseded", token=self._ledger.token)
+                    calls = self._run_round(config)
+                calls_ms = calls * MS_PER_SECOND / MAX_CALLS_PER_S
+                await self._clock.sleep_ms(max(ROUND_INTERVAL_MS, calls_ms))
+            log.warning("cap coordinator superseded", token=self.token)
         finally:
             tasks = [calls.task for calls in self._calls.values() if calls.task]
             await cancel_tasks(tasks)
 
-    def _run_round(self, config: FleetConfig) -> None:
+    def _run_round(self, config: FleetConfig) -> int:
+        """Send the grants that are due; return the number of calls."""
         self._update_pools(config)
         ledger = self._ledger
         bases = {pool: measure_base_share(config, pool) for pool in ledger.views}
@@ -103,15 +106,21 @@
                 pool for pool, view in ledger.views.items() if not view.has_answered
             )
             log.info("customer caps divided", pools=len(bases), silent=",".join(silent))
+        sent_calls = 0
+        may_skip = (
+            len(self._calls) * MS_PER_SECOND > MAX_CALLS_PER_S * ROUND_INTERVAL_MS
+        )
         for pool, calls in self._calls.items():
             if calls.is_busy:
                 continue
-            if calls.rounds_to_skip > 0 and not grants[pool]:
+            if may_skip and calls.rounds_to_skip > 0 and not grants[pool]:
                 calls.rounds_to_skip -= 1
                 continue
             sent = ledger.build_call(pool, grants[pool], sorted(permits[pool]))
             call = self._call_pool(pool, sent)
             calls.task = asyncio.create_task(call)
+            sent_calls += 1
+        return sent_calls
 
     def _update_pools(self, config: FleetConfig) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -135,7 +144,7 @@
         reply = await self._call_owner(
             CapCall(
                 pool,
-                self._ledger.token,
+                self.token,
                 sent.sequence,
                 sent.owner_token,
                 None if grants is None else dict(grants),
--- a/src/bergamotgap/pools/customer_usage.py
+++ b/src/bergamotgap/pools/customer_usage.py
@@ -9,6 +9,7 @@
 from bergamotgap.domain.customer_caps import (
     BaseShare,
     CustomerUse,
+    can_ever_fit,
     count_fitting,
     fits_share,
     list_caps,
@@ -137,9 +138,18 @@
             self._runs.expire_changed_runs()
             return True
         self._refused.add(job.job_id)
-        self._hold_back(job, Size(*(count * part for part in size)), used, share)
+        if self._can_ever_start(customer, size, count):
+            self._hold_back(job, Size(*(count * part for part in size)), used, share)
         return False
 
+    def _can_ever_start(self, customer: str, size: Size, count: int) -> bool:
+        """Return whether a gang could start if its customer used nothing else.
+
+        One that can't must not hold back others or take a share from them.
+        """
+        base = self._base.measure(self._clock.monotonic_ms())
+        return can_ever_fit(size, base, self._caps[customer], count)
+
     def is_at_cap(self, job: Job, size: Size, count: int) -> bool:
         """Return whether a cap that was reached in this pass holds back a job, too.
 
@@ -257,7 +267,11 @@
                 continue
             sums = waiting.setdefault(job.spec.customer, list(NO_SIZE))
             for step in job.list_ready_steps():
-                add_size(sums, step.spec.size, _count_waiting(step))
+                size, members = step.spec.size, step.spec.count
+                if not step.spec.is_gang or self._can_ever_start(
+                    job.spec.customer, size, members
+                ):
+                    add_size(sums, size, _count_waiting(step))
         return waiting
 
     def limit_demand(self, jobs: Iterable[Job]) -> StartableWork:
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -82,6 +82,9 @@
         self._background_tasks: list[asyncio.Task[None]] = []
         self._owner_tasks: dict[str, tuple[int, asyncio.Task[None]]] = {}
         self._is_closing = False
+        # Kept when the host controller starts again under the same claim: owners refuse
+        # a sequence that begins anew.
+        self._cap_coordinator: CapCoordinator | None = None
         self.pools: dict[str, Pool] = {}
         incarnation = f"{clock.wall_ms():x}"
         self._member = Member(settings.peer_address, incarnation, settings.cpu)
@@ -280,7 +283,9 @@
 
     async def _run_host_controller(self, claim: Claim) -> None:
         delay_ms = self._choose_controller_delay_ms(claim)
-        coordinator = self._build_cap_coordinator(claim)
+        coordinator = self._cap_coordinator
+        if coordinator is None or coordinator.token != claim.token:
+            coordinator = self._cap_coordinator = self._build_cap_coordinator(claim)
         caps = asyncio.create_task(supervise("customer caps", coordinator.run))
         try:
             await self._run_host_duty(claim, delay_ms)
