--- a/bench/turning_demand.py
+++ b/bench/turning_demand.py
@@ -48,18 +48,18 @@
 POOLS = ("p0", "p1", "p2", "p3")
 SPARE = "spare"
 HOSTS_PER_POOL = 6
-HOST_CPU = 32_000
+HOST_CPU, HOST_MEMORY_MB = 32_000, 16_384
 DAY_S = 34.0
 # Demand as described by the users: for some seconds one service has five times its mean
 # demand, its turn; between its turns it has a twentieth of the mean.
 PEAK_FACTOR, LULL_FACTOR = 5.0, 0.05
 TURN_DURATION_RANGE_S = (3.0, 7.0)
-# By pool: jobs/s, tasks per step, ms per task and 1/1000 cores per task.
+# By pool: jobs/s, tasks per step; of a task ms, 1/1000 cores and MB.
 JOB_KINDS = (
-    (4.0, 6, 800, 1800),
-    (0.6, 8, 1700, 3800),
-    (4.8, 6, 800, 1800),
-    (0.7, 8, 1700, 3800),
+    (4.0, 6, 800, 1800, 100),
+    (0.6, 8, 1700, 3800, 100),
+    (4.8, 6, 800, 1800, 100),
+    (0.7, 8, 1700, 3800, 100),
 )
 SPREAD = 0.5
 STRETCH, TARGET_MS = 1.6, 600
@@ -150,7 +150,7 @@
     kind: tuple[int, ...],
     number: int,
 ) -> ScheduledJob:
-    width, task_ms, cpu = kind
+    width, task_ms, cpu, memory_mb = kind
 
     def vary(mean: float) -> int:
         return max(1, int(mean * rng.lognormal(-(SPREAD**2) / 2, SPREAD)))
@@ -159,7 +159,7 @@
         StepSpec(
             count=vary(width),
             cpu=vary(cpu),
-            memory_mb=100,
+            memory_mb=memory_mb,
             estimated_ms=vary(task_ms),
             after=(index - 1,) if index else (),
         )
@@ -196,10 +196,12 @@
 
     def _add_worker(self, host: str, pool: str) -> None:
         worker_id = f"{host}-{len(self._workers)}"
-        self._hosts[host] = HostInfo(host, pool, UP, worker_id, "dc", HOST_CPU)
+        place = (host, pool, UP, worker_id, "dc")
+        self._hosts[host] = HostInfo(*place, HOST_CPU, memory_mb=HOST_MEMORY_MB)
         if pool == SPARE:
             return
-        info = replace(build_worker(1, pool, HOST_CPU), worker_id=worker_id, host=host)
+        info = build_worker(1, pool, HOST_CPU, HOST_MEMORY_MB)
+        info = replace(info, worker_id=worker_id, host=host)
         worker = self._workers[worker_id] = FakeWorker(info)
         worker.choose_run_s = _choose_run_s
         self._listed[pool][worker_id] = info
@@ -283,8 +285,7 @@
         return self.result
 
     async def _run_mover(self) -> None:
-        token, move_ms = 1, int(MOVE_S * 1000)
-        limits = (token, self._moves_per_round, move_ms)
+        limits = (1, self._moves_per_round, int(MOVE_S * 1000))
         mover = HostMover(self, self._call_owner, lambda: True, *limits, self.clock)
         while self._has_moves:
             await asyncio.sleep(ROUND_S)
--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from bergamotgap.domain.amounts import Amount, total
+
 if TYPE_CHECKING:
     from bergamotgap.domain.customers import Customers
 
@@ -20,6 +22,9 @@
     gpus: int = 0
 
 
+NO_SIZE = Size()
+
+
 class TaskId(NamedTuple):
     """Identifies one task of one occurrence of a job."""
 
@@ -67,6 +72,14 @@
         """Return what a task reserves on a worker; fillers reserve no CPU."""
         return Size(0 if self.is_filler else self.cpu, self.memory_mb, self.gpus)
 
+    @property
+    def is_lasting(self) -> bool:
+        """Return whether a task keeps memory or accelerators until it is cancelled.
+
+        Long-running tasks that reserve only cores are placed and counted like others.
+        """
+        return self.is_long_running and bool(self.memory_mb or self.gpus)
+
 
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
     """Specification of a job as submitted by its caller; start times in Unix ms."""
@@ -87,15 +100,17 @@
         """Return how many times the job's steps run."""
         return max(1, self.repetitions)
 
-    def estimate_work(self) -> float:
-        """Return the declared work of one occurrence, in 1/1000 core-ms.
+    def estimate_work(self) -> Amount:
+        """Return the declared work of one occurrence, as an amount in ms.
 
         Long-running steps never end and are left out.
         """
-        return sum(
-            step.count * step.size.cpu * step.estimated_ms
-            for step in self.steps
-            if not step.is_long_running
+        return total(
+            [
+                Amount(*step.size).scale(step.count * step.estimated_ms)
+                for step in self.steps
+                if not step.is_long_running
+            ]
         )
 
     def due_ms(self, occurrence: int) -> int:
@@ -220,3 +235,10 @@
     data_centre: str
     cpu: int = 0
     labels: frozenset[str] = frozenset()
+    memory_mb: int = 0
+    gpus: int = 0
+
+    @property
+    def size(self) -> Size:
+        """Return all of the host's capacity."""
+        return Size(self.cpu, self.memory_mb, self.gpus)
--- a/src/bergamotgap/domain/offered_load.py
+++ b/src/bergamotgap/domain/offered_load.py
@@ -3,6 +3,8 @@
 import math
 from collections import deque
 
+from bergamotgap.domain.amounts import Amount, total
+
 # Fewest arrivals from which a rate is estimated; further rates are estimated from
 # twice as many each, up to all arrivals of the longest period.
 MIN_ARRIVALS = 3
@@ -25,32 +27,35 @@
     """
 
     def __init__(self) -> None:
-        # Arrival time (monotonic, ms) and work (1/1000 core-ms), oldest first.
-        self._arrivals: deque[tuple[int, float]] = deque(maxlen=MAX_ARRIVALS)
+        # Arrival time (monotonic, ms) and work (amount in ms), oldest first.
+        self._arrivals: deque[tuple[int, Amount]] = deque(maxlen=MAX_ARRIVALS)
 
     @property
     def arrivals(self) -> int:
         """Return how many arrivals are kept."""
         return len(self._arrivals)
 
-    def record(self, at_ms: int, work: float) -> None:
-        """Record the arrival of a job with `work` in 1/1000 core-ms."""
+    def record(self, at_ms: int, work: Amount) -> None:
+        """Record the arrival of a job with its work."""
         self._arrivals.append((at_ms, work))
         self._forget_old(at_ms)
 
-    def estimate(self, now_ms: int) -> float:
-        """Return the work that arrives per ms, in 1/1000 cores.
+    def estimate(self, now_ms: int) -> Amount:
+        """Return the work that arrives per ms, which is the capacity that it uses.
 
-        Returns the highest of several rates over the latest arrivals. Rates from fewer
-        arrivals are scaled down more: a pool with many small jobs reacts to a change in
-        load at once, while one large job in a pool with few jobs doesn't look like one.
+        Returns the highest of several rates over the latest arrivals in each dimension.
+        Rates from fewer arrivals are scaled down more: a pool with many small jobs
+        reacts to a change in load at once, while one large job in a pool with few jobs
+        doesn't look like one.
         """
         self._forget_old(now_ms)
-        total = sum(work for _, work in self._arrivals)
-        highest = total / MAX_PERIOD_MS
-        work, count, next_count = 0.0, 0, MIN_ARRIVALS
-        for at_ms, job_work in reversed(self._arrivals):
-            work += job_work
+        highest = total([work for _, work in self._arrivals]).divide(MAX_PERIOD_MS)
+        cpu = memory_mb = gpus = 0.0
+        count, next_count = 0, MIN_ARRIVALS
+        for at_ms, work in reversed(self._arrivals):
+            cpu += work.cpu
+            memory_mb += work.memory_mb
+            gpus += work.gpus
             count += 1
             if count < next_count:
                 continue
@@ -60,7 +65,8 @@
             )
             period_ms = max(min_period_ms, now_ms - at_ms)
             confidence = 1 - 1 / math.sqrt(count + 1)
-            highest = max(highest, confidence * work / period_ms)
+            rate = Amount(cpu, memory_mb, gpus).scale(confidence).divide(period_ms)
+            highest = highest.join(rate)
         return highest
 
     def _forget_old(self, now_ms: int) -> None:
--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -4,6 +4,9 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from bergamotgap.domain.amounts import NOTHING, Amount, measure_share
+from bergamotgap.domain.fleet import NO_SIZE, Size
+
 # Tasks rarely fill a worker completely, so a pool gets a tenth more than it asks for.
 HEADROOM_FACTOR = 1.1
 # A host that has been idle for less is not returned to the spare pool, because moving
@@ -23,24 +26,24 @@
 
     host: str
     worker_id: str
-    cpu: int
+    size: Size
     idle_ms: int
     labels: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
 class PoolDemand:
-    """What a pool needs and has, in 1/1000 cores; arriving hosts are on their way.
+    """What a pool needs and has; arriving hosts are on their way.
 
-    `on_time_cpu` is the part of the need that comes from work which can still be on
-    time.
+    `on_time` is the part of the need for short work that comes from work which can
+    still be on time. `lasting` is what long-running tasks take, without headroom.
     """
 
     pool: str
-    wanted_cpu: int
-    on_time_cpu: int
-    capacity_cpu: int
-    arriving_cpu: int
+    wanted: Amount
+    on_time: Amount
+    capacity: Amount
+    arriving: Amount
     workers: int
     idle: tuple[IdleHost, ...]
     arriving_workers: int = 0
@@ -50,13 +53,25 @@
     labels: frozenset[str] = frozenset()
     # Hosts that run only work which can no longer be on time.
     late: tuple[IdleHost, ...] = ()
+    lasting: Amount = NOTHING
+    # Hosts that waiting tasks fill which fit whole on no worker, and the size of the
+    # largest such task.
+    whole_hosts: int = 0
+    whole_size: Size = NO_SIZE
 
     @property
-    def on_time_missing_cpu(self) -> float:
-        """Return the CPU missing for work that can be on time; negative if enough."""
-        return (
-            self.on_time_cpu * HEADROOM_FACTOR - self.capacity_cpu - self.arriving_cpu
-        )
+    def missing(self) -> Amount:
+        """Return what the pool lacks; negative for what it can spare."""
+        return self._subtract_held(self.wanted)
+
+    @property
+    def on_time_missing(self) -> Amount:
+        """Return what is missing for work that can be on time; negative if enough."""
+        return self._subtract_held(self.on_time)
+
+    def _subtract_held(self, wanted: Amount) -> Amount:
+        held = self.capacity + self.arriving
+        return wanted.scale(HEADROOM_FACTOR) + self.lasting - held
 
     @property
     def missing_workers(self) -> int:
@@ -64,33 +79,53 @@
         return self.least_workers - self.workers - self.arriving_workers
 
     @property
-    def missing_cpu(self) -> float:
-        """Return the CPU that the pool lacks; negative for CPU it can spare."""
-        held = self.capacity_cpu + self.arriving_cpu
-        return self.wanted_cpu * HEADROOM_FACTOR - held
+    def missing_whole_hosts(self) -> int:
+        """Return how many more hosts are needed for tasks that fit on no worker."""
+        return self.whole_hosts - self.arriving_workers
 
 
 def forecast_demand(
-    used_cpu: int, waiting_work: float, offered_cpu: float, held_cpu: int, lead_ms: int
+    used_cpu: float,
+    waiting_work: float,
+    offered_cpu: float,
+    held_cpu: float,
+    lead_ms: int,
 ) -> int:
     """Return the 1/1000 cores that a pool needs once a move ordered now completes.
 
     `offered_cpu` is the offered load, the CPU that a pool uses when it keeps up with
     arriving work. The backlog, which is `waiting_work` in 1/1000 core-ms and what
     accumulates until then, must be cleared within BACKLOG_CLEAR_MS, so that most of it
-    is on time.
+    is on time. `held_cpu` is negative if long-running tasks need more than there is.
     """
-    backlog = waiting_work + max(0.0, offered_cpu - held_cpu) * lead_ms
+    backlog = waiting_work + max(0.0, offered_cpu - max(0, held_cpu)) * lead_ms
     return int(max(offered_cpu, used_cpu) + backlog / BACKLOG_CLEAR_MS)
 
 
+def forecast_need(
+    used: Amount, waiting_work: Amount, offered: Amount, held: Amount, lead_ms: int
+) -> Amount:
+    """Return what a pool needs in each dimension, as `forecast_demand` does for one."""
+    return Amount(
+        forecast_demand(used.cpu, waiting_work.cpu, offered.cpu, held.cpu, lead_ms),
+        forecast_demand(
+            used.memory_mb,
+            waiting_work.memory_mb,
+            offered.memory_mb,
+            held.memory_mb,
+            lead_ms,
+        ),
+        forecast_demand(used.gpus, waiting_work.gpus, offered.gpus, held.gpus, lead_ms),
+    )
+
+
 @dataclass(frozen=True)
 class SpareHost:
     """An available host of a spare pool."""
 
     host: str
     pool: str
-    cpu: int
+    size: Size
     labels: frozenset[str] = frozenset()
 
 
@@ -110,25 +145,37 @@
     """Return the moves to order now.
 
     Pools with the highest demand relative to their size are served first, from spare
-    hosts before idle hosts of other pools. Idle hosts that no pool needs are returned
-    to the spare pool after MIN_IDLE_MS.
+    hosts before idle hosts of other pools, until no dimension is short. Idle hosts that
+    no pool needs are returned to the spare pool after MIN_IDLE_MS.
     """
     donors = [*_list_spare_donors(spare), *_list_idle_donors(demands)]
     moves: list[Move] = []
     taken: set[str] = set()
     for demand in sorted(demands, key=_rank_by_demand):
-        missing, workers = demand.missing_cpu, demand.missing_workers
+        missing, workers = demand.missing, demand.missing_workers
+        whole_hosts = demand.missing_whole_hosts
         labels = set(demand.labels)
         for donor in _sort_by_labels(donors, labels):
             has_label = not labels.isdisjoint(donor.labels)
-            if missing <= 0 and workers <= 0 and not has_label:
+            is_short = missing.has_shortage() or workers > 0 or whole_hosts > 0
+            if not is_short and not has_label:
                 break
             if donor.host in taken or donor.source == demand.pool:
                 continue
+            holds_whole = donor.size.covers(Amount(*demand.whole_size))
+            is_useful = (
+                has_label
+                or workers > 0
+                or (whole_hosts > 0 and holds_whole)
+                or missing.is_relieved_by(donor.size)
+            )
+            if not is_useful:
+                continue
             taken.add(donor.host)
             moves.append(Move(donor.host, donor.worker_id, donor.source, demand.pool))
-            missing -= donor.cpu
+            missing -= donor.size
             workers -= 1
+            whole_hosts -= holds_whole
             labels -= donor.labels
     if spare_pool:
         moves += _return_idle(donors, taken, spare_pool)
@@ -150,9 +197,9 @@
     return {
         demand.pool
         for demand in demands
-        if demand.on_time_missing_cpu > 0
+        if demand.on_time_missing.has_shortage()
         and not incoming[demand.pool]
-        and demand.arriving_cpu == 0
+        and demand.arriving == NOTHING
     }
 
 
@@ -168,12 +215,14 @@
     donors = _list_late_donors(demands, moves)
     planned: list[Move] = []
     for demand in sorted(demands, key=_rank_by_demand):
-        missing = 0.0 if incoming[demand.pool] else demand.on_time_missing_cpu
+        missing = NOTHING if incoming[demand.pool] else demand.on_time_missing
         for donor in [donor for donor in donors if donor.source != demand.pool]:
-            if missing <= 0:
+            if not missing.has_shortage():
                 break
+            if not missing.is_relieved_by(donor.size):
+                continue
             donors.remove(donor)
-            missing -= donor.cpu
+            missing -= donor.size
             move = Move(donor.host, donor.worker_id, donor.source, demand.pool)
             planned.append(move)
     return planned
@@ -187,8 +236,8 @@
     donors: list[_Donor] = []
     for demand in demands:
         workers = demand.workers - leaving[demand.pool]
-        surplus_cpu = -demand.on_time_missing_cpu
-        donors += _take_surplus(demand, demand.late, surplus_cpu, workers)
+        surplus = demand.on_time_missing.scale(-1)
+        donors += _take_surplus(demand, demand.late, surplus, workers)
     return donors
 
 
@@ -197,20 +246,20 @@
     host: str
     worker_id: str
     source: str
-    cpu: int
+    size: Amount
     idle_ms: int
     is_spare: bool
     labels: frozenset[str]
 
 
 def _rank_by_demand(demand: PoolDemand) -> float:
-    held = demand.capacity_cpu + demand.arriving_cpu
-    return -demand.wanted_cpu / max(1, held)
+    held = demand.capacity + demand.arriving
+    return -measure_share(demand.wanted + demand.lasting, held)
 
 
 def _list_spare_donors(spare: Iterable[SpareHost]) -> list[_Donor]:
     return [
-        _Donor(host.host, "", host.pool, host.cpu, 0, True, host.labels)
+        _Donor(host.host, "", host.pool, Amount(*host.size), 0, True, host.labels)
         for host in spare
     ]
 
@@ -219,28 +268,32 @@
     donors: list[_Donor] = []
     for demand in demands:
         longest_first = sorted(demand.idle, key=lambda idle: -idle.idle_ms)
-        surplus_cpu = -demand.missing_cpu
-        donors += _take_surplus(demand, longest_first, surplus_cpu, demand.workers)
+        surplus = demand.missing.scale(-1)
+        donors += _take_surplus(demand, longest_first, surplus, demand.workers)
     return donors
 
 
 def _take_surplus(
-    demand: PoolDemand, hosts: Iterable[IdleHost], surplus_cpu: float, workers: int
+    demand: PoolDemand, hosts: Iterable[IdleHost], surplus: Amount, workers: int
 ) -> list[_Donor]:
-    """Return the first hosts, in the given order, that the pool can spare."""
+    """Return the first hosts, in the given order, that the pool can spare.
+
+    None is taken that would leave a dimension short.
+    """
     donors: list[_Donor] = []
     for host in hosts:
+        size = Amount(*host.size)
         # The last worker stays, so that a pool can always run something.
-        if surplus_cpu < host.cpu or workers <= max(1, demand.least_workers):
+        if not surplus.covers(size) or workers <= max(1, demand.least_workers):
             break
-        surplus_cpu -= host.cpu
+        surplus -= size
         workers -= 1
         donors.append(
             _Donor(
                 host.host,
                 host.worker_id,
                 demand.pool,
-                host.cpu,
+                size,
                 host.idle_ms,
                 False,
                 host.labels,
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from bergamotgap.domain.fleet import JobPhase, Queue, Size, WorkerInfo
+from bergamotgap.domain.amounts import NOTHING, Amount
+from bergamotgap.domain.fleet import NO_SIZE, JobPhase, Queue, Size, WorkerInfo
 from bergamotgap.domain.job_state import Job, StepOccurrence, Task
 
 StepKey = tuple[str, int, int]
@@ -15,6 +16,8 @@
 # First element of a rank: the job is long-running or can be on time, can still end late
 # but with some value, or can only end too late to be of value.
 ON_TIME, LATE, TOO_LATE = 0, 1, 2
+# Number of tasks that fit on a worker if they reserve nothing.
+NO_SIZE_COUNT = 1_000_000
 
 
 @dataclass
@@ -35,12 +38,35 @@
     tasks_of_step: Counter[StepKey] = field(default_factory=Counter)
     serving_tasks: int = 0
     filler_tasks: int = 0
+    # Tasks that keep memory or accelerators until they are cancelled, and their sizes.
+    lasting_tasks: int = 0
+    lasting: Amount = NOTHING
 
     @property
     def free_cpu(self) -> int:
         """Return the CPU not reserved by tasks, in 1/1000 cores."""
         return self.info.capacity.cpu - self.used_cpu
 
+    @property
+    def free(self) -> Size:
+        """Return what tasks don't reserve; negative above a capacity that shrank."""
+        capacity = self.info.capacity
+        return Size(
+            capacity.cpu - self.used_cpu,
+            capacity.memory_mb - self.used_memory_mb,
+            capacity.gpus - self.used_gpus,
+        )
+
+    @property
+    def used(self) -> Amount:
+        """Return what tasks reserve."""
+        return Amount(self.used_cpu, self.used_memory_mb, self.used_gpus)
+
+    @property
+    def room_beside_lasting(self) -> Amount:
+        """Return the capacity that lasting tasks leave once short ones end."""
+        return Amount(*self.info.capacity) - self.lasting
+
     def fits(self, size: Size) -> bool:
         """Return whether a task of this size fits into the free capacity."""
         capacity = self.info.capacity
@@ -68,6 +94,9 @@
             self.filler_tasks += sign
         elif task.step.target_ms:
             self.serving_tasks += sign
+        if task.step.is_lasting:
+            self.lasting_tasks += sign
+            self.lasting += Amount(*size).scale(sign)
 
 
 def rank_job(job: Job, queue: Queue | None, now_ms: int, ratio: float) -> JobRank:
@@ -101,23 +130,31 @@
 ) -> WorkerCapacity | None:
     """Return the worker for a task, or None if it fits on none.
 
-    Short tasks go to the fullest worker that they fit on (best fit), so that other
-    workers stay empty and can be moved. Long-running tasks are spread over two workers,
-    so that the loss of one stops only half of them.
+    Short tasks go to the worker whose remaining room is of the least use (best fit), so
+    that other workers stay empty and can be moved. Long-running tasks are spread over
+    two workers, so that the loss of one stops only half of them.
     """
     step = task.step
     size = step.size
     key = task.task_id[:3]
     best: WorkerCapacity | None = None
     best_score: tuple[float, ...] = ()
+    cpu, memory_mb, gpus = size
     for worker in workers:
-        if not worker.accepts_tasks or not worker.fits(size):
+        # Most workers are full when work waits, so the room is compared without calls.
+        capacity = worker.info.capacity
+        if (
+            worker.used_cpu + cpu > capacity.cpu
+            or worker.used_memory_mb + memory_mb > capacity.memory_mb
+            or worker.used_gpus + gpus > capacity.gpus
+            or not worker.accepts_tasks
+        ):
             continue
         if step.requirement and step.requirement not in worker.info.labels:
             continue
         if step.max_per_host and worker.tasks_of_step[key] >= step.max_per_host:
             continue
-        score = _score_worker(worker, task, key)
+        score = _score_worker(worker, task, key, size)
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -126,18 +163,59 @@
 def is_still_best_worker(worker: WorkerCapacity, task: Task) -> bool:
     """Return whether the worker chosen for the step's last task suits this one best.
 
-    Short tasks go to the fullest worker that they fit on. A worker that was just given
-    such a task remains the fullest one as long as the next task fits and no placement
-    rule of the step applies.
+    The worker was just given a task of the same size, which changed no other worker. So
+    it remains the best one if the next task fits, its rating has not become worse, and
+    no placement rule of the step applies.
     """
     step = task.step
     if step.is_long_running or step.is_filler or step.max_per_host or task.failed_on:
         return False
-    return worker.fits(step.size)
+    size = step.size
+    if not worker.fits(size):
+        return False
+    if not (size.memory_mb or size.gpus):
+        return True
+    return rate_room_left(worker, size) <= rate_room_left(worker, size, size)
+
+
+def rate_room_left(worker: WorkerCapacity, size: Size, ended: Size = NO_SIZE) -> float:
+    """Return how useful a worker's room is after a start; the least goes first.
+
+    The rating is the free share of the scarcest dimension, plus how much the start adds
+    to the difference between the dimensions. So room that is left in only some of the
+    dimensions is avoided, and existing differences are evened out. For a task that
+    reserves only cores, it is the number of free cores. `ended` is added to the room.
+    """
+    free_cpu = worker.info.capacity.cpu - worker.used_cpu + ended.cpu
+    if not (size.memory_mb or size.gpus):
+        return free_cpu
+    capacity = worker.info.capacity
+    free_memory_mb = capacity.memory_mb - worker.used_memory_mb + ended.memory_mb
+    whole_cpu, whole_memory_mb = capacity.cpu or 1, capacity.memory_mb or 1
+    cpu, memory = free_cpu / whole_cpu, free_memory_mb / whole_memory_mb
+    cpu_left = cpu - size.cpu / whole_cpu
+    memory_left = memory - size.memory_mb / whole_memory_mb
+    least = cpu_left if cpu_left < memory_left else memory_left
+    if not capacity.gpus:
+        return least + abs(cpu_left - memory_left) - abs(cpu - memory)
+    gpus = (capacity.gpus - worker.used_gpus + ended.gpus) / capacity.gpus
+    left = (cpu_left, memory_left, gpus - size.gpus / capacity.gpus)
+    free = (cpu, memory, gpus)
+    return min(left) + (max(left) - min(left)) - (max(free) - min(free))
+
+
+def count_fitting(room: Size | Amount, size: Size) -> int:
+    """Return how many tasks of a size fit whole into a worker's room."""
+    counts = [int(room.cpu // size.cpu)] if size.cpu else []
+    if size.memory_mb:
+        counts.append(int(room.memory_mb // size.memory_mb))
+    if size.gpus:
+        counts.append(int(room.gpus // size.gpus))
+    return max(0, min(counts, default=NO_SIZE_COUNT))
 
 
 def _score_worker(
-    worker: WorkerCapacity, task: Task, key: StepKey
+    worker: WorkerCapacity, task: Task, key: StepKey, size: Size
 ) -> tuple[float, ...]:
     step = task.step
     has_failed = worker.info.worker_id in task.failed_on
@@ -149,8 +227,17 @@
         # Avoids placing more than half of a step on one worker. Within that limit,
         # tasks go to the fullest workers, so that the others stay free to move.
         is_crowded = worker.tasks_of_step[key] >= (step.count + 1) // 2
-        return (has_failed, is_slow, is_far, is_crowded, worker.free_cpu)
-    return (has_failed, is_slow, is_far, worker.free_cpu)
+        if not step.is_lasting:
+            return (has_failed, is_slow, is_far, is_crowded, worker.free_cpu)
+        # A worker keeps its host in the pool while it has a lasting task, so as few
+        # workers as possible get any.
+        if worker.lasting_tasks:
+            rating = rate_room_left(worker, size)
+            return (has_failed, is_slow, is_far, is_crowded, False, rating)
+        fitting = count_fitting(worker.free, size)
+        return (has_failed, is_slow, is_far, is_crowded, True, -fitting)
+    rating = rate_room_left(worker, size)
+    return (has_failed, is_slow, is_far, rating)
 
 
 def place_gang(
--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -161,6 +161,8 @@
                 host.zone,
                 host.capacity.cpu,
                 frozenset(host.labels),
+                host.capacity.requested_memory_mb,
+                host.capacity.gpus,
             )
             for host in self.machines
         ]
--- a/src/bergamotgap/pools/host_mover.py
+++ b/src/bergamotgap/pools/host_mover.py
@@ -4,15 +4,16 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.amounts import Amount, total
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.fleet import FleetConfig, HostInfo
+from bergamotgap.domain.fleet import FleetConfig, HostInfo, Size
 from bergamotgap.domain.maintenance_plan import UP
 from bergamotgap.domain.pool_sizes import (
     IdleHost,
     Move,
     PoolDemand,
     SpareHost,
-    forecast_demand,
+    forecast_need,
     list_short_pools,
     plan_moves,
     plan_preemptions,
@@ -70,9 +71,9 @@
         )
         self._move_duration_ms = move_duration_ms
         self._clock = clock
-        # Moves under way by host: target pool, order time (monotonic, ms) and 1/1000
-        # cores of the host.
-        self._moves_in_progress: dict[str, tuple[str, int, int]] = {}
+        # Moves under way by host: target pool, order time (monotonic, ms) and the
+        # host's size.
+        self._moves_in_progress: dict[str, tuple[str, int, Size]] = {}
         self._sizes_logged_ms = 0
         # Pools that lack hosts for on-time work; late work of other pools yields to it.
         self._short_pools: set[str] = set()
@@ -86,16 +87,16 @@
     ) -> None:
         """Run one round: order the moves that demand requires; `pinned_hosts` stay."""
         self._remove_finished_moves(hosts)
-        demands = await self._read_demands(config, hosts, pinned_hosts)
-        self._log_sizes(demands)
         spare = [
-            SpareHost(info.host, info.pool, info.cpu, info.labels)
+            SpareHost(info.host, info.pool, info.size, info.labels)
             for info in hosts.values()
             if info.pool in config.spare_services
             and info.state == UP
             and info.host not in pinned_hosts
             and info.host not in self._moves_in_progress
         ]
+        demands = await self._read_demands(config, hosts, pinned_hosts, bool(spare))
+        self._log_sizes(demands)
         spare_pool = min(config.spare_services, default="")
         planned = plan_moves(demands, spare, spare_pool)
         self._short_pools = list_short_pools(demands, planned)
@@ -155,56 +156,79 @@
             await self._order_move(move, hosts)
 
     async def _read_demands(
-        self, config: FleetConfig, hosts: Mapping[str, HostInfo], pinned_hosts: set[str]
+        self,
+        config: FleetConfig,
+        hosts: Mapping[str, HostInfo],
+        pinned_hosts: set[str],
+        has_spare_host: bool,
     ) -> list[PoolDemand]:
         demands = []
         pools = sorted(set(config.services) - config.spare_services)
         # Late work yields to work of other pools that can be on time.
         yielding = {pool: bool(self._short_pools - {pool}) for pool in pools}
         replies = await asyncio.gather(
-            *(self._call_owner(DemandCall(pool, yielding[pool])) for pool in pools)
+            *(
+                self._call_owner(DemandCall(pool, yielding[pool], has_spare_host))
+                for pool in pools
+            )
         )
+        # What no host has can't be supplied, so no pool gives way or grows for it.
+        present = total([Amount(*info.size) for info in hosts.values()])
         for pool, reply in zip(pools, replies, strict=True):
             if not isinstance(reply, DemandReply):
                 continue
-            arriving = [
-                (host, cpu)
-                for host, (to, _, cpu) in self._moves_in_progress.items()
-                if to == pool
-            ]
-            arriving += [
-                (host, hosts[host].cpu)
-                for host, (move, _) in self._preemptions.items()
-                if move.target == pool and host in hosts
-            ]
-            arriving_cpu = sum(cpu for _, cpu in arriving)
+            arriving = self._list_arriving(pool, hosts)
+            arriving_size = total([Amount(*size) for _, size in arriving])
             arriving_labels = {
                 label
                 for host, _ in arriving
                 if host in hosts
                 for label in hosts[host].labels
             }
-            held_cpu = reply.capacity_cpu + arriving_cpu
-            late_ms = 0.0 if yielding[pool] else reply.late_ms
+            held = reply.capacity + arriving_size
+            late_work = Amount() if yielding[pool] else reply.late_work
+            wanted = self._forecast_need(
+                reply, Amount(), reply.waiting_work + late_work, held
+            )
+            on_time = self._forecast_need(
+                reply, reply.late_used, reply.waiting_work, held
+            )
             demands.append(
                 PoolDemand(
                     pool,
-                    self._forecast_cpu(reply, 0, reply.waiting_ms + late_ms, held_cpu),
-                    self._forecast_cpu(
-                        reply, reply.late_cpu, reply.waiting_ms, held_cpu
-                    ),
-                    reply.capacity_cpu,
-                    arriving_cpu,
+                    wanted.limit_to(present),
+                    on_time.limit_to(present),
+                    reply.capacity,
+                    arriving_size,
                     reply.workers,
                     self._filter_movable_hosts(reply.idle, hosts, pinned_hosts),
                     len(arriving),
                     reply.least_workers,
                     frozenset(reply.labels) - arriving_labels,
                     self._filter_movable_hosts(reply.late, hosts, pinned_hosts),
+                    (reply.lasting + reply.lasting_waiting).limit_to(present),
+                    reply.whole_hosts,
+                    reply.whole_size,
                 )
             )
         return demands
 
+    def _list_arriving(
+        self, pool: str, hosts: Mapping[str, HostInfo]
+    ) -> list[tuple[str, Size]]:
+        """Return the hosts on their way to a pool, and their sizes."""
+        arriving = [
+            (host, size)
+            for host, (to, _, size) in self._moves_in_progress.items()
+            if to == pool
+        ]
+        arriving += [
+            (host, hosts[host].size)
+            for host, (move, _) in self._preemptions.items()
+            if move.target == pool and host in hosts
+        ]
+        return arriving
+
     def _filter_movable_hosts(
         self,
         idle_hosts: Iterable[IdleHost],
@@ -220,14 +244,14 @@
             and host.host not in self._preemptions
         )
 
-    def _forecast_cpu(
-        self, reply: DemandReply, late_cpu: int, waiting_ms: float, held_cpu: int
-    ) -> int:
+    def _forecast_need(
+        self, reply: DemandReply, late_used: Amount, waiting: Amount, held: Amount
+    ) -> Amount:
         lead_ms = self._move_duration_ms + DISCOVERY_MS
-        used_cpu = reply.used_cpu - late_cpu
-        return forecast_demand(
-            used_cpu, waiting_ms, reply.offered_cpu, held_cpu, lead_ms
-        )
+        # Short work has what the other tasks leave of the capacity.
+        held -= reply.lasting + reply.lasting_waiting
+        used = reply.used - late_used
+        return forecast_need(used, waiting, reply.offered, held, lead_ms)
 
     def _log_sizes(self, demands: list[PoolDemand]) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -235,12 +259,17 @@
             return
         self._sizes_logged_ms = now_ms
         for demand in demands:
+            wanted = demand.wanted + demand.lasting
             log.info(
                 "pool size",
                 pool=demand.pool,
-                wanted_cpu=demand.wanted_cpu,
-                capacity_cpu=demand.capacity_cpu,
-                arriving_cpu=demand.arriving_cpu,
+                wanted_cpu=int(wanted.cpu),
+                capacity_cpu=int(demand.capacity.cpu),
+                arriving_cpu=int(demand.arriving.cpu),
+                wanted_mb=int(wanted.memory_mb),
+                capacity_mb=int(demand.capacity.memory_mb),
+                arriving_mb=int(demand.arriving.memory_mb),
+                whole_hosts=demand.whole_hosts,
                 idle=len(demand.idle),
             )
 
@@ -256,8 +285,8 @@
         if not self._may_order():
             return
         now_ms = self._clock.monotonic_ms()
-        cpu = hosts[move.host].cpu
-        self._moves_in_progress[move.host] = (move.target, now_ms, cpu)
+        size = hosts[move.host].size
+        self._moves_in_progress[move.host] = (move.target, now_ms, size)
         try:
             reason = await self._machines.move(move.host, move.target, self._token)
         except MachineServiceUnavailableError as error:
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -262,16 +262,23 @@
         unavailable = sum(not other.is_ready for other in others if other is not task)
         return unavailable < max(1, task.step.max_unavailable)
 
-    def measure_demand(self, must_yield: bool) -> DemandReply:
+    def measure_demand(
+        self, must_yield: bool, has_spare_host: bool = False
+    ) -> DemandReply:
         """Return what the pool needs and can give away.
 
         With `must_yield` no late work is started for a while, so that workers become
-        idle.
+        idle. With `has_spare_host`, new long-running tasks leave room to short work.
         """
         now_ms = self._clock.monotonic_ms()
         if must_yield:
             self._task_placer.late_work_paused_until_ms = now_ms + YIELD_DURATION_MS
-        return measure_demand(self.job_table, self.run_tracker, now_ms)
+        reply = measure_demand(self.job_table, self.run_tracker, now_ms)
+        if has_spare_host:
+            self._task_placer.lasting_room.update(
+                reply, self._settings.move_duration_ms, now_ms
+            )
+        return reply
 
     def dump(self) -> dict[str, Any]:
         """Return the pool's state for a state dump."""
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -2,10 +2,18 @@
 
 import math
 from collections import Counter
+from typing import NamedTuple
 
+from bergamotgap.domain.amounts import Amount, total
+from bergamotgap.domain.fleet import Size, StepSpec
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
-from bergamotgap.domain.pool_sizes import IdleHost
-from bergamotgap.domain.task_placement import LATE, ON_TIME
+from bergamotgap.domain.pool_room import (
+    WaitingTasks,
+    count_whole_hosts,
+    measure_stranded_room,
+)
+from bergamotgap.domain.pool_sizes import BACKLOG_CLEAR_MS, IdleHost
+from bergamotgap.domain.task_placement import LATE, ON_TIME, count_fitting
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.link_interface import LiveRun
 from bergamotgap.pools.run_tracker import RunTracker
@@ -18,6 +26,8 @@
 # Share of the work that can only end too late to be of value that a pool's demand
 # includes. It is above 0 so that such work still ends at some time.
 WORTHLESS_SHARE = 0.1
+# A task of a younger job gets no host of its own if it will fit once other runs end.
+FRAGMENT_WAIT_MS = 300
 # Jobs that wait for a trial per worker that the pool asks for. A trial that ends with a
 # crash takes its worker about three seconds.
 TRIALS_PER_WORKER = 4
@@ -26,51 +36,148 @@
 def measure_demand(
     job_table: JobTable, run_tracker: RunTracker, now_ms: int
 ) -> DemandReply:
-    """Return the cores that tasks need, and the idle workers.
+    """Return the resources that tasks need, and the idle workers.
 
     Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts.
     """
     links = run_tracker.list_usable_links(now_ms)
-    waiting_ms = late_ms = 0.0
+    waiting_work = late_work = Amount()
+    waiting: list[WaitingStep] = []
     for job in job_table.pending.values():
         lateness = run_tracker.rank_job(job, now_ms)[0]
+        work = _measure_waiting_work(job, run_tracker)
+        share = WORTHLESS_SHARE if lateness > LATE else 1.0
         if lateness == ON_TIME:
-            waiting_ms += _measure_waiting_work(job, run_tracker)
+            waiting_work += work
         else:
-            share = 1.0 if lateness == LATE else WORTHLESS_SHARE
-            late_ms += share * _measure_waiting_work(job, run_tracker)
+            late_work += work.scale(share)
+        waiting += _list_waiting_steps(job, run_tracker, share, lateness, now_ms)
     late_runs = _list_late_runs(links, job_table, run_tracker, now_ms)
     late_counts = Counter(link.worker_id for link, _ in late_runs)
-    idle = tuple(
-        IdleHost(
-            link.info.host,
-            link.worker_id,
-            link.info.capacity.cpu,
-            now_ms - link.idle_since_ms,
-            link.info.labels,
-        )
-        for link in links
-        if link.is_empty and not link.trial_job
-    )
+    used = total([link.capacity.used for link in links])
+    lasting = total([link.capacity.lasting for link in links])
+    offered = job_table.offered_load.estimate(now_ms)
+    shape = offered.join(used - lasting) + waiting_work.divide(BACKLOG_CLEAR_MS)
+    whole_hosts, whole_size = _count_whole_hosts(waiting, links)
     return DemandReply(
-        used_cpu=sum(link.capacity.used_cpu for link in links),
-        waiting_ms=waiting_ms,
-        offered_cpu=job_table.offered_load.estimate(now_ms),
-        capacity_cpu=sum(link.info.capacity.cpu for link in links),
+        used=used - lasting,
+        waiting_work=waiting_work,
+        offered=offered,
+        capacity=total([Amount(*link.info.capacity) for link in links]),
         workers=len(links),
-        idle=idle,
-        late_ms=late_ms,
-        late_cpu=sum(live.task.step.size.cpu for _, live in late_runs),
+        idle=_list_idle_hosts(links, now_ms),
+        late_work=late_work,
+        late_used=total([Amount(*live.task.step.size) for _, live in late_runs]),
         late=tuple(
-            IdleHost(link.info.host, link.worker_id, link.info.capacity.cpu, 0)
+            IdleHost(link.info.host, link.worker_id, link.info.capacity, 0)
             for link in links
             if link.runs and len(link.runs) == late_counts[link.worker_id]
         ),
         least_workers=_count_workers_needed(job_table, links),
         labels=_list_missing_labels(job_table, links),
+        lasting=lasting + _measure_stranded_room(waiting, links, shape),
+        lasting_waiting=total(
+            [
+                Amount(*step.spec.size).scale(step.tasks)
+                for step in waiting
+                if step.spec.is_lasting
+            ]
+        ),
+        whole_hosts=whole_hosts,
+        whole_size=whole_size,
     )
 
 
+def _list_idle_hosts(links: list[WorkerLink], now_ms: int) -> tuple[IdleHost, ...]:
+    return tuple(
+        IdleHost(
+            link.info.host,
+            link.worker_id,
+            link.info.capacity,
+            now_ms - link.idle_since_ms,
+            link.info.labels,
+        )
+        for link in links
+        if link.is_empty and not link.trial_job
+    )
+
+
+class WaitingStep(NamedTuple):
+    """Tasks of one step that wait and reserve more than cores.
+
+    `running` is how many of them would run at once, `is_overdue` whether they can be on
+    time and have waited for FRAGMENT_WAIT_MS.
+    """
+
+    spec: StepSpec
+    tasks: int
+    running: int
+    is_overdue: bool
+
+
+def _list_waiting_steps(
+    job: Job, run_tracker: RunTracker, share: float, lateness: int, now_ms: int
+) -> list[WaitingStep]:
+    """Return the waiting tasks of a job that reserve more than cores, by step."""
+    waiting = []
+    ratio = run_tracker.estimates.get_ratio(job.spec.queue)
+    is_overdue = lateness == ON_TIME and now_ms - job.arrived_ms >= FRAGMENT_WAIT_MS
+    for step in job.list_ready_steps():
+        spec = step.spec
+        if not (spec.memory_mb or spec.gpus):
+            continue
+        count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+        if count:
+            run_ms = max(MIN_RUN_ESTIMATE_MS, spec.estimated_ms * ratio)
+            running = math.ceil(count * share * min(1, run_ms / BACKLOG_CLEAR_MS))
+            waiting.append(WaitingStep(spec, count, running, is_overdue))
+    return waiting
+
+
+def _measure_stranded_room(
+    waiting: list[WaitingStep], links: list[WorkerLink], shape: Amount
+) -> Amount:
+    """Return the room beside lasting tasks that short tasks can't use."""
+    sizes = [step.spec.size for step in waiting if not step.spec.is_lasting]
+    rooms = [
+        link.capacity.room_beside_lasting
+        for link in links
+        if link.capacity.lasting_tasks
+    ]
+    return measure_stranded_room(rooms, shape, min(sizes, key=_sort_key, default=None))
+
+
+def _count_whole_hosts(
+    waiting: list[WaitingStep], links: list[WorkerLink]
+) -> tuple[int, Size]:
+    """Return how many hosts the waiting tasks fill that fit on no worker."""
+    if not waiting or not links:
+        return 0, Size()
+    host = max((link.info.capacity for link in links), key=_sort_key)
+    lasting, short = [], []
+    for step in waiting:
+        size = step.spec.size
+        if step.spec.is_lasting:
+            lasting.append(WaitingTasks(size, step.tasks, step.spec.max_per_host))
+        else:
+            short.append(WaitingTasks(size, step.running))
+    rooms = [link.capacity.room_beside_lasting for link in links]
+    hosts, largest = count_whole_hosts(lasting, short, rooms, host)
+    if hosts:
+        return hosts, largest
+    capacities = [link.capacity for link in links]
+    for step in waiting:
+        size = step.spec.size
+        is_short = step.is_overdue and not step.spec.is_lasting
+        if is_short and not any(capacity.fits(size) for capacity in capacities):
+            return (1, size) if count_fitting(host, size) else (0, Size())
+    return 0, Size()
+
+
+def _sort_key(size: Size) -> tuple[int, int, int]:
+    return (size.memory_mb, size.gpus, size.cpu)
+
+
 def _list_late_runs(
     links: list[WorkerLink],
     job_table: JobTable,
@@ -147,12 +254,17 @@
     return tuple(sorted(wanted))
 
 
-def _measure_waiting_work(job: Job, run_tracker: RunTracker) -> float:
-    """Return the work of a job's waiting tasks, in 1/1000 core-ms."""
+def _measure_waiting_work(job: Job, run_tracker: RunTracker) -> Amount:
+    """Return the work of a job's waiting tasks that don't last, as an amount in ms."""
     ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-    return sum(
-        task.step.size.cpu * max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
-        for step in job.list_ready_steps()
-        for task in step.tasks
-        if task.phase is TaskPhase.WAITING
+    return total(
+        [
+            Amount(*task.step.size).scale(
+                max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
+            )
+            for step in job.list_ready_steps()
+            if not step.spec.is_lasting
+            for task in step.tasks
+            if task.phase is TaskPhase.WAITING
+        ]
     )
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -303,7 +303,7 @@
             case DrainCall():
                 return pool.drain_worker(call.worker_id, call.may_stop, call.stops_late)
             case DemandCall():
-                return pool.measure_demand(call.must_yield)
+                return pool.measure_demand(call.must_yield, call.has_spare_host)
         return NotOwnerReply()
 
     def _is_key_withdrawn(self, call: PoolCall) -> bool:
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -4,6 +4,7 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.free_room import FreeRoom
 from bergamotgap.domain.job_state import Job, StepOccurrence, TaskPhase
 from bergamotgap.domain.task_placement import (
     ON_TIME,
@@ -14,6 +15,7 @@
 )
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.job_table import JobTable
+from bergamotgap.pools.lasting_room import LastingRoom
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.ticket_cache import TicketCache
 from bergamotgap.pools.trial_workers import TrialWorkers
@@ -50,8 +52,8 @@
         self._trial_workers = TrialWorkers(run_tracker.links, clock)
         # Jobs of the present pass with suspected tasks that wait.
         self._trial_jobs: list[Job] = []
-        # Largest number of free 1/1000 cores on any usable worker.
-        self._most_free_cpu = 0
+        self._free_room = FreeRoom()
+        self.lasting_room = LastingRoom()
         self.late_work_paused_until_ms = 0
 
     def forget_job(self, job_id: str) -> None:
@@ -69,7 +71,7 @@
         self._trial_workers.release_unused(self._job_table.jobs)
         usable = self._run_tracker.list_usable_links(now_ms)
         self._links = {link.worker_id: link for link in usable if not link.trial_job}
-        self._update_most_free_cpu()
+        self._free_room.begin_pass(link.capacity for link in self._links.values())
         ranked = [
             (self._run_tracker.rank_job(job, now_ms), job) for job in pending.values()
         ]
@@ -90,11 +92,6 @@
             self._place_trial(job, usable, is_on_time)
         self._trial_jobs.clear()
 
-    def _update_most_free_cpu(self) -> None:
-        self._most_free_cpu = max(
-            (link.capacity.free_cpu for link in self._links.values()), default=0
-        )
-
     def _place_job(self, job: Job) -> bool:
         """Start the tasks of a job that fit; return whether any still wait."""
         still_waits, has_suspects, placed = False, False, 0
@@ -107,23 +104,24 @@
                 continue
             waiting = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
             started = 0
-            # Skip the search if no worker has enough free cores for one task.
-            if waiting and step.spec.size.cpu <= self._most_free_cpu:
-                started = self._place_step(job, step)
+            if waiting and self._free_room.may_hold(step.spec.size):
+                started = self._place_step(job, step, waiting)
             placed += started
             still_waits |= started < waiting
         if placed:
-            self._update_most_free_cpu()
             self._log_placed(job, placed)
         if has_suspects:
             self._trial_jobs.append(job)
         elif still_waits:
-            self._log_wait(job, "no_room")
+            is_held = job.job_id == self.lasting_room.held_job
+            self._log_wait(job, "own_host" if is_held else "no_room")
         return still_waits or has_suspects
 
-    def _place_step(self, job: Job, step: StepOccurrence) -> int:
+    def _place_step(self, job: Job, step: StepOccurrence, waiting: int) -> int:
         """Start the waiting tasks of a step that fit; return how many."""
         tickets, links = self._list_allowed_links(job, step, list(self._links.values()))
+        now_ms = self._clock.monotonic_ms()
+        links = self.lasting_room.list_workers(job, step, waiting, links, now_ms)
         capacities = [link.capacity for link in links]
         if step.spec.is_gang:
             return self._place_gang(step, capacities, tickets)
@@ -136,6 +134,8 @@
             if capacity is None or not is_still_best_worker(capacity, task):
                 capacity = last_capacity = choose_task_worker(capacities, task)
             if capacity is None:
+                if len(links) == len(self._links):
+                    self._free_room.record_misfit(step.spec)
                 break
             link = self._links[capacity.info.worker_id]
             ticket = tickets.get(link.worker_id, "")
@@ -143,6 +143,8 @@
                 task, link, self._run_tracker.choose_run_number(task), ticket
             )
             started += 1
+        if step.spec.is_lasting:
+            self.lasting_room.take(step.spec.size, started)
         return started
 
     def _place_trial(
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from bergamotgap.domain.fleet import JobPhase, JobSpec
+from bergamotgap.domain.amounts import NOTHING, Amount
+from bergamotgap.domain.fleet import NO_SIZE, JobPhase, JobSpec, Size
 from bergamotgap.domain.pool_sizes import IdleHost
 
 
@@ -74,11 +75,12 @@
     """Request for a pool's demand and capacity.
 
     `must_yield` is set when another pool lacks workers for work that can finish on
-    time.
+    time, `has_spare_host` when a host could be moved to the pool.
     """
 
     pool: str
     must_yield: bool = False
+    has_spare_host: bool = False
 
 
 class LogContactCall(msgspec.Struct, frozen=True, tag="contact"):
@@ -133,25 +135,34 @@
 class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
     """Demand and capacity of a pool.
 
-    In 1/1000 cores, `used_cpu` is in use, `offered_cpu` is the work submitted per
-    second, and `capacity_cpu` is that of the usable workers. In 1/1000 core-ms,
-    `waiting_ms` is the waiting work that can finish on time, and `late_ms` the waiting
-    work that can't. `late_cpu` is the part of `used_cpu` taken by work that can't
-    finish on time, and `late` the workers that run only such work. Waiting tasks need
-    at least `least_workers` workers to spread over, and `labels` that no worker has.
+    `used` is in use, `offered` is the work submitted per ms, and `capacity` is that of
+    the usable workers. `waiting_work` is the waiting work that can finish on time, and
+    `late_work` the waiting work that can't, as amounts in ms. `late_used` is the part
+    of `used` taken by work that can't finish on time, and `late` the workers that run
+    only such work. Waiting tasks need at least `least_workers` workers to spread over,
+    and `labels` that no worker has.
+
+    None of these include the tasks that keep memory or accelerators until they are
+    cancelled: `lasting` is what they take, with the room beside them that no other work
+    can use, and `lasting_waiting` what those that wait will take. Waiting tasks that
+    fit on no worker fill `whole_hosts`; the largest has `whole_size`.
     """
 
-    used_cpu: int
-    waiting_ms: float
-    offered_cpu: float
-    capacity_cpu: int
+    used: Amount
+    waiting_work: Amount
+    offered: Amount
+    capacity: Amount
     workers: int
     idle: tuple[IdleHost, ...]
-    late_ms: float = 0.0
-    late_cpu: int = 0
+    late_work: Amount = NOTHING
+    late_used: Amount = NOTHING
     late: tuple[IdleHost, ...] = ()
     least_workers: int = 0
     labels: tuple[str, ...] = ()
+    lasting: Amount = NOTHING
+    lasting_waiting: Amount = NOTHING
+    whole_hosts: int = 0
+    whole_size: Size = NO_SIZE
 
 
 class LogContactReply(msgspec.Struct, frozen=True, tag="contact_was"):
--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -356,7 +356,9 @@
         return PollReply(worker.now_ms(), life_ms, running, tuple(worker.ended))
 
 
-def build_worker(number: int, pool: str = "previews", cpu: int = 8000) -> WorkerInfo:
+def build_worker(
+    number: int, pool: str = "previews", cpu: int = 8000, memory_mb: int = 16_384
+) -> WorkerInfo:
     """Return the record that a ready worker publishes about itself."""
     return WorkerInfo(
         worker_id=f"w{number}",
@@ -364,7 +366,7 @@
         address=f"10.1.0.{number}:8000",
         data_centre="dc-1",
         state=WorkerState.READY,
-        capacity=Size(cpu, 16_384, 0),
+        capacity=Size(cpu, memory_mb, 0),
         labels=frozenset({"a", f"r{number % 2}"}),
         rack=f"r{number % 2}",
         incarnation_ms=1,
--- a/tests/test_fleet_domain.py
+++ b/tests/test_fleet_domain.py
@@ -5,7 +5,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamotgap.domain.fleet import HostInfo, JobPhase, Queue, StepSpec, TaskId, Wave
+from bergamotgap.domain.amounts import NOTHING, Amount
+from bergamotgap.domain.fleet import (
+    HostInfo,
+    JobPhase,
+    Queue,
+    Size,
+    StepSpec,
+    TaskId,
+    Wave,
+)
 from bergamotgap.domain.job_state import Job, StepOccurrence, Task, TaskPhase
 from bergamotgap.domain.maintenance_plan import (
     WaveProgress,
@@ -154,11 +163,12 @@
 
 
 def build_idle_host(number: int, ms: int = 10_000) -> IdleHost:
-    return IdleHost(f"m{number}", f"w{number}", 8000, ms)
+    return IdleHost(f"m{number}", f"w{number}", Size(8000), ms)
 
 
 def build_demand(pool: str, wanted: int, workers: int, *hosts: IdleHost) -> PoolDemand:
-    return PoolDemand(pool, wanted, wanted, 8000 * workers, 0, workers, hosts)
+    need, capacity = Amount(wanted), Amount(8000 * workers)
+    return PoolDemand(pool, need, need, capacity, NOTHING, workers, hosts)
 
 
 def test_hosts_move_to_where_work_waits_spare_ones_first() -> None:
@@ -169,7 +179,7 @@
             "b", 0, 3, build_idle_host(1), build_idle_host(2), build_idle_host(3)
         ),
     ]
-    moves = plan_moves(demands, [SpareHost("m9", "misc", 8000)], "misc")
+    moves = plan_moves(demands, [SpareHost("m9", "misc", Size(8000))], "misc")
     to_a = [move.host for move in moves if move.target == "a"]
     assert to_a == ["m9", "m1", "m2"]
     assert all(move.target == "a" for move in moves)
@@ -189,7 +199,7 @@
     Their spread needs several hosts, although a single one has enough free cores.
     """
     narrow = dataclasses.replace(build_demand("a", 0, 1), least_workers=3)
-    spare = [SpareHost(f"m{number}", "misc", 8000) for number in range(4)]
+    spare = [SpareHost(f"m{number}", "misc", Size(8000)) for number in range(4)]
     assert [move.target for move in plan_moves([narrow], spare, "misc")] == ["a", "a"]
     served = dataclasses.replace(narrow, arriving_workers=2)
     assert plan_moves([served], spare, "misc") == []
@@ -205,8 +215,8 @@
 def test_a_pool_gets_a_host_with_the_label_that_a_task_requires() -> None:
     """Guards against a task whose required kind of worker stays in another pool."""
     plain, large = (
-        SpareHost("m1", "misc", 8000, frozenset({"small"})),
-        SpareHost("m2", "misc", 8000, frozenset({"large"})),
+        SpareHost("m1", "misc", Size(8000), frozenset({"small"})),
+        SpareHost("m2", "misc", Size(8000), frozenset({"large"})),
     )
     wanting = dataclasses.replace(build_demand("a", 0, 1), labels=frozenset({"large"}))
     moves = plan_moves([wanting], [plain, large], "misc")
@@ -234,7 +244,7 @@
 
 def test_a_pool_that_lacks_hosts_for_late_work_only_is_not_short() -> None:
     """Guards against two pools whose late work yields to each other forever."""
-    late = dataclasses.replace(build_demand("a", 80_000, 2), on_time_cpu=1000)
+    late = dataclasses.replace(build_demand("a", 80_000, 2), on_time=Amount(1000))
     assert list_short_pools([late, build_demand("b", 0, 1)], []) == set()
 
 
--- a/tests/test_pool_demand.py
+++ b/tests/test_pool_demand.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bergamotgap.domain.amounts import NOTHING
 from bergamotgap.domain.fleet import JobPhase, StepSpec
 from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
@@ -99,12 +100,12 @@
             await pool.submit(build_job(steps=(step,)))
             await asyncio.sleep(0.1)
             fresh = pool.measure_demand(must_yield=False)
-            assert fresh.waiting_ms > 0
-            assert fresh.late_ms == 0
+            assert fresh.waiting_work.cpu > 0
+            assert fresh.late_work == NOTHING
             await asyncio.sleep(2)
             old = pool.measure_demand(must_yield=False)
-            assert old.waiting_ms == 0
-            assert old.late_ms > 0
+            assert old.waiting_work == NOTHING
+            assert old.late_work.cpu > 0
 
     run_virtual(main())
 
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from bergamotgap.domain.fleet import FleetConfig, HostInfo
+from bergamotgap.domain.amounts import NOTHING, Amount
+from bergamotgap.domain.fleet import FleetConfig, HostInfo, Size
 from bergamotgap.domain.pool_sizes import IdleHost, PoolDemand, plan_preemptions
 from bergamotgap.pools.host_mover import HostMover
 from bergamotgap.ports.fleet import MachineServiceUnavailableError
@@ -17,13 +18,34 @@
 from stand_ins.pools import CONFIG
 from stand_ins.virtual_time import LoopClock, run_virtual
 
-IDLE_HOSTS = tuple(IdleHost(f"m{n}", f"w{n}", 8000, 200) for n in range(3))
+IDLE_HOSTS = tuple(IdleHost(f"m{n}", f"w{n}", Size(8000), 200) for n in range(3))
 HOSTS = {
     f"m{n}": HostInfo(f"m{n}", "late", "up", f"w{n}", "dc-1", 8000) for n in range(3)
 }
 FLEET_CONFIG = FleetConfig(1, CONFIG.queues, ("late", "short"))
 
 
+def build_short_reply(offered: int) -> DemandReply:
+    """Return the demand of a pool with one worker and more work than it can hold."""
+    return DemandReply(Amount(8000), Amount(9e7), Amount(offered), Amount(8000), 1, ())
+
+
+def build_demand(
+    pool: str, wanted: int, on_time: int, workers: int, late: tuple[IdleHost, ...] = ()
+) -> PoolDemand:
+    """Return a demand in cores of a pool without idle hosts."""
+    return PoolDemand(
+        pool,
+        Amount(wanted),
+        Amount(on_time),
+        Amount(8000 * workers),
+        NOTHING,
+        workers,
+        (),
+        late=late,
+    )
+
+
 class FakeMachineService:
     """Record the moves that are ordered."""
 
@@ -47,8 +69,10 @@
     if not isinstance(call, DemandCall):
         return DrainReply(True)
     if call.pool == "late":
-        return DemandReply(0, 0.0, 0.0, 24_000, 3, IDLE_HOSTS, late_ms=9e7)
-    return DemandReply(8000, 9e7, 60_000.0, 8000, 1, ())
+        return DemandReply(
+            NOTHING, NOTHING, NOTHING, Amount(24_000), 3, IDLE_HOSTS, Amount(9e7)
+        )
+    return build_short_reply(60_000)
 
 
 def test_idle_hosts_beside_late_work_move_to_a_pool_with_work_on_time() -> None:
@@ -78,17 +102,17 @@
     assert isinstance(call, DemandCall)
     if call.pool == "late":
         return DemandReply(
-            24_000,
-            0.0,
-            0.0,
-            24_000,
+            Amount(24_000),
+            NOTHING,
+            NOTHING,
+            Amount(24_000),
             3,
             (),
-            late_ms=9e7,
-            late_cpu=24_000,
+            late_work=Amount(9e7),
+            late_used=Amount(24_000),
             late=IDLE_HOSTS,
         )
-    return DemandReply(8000, 9e7, 60_000.0, 8000, 1, ())
+    return build_short_reply(60_000)
 
 
 drained: list[tuple[str, bool]] = []
@@ -126,14 +150,14 @@
         assert drained == []
 
     run_virtual(main())
-    late = tuple(IdleHost(f"m{n}", f"w{n}", 8000, 0) for n in range(3))
+    late = tuple(IdleHost(f"m{n}", f"w{n}", Size(8000), 0) for n in range(3))
     both = [
-        PoolDemand("a", 90_000, 90_000, 24_000, 0, 3, (), late=late),
-        PoolDemand("b", 90_000, 90_000, 8000, 0, 1, ()),
+        build_demand("a", 90_000, 90_000, 3, late),
+        build_demand("b", 90_000, 90_000, 1),
     ]
     assert plan_preemptions(both, []) == []
     # A pool that its own urgent work fills gives no host, though late work runs there.
-    full = PoolDemand("a", 24_000, 20_000, 24_000, 0, 3, (), late=late)
+    full = build_demand("a", 24_000, 20_000, 3, late)
     assert plan_preemptions([full, both[1]], []) == []
 
 
@@ -153,7 +177,9 @@
     async def answer(self, call: PoolCall) -> PoolReply:
         """Answer for a pool whose turn has just begun."""
         assert isinstance(call, DemandCall)
-        return DemandReply(8000, 9e7, 1_800_000.0, 32_000, 1, ())
+        return DemandReply(
+            Amount(8000), Amount(9e7), Amount(1_800_000), Amount(32_000), 1, ()
+        )
 
 
 def test_a_turn_on_hundreds_of_hosts_gets_its_hosts_within_the_platforms_rate() -> None:
