--- a/src/bergamotgap/adapters/job_explanation.py
+++ b/src/bergamotgap/adapters/job_explanation.py
@@ -133,14 +133,27 @@
         if line.event == "pool size" and _is_pool_short(line)
     ]
     if short:
-        worst = max(short, key=lambda line: int(line.fields["wanted_cpu"]))
+        worst = max(short, key=_measure_shortage)
         causes.append(
             f"the pool was short of hosts: wanted {worst.fields['wanted_cpu']}, had "
             f"{worst.fields['capacity_cpu']} of 1/1000 cores"
         )
+        if "wanted_mb" in worst.fields:
+            causes[-1] += (
+                f"; wanted {worst.fields['wanted_mb']}, had "
+                f"{worst.fields['capacity_mb']} MB"
+            )
     return "; ".join(causes) or "nothing delayed it"
 
 
 def _is_pool_short(line: LogLine) -> bool:
-    wanted = int(line.fields.get("wanted_cpu", 0))
-    return wanted > SHORTAGE_RATIO * int(line.fields.get("capacity_cpu", 0))
+    return _measure_shortage(line) > SHORTAGE_RATIO
+
+
+def _measure_shortage(line: LogLine) -> float:
+    """Return the greatest ratio of need to capacity over the dimensions."""
+    return max(
+        int(line.fields.get(f"wanted_{unit}", 0))
+        / max(1, int(line.fields.get(f"capacity_{unit}", 0)))
+        for unit in ("cpu", "mb")
+    )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -69,6 +69,17 @@
     )
 
 
+def test_the_cause_names_a_shortage_of_memory() -> None:
+    """Guards against a job that waits for memory beside cores that are free."""
+    size = {"wanted_cpu": 9, "capacity_cpu": 99, "wanted_mb": 900, "capacity_mb": 100}
+    shortage = line(15.4, "b", "pool size", pool="previews", **size)
+    explanation = explain_job(JOB, align_clocks(parse_lines([*LINES, shortage])))
+    assert explanation is not None
+    assert "wanted 9, had 99 of 1/1000 cores; wanted 900, had 100 MB" in (
+        explanation.cause
+    )
+
+
 def test_a_refused_job_names_its_reason() -> None:
     """Guards against an explanation of a refused job without the reason."""
     explanation = explain_job(JOB, align_clocks(parse_lines(LINES[:3])))
