--- a/src/bergamotgap/pools/customer_usage.py
+++ b/src/bergamotgap/pools/customer_usage.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.amounts import NOTHING, Amount, total
 from bergamotgap.domain.cap_grants import HeldGrants
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.customer_caps import (
@@ -52,13 +53,13 @@
     """Waiting work that the caps permit, for the pool's demand.
 
     `tasks` limits the waiting tasks that count of the jobs that it names, `held_back`
-    are the customers with more, and `held_back_cpu` is what those use.
+    are the customers with more, and `held_back_use` is what those use.
     """
 
     jobs: list[Job]
     tasks: dict[str, int] = field(default_factory=dict)
     held_back: set[str] = field(default_factory=set)
-    held_back_cpu: int = 0
+    held_back_use: Amount = NOTHING
 
 
 class CustomerUsage:
@@ -293,8 +294,8 @@
             if startable:
                 work.jobs.append(job)
                 work.tasks[job.job_id] = startable
-        work.held_back_cpu = sum(
-            self._runs.count_known(customer)[0] for customer in work.held_back
+        work.held_back_use = total(
+            [Amount(*self._runs.count_known(customer)) for customer in work.held_back]
         )
         return work
 
@@ -304,7 +305,7 @@
         """Return how many waiting tasks of a job fit, and add them to the use."""
         customer = job.spec.customer
         share = self.measure_share(customer)
-        total = 0
+        startable = 0
         for step in job.list_ready_steps():
             waiting = _count_waiting(step)
             size = step.spec.size
@@ -317,8 +318,8 @@
             if fitting < waiting:
                 work.held_back.add(customer)
             add_size(used, size, fitting)
-            total += fitting
-        return total
+            startable += fitting
+        return startable
 
 
 def _count_waiting(step: StepOccurrence) -> int:
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -2,11 +2,20 @@
 
 import math
 from collections import Counter
+from collections.abc import Iterator
 from itertools import islice
+from typing import NamedTuple
 
+from bergamotgap.domain.amounts import Amount, total
+from bergamotgap.domain.fleet import Size, StepSpec
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
-from bergamotgap.domain.pool_sizes import IdleHost
-from bergamotgap.domain.task_placement import LATE, ON_TIME
+from bergamotgap.domain.pool_room import (
+    WaitingTasks,
+    count_whole_hosts,
+    measure_stranded_room,
+)
+from bergamotgap.domain.pool_sizes import BACKLOG_CLEAR_MS, IdleHost
+from bergamotgap.domain.task_placement import LATE, ON_TIME, count_fitting
 from bergamotgap.pools.customer_usage import StartableWork
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.link_interface import LiveRun
@@ -20,60 +29,168 @@
 # Share of the work that can only end too late to be of value that a pool's demand
 # includes. It is above 0 so that such work still ends at some time.
 WORTHLESS_SHARE = 0.1
+# A task of a younger job gets no host of its own if it will fit once other runs end.
+FRAGMENT_WAIT_MS = 300
 # Jobs that wait for a trial per worker that the pool asks for. A trial that ends with a
 # crash takes its worker about three seconds.
 TRIALS_PER_WORKER = 4
 
 
 def measure_demand(
-    job_table: JobTable, run_tracker: RunTracker, now_ms: int, work: StartableWork
+    job_table: JobTable, run_tracker: RunTracker, now_ms: int, startable: StartableWork
 ) -> DemandReply:
-    """Return the cores that tasks need, and the idle workers.
+    """Return the resources that tasks need, and the idle workers.
 
-    Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts. `work`
-    leaves out what caps of customers hold back; the use of these customers counts in
-    place of their offered load.
+    Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts.
+    `startable` leaves out what caps of customers hold back; the use of these customers
+    counts in place of their offered load.
     """
     links = run_tracker.list_usable_links(now_ms)
-    waiting_ms = late_ms = 0.0
-    for job in work.jobs:
+    waiting_work = late_work = Amount()
+    waiting: list[WaitingStep] = []
+    for job in startable.jobs:
         lateness = run_tracker.rank_job(job, now_ms)[0]
+        limit = startable.tasks.get(job.job_id)
+        work = _measure_waiting_work(job, run_tracker, limit)
+        share = WORTHLESS_SHARE if lateness > LATE else 1.0
         if lateness == ON_TIME:
-            waiting_ms += _measure_waiting_work(job, run_tracker, work)
+            waiting_work += work
         else:
-            share = 1.0 if lateness == LATE else WORTHLESS_SHARE
-            late_ms += share * _measure_waiting_work(job, run_tracker, work)
-    offered_cpu = job_table.offered_load.estimate(now_ms, work.held_back)
+            late_work += work.scale(share)
+        is_overdue = lateness == ON_TIME and now_ms - job.arrived_ms >= FRAGMENT_WAIT_MS
+        waiting += _list_waiting_steps(job, run_tracker, limit, share, is_overdue)
     late_runs = _list_late_runs(links, job_table, run_tracker, now_ms)
     late_counts = Counter(link.worker_id for link, _ in late_runs)
-    idle = tuple(
+    used = total([link.capacity.used for link in links])
+    lasting = total([link.capacity.lasting for link in links])
+    offered = job_table.offered_load.estimate(now_ms, startable.held_back)
+    offered += startable.held_back_use
+    shape = offered.join(used - lasting) + waiting_work.divide(BACKLOG_CLEAR_MS)
+    whole_hosts, whole_size = _count_whole_hosts(waiting, links)
+    return DemandReply(
+        used=used - lasting,
+        waiting_work=waiting_work,
+        offered=offered,
+        capacity=total([Amount(*link.info.capacity) for link in links]),
+        workers=len(links),
+        idle=_list_idle_hosts(links, now_ms),
+        late_work=late_work,
+        late_used=total([Amount(*live.task.step.size) for _, live in late_runs]),
+        late=tuple(
+            IdleHost(link.info.host, link.worker_id, link.info.capacity, 0)
+            for link in links
+            if link.runs and len(link.runs) == late_counts[link.worker_id]
+        ),
+        least_workers=_count_workers_needed(startable.jobs, links),
+        labels=_list_missing_labels(startable.jobs, links),
+        lasting=lasting + _measure_stranded_room(waiting, links, shape),
+        lasting_waiting=total(
+            [
+                Amount(*step.spec.size).scale(step.tasks)
+                for step in waiting
+                if step.spec.is_lasting
+            ]
+        ),
+        whole_hosts=whole_hosts,
+        whole_size=whole_size,
+    )
+
+
+def _list_idle_hosts(links: list[WorkerLink], now_ms: int) -> tuple[IdleHost, ...]:
+    return tuple(
         IdleHost(
             link.info.host,
             link.worker_id,
-            link.info.capacity.cpu,
+            link.info.capacity,
             now_ms - link.idle_since_ms,
             link.info.labels,
         )
         for link in links
         if link.is_empty and not link.trial_job
     )
-    return DemandReply(
-        used_cpu=sum(link.capacity.used_cpu for link in links),
-        waiting_ms=waiting_ms,
-        offered_cpu=offered_cpu + work.held_back_cpu,
-        capacity_cpu=sum(link.info.capacity.cpu for link in links),
-        workers=len(links),
-        idle=idle,
-        late_ms=late_ms,
-        late_cpu=sum(live.task.step.size.cpu for _, live in late_runs),
-        late=tuple(
-            IdleHost(link.info.host, link.worker_id, link.info.capacity.cpu, 0)
-            for link in links
-            if link.runs and len(link.runs) == late_counts[link.worker_id]
-        ),
-        least_workers=_count_workers_needed(work.jobs, links),
-        labels=_list_missing_labels(work.jobs, links),
+
+
+class WaitingStep(NamedTuple):
+    """Tasks of one step that wait and reserve more than cores.
+
+    `running` is how many of them would run at once, `is_overdue` whether they can be on
+    time and have waited for FRAGMENT_WAIT_MS.
+    """
+
+    spec: StepSpec
+    tasks: int
+    running: int
+    is_overdue: bool
+
+
+def _list_waiting_steps(
+    job: Job,
+    run_tracker: RunTracker,
+    limit: int | None,
+    share: float,
+    is_overdue: bool,
+) -> list[WaitingStep]:
+    """Return the waiting tasks of a job that reserve more than cores, by step.
+
+    At most `limit` tasks are counted.
+    """
+    waiting = []
+    ratio = run_tracker.estimates.get_ratio(job.spec.queue)
+    counts = Counter(
+        task.task_id[1:3] for task in islice(_iterate_waiting_tasks(job), limit)
     )
+    for step in job.list_ready_steps():
+        spec = step.spec
+        count = counts[step.occurrence, step.number]
+        if count and (spec.memory_mb or spec.gpus):
+            run_ms = max(MIN_RUN_ESTIMATE_MS, spec.estimated_ms * ratio)
+            running = math.ceil(count * share * min(1, run_ms / BACKLOG_CLEAR_MS))
+            waiting.append(WaitingStep(spec, count, running, is_overdue))
+    return waiting
+
+
+def _measure_stranded_room(
+    waiting: list[WaitingStep], links: list[WorkerLink], shape: Amount
+) -> Amount:
+    """Return the room beside lasting tasks that short tasks can't use."""
+    sizes = [step.spec.size for step in waiting if not step.spec.is_lasting]
+    rooms = [
+        link.capacity.room_beside_lasting
+        for link in links
+        if link.capacity.lasting_tasks
+    ]
+    return measure_stranded_room(rooms, shape, min(sizes, key=_sort_key, default=None))
+
+
+def _count_whole_hosts(
+    waiting: list[WaitingStep], links: list[WorkerLink]
+) -> tuple[int, Size]:
+    """Return how many hosts the waiting tasks fill that fit on no worker."""
+    if not waiting or not links:
+        return 0, Size()
+    host = max((link.info.capacity for link in links), key=_sort_key)
+    lasting, short = [], []
+    for step in waiting:
+        size = step.spec.size
+        if step.spec.is_lasting:
+            lasting.append(WaitingTasks(size, step.tasks, step.spec.max_per_host))
+        else:
+            short.append(WaitingTasks(size, step.running))
+    rooms = [link.capacity.room_beside_lasting for link in links]
+    hosts, largest = count_whole_hosts(lasting, short, rooms, host)
+    if hosts:
+        return hosts, largest
+    capacities = [link.capacity for link in links]
+    for step in waiting:
+        size = step.spec.size
+        is_short = step.is_overdue and not step.spec.is_lasting
+        if is_short and not any(capacity.fits(size) for capacity in capacities):
+            return (1, size) if count_fitting(host, size) else (0, Size())
+    return 0, Size()
+
+
+def _sort_key(size: Size) -> tuple[int, int, int]:
+    return (size.memory_mb, size.gpus, size.cpu)
 
 
 def _list_late_runs(
@@ -151,17 +268,28 @@
 
 
 def _measure_waiting_work(
-    job: Job, run_tracker: RunTracker, work: StartableWork
-) -> float:
-    """Return the work of a job's waiting tasks, in 1/1000 core-ms."""
+    job: Job, run_tracker: RunTracker, limit: int | None
+) -> Amount:
+    """Return the work of a job's waiting tasks that don't last, as an amount in ms.
+
+    At most `limit` tasks are counted.
+    """
     ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-    waiting = (
+    return total(
+        [
+            Amount(*task.step.size).scale(
+                max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
+            )
+            for task in islice(_iterate_waiting_tasks(job), limit)
+            if not task.step.is_lasting
+        ]
+    )
+
+
+def _iterate_waiting_tasks(job: Job) -> Iterator[Task]:
+    return (
         task
         for step in job.list_ready_steps()
         for task in step.tasks
         if task.phase is TaskPhase.WAITING
     )
-    return sum(
-        task.step.size.cpu * max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
-        for task in islice(waiting, work.tasks.get(job.job_id))
-    )
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -304,7 +304,7 @@
             case DrainCall():
                 return pool.drain_worker(call.worker_id, call.may_stop, call.stops_late)
             case DemandCall():
-                return pool.measure_demand(call.must_yield)
+                return pool.measure_demand(call.must_yield, call.has_spare_host)
             case CapCall():
                 return pool.customer_usage.answer(call)
         return NotOwnerReply()
--- a/tests/test_cap_coordinator.py
+++ b/tests/test_cap_coordinator.py
@@ -260,8 +260,8 @@
                 pool = scene.owners["p1"]
                 assert len(pool.job_table.pending) == 10
                 demand = pool.measure_demand(must_yield=False)
-                assert demand.waiting_ms + demand.late_ms == 0
-                assert demand.offered_cpu <= 3000 + 3 * 300
+                assert (demand.waiting_work + demand.late_work).cpu == 0
+                assert demand.offered.cpu <= 3000 + 3 * 300
             waits = [line for line in lines if line["event"] == "job waits"]
             assert {line["reason"] for line in waits} == {"customer_cap"}
             reached = [
@@ -285,7 +285,7 @@
             await asyncio.sleep(1)
             demand = scene.owners["p1"].measure_demand(must_yield=False)
             # 13 of the 40 tasks, each of one core for 300 ms.
-            assert demand.waiting_ms + demand.late_ms == 13 * 1000 * 300
+            assert (demand.waiting_work + demand.late_work).cpu == 13 * 1000 * 300
 
     run_virtual(main())
 
