--- a/src/bergamotgap/domain/cap_grants.py
+++ b/src/bergamotgap/domain/cap_grants.py
@@ -15,6 +15,9 @@
 )
 
 NO_USE = CustomerUse()
+# Calls without a reply that are kept one by one; more are merged, so that an owner that
+# is unreachable for long costs no memory.
+MAX_SENT = 8
 Grants = Mapping[str, float]
 
 
@@ -164,6 +167,8 @@
         call = Sent(self._sequence, view.owner_token, grants, frozenset(permits))
         if grants is not None:
             view.sent.append(call)
+            if len(view.sent) > MAX_SENT:
+                view.sent = [_merge(view.sent)]
         return call
 
     def plan(
@@ -231,3 +236,14 @@
         is_new = may_raise and free >= -TOLERANCE
         is_kept = bool(holder) and self.views[holder].may_have_permit(customer)
         return planned, holder if not is_taken and (is_kept or is_new) else ""
+
+
+def _merge(calls: Iterable[Sent]) -> Sent:
+    """Return a call that counts as much as any of several calls to one owner."""
+    grants: dict[str, float] = {}
+    permits: frozenset[str] = frozenset()
+    for call in calls:
+        permits |= call.permits
+        for customer, grant in (call.grants or {}).items():
+            grants[customer] = max(grant, grants.get(customer, 0.0))
+    return Sent(call.sequence, call.owner_token, grants, permits)
--- a/tests/test_cap_grants.py
+++ b/tests/test_cap_grants.py
@@ -261,6 +261,22 @@
     assert model.owners["p1"].share == BASE + BUDGET
 
 
+def test_an_owner_that_is_long_unreachable_costs_no_memory() -> None:
+    """Guards against calls without a reply that are kept for ever, or forgotten."""
+    model = Model()
+    ledger = model.coordinators[-1]
+    model.owners["p1"].wanted = 1.0
+    model.exchange_all()
+    for number in range(1000):
+        ledger.build_call("p1", {"c": 0.5 if number == 3 else 0.1}, ("c",))
+    view = ledger.views["p1"]
+    assert len(view.sent) < 20
+    assert view.measure_claim("c") == 0.5
+    assert view.may_have_permit("c")
+    model.exchange_all()
+    assert view.sent == []
+
+
 def test_the_answer_of_a_former_owner_does_not_count() -> None:
     """Guards against raised grants while the present owner holds some unheard of.
 
