--- a/tests/test_pool_room.py
+++ b/tests/test_pool_room.py
@@ -31,6 +31,7 @@
     is_still_best_worker,
 )
 from bergamotgap.platform.documents import HostPage
+from bergamotgap.ports.pool_peer import DemandReply, PoolReply
 from stand_ins.pools import build_worker
 
 HOST = Size(64_000, 256_000)
@@ -290,3 +291,23 @@
     page = {"machines": [{"machine": "m1", "pool": "a", "capacity": capacity}]}
     hosts = msgspec.convert(page, HostPage).list_hosts()
     assert hosts[0].size == Size(64_000, 256_000, 2)
+
+
+def test_a_reply_with_amounts_survives_the_way_to_the_controller() -> None:
+    """Guards against a demand that the host controller can't decode."""
+    idle = IdleHost("m1", "w1", HOST, 1200, frozenset({"large"}))
+    reply = DemandReply(
+        used=Amount(1000, 2000, 1),
+        waiting_work=Amount(0.5),
+        offered=NOTHING,
+        capacity=Amount(*HOST),
+        workers=1,
+        idle=(idle,),
+        whole_hosts=1,
+        whole_size=SHORT.size,
+    )
+    body = msgspec.msgpack.encode(reply)
+    assert msgspec.msgpack.decode(body, type=PoolReply) == reply
+    former = {"type": "demand_is", "used_cpu": 0, "workers": 1, "idle": []}
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(msgspec.msgpack.encode(former), type=PoolReply)
