--- a/src/bergamotgap/domain/maintenance_plan.py
+++ b/src/bergamotgap/domain/maintenance_plan.py
@@ -80,3 +80,24 @@
     waiting.sort(key=lambda info: (info.pool not in spare_pools, info.host))
     free = wave.cap - len(progress.list_hosts_in_maintenance())
     return repeated + waiting[: max(0, free) + DRAIN_AHEAD]
+
+
+@dataclass(frozen=True)
+class LongTasks:
+    """Tasks of one long-running step on a worker; `max_away` may be away at once."""
+
+    step: str
+    count: int
+    max_away: int
+
+
+@dataclass(frozen=True)
+class WorkerLoad:
+    """What a worker has to finish, or to give away, before it is empty.
+
+    `short_ms` is the expected time until its last task that ends by itself has ended.
+    """
+
+    worker_id: str
+    short_ms: int
+    long_tasks: tuple[LongTasks, ...] = ()
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from bergamotgap.domain.fleet import JobPhase, Queue, Size, WorkerInfo
+from bergamotgap.domain.fleet import JobPhase, Queue, Size, StepSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job, StepOccurrence, Task
 
 StepKey = tuple[str, int, int]
@@ -22,7 +22,9 @@
     """Used and free capacity of a worker.
 
     `accepts_tasks` tells whether the worker takes new work. `serving_tasks` counts its
-    tasks with a latency target, `filler_tasks` its fillers.
+    tasks with a latency target, `filler_tasks` its fillers. `maintenance_in_ms` is the
+    expected time until the maintenance of its host, if one is to come; until then only
+    tasks of at most `longest_task_ms` start there.
     """
 
     info: WorkerInfo
@@ -35,6 +37,8 @@
     tasks_of_step: Counter[StepKey] = field(default_factory=Counter)
     serving_tasks: int = 0
     filler_tasks: int = 0
+    maintenance_in_ms: int | None = None
+    longest_task_ms: int = 0
 
     @property
     def free_cpu(self) -> int:
@@ -50,6 +54,15 @@
             and self.used_gpus + size.gpus <= capacity.gpus
         )
 
+    def has_time(self, step: StepSpec) -> bool:
+        """Return whether a task can end before the maintenance of the host must begin.
+
+        Long-running tasks never end, so their place is a matter of preference only.
+        """
+        if self.maintenance_in_ms is None or step.is_long_running:
+            return True
+        return step.estimated_ms <= self.longest_task_ms
+
     def reserve(self, task: Task) -> None:
         """Reserve capacity for a task."""
         self._adjust_reserved(task, 1)
@@ -103,7 +116,8 @@
 
     Short tasks go to the fullest worker that they fit on (best fit), so that other
     workers stay empty and can be moved. Long-running tasks are spread over two workers,
-    so that the loss of one stops only half of them.
+    so that the loss of one stops only half of them. They go to workers without
+    maintenance to come if they can, and short tasks to those where they can end before.
     """
     step = task.step
     size = step.size
@@ -113,6 +127,8 @@
     for worker in workers:
         if not worker.accepts_tasks or not worker.fits(size):
             continue
+        if not worker.has_time(step):
+            continue
         if step.requirement and step.requirement not in worker.info.labels:
             continue
         if step.max_per_host and worker.tasks_of_step[key] >= step.max_per_host:
@@ -143,14 +159,17 @@
     has_failed = worker.info.worker_id in task.failed_on
     is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
     is_slow = worker.speed < 0.7
+    due_ms = worker.maintenance_in_ms
     if step.is_filler:
         return (has_failed, is_slow, is_far, worker.serving_tasks, worker.filler_tasks)
     if step.is_long_running:
         # Avoids placing more than half of a step on one worker. Within that limit,
         # tasks go to the fullest workers, so that the others stay free to move.
         is_crowded = worker.tasks_of_step[key] >= (step.count + 1) // 2
-        return (has_failed, is_slow, is_far, is_crowded, worker.free_cpu)
-    return (has_failed, is_slow, is_far, worker.free_cpu)
+        is_due = due_ms is not None
+        return (has_failed, is_due, is_slow, is_far, is_crowded, worker.free_cpu)
+    is_due = due_ms is not None and step.estimated_ms > due_ms
+    return (has_failed, is_slow, is_far, is_due, worker.free_cpu)
 
 
 def place_gang(
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -1,7 +1,7 @@
 """Owner of one pool: accepts its jobs and places their tasks on its workers."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, Self
 
 from aiomisc import cancel_tasks
@@ -9,18 +9,19 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
-from bergamotgap.domain.job_state import Job, Task
+from bergamotgap.domain.job_state import Job
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
-from bergamotgap.pools.pool_demand import is_task_late, measure_demand
+from bergamotgap.pools.pool_demand import measure_demand
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.stalled_runs import stop_stalled_runs
 from bergamotgap.pools.task_placer import TaskPlacer
 from bergamotgap.pools.ticket_cache import TicketCache
+from bergamotgap.pools.worker_drains import WorkerDrains
 from bergamotgap.ports.fleet import (
     AdviceService,
     Fence,
@@ -29,7 +30,12 @@
     StoreError,
     WorkerOrders,
 )
-from bergamotgap.ports.pool_peer import DemandReply, DrainReply
+from bergamotgap.ports.pool_peer import (
+    DemandReply,
+    DrainReply,
+    MaintenanceCall,
+    MaintenanceReply,
+)
 
 HOUSEKEEPING_INTERVAL_MS = 200
 # Gap between placement passes, so that events close together share one pass.
@@ -37,12 +43,6 @@
 # Pause after a placement pass as a multiple of its duration. Passes thus take a fifth
 # of the processor at most and leave the rest to requests and polls.
 PASS_REST_FACTOR = 4
-# The report of a worker that was moved away stays listed for three heartbeats. A
-# drained worker gets no work for that time and a margin of some controller rounds.
-EXPIRY_HEARTBEATS = 3
-DRAIN_MARGIN_MS = 1000
-# Within this time a new owner has polled each worker that answers at least twice.
-FIRST_POLLS_MS = 1300
 # How long late work is not placed after a request to yield; longer than the interval
 # between such requests.
 YIELD_DURATION_MS = 400
@@ -108,6 +108,9 @@
             self._handle_superseded,
             self.crash_watch,
         )
+        self._drains = WorkerDrains(
+            self.job_table, self.run_tracker, self._settings, self._clock
+        )
         self.job_table.on_job_accepted = self.run_tracker.placement_needed.set
         self._ticket_cache = TicketCache(
             self._advice, self._clock, self.run_tracker.placement_needed.set
@@ -197,12 +200,14 @@
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
         """Apply the current list of the pool's workers."""
         self.run_tracker.update_workers(workers)
+        self._drains.apply_notice()
 
     async def _run_housekeeping(self) -> None:
         while True:
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
             await self.run_tracker.close_removable_links()
             self.crash_watch.resolve_losses()
+            self._drains.apply_notice()
             if self.run_tracker.ownership.may_act():
                 stop_stalled_runs(self.run_tracker, self.job_table, self._clock)
             self.job_table.delete_expired_jobs()
@@ -219,48 +224,24 @@
             await self._clock.sleep_ms(max(MIN_PASS_GAP_MS, PASS_REST_FACTOR * took_ms))
 
     def drain_worker(
-        self, worker_id: str, may_stop: bool, stops_late: bool = False
+        self,
+        worker_id: str,
+        may_stop: bool,
+        stops_late: bool = False,
+        absent: Collection[str] = (),
     ) -> DrainReply:
         """Drain a worker as far as its tasks allow; reply whether it is empty.
 
         `may_stop` permits stopping long-running tasks within the limit of their step.
         `stops_late` stops runs of jobs that can't be on time; they start again
-        elsewhere. With neither, only an empty worker is drained.
+        elsewhere. With neither, only an empty worker is drained. The hosts in `absent`
+        are not up.
         """
-        link = self.run_tracker.links.get(worker_id)
-        if link is None:
-            # A running worker that is not listed yet is listed within this time.
-            passed_ms = (
-                self._clock.monotonic_ms() - self.run_tracker.ownership.started_ms
-            )
-            return DrainReply(passed_ms > self._settings.run_lease_ms)
-        may_stop_any = may_stop or stops_late
-        if not link.are_runs_known or (not link.is_empty and not may_stop_any):
-            return DrainReply(False)
-        now_ms = self._clock.monotonic_ms()
-        link.withhold_work(
-            EXPIRY_HEARTBEATS * self._settings.heartbeat_interval_ms + DRAIN_MARGIN_MS
-        )
-        for live in list(link.runs.values()):
-            if live.task.step.is_long_running:
-                if may_stop and self._may_stop_task(live.task):
-                    self.run_tracker.stop_run(live.task)
-            elif stops_late and is_task_late(
-                live.task, self.job_table, self.run_tracker, now_ms
-            ):
-                self.run_tracker.stop_run(live.task)
-        return DrainReply(link.is_empty)
+        return self._drains.drain(worker_id, may_stop, stops_late, absent)
 
-    def _may_stop_task(self, task: Task) -> bool:
-        # Stops by a former owner become visible only after the stop timeout and a poll.
-        owned_ms = self._clock.monotonic_ms() - self.run_tracker.ownership.started_ms
-        if owned_ms < self._settings.stop_timeout_ms + FIRST_POLLS_MS:
-            return False
-        # Progress is as old as the last poll, which errs on the safe side: a task
-        # counts as unavailable until a poll shows that it is ready.
-        others = self.job_table.jobs[task.task_id.job].get_step(task).tasks
-        unavailable = sum(not other.is_ready for other in others if other is not task)
-        return unavailable < max(1, task.step.max_unavailable)
+    def prepare_maintenance(self, call: MaintenanceCall) -> MaintenanceReply:
+        """Prepare hosts for their maintenance; reply what their workers run."""
+        return self._drains.prepare(call)
 
     def measure_demand(self, must_yield: bool) -> DemandReply:
         """Return what the pool needs and can give away.
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -20,6 +20,7 @@
     JobStateReply,
     KeyRejectedReply,
     KeyUse,
+    MaintenanceCall,
     NotAcceptedReply,
     NotOwnerReply,
     OwnershipUncertainReply,
@@ -301,7 +302,11 @@
             case CountWaitingCall():
                 return WaitingCountReply(pool.job_table.count_waiting_jobs(call.queue))
             case DrainCall():
-                return pool.drain_worker(call.worker_id, call.may_stop, call.stops_late)
+                return pool.drain_worker(
+                    call.worker_id, call.may_stop, call.stops_late, call.absent
+                )
+            case MaintenanceCall():
+                return pool.prepare_maintenance(call)
             case DemandCall():
                 return pool.measure_demand(call.must_yield)
         return NotOwnerReply()
--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -32,6 +32,15 @@
         is_withheld = self._clock.monotonic_ms() < self.draining_until_ms
         return is_withheld or self.info.state is WorkerState.DRAINING
 
+    @property
+    def is_long_task_starting(self) -> bool:
+        """Whether a long-running task is not ready yet.
+
+        Others of its step may stop only once a poll shows that it is.
+        """
+        tasks = [live.task for live in self.runs.values()]
+        return any(task.step.is_long_running and not task.is_ready for task in tasks)
+
     def add_run(self, live: LiveRun) -> None:
         """Track a run and hold capacity for it."""
         self.runs[live.task.task_id] = live
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -72,7 +72,7 @@
         self._poll_requested.set()
         self._incarnation_ms = 0
         self._unknown_runs: set[tuple[TaskId, int]] = set()
-        self._is_silent = False
+        self.is_silent = False
         self._last_end_sequence = 0
         self._acked_end_sequence = 0
         self.answered_ms = clock.monotonic_ms()
@@ -102,7 +102,7 @@
             self.was_polled
             and self.is_listed
             and not self._unknown_runs
-            and not self._is_silent
+            and not self.is_silent
             and not self.is_leaving
             and now_ms >= self.quarantined_until_ms
         )
@@ -147,6 +147,7 @@
         if info.incarnation_ms == self._incarnation_ms:
             # A poll showed it before, and what runs now runs there.
             self.info = self.capacity.info = info
+            self.draining_until_ms = 0
             return
         log.info("listed as restarted", worker=self.worker_id, runs=len(self.runs))
         self._remove_runs(list(self.runs.values()), "restart")
@@ -155,7 +156,7 @@
         self.draining_until_ms = self.quarantined_until_ms = 0
         self._last_end_sequence = self._acked_end_sequence = self._incarnation_ms = 0
         self._lease.forget_clock()
-        self._is_silent = False
+        self.is_silent = False
         self.request_poll()
 
     async def run_orders(self) -> None:
@@ -239,7 +240,7 @@
                 await self._clock.sleep_ms(RETRY_MS)
                 self._remove_expired_runs()
                 continue
-            was_silent = self._is_silent
+            was_silent = self.is_silent
             if not await self._poll():
                 await self._clock.sleep_ms(RETRY_MS)
                 self._remove_expired_runs()
@@ -255,7 +256,7 @@
 
     @property
     def _is_idle(self) -> bool:
-        is_due = self._last_end_sequence != self._acked_end_sequence or self._is_silent
+        is_due = self._last_end_sequence != self._acked_end_sequence or self.is_silent
         return self.was_polled and self.is_empty and not is_due
 
     async def _wait_until_poll_needed(self) -> bool:
@@ -272,13 +273,13 @@
     async def _poll(self) -> bool:
         sent_ms = self._clock.monotonic_ms()
         wait_ms = POLL_WAIT_MS
-        if not self.was_polled or not self.runs or self._is_silent:
+        if not self.was_polled or not self.runs or self.is_silent:
             wait_ms = 0
         elif any(live.is_stop_sent for live in self.runs.values()):
             wait_ms = self._settings.stop_timeout_ms
         elif not self._ownership.is_confirmed():
             wait_ms = IDLE_POLL_MS
-        elif self.trial_job:
+        elif self.trial_job or self.is_long_task_starting:
             wait_ms = START_MS
         outcome = await self._orders.poll(
             self.info, self._build_lease(), self._acked_end_sequence, wait_ms
@@ -304,14 +305,14 @@
         return False
 
     def _record_silence(self) -> None:
-        if not self._is_silent:
+        if not self.is_silent:
             log.warning("worker silent", worker=self.worker_id, runs=len(self.runs))
-        self._is_silent = True
+        self.is_silent = True
 
     def _record_answer(self, clock_ms: int, now_ms: int) -> None:
-        if self._is_silent:
+        if self.is_silent:
             log.info("worker answers again", worker=self.worker_id)
-        self._is_silent = False
+        self.is_silent = False
         self._lease.record_clock(clock_ms, now_ms)
         self.answered_ms = now_ms
 
@@ -381,7 +382,7 @@
         return not self.is_listed and not self.runs and self.are_runs_known
 
     def _build_lease(self) -> Lease:
-        return self._lease.build_lease(self._is_silent, bool(self.runs))
+        return self._lease.build_lease(self.is_silent, bool(self.runs))
 
     def _record_outcome(self, outcome: OrderOutcome, now_ms: int) -> None:
         if isinstance(outcome, Accepted | Refused) and outcome.clock_ms:
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bergamotgap.domain.fleet import JobPhase, JobSpec
+from bergamotgap.domain.maintenance_plan import WorkerLoad
 from bergamotgap.domain.pool_sizes import IdleHost
 
 
@@ -61,13 +62,32 @@
     """Request to drain a worker within its tasks' limits; repeated until it is empty.
 
     Without `may_stop`, only a worker that runs nothing is released. With `stops_late`,
-    runs of jobs that can no longer finish on time are stopped.
+    runs of jobs that can no longer finish on time are stopped. `absent` names hosts of
+    the pool that are not up.
     """
 
     pool: str
     worker_id: str
     may_stop: bool
     stops_late: bool = False
+    absent: tuple[str, ...] = ()
+
+
+class MaintenanceCall(msgspec.Struct, frozen=True, tag="upkeep_ahead"):
+    """Notice of hosts that will have maintenance; repeated until it begins.
+
+    `turns_ms` is the expected time until the maintenance of each host; hosts of other
+    pools are included, since they may move. Their workers get no task that is expected
+    to take longer than `longest_task_ms`. Long-running tasks move away from the hosts
+    in `vacates`, within their limits and in the given order. `absent` names hosts of
+    the pool that are not up.
+    """
+
+    pool: str
+    turns_ms: dict[str, int]
+    longest_task_ms: int = 0
+    vacates: tuple[str, ...] = ()
+    absent: tuple[str, ...] = ()
 
 
 class DemandCall(msgspec.Struct, frozen=True, tag="demand"):
@@ -130,6 +150,12 @@
     is_empty: bool
 
 
+class MaintenanceReply(msgspec.Struct, frozen=True, tag="upkeep_ahead_is"):
+    """What the workers of the named hosts have to finish or give away."""
+
+    loads: tuple[WorkerLoad, ...]
+
+
 class DemandReply(msgspec.Struct, frozen=True, tag="demand_is"):
     """Demand and capacity of a pool.
 
@@ -174,6 +200,7 @@
     | CancelCall
     | CountWaitingCall
     | DrainCall
+    | MaintenanceCall
     | DemandCall
     | LogContactCall
 )
@@ -186,6 +213,7 @@
     | CancelledReply
     | WaitingCountReply
     | DrainReply
+    | MaintenanceReply
     | DemandReply
     | LogContactReply
     | NotOwnerReply
--- a/tests/test_pool_demand.py
+++ b/tests/test_pool_demand.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from bergamotgap.domain.fleet import JobPhase, StepSpec
+from bergamotgap.ports.pool_peer import MaintenanceCall
 from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
@@ -199,3 +200,91 @@
             assert len(starts) == 3
 
     run_virtual(main())
+
+
+def test_tasks_on_workers_that_are_down_count_as_unavailable() -> None:
+    """Guards against a drain that stops tasks while others are lost with their hosts.
+
+    The runs of a host that is down stay listed until their lease has ended.
+    """
+
+    async def main() -> None:
+        scene = Scene(workers=3, run_s=600)
+        step = StepSpec(
+            count=6,
+            cpu=1000,
+            is_long_running=True,
+            max_unavailable=1,
+            max_per_host=2,
+        )
+        for worker in scene.workers.values():
+            worker.reports_full_progress = True
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job(steps=(step,)))
+            await asyncio.sleep(3)
+            pool.drain_worker("w1", may_stop=True, absent=("m2",))
+            await asyncio.sleep(0.5)
+            assert len(scene.workers["w1"].running) == 2
+            # The loss of w2 is no longer reported, but it does not answer.
+            scene.workers["w2"].crash()
+            scene.workers["w2"].is_silent = True
+            await asyncio.sleep(2)
+            pool.drain_worker("w1", may_stop=True)
+            await asyncio.sleep(0.5)
+            assert len(scene.workers["w1"].running) == 2
+
+    run_virtual(main())
+
+
+def test_long_running_tasks_move_off_a_host_before_its_maintenance() -> None:
+    """Guards against tasks that move twice, or only in the turn of their host.
+
+    The host goes on with short tasks that end before its turn.
+    """
+
+    async def main() -> None:
+        scene = Scene(workers=3, run_s=600)
+        step = StepSpec(count=4, cpu=1000, is_long_running=True, max_unavailable=1)
+        short = StepSpec(count=24, cpu=500, estimated_ms=1000)
+        for worker in scene.workers.values():
+            worker.reports_full_progress = True
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job(steps=(step,)))
+            await asyncio.sleep(1)
+            used = [name for name, w in scene.workers.items() if w.running]
+            hosts = [scene.infos[name].host for name in used]
+            call = MaintenanceCall(
+                "previews", dict.fromkeys(hosts, 5000), 4000, tuple(hosts)
+            )
+            for _ in range(100):
+                reply = pool.prepare_maintenance(call)
+                running = sum(len(w.running) for w in scene.workers.values())
+                assert running >= 3
+                await asyncio.sleep(0.1)
+            assert all(not load.long_tasks for load in reply.loads)
+            [other] = set(scene.workers) - set(used)
+            assert len(scene.workers[other].running) == 4
+            await pool.submit(build_job("short", steps=(short,)))
+            await asyncio.sleep(0.2)
+            assert any(scene.workers[name].running for name in used)
+
+    run_virtual(main())
+
+
+def test_no_task_starts_that_would_outlast_the_wave() -> None:
+    """Guards against a long task on the last hosts of a wave, which then ends late."""
+
+    async def main() -> None:
+        scene = Scene(workers=1, run_s=1)
+        task = StepSpec(count=1, cpu=1000, estimated_ms=3000)
+        async with scene.run_owner(1) as (pool, _):
+            await asyncio.sleep(0.5)
+            pool.prepare_maintenance(MaintenanceCall("previews", {"m1": 4000}, 2000))
+            await pool.submit(build_job(steps=(task,)))
+            await asyncio.sleep(0.5)
+            assert not scene.count_starts()
+            # Without further notices, as when the controller is lost, work goes on.
+            await asyncio.sleep(1.5)
+            assert scene.count_starts()
+
+    run_virtual(main())
