--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -82,6 +82,8 @@
         self._owner_tasks: dict[str, tuple[int, asyncio.Task[None]]] = {}
         self._is_closing = False
         self.pools: dict[str, Pool] = {}
+        # Set while this node is the host controller.
+        self.host_controller: HostController | None = None
         incarnation = f"{clock.wall_ms():x}"
         self._member = Member(settings.peer_address, incarnation, settings.cpu)
         self.registry = OwnershipRegistry(ports.store, self._member, settings, clock)
@@ -290,11 +292,14 @@
             self._settings,
             clock,
         )
+        self.host_controller = controller
         tasks = [asyncio.create_task(supervise("hosts' journal", journal.run))]
         tasks.append(asyncio.create_task(supervise("hosts' duty", controller.run)))
         try:
             await lost.wait()
         finally:
+            if self.host_controller is controller:
+                self.host_controller = None
             await cancel_tasks(tasks)
 
     def _choose_controller_delay_ms(self, claim: Claim) -> int:
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -19,7 +19,22 @@
         config = node.fleet_view.config
         yield config.version if config else 0, {}
 
+    def read_waves(column: int) -> Iterable[GaugeReading]:
+        controller = node.host_controller
+        for wave in controller.measure_waves() if controller else []:
+            yield wave[column], {"wave": str(wave[0])}
+
     observe = metrics.observe_gauge
+    observe(
+        "wave_hosts_left",
+        "Hosts of an open wave that have not returned from maintenance",
+        lambda: read_waves(1),
+    )
+    observe(
+        "wave_time_left_ms",
+        "Time left for an open wave, negative if it is late",
+        lambda: read_waves(2),
+    )
     observe("log_age_ms", "Time since the log answered a renewal", read_log_age)
     observe("configuration_version", "Version in force, 0 if none", read_config)
 
--- a/src/bergamotgap/pools/host_mover.py
+++ b/src/bergamotgap/pools/host_mover.py
@@ -80,11 +80,20 @@
         # each is abandoned (monotonic, ms).
         self._preemptions: dict[str, tuple[Move, int]] = {}
         self._refused_moves: set[tuple[str, str]] = set()
+        self._pinned_hosts: set[str] = set()
+
+    def list_moving_hosts(self) -> set[str]:
+        """Return the hosts whose move is ordered and not completed."""
+        return set(self._moves_in_progress)
 
     async def run_round(
         self, config: FleetConfig, hosts: Mapping[str, HostInfo], pinned_hosts: set[str]
     ) -> None:
-        """Run one round: order the moves that demand requires; `pinned_hosts` stay."""
+        """Run one round: order the moves that demand requires; `pinned_hosts` stay.
+
+        Hosts may be added to `pinned_hosts` during the round.
+        """
+        self._pinned_hosts = pinned_hosts
         self._remove_finished_moves(hosts)
         demands = await self._read_demands(config, hosts, pinned_hosts)
         self._log_sizes(demands)
@@ -253,7 +262,7 @@
                 return
         # This process may have been paused since the round began, and another node may
         # have become the controller.
-        if not self._may_order():
+        if not self._may_order() or move.host in self._pinned_hosts:
             return
         now_ms = self._clock.monotonic_ms()
         cpu = hosts[move.host].cpu
--- a/src/bergamotgap/pools/wave_records.py
+++ b/src/bergamotgap/pools/wave_records.py
@@ -16,12 +16,14 @@
 class SavedWave(msgspec.Struct, frozen=True, array_like=True):
     """Hosts of a wave that began maintenance, and those of them that are back.
 
-    `unanswered` are those whose order was not answered and may not have been sent.
+    `unanswered` are those whose order was not answered and may not have been sent. The
+    wave was first seen at `started_wall_ms`, a Unix time.
     """
 
     begun: tuple[str, ...]
     done: tuple[str, ...]
     unanswered: tuple[str, ...] = ()
+    started_wall_ms: int = 0
 
 
 def restore_wave_progress(
@@ -39,7 +41,10 @@
             continue
         begun_ms = dict.fromkeys(saved.begun, now_ms)
         waves[int(key[len(RECORD_PREFIX) :])] = WaveProgress(
-            begun_ms, set(saved.done), set(saved.unanswered)
+            begun_ms,
+            set(saved.done),
+            set(saved.unanswered),
+            started_wall_ms=saved.started_wall_ms,
         )
     return waves
 
@@ -53,6 +58,7 @@
                 tuple(progress.begun_ms),
                 tuple(sorted(progress.done)),
                 tuple(sorted(progress.unanswered)),
+                progress.started_wall_ms,
             )
         ),
     )
