--- a/src/bergamotgap/domain/free_room.py
+++ b/src/bergamotgap/domain/free_room.py
@@ -16,12 +16,18 @@
     def __init__(self) -> None:
         self._most_free = Size()
         self._misfits: list[Size] = []
+        # Longest task that may start on every worker, if some are due for maintenance.
+        self._least_time_ms: int | None = None
 
     def begin_pass(self, workers: Iterable[WorkerCapacity]) -> None:
         """Measure the free room, and forget the former pass."""
         self._misfits.clear()
+        self._least_time_ms = None
         cpu = memory_mb = gpus = 0
         for worker in workers:
+            if worker.maintenance_in_ms is not None:
+                times_ms = (self._least_time_ms, worker.longest_task_ms)
+                self._least_time_ms = min(ms for ms in times_ms if ms is not None)
             capacity = worker.info.capacity
             # Calls of max() take most of the time of a pass with little to start.
             if (free := capacity.cpu - worker.used_cpu) > cpu:
@@ -40,7 +46,10 @@
 
     def record_misfit(self, step: StepSpec) -> None:
         """Record that no worker has room, unless a rule of the step can be why."""
-        if not (step.requirement or step.max_per_host):
+        if step.requirement or step.max_per_host:
+            return
+        time_ms = self._least_time_ms
+        if time_ms is None or step.is_long_running or step.estimated_ms <= time_ms:
             self._misfits.append(step.size)
 
 
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass, field
 
 from bergamotgap.domain.amounts import NOTHING, Amount
-from bergamotgap.domain.fleet import NO_SIZE, JobPhase, Queue, Size, WorkerInfo
+from bergamotgap.domain.fleet import (
+    NO_SIZE,
+    JobPhase,
+    Queue,
+    Size,
+    StepSpec,
+    WorkerInfo,
+)
 from bergamotgap.domain.job_state import Job, StepOccurrence, Task
 
 StepKey = tuple[str, int, int]
@@ -25,7 +32,9 @@
     """Used and free capacity of a worker.
 
     `accepts_tasks` tells whether the worker takes new work. `serving_tasks` counts its
-    tasks with a latency target, `filler_tasks` its fillers.
+    tasks with a latency target, `filler_tasks` its fillers. `maintenance_in_ms` is the
+    expected time until the maintenance of its host, if one is to come; until then only
+    tasks of at most `longest_task_ms` start there.
     """
 
     info: WorkerInfo
@@ -41,6 +50,8 @@
     # Tasks that keep memory or accelerators until they are cancelled, and their sizes.
     lasting_tasks: int = 0
     lasting: Amount = NOTHING
+    maintenance_in_ms: int | None = None
+    longest_task_ms: int = 0
 
     @property
     def free_cpu(self) -> int:
@@ -76,6 +87,15 @@
             and self.used_gpus + size.gpus <= capacity.gpus
         )
 
+    def has_time(self, step: StepSpec) -> bool:
+        """Return whether a task can end before the maintenance of the host must begin.
+
+        Long-running tasks never end, so their place is a matter of preference only.
+        """
+        if self.maintenance_in_ms is None or step.is_long_running:
+            return True
+        return step.estimated_ms <= self.longest_task_ms
+
     def reserve(self, task: Task) -> None:
         """Reserve capacity for a task."""
         self._adjust_reserved(task, 1)
@@ -132,7 +152,9 @@
 
     Short tasks go to the worker whose remaining room is of the least use (best fit), so
     that other workers stay empty and can be moved. Long-running tasks are spread over
-    two workers, so that the loss of one stops only half of them.
+    two workers, so that the loss of one stops only half of them. They go to workers
+    without maintenance to come if they can, and short tasks to those where they can end
+    before.
     """
     step = task.step
     size = step.size
@@ -150,6 +172,8 @@
             or not worker.accepts_tasks
         ):
             continue
+        if not worker.has_time(step):
+            continue
         if step.requirement and step.requirement not in worker.info.labels:
             continue
         if step.max_per_host and worker.tasks_of_step[key] >= step.max_per_host:
@@ -221,23 +245,24 @@
     has_failed = worker.info.worker_id in task.failed_on
     is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
     is_slow = worker.speed < 0.7
+    due_ms = worker.maintenance_in_ms
     if step.is_filler:
         return (has_failed, is_slow, is_far, worker.serving_tasks, worker.filler_tasks)
     if step.is_long_running:
         # Avoids placing more than half of a step on one worker. Within that limit,
         # tasks go to the fullest workers, so that the others stay free to move.
         is_crowded = worker.tasks_of_step[key] >= (step.count + 1) // 2
+        is_due = due_ms is not None
+        preference = (has_failed, is_due, is_slow, is_far, is_crowded)
         if not step.is_lasting:
-            return (has_failed, is_slow, is_far, is_crowded, worker.free_cpu)
+            return (*preference, worker.free_cpu)
         # A worker keeps its host in the pool while it has a lasting task, so as few
         # workers as possible get any.
         if worker.lasting_tasks:
-            rating = rate_room_left(worker, size)
-            return (has_failed, is_slow, is_far, is_crowded, False, rating)
-        fitting = count_fitting(worker.free, size)
-        return (has_failed, is_slow, is_far, is_crowded, True, -fitting)
-    rating = rate_room_left(worker, size)
-    return (has_failed, is_slow, is_far, rating)
+            return (*preference, False, rate_room_left(worker, size))
+        return (*preference, True, -count_fitting(worker.free, size))
+    is_due = due_ms is not None and step.estimated_ms > due_ms
+    return (has_failed, is_slow, is_far, is_due, rate_room_left(worker, size))
 
 
 def place_gang(
--- a/tests/test_pool_room.py
+++ b/tests/test_pool_room.py
@@ -9,6 +9,7 @@
 
 from bergamotgap.domain.amounts import NOTHING, Amount
 from bergamotgap.domain.fleet import Size, StepSpec, TaskId
+from bergamotgap.domain.free_room import FreeRoom
 from bergamotgap.domain.job_state import StepOccurrence, Task
 from bergamotgap.domain.pool_room import (
     WaitingTasks,
@@ -311,3 +312,19 @@
     former = {"type": "demand_is", "used_cpu": 0, "workers": 1, "idle": []}
     with pytest.raises(msgspec.ValidationError):
         msgspec.msgpack.decode(msgspec.msgpack.encode(former), type=PoolReply)
+
+
+def test_a_task_refused_for_want_of_time_does_not_hide_room_from_others() -> None:
+    """Guards against short tasks that wait because a longer one of their size did.
+
+    The longer one may not start on hosts that are due for maintenance.
+    """
+    due = WorkerCapacity(build_worker(1))
+    due.maintenance_in_ms, due.longest_task_ms = 5000, 2000
+    room = FreeRoom()
+    room.begin_pass([due, WorkerCapacity(build_worker(2))])
+    long = StepSpec(count=1, cpu=1000, estimated_ms=4000)
+    room.record_misfit(long)
+    assert room.may_hold(long.size)
+    room.record_misfit(StepSpec(count=1, cpu=1000, estimated_ms=1000))
+    assert not room.may_hold(long.size)
