--- a/src/bergamotgap/pools/trial_workers.py
+++ b/src/bergamotgap/pools/trial_workers.py
@@ -144,7 +144,12 @@
 
 
 def _can_become_ready(link: WorkerLink, task: Task) -> bool:
-    """Return whether a task fits beside the long-running tasks of a worker."""
+    """Return whether a task fits beside the long-running tasks of a worker.
+
+    It must also be able to end before the maintenance of the host.
+    """
+    if not link.capacity.has_time(task.step):
+        return False
     lasting = [
         live.task.step.size
         for live in link.runs.values()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -362,3 +362,26 @@
             assert [link.trial_job for link in links if link.runs] == ["gang"] * 2
 
     run_virtual(main())
+
+
+def test_a_trial_does_not_outlast_the_wave_of_its_worker() -> None:
+    """Guards against maintenance that waits for a task on trial, as one host did.
+
+    The host came back from a crash shortly before the end of its wave.
+    """
+
+    async def main() -> None:
+        scene = CrashScene(lambda task: False, workers=3)
+        async with scene.run_owner(1) as (pool, _):
+            await asyncio.sleep(0.3)
+            for name in ("w1", "w2"):
+                capacity = pool.run_tracker.links[name].capacity
+                capacity.maintenance_in_ms, capacity.longest_task_ms = 3000, 500
+            pool.crash_watch.is_queue_on_probation = lambda queue: True  # type: ignore[method-assign]
+            step = StepSpec(count=1, cpu=1000, estimated_ms=1000)
+            await pool.submit(build_job(steps=(step,)))
+            await asyncio.sleep(0.3)
+            started = [name for name, w in scene.workers.items() if w.starts]
+            assert started == ["w3"]
+
+    run_virtual(main())
