--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -81,6 +81,8 @@
     interval_ms: int = 0
     # Name of the customer that submitted the job; empty if its queue needs no key.
     customer: str = ""
+    # Whether the pool's owner accepted the job beyond its customer's weight.
+    is_excess: bool = False
 
     @property
     def occurrences(self) -> int:
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -68,3 +68,8 @@
         "Jobs given up in this term because a task crashes workers",
         lambda pool: pool.crash_watch.given_up,
     )
+    observe(
+        "pool_excess_jobs",
+        "Jobs accepted in this term beyond the weight of their customer",
+        lambda pool: pool.customer_accounts.excess,
+    )
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -76,6 +76,8 @@
         self._begin_tasks: set[asyncio.Task[None]] = set()
         self.pending: dict[str, Job] = {}
         self.offered_load = OfferedLoad()
+        # Returns the specification of a new job, marked if it is in excess.
+        self.mark_excess: Callable[[JobSpec], JobSpec] = lambda spec: spec
         self.on_job_accepted: Callable[[], None] = lambda: None
         self.on_job_ended: Callable[[str], None] = lambda job_id: None
 
@@ -134,6 +136,7 @@
                     reason="log_lost",
                 )
                 return NotStored("platform_unavailable", retry_ms=1000)
+            spec = self.mark_excess(spec)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
             self.offered_load.record(job.arrived_ms, spec.estimate_work())
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -12,6 +12,7 @@
 from bergamotgap.domain.job_state import Job, Task
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.crash_watch import CrashWatch
+from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
@@ -85,6 +86,8 @@
             store, self._topic, self._part, fence, clock, self._handle_fenced
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
+        self.customer_accounts = CustomerAccounts(name, self.job_table, clock)
+        self.job_table.mark_excess = self.customer_accounts.mark_excess
         self.crash_watch = CrashWatch(name, self.job_table, clock, self._give_up_job)
 
     async def __aenter__(self) -> Self:
@@ -95,6 +98,7 @@
         )
         newest = await self._store.read_newest_values(self._topic, self._part)
         open_jobs = self.job_table.restore(newest.values)
+        self.customer_accounts.restore()
         self.crash_watch.watch_inherited_runs()
         self.journal.last_append_ms = self._clock.monotonic_ms()
         self.run_tracker = RunTracker(
@@ -118,6 +122,7 @@
             self.run_tracker,
             self._ticket_cache,
             self.crash_watch,
+            self.customer_accounts,
             self._clock,
         )
         self.job_table.on_job_ended = self._task_placer.forget_job
@@ -192,6 +197,7 @@
 
     def update_config(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
+        self.customer_accounts.update_customers(config.customers)
         self.run_tracker.update_config(config)
 
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -5,7 +5,7 @@
 
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pool_sizes import IdleHost
-from bergamotgap.domain.task_placement import LATE, ON_TIME
+from bergamotgap.domain.task_placement import ON_TIME, TOO_LATE
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.link_interface import LiveRun
 from bergamotgap.pools.run_tracker import RunTracker
@@ -28,16 +28,18 @@
 ) -> DemandReply:
     """Return the cores that tasks need, and the idle workers.
 
-    Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts.
+    Excess work counts as late. Of work that can only end too late to be of value,
+    `WORTHLESS_SHARE` counts.
     """
     links = run_tracker.list_usable_links(now_ms)
     waiting_ms = late_ms = 0.0
     for job in job_table.pending.values():
         lateness = run_tracker.rank_job(job, now_ms)[0]
-        if lateness == ON_TIME:
+        # Excess work yields to the on-time work of other pools, as late work does.
+        if lateness == ON_TIME and not job.spec.is_excess:
             waiting_ms += _measure_waiting_work(job, run_tracker)
         else:
-            share = 1.0 if lateness == LATE else WORTHLESS_SHARE
+            share = WORTHLESS_SHARE if lateness == TOO_LATE else 1.0
             late_ms += share * _measure_waiting_work(job, run_tracker)
     late_runs = _list_late_runs(links, job_table, run_tracker, now_ms)
     late_counts = Counter(link.worker_id for link, _ in late_runs)
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -4,6 +4,7 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.customer_shares import ShareUse, order_jobs
 from bergamotgap.domain.job_state import Job, StepOccurrence, TaskPhase
 from bergamotgap.domain.task_placement import (
     ON_TIME,
@@ -13,6 +14,7 @@
     place_gang,
 )
 from bergamotgap.pools.crash_watch import CrashWatch
+from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.ticket_cache import TicketCache
@@ -35,9 +37,11 @@
         run_tracker: RunTracker,
         ticket_cache: TicketCache,
         crash_watch: CrashWatch,
+        customer_accounts: CustomerAccounts,
         clock: Clock,
     ) -> None:
         self._crash_watch = crash_watch
+        self._customer_accounts = customer_accounts
         self._pool = pool
         self._job_table = job_table
         self._run_tracker = run_tracker
@@ -50,6 +54,8 @@
         self._trial_workers = TrialWorkers(run_tracker.links, clock)
         # Jobs of the present pass with suspected tasks that wait.
         self._trial_jobs: list[Job] = []
+        # What customers use, during a pass; None without customers.
+        self._share_use: ShareUse | None = None
         # Largest number of free 1/1000 cores on any usable worker.
         self._most_free_cpu = 0
         self.late_work_paused_until_ms = 0
@@ -73,13 +79,15 @@
         ranked = [
             (self._run_tracker.rank_job(job, now_ms), job) for job in pending.values()
         ]
-        ranked.sort(key=lambda pair: pair[0])
-        for rank, job in ranked:
+        self._share_use = self._customer_accounts.measure_use(
+            self._run_tracker.links.values(), usable
+        )
+        for can_be_late, job in order_jobs(ranked, self._share_use):
             job.begin_due_occurrences(wall_ms)
             if not usable or not self._run_tracker.ownership.is_recovered(job):
                 self._log_wait(job, "unsettled" if usable else "no_workers")
                 continue
-            if rank[0] > ON_TIME and now_ms < self.late_work_paused_until_ms:
+            if can_be_late and now_ms < self.late_work_paused_until_ms:
                 self._log_wait(job, "yields")
                 break
             if not self._place_job(job) and job.next_due_ms is None:
@@ -111,6 +119,8 @@
             if waiting and step.spec.size.cpu <= self._most_free_cpu:
                 started = self._place_step(job, step)
             placed += started
+            if self._share_use is not None:
+                self._share_use.record(job.spec.customer, step.spec.size, started)
             still_waits |= started < waiting
         if placed:
             self._update_most_free_cpu()
