--- a/bench/turning_demand.py
+++ b/bench/turning_demand.py
@@ -246,6 +246,7 @@
     async def _call_owner(self, call: PoolCall) -> PoolReply:
         pool = self._pools[call.pool]
         if isinstance(call, DemandCall):
+            pool.admission_check.record_hosts(call.arriving_cpu, call.free_cpu)
             return pool.measure_demand(call.must_yield)
         assert isinstance(call, DrainCall)
         return pool.drain_worker(call.worker_id, call.may_stop, call.stops_late)
--- /dev/null
+++ b/src/bergamotgap/domain/pool_room.py
@@ -0,0 +1,175 @@
+"""What a pool's hosts can do in a time, beside what runs; performs no I/O."""
+
+from bisect import bisect_left
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from bergamotgap.domain.fleet import Size
+
+# Longest expected time; what takes longer may as well never be done.
+MAX_TIME_MS = 60_000
+# Precision of expected times.
+TIME_STEP_MS = 10
+
+
+class Work(NamedTuple):
+    """Reserved size times the time for which it is reserved, in ms."""
+
+    cpu: float = 0.0
+    memory_mb: float = 0.0
+    gpus: float = 0.0
+
+    def plus(self, other: "Work") -> "Work":
+        """Return the sum of both."""
+        return Work(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def minus(self, other: "Work") -> "Work":
+        """Return this work without the other."""
+        return Work(
+            self.cpu - other.cpu,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+    def times(self, factor: float) -> "Work":
+        """Return this many times the work."""
+        return Work(self.cpu * factor, self.memory_mb * factor, self.gpus * factor)
+
+
+def sum_work(works: Iterable[Work]) -> Work:
+    """Return the sum of any number of works."""
+    total = Work()
+    for work in works:
+        total = total.plus(work)
+    return total
+
+
+def measure_work(size: Size, duration_ms: float, count: int = 1) -> Work:
+    """Return the work of tasks of this size that take this long."""
+    return Work(*size).times(count * duration_ms)
+
+
+@dataclass(frozen=True)
+class Hosts:
+    """Capacity of a pool's hosts now, and with those that can arrive in `lead_ms`.
+
+    Dimensions that no host of the pool has are None: hosts that arrive may have them.
+    """
+
+    now: tuple[float | None, ...]
+    later: tuple[float | None, ...]
+    lead_ms: float
+
+
+class _Usage:
+    """Use of one dimension by running tasks, which falls as they end."""
+
+    def __init__(self, runs: Sequence[tuple[float, float]], inflow: float) -> None:
+        self._inflow = inflow
+        # Ends of runs until only the inflow's rate is used, what is used until each,
+        # and the work done until each.
+        self._ends_ms: list[float] = []
+        self._used: list[float] = []
+        self._done: list[float] = []
+        used, done, at_ms = sum(part for _, part in runs), 0.0, 0.0
+        for left_ms, part in runs:
+            if used <= inflow:
+                break
+            done += used * (left_ms - at_ms)
+            self._ends_ms.append(left_ms)
+            self._used.append(used)
+            self._done.append(done)
+            used, at_ms = used - part, left_ms
+
+    def measure(self, until_ms: float) -> float:
+        """Return the work of what runs, and of what takes its place, until a time."""
+        position = bisect_left(self._ends_ms, until_ms)
+        if position < len(self._ends_ms):
+            left_ms = self._ends_ms[position] - until_ms
+            return self._done[position] - left_ms * self._used[position]
+        if not self._ends_ms:
+            return until_ms * self._inflow
+        return self._done[-1] + (until_ms - self._ends_ms[-1]) * self._inflow
+
+
+class Room:
+    """What hosts can do beside the tasks that run, given the time that each has left.
+
+    With an `inflow`, work per ms, as much work takes the place of tasks that end.
+    """
+
+    def __init__(
+        self,
+        hosts: Hosts,
+        runs: Iterable[tuple[float, Size]],
+        inflow: Work | None = None,
+    ) -> None:
+        self._hosts = hosts
+        self._runs = sorted(runs, key=lambda run: run[0])
+        rates = inflow or Work()
+        self._usage = [
+            _Usage([(left_ms, size[i]) for left_ms, size in self._runs], rate)
+            for i, rate in enumerate(rates)
+        ]
+
+    @property
+    def cpu(self) -> float:
+        """Return the 1/1000 cores of the hosts, hosts on their way included."""
+        return self._hosts.now[0] or 0.0
+
+    def add_inflow(self, inflow: Work) -> "Room":
+        """Return what is left of the room if as much work goes on to arrive."""
+        return Room(self._hosts, self._runs, inflow)
+
+    def can_do(self, work: Work, until_ms: float) -> bool:
+        """Return whether the work can be done within a time."""
+        hosts = self._hosts
+        soon_ms = min(until_ms, hosts.lead_ms)
+        return until_ms >= 0 and all(
+            part <= 0
+            or now is None
+            or later is None
+            or part
+            <= now * soon_ms + later * (until_ms - soon_ms) - usage.measure(until_ms)
+            for part, now, later, usage in zip(
+                work, hosts.now, hosts.later, self._usage, strict=True
+            )
+        )
+
+    def measure_ms(self, work: Work) -> float:
+        """Return a time in which the work can be done, MAX_TIME_MS at most."""
+        low_ms, high_ms = 0.0, float(MAX_TIME_MS)
+        while high_ms - low_ms > TIME_STEP_MS:
+            middle_ms = (low_ms + high_ms) / 2
+            if self.can_do(work, middle_ms):
+                high_ms = middle_ms
+            else:
+                low_ms = middle_ms
+        return high_ms
+
+
+def measure_hosts(
+    capacity: Size, held: Size, arriving_cpu: int, free_cpu: int, lead_ms: float
+) -> Hosts | None:
+    """Return the hosts of a pool; None if it has none to estimate from.
+
+    `held` is reserved by long-running tasks. Hosts on their way count from now, free
+    ones after `lead_ms`, in each dimension by what the pool's hosts have for a core.
+    """
+    if capacity.cpu <= 0:
+        return None
+    now = 1 + arriving_cpu / capacity.cpu
+    later = now + free_cpu / capacity.cpu
+    parts = list(zip(capacity, held, strict=True))
+    return Hosts(
+        tuple(max(0.0, now * whole - part) if whole else None for whole, part in parts),
+        tuple(
+            max(0.0, later * whole - part) if whole else None for whole, part in parts
+        ),
+        lead_ms,
+    )
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -12,6 +12,7 @@
 from bergamotgap.adapters.metrics import Metrics, serve_metrics
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.customers import digest_key
+from bergamotgap.domain.early_refusal import RefusalReason
 from bergamotgap.domain.fleet import FleetConfig, Queue
 from bergamotgap.platform.documents import decode_job
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
@@ -203,7 +204,8 @@
         case KeyRejected():
             return _build_unauthorized_response()
         case NotAccepted():
-            return _build_retry_response(503, outcome.reason, outcome.retry_ms)
+            status = 429 if outcome.reason == RefusalReason.OVER_SHARE else 503
+            return _build_retry_response(status, outcome.reason, outcome.retry_ms)
         case OutcomeUnknown():
             # 503 lets callers retry: a read changes nothing, so repeating it is safe.
             status = 503 if is_read else 504
--- /dev/null
+++ b/src/bergamotgap/pools/admission_check.py
@@ -0,0 +1,279 @@
+"""Refuses new jobs of a pool that can't be served while they have value."""
+
+from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.customer_shares import EXCESS, ShareUse, classify_work
+from bergamotgap.domain.early_refusal import (
+    Inflow,
+    KnownQueue,
+    QueuedJob,
+    Refusal,
+    check_job,
+)
+from bergamotgap.domain.fleet import JobSpec, Queue, Size, StepSpec
+from bergamotgap.domain.job_state import Job, TaskPhase
+from bergamotgap.domain.offered_load import MAX_PERIOD_MS
+from bergamotgap.domain.pool_room import (
+    Room,
+    Work,
+    measure_hosts,
+    measure_work,
+    sum_work,
+)
+from bergamotgap.domain.task_placement import LATE, LATE_FACTOR, ON_TIME, TOO_LATE
+from bergamotgap.pools.customer_accounts import CustomerAccounts
+from bergamotgap.pools.job_table import JobTable, NotStored
+from bergamotgap.pools.run_tracker import RunTracker
+from bergamotgap.pools.worker_link import WorkerLink
+
+# After this time an owner knows its workers and has learned what runs there.
+SETTLING_MS = 2000
+# What the host controller said is known for this long: ten of its rounds.
+HOSTS_KNOWN_MS = 1000
+# How long the queue that was read is used, at least and as a multiple of the time that
+# reading it took.
+MIN_QUEUE_AGE_MS = 50
+QUEUE_AGE_FACTOR = 20
+
+log = get_logger(__name__)
+
+
+class AdmissionCheck:
+    """Check new jobs against the queue ahead of them and the room of the pool.
+
+    `refused` counts the jobs refused in this term.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        job_table: JobTable,
+        run_tracker: RunTracker,
+        customer_accounts: CustomerAccounts,
+        move_duration_ms: int,
+        clock: Clock,
+    ) -> None:
+        self._pool = pool
+        self._job_table = job_table
+        self._run_tracker = run_tracker
+        self._customer_accounts = customer_accounts
+        self._move_duration_ms = move_duration_ms
+        self._clock = clock
+        # 1/1000 cores that arrive, and that are free elsewhere, as of a time (ms).
+        self._arriving_cpu, self._free_cpu = 0, 0
+        self._hosts_known_ms: int | None = None
+        self._queue: KnownQueue | None = None
+        self._share_use: ShareUse | None = None
+        self._read_ms = 0
+        self._read_again_ms = 0
+        # Accepted jobs that are not durable, so not pending, yet.
+        self._accepted: dict[str, QueuedJob] = {}
+        # Jobs that were refused lately, and when.
+        self._refused_ms: dict[str, int] = {}
+        self._ratios: dict[str, float] = {}
+        self._inflow = Inflow()
+        self.refused = 0
+
+    def record_hosts(self, arriving_cpu: int | None, free_cpu: int) -> None:
+        """Record the 1/1000 cores that can arrive; None if the sender can't tell."""
+        if arriving_cpu is not None:
+            self._arriving_cpu, self._free_cpu = arriving_cpu, free_cpu
+            self._hosts_known_ms = self._clock.monotonic_ms()
+
+    def check(self, spec: JobSpec) -> NotStored | None:
+        """Return the refusal of a new job; None if it is accepted now."""
+        now_ms = self._clock.monotonic_ms()
+        job = Job(spec, now_ms)
+        queue = self._run_tracker.get_queue(job)
+        if queue is None or not self._may_refuse(now_ms) or not _has_estimate(spec):
+            return None
+        if now_ms >= self._read_again_ms:
+            self._read_queue(now_ms)
+        if self._queue is None:
+            return None
+        work = sum_work(
+            measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
+            for step in spec.steps
+        )
+        new = self._describe_job(job, queue, work, now_ms)
+        if new is None:
+            return None
+        path_ms = job.critical_path_ms * self._get_ratio(spec.queue)
+        age_ms = now_ms - self._read_ms
+        refusal = check_job(self._queue, spec.job_id, new, path_ms, age_ms)
+        if refusal is None:
+            self._queue.add(new)
+            self._accepted[spec.job_id] = new
+            if new.work_class == ON_TIME:
+                self._inflow.record(now_ms, new.work)
+            return None
+        self._record_refusal(spec, new, refusal, now_ms)
+        return NotStored(refusal.reason, refusal.retry_ms)
+
+    def _may_refuse(self, now_ms: int) -> bool:
+        """Return whether the workers, their runs and the room to come are known."""
+        ownership = self._run_tracker.ownership
+        return (
+            self._hosts_known_ms is not None
+            and now_ms - self._hosts_known_ms <= HOSTS_KNOWN_MS
+            and now_ms - ownership.started_ms >= SETTLING_MS
+            and ownership.are_jobs_recovered()
+        )
+
+    def _record_refusal(
+        self, spec: JobSpec, new: QueuedJob, refusal: Refusal, now_ms: int
+    ) -> None:
+        self.refused += 1
+        while self._refused_ms:
+            oldest = next(iter(self._refused_ms))
+            if now_ms - self._refused_ms[oldest] < MAX_PERIOD_MS:
+                break
+            del self._refused_ms[oldest]
+        if spec.job_id not in self._refused_ms:
+            # Hosts follow the offered load, and the job may return.
+            self._refused_ms[spec.job_id] = now_ms
+            self._job_table.offered_load.record(now_ms, spec.estimate_work())
+        room_cpu = _round(self._queue.room.cpu) if self._queue else 0
+        log.info(
+            "job refused early",
+            job=spec.job_id,
+            pool=self._pool,
+            reason=refusal.reason.value,
+            customer=spec.customer,
+            excess=new.work_class == EXCESS,
+            ahead_ms=_round(refusal.ahead_ms),
+            room_cpu=room_cpu,
+            arriving_cpu=self._arriving_cpu,
+            free_cpu=self._free_cpu,
+            end_ms=_round(refusal.end_ms),
+            objective_ms=_round(new.on_time_ms),
+            retry_ms=refusal.retry_ms,
+        )
+
+    def _read_queue(self, now_ms: int) -> None:
+        """Read what runs and waits in the pool."""
+        links = [
+            link
+            for link in self._run_tracker.links.values()
+            if link.is_usable(now_ms) or (link.is_listed and not link.was_polled)
+        ]
+        self._share_use = self._customer_accounts.measure_use(
+            self._run_tracker.links.values(), links
+        )
+        capacity = _add_sizes([link.info.capacity for link in links])
+        runs, held = self._measure_runs(links, now_ms)
+        hosts = measure_hosts(
+            capacity, held, self._arriving_cpu, self._free_cpu, self._move_duration_ms
+        )
+        self._read_ms, self._queue = now_ms, None
+        self._ratios.clear()
+        self._read_again_ms = now_ms + MIN_QUEUE_AGE_MS
+        if hosts is None:
+            return
+        waiting = [
+            described
+            for job in self._job_table.pending.values()
+            if (described := self._describe_waiting_job(job, now_ms)) is not None
+        ]
+        inflow = self._inflow.measure(now_ms)
+        self._queue = KnownQueue(Room(hosts, runs), inflow, waiting)
+        for job_id, added in list(self._accepted.items()):
+            if self._job_table.get_durable_phase(job_id) is None:
+                self._queue.add(added)
+            else:
+                del self._accepted[job_id]
+        took_ms = self._clock.monotonic_ms() - now_ms
+        age_ms = max(MIN_QUEUE_AGE_MS, QUEUE_AGE_FACTOR * took_ms)
+        self._read_again_ms = now_ms + age_ms
+
+    def _measure_runs(
+        self, links: list[WorkerLink], now_ms: int
+    ) -> tuple[list[tuple[float, Size]], Size]:
+        """Return the time left of each run, and what long-running tasks hold."""
+        runs, held = [], [Size()]
+        for link in links:
+            for live in link.runs.values():
+                job = self._job_table.jobs.get(live.task.task_id.job)
+                step = live.task.step
+                if step.is_long_running:
+                    held.append(step.size)
+                elif job is not None and not live.is_stop_requested:
+                    passed_ms = now_ms - live.task.started_ms
+                    left_ms = self._expect_ms(job.spec.queue, step) - passed_ms
+                    runs.append((max(0.0, left_ms), step.size))
+        return runs, _add_sizes(held)
+
+    def _describe_waiting_job(self, job: Job, now_ms: int) -> QueuedJob | None:
+        """Return a pending job; None if it holds up no other for a known time.
+
+        Suspected tasks wait for a worker of their own, whatever room there is.
+        """
+        queue = self._run_tracker.get_queue(job)
+        if queue is None or job.is_long_running:
+            return None
+        work = Work()
+        for step in job.list_ready_steps():
+            if step.has_suspects:
+                continue
+            run_ms = self._expect_ms(job.spec.queue, step.spec)
+            count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+            work = work.plus(measure_work(step.spec.size, run_ms, count))
+        return self._describe_job(job, queue, work, now_ms) if any(work) else None
+
+    def _describe_job(
+        self, job: Job, queue: Queue, work: Work, now_ms: int
+    ) -> QueuedJob | None:
+        """Return a job with its place in the queue; None if it is too late."""
+        rank = self._run_tracker.rank_job(job, now_ms)
+        if rank[0] == TOO_LATE:
+            return None
+        ratio = self._get_ratio(job.spec.queue)
+        objective_ms = (
+            queue.stretch * job.critical_path_ms * ratio + queue.target_latency_ms
+        )
+        passed_ms = now_ms - job.arrived_ms
+        use, customer = self._share_use, job.spec.customer
+        is_new = job.job_id not in self._job_table.jobs
+        work_class = rank[0] if use is None else classify_work(job, rank)
+        if use and is_new and self._customer_accounts.would_exceed(job.spec):
+            work_class = EXCESS
+        return QueuedJob(
+            customer,
+            work,
+            work_class,
+            use is not None and use.is_over_share(customer),
+            rank,
+            (LATE, queue.urgency, False, job.remaining_path_ms * ratio),
+            objective_ms - passed_ms,
+            LATE_FACTOR * objective_ms - passed_ms,
+        )
+
+    def _expect_ms(self, queue: str, step: StepSpec) -> float:
+        """Return the expected run time of a task."""
+        return step.estimated_ms * self._get_ratio(queue)
+
+    def _get_ratio(self, queue: str) -> float:
+        """Return the ratio as of when the queue was read.
+
+        Jobs of one length are then equal in rank, as they are in a placement pass.
+        """
+        if queue not in self._ratios:
+            self._ratios[queue] = self._run_tracker.estimates.get_ratio(queue)
+        return self._ratios[queue]
+
+
+def _has_estimate(spec: JobSpec) -> bool:
+    """Return whether the end of a job can be estimated from its submission."""
+    if spec.repetitions or spec.start_at_ms:
+        return False
+    return all(step.estimated_ms and not step.is_long_running for step in spec.steps)
+
+
+def _add_sizes(sizes: list[Size]) -> Size:
+    return (
+        Size(*(sum(parts) for parts in zip(*sizes, strict=True))) if sizes else Size()
+    )
+
+
+def _round(value: float) -> int:
+    return int(min(value, 1e9))
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -73,3 +73,8 @@
         "Jobs accepted in this term beyond the weight of their customer",
         lambda pool: pool.customer_accounts.excess,
     )
+    observe(
+        "pool_early_refusals",
+        "Jobs refused in this term because they can't be served in time",
+        lambda pool: pool.admission_check.refused,
+    )
--- a/src/bergamotgap/pools/host_mover.py
+++ b/src/bergamotgap/pools/host_mover.py
@@ -5,6 +5,7 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.early_refusal import measure_free_cpu
 from bergamotgap.domain.fleet import FleetConfig, HostInfo
 from bergamotgap.domain.maintenance_plan import UP
 from bergamotgap.domain.pool_sizes import (
@@ -80,6 +81,8 @@
         # each is abandoned (monotonic, ms).
         self._preemptions: dict[str, tuple[Move, int]] = {}
         self._refused_moves: set[tuple[str, str]] = set()
+        # 1/1000 cores that each pool could get from elsewhere in the last round.
+        self._free_cpu: dict[str, int] = {}
 
     async def run_round(
         self, config: FleetConfig, hosts: Mapping[str, HostInfo], pinned_hosts: set[str]
@@ -96,6 +99,7 @@
             and info.host not in pinned_hosts
             and info.host not in self._moves_in_progress
         ]
+        self._free_cpu = measure_free_cpu(demands, spare)
         spare_pool = min(config.spare_services, default="")
         planned = plan_moves(demands, spare, spare_pool)
         self._short_pools = list_short_pools(demands, planned)
@@ -162,7 +166,17 @@
         # Late work yields to work of other pools that can be on time.
         yielding = {pool: bool(self._short_pools - {pool}) for pool in pools}
         replies = await asyncio.gather(
-            *(self._call_owner(DemandCall(pool, yielding[pool])) for pool in pools)
+            *(
+                self._call_owner(
+                    DemandCall(
+                        pool,
+                        yielding[pool],
+                        self._measure_arriving_cpu(pool, hosts),
+                        self._free_cpu.get(pool, 0),
+                    )
+                )
+                for pool in pools
+            )
         )
         for pool, reply in zip(pools, replies, strict=True):
             if not isinstance(reply, DemandReply):
@@ -205,6 +219,21 @@
             )
         return demands
 
+    def _measure_arriving_cpu(
+        self, pool: str, hosts: Mapping[str, HostInfo]
+    ) -> int | None:
+        """Return the 1/1000 cores on their way to a pool; None before a full round."""
+        if pool not in self._free_cpu:
+            return None
+        moving = sum(
+            cpu for to, _, cpu in self._moves_in_progress.values() if to == pool
+        )
+        return moving + sum(
+            hosts[host].cpu
+            for host, (move, _) in self._preemptions.items()
+            if move.target == pool and host in hosts
+        )
+
     def _filter_movable_hosts(
         self,
         idle_hosts: Iterable[IdleHost],
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -28,6 +28,8 @@
 
     SPEC = "j"
     PROGRESS = "p"
+    # Never has a value; see `JobTable._refuse`.
+    REFUSED = "r"
 
 
 @dataclass(frozen=True)
@@ -76,6 +78,8 @@
         self._begin_tasks: set[asyncio.Task[None]] = set()
         self.pending: dict[str, Job] = {}
         self.offered_load = OfferedLoad()
+        # Returns the refusal of a new job that is not to be accepted.
+        self.check_admission: Callable[[JobSpec], NotStored | None] = lambda spec: None
         # Returns the specification of a new job, marked if it is in excess.
         self.mark_excess: Callable[[JobSpec], JobSpec] = lambda spec: spec
         self.on_job_accepted: Callable[[], None] = lambda: None
@@ -136,6 +140,9 @@
                     reason="log_lost",
                 )
                 return NotStored("platform_unavailable", retry_ms=1000)
+            refusal = self.check_admission(spec)
+            if refusal is not None:
+                return await self._refuse(spec.job_id, refusal)
             spec = self.mark_excess(spec)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
@@ -152,6 +159,19 @@
         await self._journal.wait_committed(self._accept_changes.get(spec.job_id, 0))
         return Stored(is_new)
 
+    async def _refuse(self, job_id: str, refusal: NotStored) -> SubmitOutcome:
+        """Return a refusal once the log shows that no successor can have the job.
+
+        An append that the log takes from this owner shows it, since a successor fences
+        former owners before it accepts jobs.
+        """
+        key = format_record_key(self._pool, RecordKind.REFUSED, "")
+        await self._journal.wait_committed(self._journal.put(key, lambda: None))
+        if job_id not in self._jobs:
+            return refusal
+        await self._journal.wait_committed(self._accept_changes.get(job_id, 0))
+        return Stored(is_new=False)
+
     async def _begin_when_durable(self, job: Job, change: int) -> None:
         await self._journal.wait_committed(change)
         spec = job.spec
--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -174,6 +174,10 @@
         del self._unrecovered_jobs[job.job_id]
         return True
 
+    def are_jobs_recovered(self) -> bool:
+        """Return whether all restored jobs are recovered or have ended."""
+        return all(job.phase.is_final for job in self._unrecovered_jobs.values())
+
     def record_first_poll(self, worker_id: str) -> None:
         """Record the first poll of a worker: all runs there are known from now on."""
         for job in self._unrecovered_jobs.values():
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -11,6 +11,7 @@
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task
 from bergamotgap.node.supervision import supervise
+from bergamotgap.pools.admission_check import AdmissionCheck
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
@@ -112,6 +113,15 @@
             self._handle_superseded,
             self.crash_watch,
         )
+        self.admission_check = AdmissionCheck(
+            self.name,
+            self.job_table,
+            self.run_tracker,
+            self.customer_accounts,
+            self._settings.move_duration_ms,
+            self._clock,
+        )
+        self.job_table.check_admission = self.admission_check.check
         self.job_table.on_job_accepted = self.run_tracker.placement_needed.set
         self._ticket_cache = TicketCache(
             self._advice, self._clock, self.run_tracker.placement_needed.set
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -303,6 +303,7 @@
             case DrainCall():
                 return pool.drain_worker(call.worker_id, call.may_stop, call.stops_late)
             case DemandCall():
+                pool.admission_check.record_hosts(call.arriving_cpu, call.free_cpu)
                 return pool.measure_demand(call.must_yield)
         return NotOwnerReply()
 
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -74,11 +74,14 @@
     """Request for a pool's demand and capacity.
 
     `must_yield` is set when another pool lacks workers for work that can finish on
-    time.
+    time. In 1/1000 cores, `arriving_cpu` is on its way to the pool, None if the sender
+    can't tell, and `free_cpu` is free in spare pools or idle in other pools.
     """
 
     pool: str
     must_yield: bool = False
+    arriving_cpu: int | None = None
+    free_cpu: int = 0
 
 
 class LogContactCall(msgspec.Struct, frozen=True, tag="contact"):
--- a/tests/customer_load.py
+++ b/tests/customer_load.py
@@ -42,6 +42,9 @@
     # Jobs that were waiting while a worker had room for a task for as long as this.
     longest_idle_ms: int = 0
     retry_ms: list[int] = field(default_factory=list)
+    reasons: Counter[str] = field(default_factory=Counter)
+    # Jobs that were accepted after a refusal.
+    retried: int = 0
 
 
 def build_config(weights: dict[str, float]) -> FleetConfig:
@@ -83,8 +86,14 @@
     config: FleetConfig,
     workers: int = 6,
     after_s: float = 20.0,
+    may_refuse: bool = False,
+    retries: int = 0,
 ) -> Outcomes:
-    """Submit the jobs to a pool owner and return what became of them."""
+    """Submit the jobs to a pool owner and return what became of them.
+
+    With `may_refuse`, a host controller reports that no host can arrive; without, the
+    owner doesn't know. Callers return up to `retries` times, as long as 3 s are left.
+    """
     outcomes = Outcomes()
 
     async def main() -> None:
@@ -94,26 +103,48 @@
             # Early refusal begins once the owner has known its pool for two seconds.
             await asyncio.sleep(3)
             begin_s = asyncio.get_running_loop().time()
-            watcher = asyncio.create_task(_watch_idle_room(scene, pool, outcomes))
+            watchers = [asyncio.create_task(_watch_idle_room(scene, pool, outcomes))]
+            if may_refuse:
+                watchers.append(asyncio.create_task(_report_no_hosts(pool)))
             async with asyncio.TaskGroup() as group:
                 for arrival in sorted(arrivals, key=lambda arrival: arrival.at_s):
                     now_s = asyncio.get_running_loop().time()
                     await asyncio.sleep(max(0.0, begin_s + arrival.at_s - now_s))
-                    group.create_task(_submit(pool, arrival, outcomes))
+                    group.create_task(_submit(pool, arrival, outcomes, retries))
             await asyncio.sleep(after_s)
-            watcher.cancel()
+            for watcher in watchers:
+                watcher.cancel()
             _count_outcomes(scene, pool, outcomes)
 
     run_virtual(main())
     return outcomes
 
 
-async def _submit(pool: Pool, arrival: Arrival, outcomes: Outcomes) -> None:
+async def _submit(
+    pool: Pool, arrival: Arrival, outcomes: Outcomes, retries: int
+) -> None:
     spec = build_customer_job(arrival.job_id, arrival.customer)
-    outcome = await pool.submit(spec)
-    if isinstance(outcome, NotStored):
-        outcomes.refused[arrival.customer] += 1
+    left_s = 3.0
+    for attempt in range(retries + 1):
+        outcome = await pool.submit(spec)
+        if not isinstance(outcome, NotStored):
+            outcomes.retried += attempt > 0
+            return
         outcomes.retry_ms.append(outcome.retry_ms)
+        outcomes.reasons[outcome.reason] += 1
+        # The header holds whole seconds.
+        wait_s = max(1, round(outcome.retry_ms / 1000))
+        left_s -= wait_s
+        if attempt == retries or left_s <= 0:
+            break
+        await asyncio.sleep(wait_s)
+    outcomes.refused[arrival.customer] += 1
+
+
+async def _report_no_hosts(pool: Pool) -> None:
+    while True:
+        pool.admission_check.record_hosts(0, 0)
+        await asyncio.sleep(0.1)
 
 
 async def _watch_idle_room(scene: Scene, pool: Pool, outcomes: Outcomes) -> None:
