--- a/src/bergamotgap/domain/early_refusal.py
+++ b/src/bergamotgap/domain/early_refusal.py
@@ -9,7 +9,13 @@
 from enum import StrEnum
 
 from bergamotgap.domain.customer_shares import EXCESS
-from bergamotgap.domain.pool_room import MAX_TIME_MS, Room, Work, sum_work
+from bergamotgap.domain.pool_room import (
+    MAX_TIME_MS,
+    TIME_STEP_MS,
+    Room,
+    Work,
+    sum_work,
+)
 from bergamotgap.domain.pool_sizes import PoolDemand, SpareHost
 from bergamotgap.domain.task_placement import LATE, ON_TIME, JobRank
 
@@ -136,7 +142,8 @@
 
     def _play(self, key: QueueKey, work: Work, until_ms: float, room: Room) -> bool:
         total = (self._totals[-1] if self._totals else Work()).plus(work)
-        if not room.can_do(total, until_ms):
+        # Few distinct times, so that most of them are measured once.
+        if not room.can_do(total, math.ceil(until_ms / TIME_STEP_MS) * TIME_STEP_MS):
             return False
         self._keys.append(key)
         self._totals.append(total)
--- a/src/bergamotgap/domain/pool_room.py
+++ b/src/bergamotgap/domain/pool_room.py
@@ -111,6 +111,7 @@
     ) -> None:
         self._hosts = hosts
         self._runs = sorted(runs, key=lambda run: run[0])
+        self._until: dict[float, tuple[float, ...]] = {}
         rates = inflow or Work()
         self._usage = [
             _Usage([(left_ms, size[i]) for left_ms, size in self._runs], rate)
@@ -128,19 +129,32 @@
 
     def can_do(self, work: Work, until_ms: float) -> bool:
         """Return whether the work can be done within a time."""
-        hosts = self._hosts
-        soon_ms = min(until_ms, hosts.lead_ms)
-        return until_ms >= 0 and all(
-            part <= 0
-            or now is None
-            or later is None
-            or part
-            <= now * soon_ms + later * (until_ms - soon_ms) - usage.measure(until_ms)
-            for part, now, later, usage in zip(
-                work, hosts.now, hosts.later, self._usage, strict=True
-            )
+        cpu, memory_mb, gpus = self._measure_until(until_ms)
+        return (
+            (work.cpu <= 0 or work.cpu <= cpu)
+            and (work.memory_mb <= 0 or work.memory_mb <= memory_mb)
+            and (work.gpus <= 0 or work.gpus <= gpus)
         )
 
+    def _measure_until(self, until_ms: float) -> tuple[float, ...]:
+        """Return what can be done within a time; kept, as many jobs ask for it."""
+        known = self._until.get(until_ms)
+        if known is None:
+            known = self._until[until_ms] = tuple(
+                self._measure_part(i, until_ms) for i in range(len(self._usage))
+            )
+        return known
+
+    def _measure_part(self, index: int, until_ms: float) -> float:
+        now, later = self._hosts.now[index], self._hosts.later[index]
+        if until_ms < 0:
+            return 0.0
+        if now is None or later is None:
+            return float("inf")
+        soon_ms = min(until_ms, self._hosts.lead_ms)
+        whole = now * soon_ms + later * (until_ms - soon_ms)
+        return whole - self._usage[index].measure(until_ms)
+
     def measure_ms(self, work: Work) -> float:
         """Return a time in which the work can be done, MAX_TIME_MS at most."""
         low_ms, high_ms = 0.0, float(MAX_TIME_MS)
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -20,7 +20,13 @@
     measure_work,
     sum_work,
 )
-from bergamotgap.domain.task_placement import LATE, LATE_FACTOR, ON_TIME, TOO_LATE
+from bergamotgap.domain.task_placement import (
+    LATE,
+    LATE_FACTOR,
+    ON_TIME,
+    TOO_LATE,
+    JobRank,
+)
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.job_table import JobTable, NotStored
 from bergamotgap.pools.run_tracker import RunTracker
@@ -95,10 +101,14 @@
             measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
             for step in spec.steps
         )
-        new = self._describe_job(job, queue, work, now_ms)
-        if new is None:
-            return None
         path_ms = job.critical_path_ms * self._get_ratio(spec.queue)
+        rank = self._run_tracker.rank_job(job, now_ms)
+        if rank[0] == TOO_LATE:
+            # Its path alone is too long, which the check finds.
+            rank = (LATE, queue.urgency, False, path_ms)
+        new = self._describe_job(job, queue, rank, work, now_ms)
+        if new.on_time_ms <= 0:
+            return None
         age_ms = now_ms - self._read_ms
         refusal = check_job(self._queue, spec.job_id, new, path_ms, age_ms)
         if refusal is None:
@@ -211,6 +221,9 @@
         queue = self._run_tracker.get_queue(job)
         if queue is None or job.is_long_running:
             return None
+        rank = self._run_tracker.rank_job(job, now_ms)
+        if rank[0] == TOO_LATE:
+            return None
         work = Work()
         for step in job.list_ready_steps():
             if step.has_suspects:
@@ -218,15 +231,14 @@
             run_ms = self._expect_ms(job.spec.queue, step.spec)
             count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
             work = work.plus(measure_work(step.spec.size, run_ms, count))
-        return self._describe_job(job, queue, work, now_ms) if any(work) else None
+        if not any(work):
+            return None
+        return self._describe_job(job, queue, rank, work, now_ms)
 
     def _describe_job(
-        self, job: Job, queue: Queue, work: Work, now_ms: int
-    ) -> QueuedJob | None:
-        """Return a job with its place in the queue; None if it is too late."""
-        rank = self._run_tracker.rank_job(job, now_ms)
-        if rank[0] == TOO_LATE:
-            return None
+        self, job: Job, queue: Queue, rank: JobRank, work: Work, now_ms: int
+    ) -> QueuedJob:
+        """Return a job that is not too late, with its place in the queue."""
         ratio = self._get_ratio(job.spec.queue)
         objective_ms = (
             queue.stretch * job.critical_path_ms * ratio + queue.target_latency_ms
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -295,6 +295,16 @@
             pool.admission_check.record_hosts(64_000, 0)
             await asyncio.sleep(0.1)
             assert await pool.submit(spec) == Stored(is_new=True)
+            # No room helps a job whose steps take longer than three objectives.
+            queue = dataclasses.replace(CONFIG.queues[0], stretch=0.1)
+            pool.update_config(dataclasses.replace(CONFIG, queues=(queue,)))
+            long = StepSpec(count=1, cpu=100, memory_mb=10, estimated_ms=9000)
+            spec = JobSpec("long", "q-previews", "", (long,))
+            assert isinstance(await pool.submit(spec), NotStored)
+            # A queue without an objective refuses nothing.
+            queue = dataclasses.replace(queue, stretch=0, target_latency_ms=0)
+            pool.update_config(dataclasses.replace(CONFIG, queues=(queue,)))
+            assert await pool.submit(spec) == Stored(is_new=True)
 
     run_virtual(main())
 
