--- a/src/bergamotgap/domain/early_refusal.py
+++ b/src/bergamotgap/domain/early_refusal.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 
 from bergamotgap.domain.customer_shares import EXCESS
-from bergamotgap.domain.pool_room import (
+from bergamotgap.domain.room_forecast import (
     MAX_TIME_MS,
     TIME_STEP_MS,
     Room,
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -13,7 +13,7 @@
 from bergamotgap.domain.fleet import JobSpec, Queue, Size, StepSpec
 from bergamotgap.domain.job_state import Job, TaskPhase
 from bergamotgap.domain.offered_load import MAX_PERIOD_MS
-from bergamotgap.domain.pool_room import (
+from bergamotgap.domain.room_forecast import (
     Room,
     Work,
     measure_hosts,
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -17,7 +17,7 @@
     choose_retry_ms,
 )
 from bergamotgap.domain.fleet import FleetConfig, HostInfo, JobSpec, Size, StepSpec
-from bergamotgap.domain.pool_room import MAX_TIME_MS, Room, Work, measure_hosts
+from bergamotgap.domain.room_forecast import MAX_TIME_MS, Room, Work, measure_hosts
 from bergamotgap.domain.task_placement import LATE, ON_TIME
 from bergamotgap.platform.ingress import Ingress
 from bergamotgap.pools.host_mover import HostMover
