--- a/src/bergamotgap/pools/host_mover.py
+++ b/src/bergamotgap/pools/host_mover.py
@@ -6,6 +6,7 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.amounts import Amount, total
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.early_refusal import measure_free_cpu
 from bergamotgap.domain.fleet import FleetConfig, HostInfo, Size
 from bergamotgap.domain.maintenance_plan import UP
 from bergamotgap.domain.pool_sizes import (
@@ -82,6 +83,8 @@
         self._preemptions: dict[str, tuple[Move, int]] = {}
         self._refused_moves: set[tuple[str, str]] = set()
         self._pinned_hosts: set[str] = set()
+        # 1/1000 cores that each pool could get from elsewhere in the last round.
+        self._free_cpu: dict[str, int] = {}
 
     def list_moving_hosts(self) -> set[str]:
         """Return the hosts whose move is ordered and not completed."""
@@ -106,6 +109,7 @@
         ]
         demands = await self._read_demands(config, hosts, pinned_hosts, bool(spare))
         self._log_sizes(demands)
+        self._free_cpu = measure_free_cpu(demands, spare)
         spare_pool = min(config.spare_services, default="")
         planned = plan_moves(demands, spare, spare_pool)
         self._short_pools = list_short_pools(demands, planned)
@@ -177,7 +181,15 @@
         yielding = {pool: bool(self._short_pools - {pool}) for pool in pools}
         replies = await asyncio.gather(
             *(
-                self._call_owner(DemandCall(pool, yielding[pool], has_spare_host))
+                self._call_owner(
+                    DemandCall(
+                        pool,
+                        yielding[pool],
+                        has_spare_host,
+                        self._measure_arriving_cpu(pool, hosts),
+                        self._free_cpu.get(pool, 0),
+                    )
+                )
                 for pool in pools
             )
         )
@@ -238,6 +250,14 @@
         ]
         return arriving
 
+    def _measure_arriving_cpu(
+        self, pool: str, hosts: Mapping[str, HostInfo]
+    ) -> int | None:
+        """Return the 1/1000 cores on their way to a pool; None before a full round."""
+        if pool not in self._free_cpu:
+            return None
+        return sum(size.cpu for _, size in self._list_arriving(pool, hosts))
+
     def _filter_movable_hosts(
         self,
         idle_hosts: Iterable[IdleHost],
--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -179,6 +179,10 @@
         """The number of restored jobs whose runs may not all be known."""
         return len(self._unrecovered_jobs)
 
+    def are_jobs_recovered(self) -> bool:
+        """Return whether all restored jobs are recovered or have ended."""
+        return all(job.phase.is_final for job in self._unrecovered_jobs.values())
+
     def list_jobs_with_unknown_runs(self) -> list[Job]:
         """Return the restored jobs with tasks that may run unknown to this owner.
 
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -11,7 +11,9 @@
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job
 from bergamotgap.node.supervision import supervise
+from bergamotgap.pools.admission_check import AdmissionCheck
 from bergamotgap.pools.crash_watch import CrashWatch
+from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
@@ -86,6 +88,8 @@
             store, self._topic, self._part, fence, clock, self._handle_fenced
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
+        self.customer_accounts = CustomerAccounts(name, self.job_table, clock)
+        self.job_table.mark_excess = self.customer_accounts.mark_excess
         self.crash_watch = CrashWatch(name, self.job_table, clock, self._give_up_job)
 
     async def __aenter__(self) -> Self:
@@ -96,6 +100,7 @@
         )
         newest = await self._store.read_newest_values(self._topic, self._part)
         open_jobs = self.job_table.restore(newest.values)
+        self.customer_accounts.restore()
         self.crash_watch.watch_inherited_runs()
         self.journal.last_append_ms = self._clock.monotonic_ms()
         self.run_tracker = RunTracker(
@@ -112,6 +117,15 @@
         self._drains = WorkerDrains(
             self.job_table, self.run_tracker, self._settings, self._clock
         )
+        self.admission_check = AdmissionCheck(
+            self.name,
+            self.job_table,
+            self.run_tracker,
+            self.customer_accounts,
+            self._settings.move_duration_ms,
+            self._clock,
+        )
+        self.job_table.check_admission = self.admission_check.check
         self.job_table.on_job_accepted = self.run_tracker.placement_needed.set
         self._ticket_cache = TicketCache(
             self._advice, self._clock, self.run_tracker.placement_needed.set
@@ -125,6 +139,7 @@
             self.run_tracker,
             self._ticket_cache,
             self.crash_watch,
+            self.customer_accounts,
             self._clock,
             self.customer_usage,
         )
@@ -201,6 +216,7 @@
     def update_config(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
         self.customer_usage.update_config(config)
+        self.customer_accounts.update_customers(config.customers)
         self.run_tracker.update_config(config)
 
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -15,7 +15,7 @@
     measure_stranded_room,
 )
 from bergamotgap.domain.pool_sizes import BACKLOG_CLEAR_MS, IdleHost
-from bergamotgap.domain.task_placement import LATE, ON_TIME, count_fitting
+from bergamotgap.domain.task_placement import ON_TIME, TOO_LATE, count_fitting
 from bergamotgap.pools.customer_usage import StartableWork
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.link_interface import LiveRun
@@ -41,6 +41,7 @@
 ) -> DemandReply:
     """Return the resources that tasks need, and the idle workers.
 
+    Excess work counts as late, since it yields to the on-time work of other pools too.
     Of work that can only end too late to be of value, `WORTHLESS_SHARE` counts.
     `startable` leaves out what caps of customers hold back; the use of these customers
     counts in place of their offered load.
@@ -50,14 +51,15 @@
     waiting: list[WaitingStep] = []
     for job in startable.jobs:
         lateness = run_tracker.rank_job(job, now_ms)[0]
+        is_on_time = lateness == ON_TIME and not job.spec.is_excess
         limit = startable.tasks.get(job.job_id)
         work = _measure_waiting_work(job, run_tracker, limit)
-        share = WORTHLESS_SHARE if lateness > LATE else 1.0
-        if lateness == ON_TIME:
+        share = WORTHLESS_SHARE if lateness == TOO_LATE else 1.0
+        if is_on_time:
             waiting_work += work
         else:
             late_work += work.scale(share)
-        is_overdue = lateness == ON_TIME and now_ms - job.arrived_ms >= FRAGMENT_WAIT_MS
+        is_overdue = is_on_time and now_ms - job.arrived_ms >= FRAGMENT_WAIT_MS
         waiting += _list_waiting_steps(job, run_tracker, limit, share, is_overdue)
     late_runs = _list_late_runs(links, job_table, run_tracker, now_ms)
     late_counts = Counter(link.worker_id for link, _ in late_runs)
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -309,6 +309,7 @@
             case MaintenanceCall():
                 return pool.prepare_maintenance(call)
             case DemandCall():
+                pool.admission_check.record_hosts(call.arriving_cpu, call.free_cpu)
                 return pool.measure_demand(call.must_yield, call.has_spare_host)
             case CapCall():
                 return pool.customer_usage.answer(call)
