--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -1,5 +1,6 @@
 """Data types of the fleet: queues, services, workers, hosts and multi-step jobs."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
@@ -87,13 +88,14 @@
         """Return how many times the job's steps run."""
         return max(1, self.repetitions)
 
-    def estimate_work(self) -> float:
-        """Return the declared work of one occurrence, in 1/1000 core-ms.
+    def estimate_work(self, expect_ms: Callable[[StepSpec], float]) -> float:
+        """Return the work of one occurrence, in 1/1000 core-ms.
 
-        Long-running steps never end and are left out.
+        `expect_ms` returns the run time of one task of a step. Long-running steps never
+        end and are left out.
         """
         return sum(
-            step.count * step.size.cpu * step.estimated_ms
+            step.count * step.size.cpu * expect_ms(step)
             for step in self.steps
             if not step.is_long_running
         )
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec, TaskId
+from bergamotgap.domain.job_paths import ExpectedPath
 from bergamotgap.domain.job_records import Exposure, JobProgress, TaskRecord
 
 
@@ -163,10 +164,10 @@
         self._unfinished_steps = 0
         # Tasks of a long-running job run until it is cancelled.
         self.is_long_running = any(step.is_long_running for step in spec.steps)
-        # Estimated time of the critical path through the steps, in total and remaining.
-        self.critical_path_ms = self.remaining_path_ms = _measure_critical_path(
-            spec.steps, set()
-        )
+        # The steps that are done; repeated jobs count none.
+        self.done_steps: frozenset[int] = frozenset()
+        # The expected path by the version of the estimates given, if it is known.
+        self.expected_path: tuple[int, ExpectedPath] | None = None
 
     @property
     def job_id(self) -> str:
@@ -253,7 +254,7 @@
         step.unfinished_tasks -= len(ended)
         if step.unfinished_tasks == 0:
             self._unfinished_steps -= 1
-            self._update_remaining_path()
+            self._update_done_steps()
         if (
             self._unfinished_steps == 0
             and self._begun_occurrences >= self.spec.occurrences
@@ -285,15 +286,15 @@
         """Return the step of a task."""
         return self._steps[(task.task_id.occurrence, task.task_id.step)]
 
-    def _update_remaining_path(self) -> None:
-        """Update the remaining critical path, which repeated jobs keep in full."""
+    def _update_done_steps(self) -> None:
+        """Update the steps that the remaining path leaves out."""
         if self.spec.occurrences == 1:
-            done = {
+            self.done_steps = frozenset(
                 step.number
                 for step in self._steps.values()
                 if not step.unfinished_tasks
-            }
-            self.remaining_path_ms = _measure_critical_path(self.spec.steps, done)
+            )
+            self.expected_path = None
 
     def save(self) -> JobProgress:
         """Return the state to persist."""
@@ -355,12 +356,3 @@
         if not self.phase.is_final:
             self.phase = progress.phase
             self.ended_ms = progress.ended_ms
-
-
-def _measure_critical_path(steps: tuple[StepSpec, ...], done: set[int]) -> int:
-    lengths: list[int] = []
-    for number, step in enumerate(steps):
-        before_ms = max((lengths[n] for n in step.after if n < number), default=0)
-        own_ms = 0 if number in done else step.estimated_ms
-        lengths.append(before_ms + own_ms)
-    return max(lengths, default=0)
--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 
 from bergamotgap.domain.fleet import JobPhase, Queue, Size, WorkerInfo
+from bergamotgap.domain.job_paths import ExpectedPath
 from bergamotgap.domain.job_state import Job, StepOccurrence, Task
+from bergamotgap.domain.worker_speeds import SLOW_SPEED
 
 StepKey = tuple[str, int, int]
 # Lateness, urgency, whether the job has not begun, and a time in ms.
@@ -70,7 +72,7 @@
             self.serving_tasks += sign
 
 
-def rank_job(job: Job, queue: Queue | None, now_ms: int, ratio: float) -> JobRank:
+def rank_job(job: Job, queue: Queue | None, now_ms: int, path: ExpectedPath) -> JobRank:
     """Return the job's rank in the placement order; the lowest rank goes first.
 
     Long-running jobs go first, because their availability is measured from submission.
@@ -78,15 +80,14 @@
     still be late but of value, then the others. Of the jobs that can be on time, those
     that have begun go first: under overload, each would otherwise be passed by others
     of less slack between its steps, and all would be late. `now_ms` is a time of this
-    process's clock, `ratio` the ratio of actual to declared run times.
+    process's clock.
     """
     if queue is None:
         return (TOO_LATE, 0, False, job.arrived_ms)
     if job.is_long_running:
         return (ON_TIME, queue.urgency, False, job.arrived_ms)
-    path_ms = job.critical_path_ms * ratio
+    path_ms, remaining_ms = path
     objective_ms = queue.stretch * path_ms + queue.target_latency_ms
-    remaining_ms = job.remaining_path_ms * ratio
     slack_ms = job.arrived_ms + objective_ms - now_ms - remaining_ms
     if slack_ms >= 0:
         return (ON_TIME, queue.urgency + 1, job.phase is JobPhase.QUEUED, slack_ms)
@@ -142,7 +143,7 @@
     step = task.step
     has_failed = worker.info.worker_id in task.failed_on
     is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
-    is_slow = worker.speed < 0.7
+    is_slow = worker.speed < SLOW_SPEED
     if step.is_filler:
         return (has_failed, is_slow, is_far, worker.serving_tasks, worker.filler_tasks)
     if step.is_long_running:
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -4,6 +4,8 @@
 
 from bergamotgap.adapters.metrics import GaugeReading, Metrics
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.run_time_estimates import RunTimeSummary
+from bergamotgap.domain.worker_speeds import SLOW_SPEED
 from bergamotgap.pools.fleet_node import FleetNode
 from bergamotgap.pools.pool import Pool
 
@@ -11,6 +13,7 @@
 def register_gauges(metrics: Metrics, node: FleetNode, clock: Clock) -> None:
     """Register the gauges of the node and of its pools, labelled by pool and phase."""
     _register_pool_gauges(metrics, node, clock)
+    _register_run_time_gauges(metrics, node)
 
     def read_log_age() -> Iterable[GaugeReading]:
         yield clock.monotonic_ms() - node.registry.last_renewal_ms, {}
@@ -37,6 +40,13 @@
             lambda: [(read(pool), {"pool": key}) for key, pool in node.pools.items()],
         )
 
+    observe(
+        "pool_slow_workers",
+        "Workers whose tasks take longer than those of the others",
+        lambda pool: sum(
+            link.capacity.speed < SLOW_SPEED for link in pool.run_tracker.links.values()
+        ),
+    )
     metrics.observe_gauge("pool_jobs", "Jobs of an owned pool by phase", read_jobs)
     observe(
         "pool_workers",
@@ -68,3 +78,33 @@
         "Jobs given up in this term because a task crashes workers",
         lambda pool: pool.crash_watch.given_up,
     )
+
+
+def _register_run_time_gauges(metrics: Metrics, node: FleetNode) -> None:
+    def observe(
+        name: str, description: str, read: Callable[[RunTimeSummary], float]
+    ) -> None:
+        def read_queues() -> Iterable[GaugeReading]:
+            for key, pool in node.pools.items():
+                estimates = pool.run_tracker.estimates
+                for queue in estimates.queues:
+                    labels = {"pool": key, "queue": queue}
+                    yield read(estimates.summarize(queue)), labels
+
+        metrics.observe_gauge(name, description, read_queues)
+
+    observe(
+        "pool_run_time_ratio",
+        "Expected ratio of actual to declared run time",
+        lambda summary: summary.ratio,
+    )
+    observe(
+        "pool_run_time_error",
+        "Mean difference of actual and expected run time by declared time",
+        lambda summary: summary.error,
+    )
+    observe(
+        "pool_run_time_trust",
+        "Share of finished runs, as opposed to declared times, in the estimate",
+        lambda summary: summary.trust,
+    )
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -12,6 +12,7 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec
+from bergamotgap.domain.job_paths import get_declared_ms
 from bergamotgap.domain.job_records import JobProgress
 from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.offered_load import OfferedLoad
@@ -24,10 +25,14 @@
 
 
 class RecordKind(StrEnum):
-    """Kind of a job's record: the second part of its key `pool/kind/job`."""
+    """Kind of a record: the second part of its key `pool/kind/name`.
+
+    The name is a job's id, or a queue for `RUN_TIMES`.
+    """
 
     SPEC = "j"
     PROGRESS = "p"
+    RUN_TIMES = "e"
 
 
 @dataclass(frozen=True)
@@ -48,9 +53,9 @@
 SubmitOutcome = Stored | NotStored
 
 
-def format_record_key(pool: str, kind: str, job_id: str) -> str:
-    """Return the key of a job's record in its pool's partition."""
-    return f"{pool}/{kind}/{job_id}"
+def format_record_key(pool: str, kind: str, name: str) -> str:
+    """Return the key of a record of a job or queue in its pool's partition."""
+    return f"{pool}/{kind}/{name}"
 
 
 class JobTable:
@@ -76,6 +81,10 @@
         self._begin_tasks: set[asyncio.Task[None]] = set()
         self.pending: dict[str, Job] = {}
         self.offered_load = OfferedLoad()
+        # Returns the expected work of a job, in 1/1000 core-ms.
+        self.estimate_work: Callable[[JobSpec], float] = lambda spec: (
+            spec.estimate_work(get_declared_ms)
+        )
         self.on_job_accepted: Callable[[], None] = lambda: None
         self.on_job_ended: Callable[[str], None] = lambda job_id: None
 
@@ -136,7 +145,7 @@
                 return NotStored("platform_unavailable", retry_ms=1000)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
-            self.offered_load.record(job.arrived_ms, spec.estimate_work())
+            self.offered_load.record(job.arrived_ms, self.estimate_work(spec))
             change = self._journal.put(
                 format_record_key(self._pool, RecordKind.SPEC, spec.job_id),
                 lambda: msgspec.msgpack.encode(spec),
--- a/src/bergamotgap/pools/link_interface.py
+++ b/src/bergamotgap/pools/link_interface.py
@@ -20,7 +20,8 @@
     it accepted a stop. A requested stop is repeated until it is accepted;
     `is_stop_sent` is cleared when a stop has to be sent again. `is_start_sent`: the
     worker may have received the start. `has_survived_start`: a poll listed the run some
-    time after its start.
+    time after its start. `is_whole`: this owner started the run, and not from a
+    checkpoint. `seen_ms` is when a poll last listed it.
     """
 
     task: Task
@@ -31,6 +32,8 @@
     is_stop_sent: bool = False
     is_start_sent: bool = False
     has_survived_start: bool = False
+    is_whole: bool = False
+    seen_ms: int = 0
 
 
 def build_adopted_run(task: Task, run: int, now_ms: int) -> LiveRun:
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -16,6 +16,7 @@
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool_demand import is_task_late, measure_demand
+from bergamotgap.pools.run_time_store import RunTimeStore
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.stalled_runs import stop_stalled_runs
@@ -108,6 +109,11 @@
             self._handle_superseded,
             self.crash_watch,
         )
+        self._run_time_store = RunTimeStore(
+            self.name, self.run_tracker.estimates, self.journal, self._clock
+        )
+        self._run_time_store.restore(newest.values)
+        self.job_table.estimate_work = self.run_tracker.run_times.estimate_work
         self.job_table.on_job_accepted = self.run_tracker.placement_needed.set
         self._ticket_cache = TicketCache(
             self._advice, self._clock, self.run_tracker.placement_needed.set
@@ -205,6 +211,8 @@
             self.crash_watch.resolve_losses()
             if self.run_tracker.ownership.may_act():
                 stop_stalled_runs(self.run_tracker, self.job_table, self._clock)
+            self.run_tracker.run_times.update(self.run_tracker.links.values())
+            self._run_time_store.write_changes()
             self.job_table.delete_expired_jobs()
             self.run_tracker.placement_needed.set()
 
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -100,12 +100,10 @@
     if job is None or job.is_long_running:
         return False
     if job.job_id not in job_table.pending:
-        # All tasks of the job are running. The work that they have done since
-        # their start is not in `remaining_path_ms` yet, so it is credited here.
-        starts = [other.started_ms for other in job.list_tasks() if other.is_active]
-        passed_ms = now_ms - max(starts, default=now_ms)
-        ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-        now_ms -= int(min(passed_ms, job.remaining_path_ms * ratio))
+        # All tasks of the job are running, and the work that they have done since their
+        # start is not in the expected path. What it leaves out can be less, if a run is
+        # overdue.
+        return run_tracker.rank_running_job(job, now_ms)[0] > ON_TIME
     return run_tracker.rank_job(job, now_ms)[0] > ON_TIME
 
 
@@ -149,10 +147,9 @@
 
 def _measure_waiting_work(job: Job, run_tracker: RunTracker) -> float:
     """Return the work of a job's waiting tasks, in 1/1000 core-ms."""
-    ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-    return sum(
-        task.step.size.cpu * max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
-        for step in job.list_ready_steps()
-        for task in step.tasks
-        if task.phase is TaskPhase.WAITING
-    )
+    work = 0.0
+    for step in job.list_ready_steps():
+        waiting = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+        expected_ms = run_tracker.estimates.expect_ms(job.spec.queue, step.spec)
+        work += waiting * step.spec.size.cpu * max(MIN_RUN_ESTIMATE_MS, expected_ms)
+    return work
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -9,7 +9,7 @@
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pacing import list_pace_changes
-from bergamotgap.domain.run_time_ratios import RunTimeRatios
+from bergamotgap.domain.run_time_estimates import RunTimeEstimates
 from bergamotgap.domain.task_placement import JobRank, rank_job
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.job_table import JobTable, forget_assigned_worker
@@ -17,6 +17,7 @@
 from bergamotgap.pools.link_interface import LiveRun, build_adopted_run
 from bergamotgap.pools.link_manager import LinkManager
 from bergamotgap.pools.ownership_guard import LogConfirmation, OwnershipGuard, Term
+from bergamotgap.pools.run_time_observer import RunTimeObserver
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.worker_link import WorkerLink
 from bergamotgap.ports.fleet import (
@@ -77,7 +78,8 @@
         self.links: dict[str, WorkerLink] = {}
         self._link_manager = LinkManager(self.links, self._build_link)
         self.placement_needed = asyncio.Event()
-        self.estimates = RunTimeRatios()
+        self.estimates = RunTimeEstimates()
+        self.run_times = RunTimeObserver(self.estimates, job_table.jobs, clock)
         self.ownership = OwnershipGuard(
             term, job_table, journal, self.links, confirmation, settings, clock
         )
@@ -92,8 +94,14 @@
 
     def rank_job(self, job: Job, now_ms: int) -> JobRank:
         """Return the sort key of a job in the placement order; the least goes first."""
-        ratio = self.estimates.get_ratio(job.spec.queue)
-        return rank_job(job, self.get_queue(job), now_ms, ratio)
+        path = self.run_times.expect_path(job)
+        return rank_job(job, self.get_queue(job), now_ms, path)
+
+    def rank_running_job(self, job: Job, now_ms: int) -> JobRank:
+        """Return the sort key of a job all of whose open tasks are running."""
+        rest_ms = self.run_times.expect_rest(job, now_ms)
+        path = self.run_times.expect_path(job)._replace(remaining_ms=rest_ms)
+        return rank_job(job, self.get_queue(job), now_ms, path)
 
     def update_config(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
@@ -258,6 +266,7 @@
             self.handle_started(link, live)
         if task.run != report.run:
             return
+        live.seen_ms = self._clock.monotonic_ms()
         if report.percent != task.percent:
             task.progress_changed_ms = self._clock.monotonic_ms()
         task.percent = report.percent
@@ -299,6 +308,7 @@
         live = link.runs.get(end.task)
         if live is not None and live.run == end.run:
             link.remove_run(live)
+            self.run_times.record_end(link, live, end.outcome == "done")
         self.placement_needed.set()
         job = self._job_table.jobs.get(end.task.job)
         task = job.get_task(end.task) if job and job.spec.steps else None
@@ -326,11 +336,7 @@
         is_current = task.worker_id == link.worker_id and task.run == end.run
         job.mark_started()
         if end.outcome == "done" and not task.step.is_long_running:
-            if is_current:
-                actual_ms = self._clock.monotonic_ms() - task.started_ms
-                declared_ms = task.step.estimated_ms
-                self.estimates.record_run(job.spec.queue, declared_ms, actual_ms)
-            else:
+            if not is_current:
                 self.stop_run(task)
             job.record_done(task)
             self._job_table.pending[job.job_id] = job
@@ -364,6 +370,7 @@
 
     def handle_lost(self, link: WorkerLink, live: LiveRun, reason: str) -> None:
         """Return a task to waiting whose run is gone without a reported end."""
+        self.run_times.record_end(link, live, is_done=False)
         if reason in ENDED_REASONS:
             live.task.end_exposure(link.worker_id)
         if reason != "stopped":
--- a/src/bergamotgap/pools/stalled_runs.py
+++ b/src/bergamotgap/pools/stalled_runs.py
@@ -3,7 +3,7 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.job_state import Task
-from bergamotgap.domain.stalls import is_stalled
+from bergamotgap.domain.stalls import LONGEST_QUANTILE, STALL_MS, is_stalled
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.run_tracker import QUARANTINE_MS, RunTracker
 
@@ -16,8 +16,10 @@
     for link in list(tracker.links.values()):
         for live in list(link.runs.values()):
             task = live.task
-            ratio = _get_estimate_ratio(tracker, job_table, task)
-            if not is_stalled(task, ratio, link.answered_ms):
+            if link.answered_ms - task.progress_changed_ms < STALL_MS:
+                continue
+            expected_ms, longest_ms = _estimate_run_times(tracker, job_table, task)
+            if not is_stalled(task, expected_ms, longest_ms, link.answered_ms):
                 continue
             log.warning(
                 "run stalled",
@@ -32,6 +34,12 @@
             tracker.stop_run(task)
 
 
-def _get_estimate_ratio(tracker: RunTracker, job_table: JobTable, task: Task) -> float:
+def _estimate_run_times(
+    tracker: RunTracker, job_table: JobTable, task: Task
+) -> tuple[float, float]:
     job = job_table.jobs.get(task.task_id.job)
-    return tracker.estimates.get_ratio(job.spec.queue) if job else 1.0
+    if job is None:
+        return task.step.estimated_ms, task.step.estimated_ms
+    queue, estimates = job.spec.queue, tracker.estimates
+    expected_ms = estimates.expect_ms(queue, task.step)
+    return expected_ms, estimates.quantile_ms(queue, task.step, LONGEST_QUANTILE)
--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -17,6 +17,8 @@
         self.idle_since_ms = clock.monotonic_ms()
         self.draining_until_ms = 0
         self.quarantined_until_ms = 0
+        # When the worker last answered after a silence.
+        self.silence_ended_ms = 0
         # The job whose suspected tasks are tried on this worker, and since when.
         self.trial_job = ""
         self.trial_since_ms = 0
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -115,7 +115,7 @@
         self, task: Task, run: int, payload: str, change: int, ticket: str = ""
     ) -> None:
         """Hold capacity and queue the start; it is sent once `change` is committed."""
-        live = LiveRun(task, run)
+        live = LiveRun(task, run, is_whole=not task.checkpoint)
         self.add_run(live)
         self._queue.put(PendingStart(live, payload, change, ticket, task.runs_alone))
 
@@ -311,6 +311,7 @@
     def _record_answer(self, clock_ms: int, now_ms: int) -> None:
         if self._is_silent:
             log.info("worker answers again", worker=self.worker_id)
+            self.silence_ended_ms = now_ms
         self._is_silent = False
         self._lease.record_clock(clock_ms, now_ms)
         self.answered_ms = now_ms
--- a/tests/test_fleet_domain.py
+++ b/tests/test_fleet_domain.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from bergamotgap.domain.fleet import HostInfo, JobPhase, Queue, StepSpec, TaskId, Wave
+from bergamotgap.domain.job_paths import measure_path
 from bergamotgap.domain.job_state import Job, StepOccurrence, Task, TaskPhase
 from bergamotgap.domain.maintenance_plan import (
     WaveProgress,
@@ -23,7 +24,6 @@
     list_short_pools,
     plan_moves,
 )
-from bergamotgap.domain.run_time_ratios import RunTimeRatios
 from bergamotgap.domain.task_placement import (
     LATE,
     ON_TIME,
@@ -133,7 +133,8 @@
     queue = Queue("q-previews", "", "", "", stretch=1.6, target_latency_ms=600)
     job = Job(build_job(), 0)
     job.begin_due_occurrences(0)
-    ranks = [rank_job(job, queue, now, 1.0)[0] for now in (0, 3000, 30_000)]
+    path = measure_path(job.spec)
+    ranks = [rank_job(job, queue, now, path)[0] for now in (0, 3000, 30_000)]
     assert ranks == [ON_TIME, LATE, TOO_LATE]
 
 
@@ -146,11 +147,14 @@
     queue = Queue("q-previews", "", "", "", stretch=1.6, target_latency_ms=600)
     begun, older, newer = (Job(build_job(), arrived_ms) for arrived_ms in (100, 0, 200))
     begun.mark_started()
-    order = sorted([newer, older, begun], key=lambda job: rank_job(job, queue, 300, 1))
+    path = measure_path(begun.spec)
+    order = sorted(
+        [newer, older, begun], key=lambda job: rank_job(job, queue, 300, path)
+    )
     assert order == [begun, older, newer]
     late = Job(build_job(), -3000)
     late.mark_started()
-    assert rank_job(late, queue, 300, 1) > rank_job(newer, queue, 300, 1)
+    assert rank_job(late, queue, 300, path) > rank_job(newer, queue, 300, path)
 
 
 def build_idle_host(number: int, ms: int = 10_000) -> IdleHost:
@@ -245,15 +249,6 @@
     assert forecast_demand(8000, 0, 80_000, 16_000, 1800) > 100_000
 
 
-def test_learned_run_times_replace_declared_ones() -> None:
-    """Guards against objectives derived from wrong declared run times."""
-    ratios = RunTimeRatios()
-    assert ratios.get_ratio("q") == 1.0
-    for _ in range(100):
-        ratios.record_run("q", 1000, 2000)
-    assert 1.8 < ratios.get_ratio("q") <= 2.0
-
-
 def build_hosts(*states: str) -> dict[str, HostInfo]:
     return {
         f"m{n}": HostInfo(f"m{n}", "previews", state, f"w{n}", "dc-1")
