--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -1,5 +1,6 @@
 """Data types of the fleet: queues, services, workers, hosts and multi-step jobs."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
@@ -102,14 +103,15 @@
         """Return how many times the job's steps run."""
         return max(1, self.repetitions)
 
-    def estimate_work(self) -> Amount:
-        """Return the declared work of one occurrence, as an amount in ms.
+    def estimate_work(self, expect_ms: Callable[[StepSpec], float]) -> Amount:
+        """Return the work of one occurrence, as an amount in ms.
 
-        Long-running steps never end and are left out.
+        `expect_ms` returns the run time of one task of a step. Long-running steps never
+        end and are left out.
         """
         return total(
             [
-                Amount(*step.size).scale(step.count * step.estimated_ms)
+                Amount(*step.size).scale(step.count * expect_ms(step))
                 for step in self.steps
                 if not step.is_long_running
             ]
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -76,7 +76,6 @@
         self._accepted: dict[str, QueuedJob] = {}
         # Jobs that were refused lately, and when.
         self._refused_ms: dict[str, int] = {}
-        self._ratios: dict[str, float] = {}
         self._inflow = Inflow()
         self.refused = 0
 
@@ -101,7 +100,7 @@
             measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
             for step in spec.steps
         )
-        path_ms = job.critical_path_ms * self._get_ratio(spec.queue)
+        path_ms = self._run_tracker.run_times.expect_path(job).remaining_ms
         rank = self._run_tracker.rank_job(job, now_ms)
         if rank[0] == TOO_LATE:
             # Its path alone is too long, which the check finds.
@@ -142,7 +141,7 @@
         if spec.job_id not in self._refused_ms:
             # Hosts follow the offered load, and the job may return.
             self._refused_ms[spec.job_id] = now_ms
-            work = spec.estimate_work()
+            work = self._job_table.estimate_work(spec)
             self._job_table.offered_load.record(now_ms, work, spec.customer)
         room_cpu = _round(self._queue.room.cpu) if self._queue else 0
         log.info(
@@ -177,7 +176,6 @@
             capacity, held, self._arriving_cpu, self._free_cpu, self._move_duration_ms
         )
         self._read_ms, self._queue = now_ms, None
-        self._ratios.clear()
         self._read_again_ms = now_ms + MIN_QUEUE_AGE_MS
         if hosts is None:
             return
@@ -210,8 +208,10 @@
                     held.append(step.size)
                 elif job is not None and not live.is_stop_requested:
                     passed_ms = now_ms - live.task.started_ms
-                    left_ms = self._expect_ms(job.spec.queue, step) - passed_ms
-                    runs.append((max(0.0, left_ms), step.size))
+                    left_ms = self._run_tracker.estimates.remaining_ms(
+                        job.spec.queue, step, passed_ms
+                    )
+                    runs.append((left_ms, step.size))
         return runs, _add_sizes(held)
 
     def _describe_waiting_job(self, job: Job, now_ms: int) -> QueuedJob | None:
@@ -240,10 +240,8 @@
         self, job: Job, queue: Queue, rank: JobRank, work: Work, now_ms: int
     ) -> QueuedJob:
         """Return a job that is not too late, with its place in the queue."""
-        ratio = self._get_ratio(job.spec.queue)
-        objective_ms = (
-            queue.stretch * job.critical_path_ms * ratio + queue.target_latency_ms
-        )
+        path = self._run_tracker.run_times.expect_path(job)
+        objective_ms = queue.stretch * path.total_ms + queue.target_latency_ms
         passed_ms = now_ms - job.arrived_ms
         use, customer = self._share_use, job.spec.customer
         is_new = job.job_id not in self._job_table.jobs
@@ -256,23 +254,14 @@
             work_class,
             use is not None and use.is_over_share(customer),
             rank,
-            (LATE, queue.urgency, False, job.remaining_path_ms * ratio),
+            (LATE, queue.urgency, False, path.remaining_ms),
             objective_ms - passed_ms,
             LATE_FACTOR * objective_ms - passed_ms,
         )
 
     def _expect_ms(self, queue: str, step: StepSpec) -> float:
         """Return the expected run time of a task."""
-        return step.estimated_ms * self._get_ratio(queue)
-
-    def _get_ratio(self, queue: str) -> float:
-        """Return the ratio as of when the queue was read.
-
-        Jobs of one length are then equal in rank, as they are in a placement pass.
-        """
-        if queue not in self._ratios:
-            self._ratios[queue] = self._run_tracker.estimates.get_ratio(queue)
-        return self._ratios[queue]
+        return self._run_tracker.estimates.expect_ms(queue, step)
 
 
 def _has_estimate(spec: JobSpec) -> bool:
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -10,8 +10,10 @@
 from aiomisc import cancel_tasks
 
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.amounts import Amount
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec
+from bergamotgap.domain.job_paths import get_declared_ms
 from bergamotgap.domain.job_records import JobProgress
 from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.offered_load import OfferedLoad
@@ -24,12 +26,16 @@
 
 
 class RecordKind(StrEnum):
-    """Kind of a job's record: the second part of its key `pool/kind/job`."""
+    """Kind of a record: the second part of its key `pool/kind/name`.
+
+    The name is a job's id, or a queue for `RUN_TIMES`.
+    """
 
     SPEC = "j"
     PROGRESS = "p"
     # Never has a value; see `JobTable._refuse`.
     REFUSED = "r"
+    RUN_TIMES = "e"
 
 
 @dataclass(frozen=True)
@@ -50,9 +56,9 @@
 SubmitOutcome = Stored | NotStored
 
 
-def format_record_key(pool: str, kind: str, job_id: str) -> str:
-    """Return the key of a job's record in its pool's partition."""
-    return f"{pool}/{kind}/{job_id}"
+def format_record_key(pool: str, kind: str, name: str) -> str:
+    """Return the key of a record of a job or queue in its pool's partition."""
+    return f"{pool}/{kind}/{name}"
 
 
 class JobTable:
@@ -82,6 +88,10 @@
         self.check_admission: Callable[[JobSpec], NotStored | None] = lambda spec: None
         # Returns the specification of a new job, marked if it is in excess.
         self.mark_excess: Callable[[JobSpec], JobSpec] = lambda spec: spec
+        # Returns the expected work of a job, as an amount in ms.
+        self.estimate_work: Callable[[JobSpec], Amount] = lambda spec: (
+            spec.estimate_work(get_declared_ms)
+        )
         self.on_job_accepted: Callable[[], None] = lambda: None
         self.on_job_ended: Callable[[str], None] = lambda job_id: None
 
@@ -146,9 +156,8 @@
             spec = self.mark_excess(spec)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
-            self.offered_load.record(
-                job.arrived_ms, spec.estimate_work(), spec.customer
-            )
+            work = self.estimate_work(spec)
+            self.offered_load.record(job.arrived_ms, work, spec.customer)
             change = self._journal.put(
                 format_record_key(self._pool, RecordKind.SPEC, spec.job_id),
                 lambda: msgspec.msgpack.encode(spec),
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -1,14 +1,14 @@
 """What a pool needs and can give away, for the host controller."""
 
 import math
+import sys
 from collections import Counter
 from collections.abc import Iterator
-from itertools import islice
 from typing import NamedTuple
 
 from bergamotgap.domain.amounts import Amount, total
 from bergamotgap.domain.fleet import Size, StepSpec
-from bergamotgap.domain.job_state import Job, Task, TaskPhase
+from bergamotgap.domain.job_state import Job, StepOccurrence, Task, TaskPhase
 from bergamotgap.domain.pool_room import (
     WaitingTasks,
     count_whole_hosts,
@@ -137,15 +137,10 @@
     At most `limit` tasks are counted.
     """
     waiting = []
-    ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-    counts = Counter(
-        task.task_id[1:3] for task in islice(_iterate_waiting_tasks(job), limit)
-    )
-    for step in job.list_ready_steps():
+    for step, count in _count_waiting_tasks(job, limit):
         spec = step.spec
-        count = counts[step.occurrence, step.number]
-        if count and (spec.memory_mb or spec.gpus):
-            run_ms = max(MIN_RUN_ESTIMATE_MS, spec.estimated_ms * ratio)
+        if spec.memory_mb or spec.gpus:
+            run_ms = _expect_run_ms(job, spec, run_tracker)
             running = math.ceil(count * share * min(1, run_ms / BACKLOG_CLEAR_MS))
             waiting.append(WaitingStep(spec, count, running, is_overdue))
     return waiting
@@ -224,12 +219,10 @@
     if job is None or job.is_long_running:
         return False
     if job.job_id not in job_table.pending:
-        # All tasks of the job are running. The work that they have done since
-        # their start is not in `remaining_path_ms` yet, so it is credited here.
-        starts = [other.started_ms for other in job.list_tasks() if other.is_active]
-        passed_ms = now_ms - max(starts, default=now_ms)
-        ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-        now_ms -= int(min(passed_ms, job.remaining_path_ms * ratio))
+        # All tasks of the job are running, and the work that they have done since their
+        # start is not in the expected path. What it leaves out can be less, if a run is
+        # overdue.
+        return run_tracker.rank_running_job(job, now_ms)[0] > ON_TIME
     return run_tracker.rank_job(job, now_ms)[0] > ON_TIME
 
 
@@ -276,22 +269,27 @@
 
     At most `limit` tasks are counted.
     """
-    ratio = run_tracker.estimates.get_ratio(job.spec.queue)
-    return total(
-        [
-            Amount(*task.step.size).scale(
-                max(MIN_RUN_ESTIMATE_MS, task.step.estimated_ms * ratio)
-            )
-            for task in islice(_iterate_waiting_tasks(job), limit)
-            if not task.step.is_lasting
-        ]
-    )
+    work = Amount()
+    for step, count in _count_waiting_tasks(job, limit):
+        if not step.spec.is_lasting:
+            run_ms = _expect_run_ms(job, step.spec, run_tracker)
+            work += Amount(*step.spec.size).scale(count * run_ms)
+    return work
 
 
-def _iterate_waiting_tasks(job: Job) -> Iterator[Task]:
-    return (
-        task
-        for step in job.list_ready_steps()
-        for task in step.tasks
-        if task.phase is TaskPhase.WAITING
-    )
+def _expect_run_ms(job: Job, step: StepSpec, run_tracker: RunTracker) -> float:
+    expected_ms = run_tracker.estimates.expect_ms(job.spec.queue, step)
+    return max(MIN_RUN_ESTIMATE_MS, expected_ms)
+
+
+def _count_waiting_tasks(
+    job: Job, limit: int | None
+) -> Iterator[tuple[StepOccurrence, int]]:
+    """Return the ready steps with waiting tasks, at most `limit` tasks in all."""
+    left = sys.maxsize if limit is None else limit
+    for step in job.list_ready_steps():
+        waiting = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+        count = min(left, waiting)
+        left -= count
+        if count:
+            yield step, count
