--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -19,6 +19,7 @@
 from bergamotgap.pools.job_table import RecordKind, format_record_key
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.outage_detector import OutageDetector
+from bergamotgap.pools.ownership_balance import OwnershipBalancer, stop_pool
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
 from bergamotgap.pools.partition_follower import READ_WAIT_MS, PartitionFollower
@@ -46,7 +47,6 @@
 # that the worker keeps serving.
 WORKERS_READ_INTERVAL_MS = 100
 TAKEOVER_RETRY_MS = 200
-FLUSH_TIMEOUT_MS = 400
 CONTROLLER_CALL_TIMEOUT_MS = 1000
 # A waiting read of the configuration ends after READ_WAIT_MS; the rest is for an answer
 # of a slow log.
@@ -110,6 +110,9 @@
             settings,
             clock,
         )
+        self._balancer = OwnershipBalancer(
+            self._member.name, self.registry, self.pools, self._is_owned, clock
+        )
         store = ports.store
         self._operator_follower = PartitionFollower(
             store,
@@ -152,6 +155,7 @@
             ("configuration", self._operator_follower.run),
             ("workers", self._follow_workers),
             ("outage watch", self._outage_detector.run),
+            ("ownership balance", self._balancer.run),
         ]
         self._background_tasks = [
             asyncio.create_task(supervise(*loop)) for loop in loops
@@ -178,12 +182,7 @@
         pools = list(self.pools.values())
         self.pools.clear()
         for pool in pools:
-            pool.stop_placement()
-            journal = pool.journal
-            if not await journal.wait_committed_within(
-                journal.last_change, FLUSH_TIMEOUT_MS
-            ):
-                log.warning("journal not flushed before hand-over", pool=pool.name)
+            await stop_pool(pool)
         await cancel_tasks([task for _, task in self._owner_tasks.values()])
         self._owner_tasks.clear()
         await self.registry.leave()
@@ -225,6 +224,10 @@
                 task = asyncio.create_task(supervise(f"owner of {name}", run))
                 self._owner_tasks[name] = (claim.token, task)
 
+    def _is_owned(self, name: str, token: int) -> bool:
+        owned = self._owner_tasks.get(name)
+        return owned is not None and owned[0] == token and not self._is_closing
+
     async def _run_ownership(self, name: str, claim: Claim) -> None:
         lost = asyncio.Event()
         while not lost.is_set():
--- a/src/bergamotgap/pools/ownership_registry.py
+++ b/src/bergamotgap/pools/ownership_registry.py
@@ -140,6 +140,15 @@
         }
         return self._members | recent
 
+    def list_settled_members(self) -> list[str]:
+        """Return the members that all others know by now."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            member
+            for member, seen_ms in self._member_first_seen_ms.items()
+            if now_ms - seen_ms >= CLAIM_DELAY_MS
+        ]
+
     def get_owner_address(self, pool: str) -> str | None:
         """Return the peer address of a pool's owner, or None without an owner."""
         claim = self._claims.get(pool)
@@ -283,11 +292,7 @@
         # A member that just joined may not be known to all others, so it can't be
         # chosen yet. The first claim of a pool is not urgent and waits until all
         # members can be chosen.
-        known_members = [
-            member
-            for member, seen_ms in self._member_first_seen_ms.items()
-            if now_ms - seen_ms >= CLAIM_DELAY_MS
-        ]
+        known_members = self.list_settled_members()
         if claim is None and len(known_members) < len(self._members):
             return False
         claimant = choose_claimant(pool, known_members, self._claims)
@@ -312,6 +317,13 @@
         if self._may_claim(pool):
             await self._append_claim(pool, self._member.name)
 
+    async def release(self, pool: str) -> None:
+        """Release a pool of this node; raises StoreError if its claim can't be read."""
+        await self.follower.refresh()
+        if self.is_own_claim(self._claims.get(pool)):
+            await self._append_claim(pool, "")
+            await self.follower.refresh()
+
     async def _append_claim(self, pool: str, member: str) -> None:
         end = self.follower.next_offset or 0
         former_claim = self._claims.get(pool)
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -190,6 +190,11 @@
         """Start no more tasks."""
         self._is_active = False
 
+    def resume_placement(self) -> None:
+        """Start tasks again after a hand-over that did not take place."""
+        self._is_active = True
+        self.run_tracker.placement_needed.set()
+
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return once it is durable, or at once if the log is lost."""
         return await self.job_table.submit(spec)
