--- a/src/bergamotgap/pools/customer_usage.py
+++ b/src/bergamotgap/pools/customer_usage.py
@@ -28,9 +28,11 @@
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.ports.pool_peer import CapCall, CapReply
 
-# A job that the cap holds back for this long keeps back its customer's jobs that rank
-# after it; otherwise a large task would never start beside a stream of small ones.
-RESERVE_AFTER_MS = 1000
+# The oldest job that the cap has held back for the first time keeps back its customer's
+# other jobs for the second; otherwise a large task would never start beside a stream of
+# small ones. The second is limited, since the share may be in use elsewhere for long.
+RESERVE_AFTER_MS = 2000
+RESERVATION_MS = 2000
 # Shortest time between two lines about one customer at its cap.
 CAP_LOG_GAP_MS = 1000
 
@@ -86,7 +88,10 @@
         # Jobs that the cap held back in the present pass.
         self._refused: set[str] = set()
         self._held_back: dict[str, HeldBack] = {}
-        self._reserved_for: dict[str, str] = {}
+        # The oldest job of each customer that was held back in the present pass, and
+        # the one of the last pass with the time since when it is the oldest.
+        self._oldest: dict[str, Job] = {}
+        self._reserved: dict[str, tuple[str, int]] = {}
         self._pass_number = 0
         self._logged_ms: dict[str, int] = {}
 
@@ -113,9 +118,27 @@
             if held.pass_number == self._pass_number
         }
         self._pass_number += 1
-        self._reserved_for.clear()
+        self._update_reservations()
         self._runs.expire()
 
+    def _update_reservations(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        reserved = {}
+        for customer, job in self._oldest.items():
+            job_id, since_ms = self._reserved.get(customer, ("", now_ms))
+            is_over = now_ms - since_ms >= RESERVE_AFTER_MS + RESERVATION_MS
+            if job_id != job.job_id or is_over:
+                since_ms = now_ms
+            reserved[customer] = (job.job_id, since_ms)
+        self._reserved = reserved
+        self._oldest = {}
+
+    def _get_reserved_job(self, customer: str) -> str:
+        """Return the job that keeps back the customer's other jobs, if any."""
+        job_id, since_ms = self._reserved.get(customer, ("", 0))
+        passed_ms = self._clock.monotonic_ms() - since_ms
+        return job_id if passed_ms >= RESERVE_AFTER_MS else ""
+
     def may_start(self, job: Job, size: Size, count: int = 1) -> bool:
         """Return whether the cap of a job's customer permits a task, or a whole gang.
 
@@ -128,7 +151,7 @@
             return True
         used = self._runs.count(customer)
         share = self.measure_share(customer)
-        is_first = self._reserved_for.get(customer, job.job_id) == job.job_id
+        is_first = self._get_reserved_job(customer) in ("", job.job_id)
         may_exceed = customer in self._held.permits
         if is_first and (
             fits_share(used, size, share, cap, count, 0)
@@ -174,14 +197,16 @@
     ) -> None:
         customer, now_ms = job.spec.customer, self._clock.monotonic_ms()
         former = self._held_back.get(customer)
-        if former is not None and former.pass_number == self._pass_number:
+        oldest = self._oldest.setdefault(customer, job)
+        if job.arrived_ms < oldest.arrived_ms:
+            self._oldest[customer] = job
+        is_known = former is not None and former.pass_number == self._pass_number
+        if is_known and self._get_reserved_job(customer) != job.job_id:
             return
         since_ms = former.since_ms if former else now_ms
         self._held_back[customer] = HeldBack(
             job.job_id, since_ms, self._pass_number, size
         )
-        if now_ms - job.arrived_ms >= RESERVE_AFTER_MS:
-            self._reserved_for[customer] = job.job_id
         if now_ms - self._logged_ms.get(customer, -CAP_LOG_GAP_MS) >= CAP_LOG_GAP_MS:
             self._logged_ms[customer] = now_ms
             cap = self._caps[customer]
--- a/tests/test_cap_coordinator.py
+++ b/tests/test_cap_coordinator.py
@@ -376,3 +376,20 @@
         assert scene.measure_peak() <= CAP_CORES
 
     run_virtual(main())
+
+
+def test_small_jobs_of_a_customer_do_not_keep_back_its_large_one() -> None:
+    """Guards against a large task that never starts beside a stream of small ones."""
+
+    async def main() -> None:
+        scene = CapScene(build_config(acme=8))
+        async with scene.run():
+            await scene.submit("p1", "first", tasks=6)
+            await asyncio.sleep(0.5)
+            stream = asyncio.create_task(submit_stream(scene, "p1", 6.0, 40))
+            await scene.submit("p1", "large", tasks=1, cores=6)
+            await stream
+            started = {t.job for w in scene.workers["p1"].values() for t, _ in w.starts}
+            assert "large" in started
+
+    run_virtual(main())
