--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -57,13 +57,6 @@
             lambda: [(read(pool), {"pool": key}) for key, pool in node.pools.items()],
         )
 
-    observe(
-        "pool_slow_workers",
-        "Workers whose tasks take longer than those of the others",
-        lambda pool: sum(
-            link.capacity.speed < SLOW_SPEED for link in pool.run_tracker.links.values()
-        ),
-    )
     metrics.observe_gauge("pool_jobs", "Jobs of an owned pool by phase", read_jobs)
     observe(
         "pool_workers",
@@ -80,6 +73,19 @@
         "Time since the last append",
         lambda pool: clock.monotonic_ms() - pool.journal.last_append_ms,
     )
+    observe(
+        "pool_slow_workers",
+        "Workers whose tasks take longer than those of the others",
+        lambda pool: sum(
+            link.capacity.speed < SLOW_SPEED for link in pool.run_tracker.links.values()
+        ),
+    )
+    _register_job_counts(observe)
+
+
+def _register_job_counts(
+    observe: Callable[[str, str, Callable[[Pool], float]], None],
+) -> None:
     observe(
         "pool_crashes",
         "Crashes of workers with runs in this term",
--- a/src/bergamotgap/pools/host_mover.py
+++ b/src/bergamotgap/pools/host_mover.py
@@ -175,7 +175,6 @@
         pinned_hosts: set[str],
         has_spare_host: bool,
     ) -> list[PoolDemand]:
-        demands = []
         pools = sorted(set(config.services) - config.spare_services)
         # Late work yields to work of other pools that can be on time.
         yielding = {pool: bool(self._short_pools - {pool}) for pool in pools}
@@ -193,46 +192,52 @@
                 for pool in pools
             )
         )
+        return [
+            self._build_demand(pool, reply, yielding[pool], hosts, pinned_hosts)
+            for pool, reply in zip(pools, replies, strict=True)
+            if isinstance(reply, DemandReply)
+        ]
+
+    def _build_demand(
+        self,
+        pool: str,
+        reply: DemandReply,
+        is_yielding: bool,
+        hosts: Mapping[str, HostInfo],
+        pinned_hosts: set[str],
+    ) -> PoolDemand:
         # What no host has can't be supplied, so no pool gives way or grows for it.
         present = total([Amount(*info.size) for info in hosts.values()])
-        for pool, reply in zip(pools, replies, strict=True):
-            if not isinstance(reply, DemandReply):
-                continue
-            arriving = self._list_arriving(pool, hosts)
-            arriving_size = total([Amount(*size) for _, size in arriving])
-            arriving_labels = {
-                label
-                for host, _ in arriving
-                if host in hosts
-                for label in hosts[host].labels
-            }
-            held = reply.capacity + arriving_size
-            late_work = Amount() if yielding[pool] else reply.late_work
-            wanted = self._forecast_need(
-                reply, Amount(), reply.waiting_work + late_work, held
-            )
-            on_time = self._forecast_need(
-                reply, reply.late_used, reply.waiting_work, held
-            )
-            demands.append(
-                PoolDemand(
-                    pool,
-                    wanted.limit_to(present),
-                    on_time.limit_to(present),
-                    reply.capacity,
-                    arriving_size,
-                    reply.workers,
-                    self._filter_movable_hosts(reply.idle, hosts, pinned_hosts),
-                    len(arriving),
-                    reply.least_workers,
-                    frozenset(reply.labels) - arriving_labels,
-                    self._filter_movable_hosts(reply.late, hosts, pinned_hosts),
-                    (reply.lasting + reply.lasting_waiting).limit_to(present),
-                    reply.whole_hosts,
-                    reply.whole_size,
-                )
-            )
-        return demands
+        arriving = self._list_arriving(pool, hosts)
+        arriving_size = total([Amount(*size) for _, size in arriving])
+        arriving_labels = {
+            label
+            for host, _ in arriving
+            if host in hosts
+            for label in hosts[host].labels
+        }
+        held = reply.capacity + arriving_size
+        late_work = Amount() if is_yielding else reply.late_work
+        wanted = self._forecast_need(
+            reply, Amount(), reply.waiting_work + late_work, held
+        )
+        on_time = self._forecast_need(reply, reply.late_used, reply.waiting_work, held)
+        return PoolDemand(
+            pool,
+            wanted.limit_to(present),
+            on_time.limit_to(present),
+            reply.capacity,
+            arriving_size,
+            reply.workers,
+            self._filter_movable_hosts(reply.idle, hosts, pinned_hosts),
+            len(arriving),
+            reply.least_workers,
+            frozenset(reply.labels) - arriving_labels,
+            self._filter_movable_hosts(reply.late, hosts, pinned_hosts),
+            (reply.lasting + reply.lasting_waiting).limit_to(present),
+            reply.whole_hosts,
+            reply.whole_size,
+        )
 
     def _list_arriving(
         self, pool: str, hosts: Mapping[str, HostInfo]
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -73,3 +73,11 @@
     lock.write_text("typer==0.0.1\n")
     with pytest.raises(BuildError, match=r"typer: .+ but 0\.0\.1 is locked"):
         copy_distributions(tmp_path / "packages", lock)
+
+
+def test_a_node_is_started_without_the_libraries_of_the_command_line() -> None:
+    """Guards against a node that grows by libraries which only commands need."""
+    code = "import bergamotgap.platform.start, sys; print('pydantic' in sys.modules)"
+    command = [sys.executable, "-c", code]
+    result = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert result.stdout.strip() == "False"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,8 +4,6 @@
 import re
 import socket
 import struct
-import subprocess
-import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -340,17 +338,13 @@
         self.waits.append(wait_ms)
         return self.outcome
 
-    async def get_state(
-        self, job_id: str, queue: Queue, wait_ms: int, key: object
-    ) -> RequestOutcome:
+    async def get_state(self, *call: object) -> RequestOutcome:
         return self.outcome
 
-    async def cancel(
-        self, job_id: str, queue: Queue, wait_ms: int, key: object
-    ) -> RequestOutcome:
+    async def cancel(self, *call: object) -> RequestOutcome:
         return self.outcome
 
-    async def count_waiting_jobs(self, queue: Queue, wait_ms: int) -> RequestOutcome:
+    async def count_waiting_jobs(self, *call: object) -> RequestOutcome:
         return self.outcome
 
 
@@ -404,11 +398,3 @@
     with open_resetting_socket(address) as opened:
         value = opened.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
     assert struct.unpack("ii", value) == (1, 0)
-
-
-def test_a_node_is_started_without_the_libraries_of_the_command_line() -> None:
-    """Guards against a node that grows by libraries which only commands need."""
-    code = "import bergamotgap.platform.start, sys; print('pydantic' in sys.modules)"
-    command = [sys.executable, "-c", code]
-    result = subprocess.run(command, capture_output=True, text=True, check=True)
-    assert result.stdout.strip() == "False"
