--- a/src/bergamotgap/domain/cap_grants.py
+++ b/src/bergamotgap/domain/cap_grants.py
@@ -18,6 +18,9 @@
 # Calls without a reply that are kept one by one; more are merged, so that an owner that
 # is unreachable for long costs no memory.
 MAX_SENT = 8
+# Among more pools, only those that a customer uses get what remains of its cap, which
+# bounds the size of the calls.
+MAX_SPREAD_POOLS = 8
 Grants = Mapping[str, float]
 
 
@@ -191,7 +194,10 @@
                     uses.setdefault(customer, {})[pool] = use
         unconfirmed = {pool for pool, view in self.views.items() if view.sent}
         may_raise = self.may_raise()
+        spread = self.views if len(self.views) <= MAX_SPREAD_POOLS else ()
         for customer, by_pool in uses.items():
+            for pool in spread:
+                by_pool.setdefault(pool, NO_USE)
             planned, holder = self._plan_customer(
                 customer, by_pool, max(0.0, 1 - base_total), unconfirmed, may_raise
             )
--- a/src/bergamotgap/domain/customer_caps.py
+++ b/src/bergamotgap/domain/customer_caps.py
@@ -111,8 +111,9 @@
     """Divide `budget` of one customer's cap among the pools that it uses.
 
     Pools whose next task was held back longest get the share for it first. Otherwise
-    the budget goes in equal parts to what can start at once, then to all that waits;
-    what then remains stays where it is held.
+    the budget goes in equal parts to what can start at once, then to all that waits.
+    What then remains is spread over all pools, so that a pool whose turn begins need
+    not wait until another one has given its share back.
     """
     order = sorted(uses, key=lambda pool: (-uses[pool].waits_ms, pool))
     permit = _choose_permit(uses, bases, budget, order)
@@ -129,8 +130,7 @@
             served.append(pool)
     left = _fill(targets, {p: uses[p].ready - bases[p] for p in served}, left)
     left = _fill(targets, {p: uses[p].wanted - bases[p] for p in order}, left)
-    active = [p for p in order if uses[p].used > 0 or uses[p].wanted > 0]
-    _fill(targets, {p: uses[p].held for p in active}, left)
+    _fill(targets, dict.fromkeys(order, budget), left)
     return Division(targets, order, permit)
 
 
