--- a/src/bergamotgap/domain/customer_shares.py
+++ b/src/bergamotgap/domain/customer_shares.py
@@ -23,11 +23,12 @@
 class CustomerBuckets:
     """Token buckets of `weight` jobs per second, one for each customer.
 
-    A bucket holds the tokens of one second, so that a burst within a second that the
-    weight allows is no excess, and at least one token.
+    A bucket holds the tokens of `window_ms`, so that a burst which the weight allows
+    within that time is no excess, and at least one token.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window_ms: int = MS_PER_SECOND) -> None:
+        self._window_ms = window_ms
         # Tokens that are taken and not refilled yet, and as of when (monotonic, ms).
         self._taken: dict[str, tuple[float, int]] = {}
         # Arrivals of restored jobs (monotonic, ms) of customers without later jobs.
@@ -48,7 +49,8 @@
         for arrived_ms in self._restored_ms.pop(customer, ()):
             self.take(customer, weight, arrived_ms)
         taken = self._measure_taken(customer, weight, now_ms)
-        return taken + 1 > max(1.0, weight) + TOKEN_TOLERANCE
+        capacity = max(1.0, weight * self._window_ms / MS_PER_SECOND)
+        return taken + 1 > capacity + TOKEN_TOLERANCE
 
     def take(self, customer: str, weight: float, now_ms: int) -> bool:
         """Take the token of a job; return whether there was one."""
@@ -126,7 +128,10 @@
     rank: JobRank, job: Job, use: ShareUse, position: int
 ) -> ShareRank:
     """Return the sort key of a job in a pass; the least goes first."""
-    is_over_share = not _must_go_on(job) and use.is_over_share(job.spec.customer)
+    # Jobs that have begun are finished first: if others passed them between their
+    # steps, all would be late.
+    has_begun = job.phase is not JobPhase.QUEUED
+    is_over_share = not has_begun and use.is_over_share(job.spec.customer)
     return (classify_work(job, rank), is_over_share, rank, position)
 
 
--- a/src/bergamotgap/platform/settings.py
+++ b/src/bergamotgap/platform/settings.py
@@ -27,6 +27,7 @@
     stop_timeout_ms: int = 200
     move_s: float = 1.5
     maintenance_s: float = 2.0
+    quota_window_s: float = PoolSettings.share_window_ms / 1000
 
 
 class _Log(msgspec.Struct, rename="camel"):
@@ -95,6 +96,7 @@
         stop_timeout_ms=bounds.stop_timeout_ms,
         move_duration_ms=int(bounds.move_s * 1000),
         maintenance_ms=int(bounds.maintenance_s * 1000),
+        share_window_ms=int(bounds.quota_window_s * 1000),
         heartbeat_interval_ms=settings_file.heartbeat_interval_ms,
         host_orders_per_s=settings_file.cloud_api.duties_per_s,
     )
--- a/src/bergamotgap/pools/customer_accounts.py
+++ b/src/bergamotgap/pools/customer_accounts.py
@@ -23,13 +23,15 @@
     holds no customers.
     """
 
-    def __init__(self, pool: str, job_table: JobTable, clock: Clock) -> None:
+    def __init__(
+        self, pool: str, job_table: JobTable, window_ms: int, clock: Clock
+    ) -> None:
         self._pool = pool
         self._job_table = job_table
         self._clock = clock
         self._customers: Customers | None = None
         self._mean_weight = 1.0
-        self._buckets = CustomerBuckets()
+        self._buckets = CustomerBuckets(window_ms)
         self.excess = 0
 
     @property
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -89,7 +89,9 @@
             store, self._topic, self._part, fence, clock, self._handle_fenced
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
-        self.customer_accounts = CustomerAccounts(name, self.job_table, clock)
+        self.customer_accounts = CustomerAccounts(
+            name, self.job_table, settings.share_window_ms, clock
+        )
         self.job_table.mark_excess = self.customer_accounts.mark_excess
         self.crash_watch = CrashWatch(name, self.job_table, clock, self._give_up_job)
 
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -28,6 +28,8 @@
     heartbeat_interval_ms: int = 1500
     # Orders that the host service accepts per second from all nodes together.
     host_orders_per_s: float = 64.0
+    # Time over which the jobs of a customer are counted against its weight.
+    share_window_ms: int = 1000
     # Longer than a takeover of a pool, which takes about two member TTLs.
     lease_ms: int = 4000
     # How long an owner acts on one confirmation that it still is the owner. Two
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -65,6 +65,8 @@
         True,
     ]
     assert [buckets.take("c", 0.0, at_ms) for at_ms in (0, 10**6)] == [True, False]
+    wide = CustomerBuckets(window_ms=5000)
+    assert [wide.take("a", 0.6, 0) for _ in range(4)] == [True] * 3 + [False]
 
 
 @given(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -301,7 +301,12 @@
         "listenAddresses": {"front": "10.1.0.9:1", "ready": "10.1.0.9:2"},
         "internalPortRange": [7060, 7075],
         "platform": {"address": "10.2.0.1:1", "parts": 8, "keep_s": 300},
-        "bounds": {"maxHoldMs": 3000, "gracePeriodS": 4.5, "moveS": 2.5},
+        "bounds": {
+            "maxHoldMs": 3000,
+            "gracePeriodS": 4.5,
+            "moveS": 2.5,
+            "quotaWindowS": 5,
+        },
         "heartbeatIntervalMs": 900,
         "unknown": {},
     }
@@ -310,6 +315,7 @@
     conf = build_pool_settings(read_settings_file(path))
     assert conf.peer_address == "10.1.0.9:7060"
     assert (conf.run_lease_ms, conf.shutdown_grace_ms) == (3000, 4500)
+    assert conf.share_window_ms == 5000
     assert (conf.move_duration_ms, conf.log_parts, conf.heartbeat_interval_ms) == (
         *(2500, 8, 900),
     )
