--- a/src/bergamotgap/domain/customer_caps.py
+++ b/src/bergamotgap/domain/customer_caps.py
@@ -88,6 +88,20 @@
     )
 
 
+def permits_start(
+    used: Sequence[int],
+    size: Size,
+    share: float,
+    cap: Size,
+    count: int,
+    has_permit: bool,
+) -> bool:
+    """Return whether a task, or a whole gang, may start within a share of a cap."""
+    return fits_share(used, size, share, cap, count, 0) or (
+        has_permit and fits_share(used, size, share, cap, count, 1)
+    )
+
+
 def can_ever_fit(size: Size, base: float, cap: Size, count: int) -> bool:
     """Return whether a gang fits into the largest share of a pool and one task more."""
     return fits_share((0, 0, 0), size, base + 1 - BASE_SHARE, cap, count, 1)
--- a/src/bergamotgap/domain/customer_shares.py
+++ b/src/bergamotgap/domain/customer_shares.py
@@ -36,7 +36,7 @@
     def restore(self, arrivals: Iterable[tuple[str, int]]) -> None:
         """Take the tokens of jobs that a former owner accepted, by customer and time.
 
-        This is done when the customer's weight is first given.
+        This is done when the next token of the customer is taken.
         """
         restored_ms: defaultdict[str, list[int]] = defaultdict(list)
         for customer, arrived_ms in sorted(arrivals, key=lambda arrival: arrival[1]):
@@ -44,14 +44,19 @@
         self._restored_ms = dict(restored_ms)
 
     def is_empty(self, customer: str, weight: float, now_ms: int) -> bool:
-        """Return whether a job that arrives now would be in excess."""
-        for arrived_ms in self._restored_ms.pop(customer, ()):
-            self.take(customer, weight, arrived_ms)
+        """Return whether a job that arrives now would be in excess; takes no token."""
+        if customer in self._restored_ms:
+            restored = CustomerBuckets()
+            for arrived_ms in self._restored_ms[customer]:
+                restored.take(customer, weight, arrived_ms)
+            return restored.is_empty(customer, weight, now_ms)
         taken = self._measure_taken(customer, weight, now_ms)
         return taken + 1 > max(1.0, weight) + TOKEN_TOLERANCE
 
     def take(self, customer: str, weight: float, now_ms: int) -> bool:
         """Take the token of a job; return whether there was one."""
+        for arrived_ms in self._restored_ms.pop(customer, ()):
+            self.take(customer, weight, arrived_ms)
         if self.is_empty(customer, weight, now_ms):
             return False
         taken = self._measure_taken(customer, weight, now_ms)
@@ -96,10 +101,19 @@
 
         A customer that holds nothing is below its share, whatever its weight.
         """
+        held = self.measure_held(customer)
+        return held > 0 and held >= self.measure_share(customer)
+
+    def measure_share(self, customer: str) -> float:
+        """Return the part of the capacity that is a customer's by its weight."""
+        return self._weights.get(customer, 0.0) / (self._total_weight or 1.0)
+
+    def measure_held(self, customer: str) -> float:
+        """Return the part of its dominant resource that a customer holds."""
         use = self._use.get(customer)
         if use is None:
-            return False
-        dominant = max(
+            return 0.0
+        return max(
             (
                 used / capacity if capacity else 1.0
                 for used, capacity in (
@@ -111,8 +125,6 @@
             ),
             default=0.0,
         )
-        share = self._weights.get(customer, 0.0) / (self._total_weight or 1.0)
-        return dominant > 0 and dominant >= share
 
 
 def classify_work(job: Job, rank: JobRank) -> int:
--- a/src/bergamotgap/domain/early_refusal.py
+++ b/src/bergamotgap/domain/early_refusal.py
@@ -226,6 +226,16 @@
     )
 
 
+def estimate_times(
+    queue: KnownQueue, job: QueuedJob, path_ms: float, age_ms: float
+) -> tuple[float, float]:
+    """Return the time for what goes before an accepted job, and when it could end."""
+    room = queue.room if job.work_class == ON_TIME else queue.late_room
+    ahead = queue.measure_ahead(job.key)
+    end_ms = room.measure_ms(ahead.plus(job.work)) - age_ms
+    return max(0.0, room.measure_ms(ahead) - age_ms), max(path_ms, end_ms)
+
+
 def choose_retry_ms(job_id: str, room_ms: float, is_over_share: bool) -> int:
     """Return when a refused job may return, where room is expected in `room_ms`.
 
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -1,5 +1,7 @@
 """Refuses new jobs of a pool that can't be served while they have value."""
 
+from dataclasses import dataclass
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.customer_shares import EXCESS, ShareUse, classify_work
@@ -9,10 +11,15 @@
     QueuedJob,
     Refusal,
     check_job,
+    estimate_times,
 )
 from bergamotgap.domain.fleet import JobSpec, Queue, Size, StepSpec
 from bergamotgap.domain.job_state import Job, TaskPhase
 from bergamotgap.domain.offered_load import MAX_PERIOD_MS
+from bergamotgap.domain.placement_explanation import (
+    AdmissionExplanation,
+    AdmissionFigures,
+)
 from bergamotgap.domain.room_forecast import (
     Room,
     Work,
@@ -44,6 +51,25 @@
 log = get_logger(__name__)
 
 
+@dataclass(frozen=True)
+class QueueReading:
+    """What ran and waited in the pool at `read_ms`; no queue without known hosts."""
+
+    queue: KnownQueue | None
+    share_use: ShareUse | None
+    read_ms: int
+
+
+@dataclass(frozen=True)
+class CheckedJob:
+    """A new job as it was checked against a queue, and its refusal, if any."""
+
+    queue: KnownQueue
+    job: QueuedJob
+    path_ms: float
+    refusal: Refusal | None
+
+
 class AdmissionCheck:
     """Check new jobs against the queue ahead of them and the room of the pool.
 
@@ -68,9 +94,7 @@
         # 1/1000 cores that arrive, and that are free elsewhere, as of a time (ms).
         self._arriving_cpu, self._free_cpu = 0, 0
         self._hosts_known_ms: int | None = None
-        self._queue: KnownQueue | None = None
-        self._share_use: ShareUse | None = None
-        self._read_ms = 0
+        self._reading = QueueReading(None, None, 0)
         self._read_again_ms = 0
         # Accepted jobs that are not durable, so not pending, yet.
         self._accepted: dict[str, QueuedJob] = {}
@@ -88,13 +112,75 @@
     def check(self, spec: JobSpec) -> NotStored | None:
         """Return the refusal of a new job; None if it is accepted now."""
         now_ms = self._clock.monotonic_ms()
-        job = Job(spec, now_ms)
-        queue = self._run_tracker.get_queue(job)
-        if queue is None or not self._may_refuse(now_ms) or not _has_estimate(spec):
+        if self._find_exemption(spec, now_ms):
             return None
         if now_ms >= self._read_again_ms:
-            self._read_queue(now_ms)
-        if self._queue is None:
+            self._refresh_reading(now_ms)
+        checked = self._check_reading(spec, self._reading, now_ms)
+        if checked is None:
+            return None
+        new, refusal = checked.job, checked.refusal
+        if refusal is None:
+            checked.queue.add(new)
+            self._accepted[spec.job_id] = new
+            if new.work_class == ON_TIME:
+                self._inflow.record(now_ms, new.work)
+            return None
+        self._record_refusal(spec, checked, refusal, now_ms)
+        return NotStored(refusal.reason, refusal.retry_ms)
+
+    def explain(self, spec: JobSpec) -> AdmissionExplanation:
+        """Return what `check` would decide about a new job, and from which figures."""
+        now_ms = self._clock.monotonic_ms()
+        exemption = self._find_exemption(spec, now_ms)
+        if exemption:
+            return AdmissionExplanation(True, exemption)
+        reading = self._reading
+        if now_ms >= self._read_again_ms:
+            reading = self._read_queue(now_ms)
+        checked = self._check_reading(spec, reading, now_ms)
+        if checked is None:
+            is_known = reading.queue is not None
+            reason = "no_objective" if is_known else "capacity_not_known"
+            return AdmissionExplanation(True, reason)
+        refusal, path_ms = checked.refusal, checked.path_ms
+        age_ms = now_ms - reading.read_ms
+        ahead_ms, end_ms = (
+            (refusal.ahead_ms, refusal.end_ms)
+            if refusal
+            else estimate_times(checked.queue, checked.job, path_ms, age_ms)
+        )
+        return AdmissionExplanation(
+            refusal is None,
+            refusal.reason.value if refusal else "in_time",
+            AdmissionFigures(
+                _round(ahead_ms),
+                _round(end_ms),
+                _round(path_ms),
+                _round(checked.job.on_time_ms),
+                _round(checked.job.value_ms),
+                _round(checked.queue.room.cpu),
+                self._arriving_cpu,
+                self._free_cpu,
+            ),
+            refusal.retry_ms if refusal else 0,
+        )
+
+    def _find_exemption(self, spec: JobSpec, now_ms: int) -> str:
+        """Return why a job is accepted unchecked; empty if it is checked."""
+        if self._run_tracker.get_queue(Job(spec, now_ms)) is None:
+            return "queue_not_known"
+        if not self._may_refuse(now_ms):
+            return "capacity_not_known"
+        return "" if _has_estimate(spec) else "no_estimate"
+
+    def _check_reading(
+        self, spec: JobSpec, reading: QueueReading, now_ms: int
+    ) -> CheckedJob | None:
+        """Return the check of a new job; None if there is nothing to check it by."""
+        job = Job(spec, now_ms)
+        queue = self._run_tracker.get_queue(job)
+        if queue is None or reading.queue is None:
             return None
         work = sum_work(
             measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
@@ -105,19 +191,12 @@
         if rank[0] == TOO_LATE:
             # Its path alone is too long, which the check finds.
             rank = (LATE, queue.urgency, False, path_ms)
-        new = self._describe_job(job, queue, rank, work, now_ms)
+        new = self._describe_job(job, queue, rank, work, now_ms, reading.share_use)
         if new.on_time_ms <= 0:
             return None
-        age_ms = now_ms - self._read_ms
-        refusal = check_job(self._queue, spec.job_id, new, path_ms, age_ms)
-        if refusal is None:
-            self._queue.add(new)
-            self._accepted[spec.job_id] = new
-            if new.work_class == ON_TIME:
-                self._inflow.record(now_ms, new.work)
-            return None
-        self._record_refusal(spec, new, refusal, now_ms)
-        return NotStored(refusal.reason, refusal.retry_ms)
+        age_ms = now_ms - reading.read_ms
+        refusal = check_job(reading.queue, spec.job_id, new, path_ms, age_ms)
+        return CheckedJob(reading.queue, new, path_ms, refusal)
 
     def _may_refuse(self, now_ms: int) -> bool:
         """Return whether the workers, their runs and the room to come are known."""
@@ -130,7 +209,7 @@
         )
 
     def _record_refusal(
-        self, spec: JobSpec, new: QueuedJob, refusal: Refusal, now_ms: int
+        self, spec: JobSpec, checked: CheckedJob, refusal: Refusal, now_ms: int
     ) -> None:
         self.refused += 1
         while self._refused_ms:
@@ -143,7 +222,7 @@
             self._refused_ms[spec.job_id] = now_ms
             work = self._job_table.estimate_work(spec)
             self._job_table.offered_load.record(now_ms, work, spec.customer)
-        room_cpu = _round(self._queue.room.cpu) if self._queue else 0
+        new = checked.job
         log.info(
             "job refused early",
             job=spec.job_id,
@@ -152,7 +231,7 @@
             customer=spec.customer,
             excess=new.work_class == EXCESS,
             ahead_ms=_round(refusal.ahead_ms),
-            room_cpu=room_cpu,
+            room_cpu=_round(checked.queue.room.cpu),
             arriving_cpu=self._arriving_cpu,
             free_cpu=self._free_cpu,
             end_ms=_round(refusal.end_ms),
@@ -160,14 +239,29 @@
             retry_ms=refusal.retry_ms,
         )
 
-    def _read_queue(self, now_ms: int) -> None:
-        """Read what runs and waits in the pool."""
+    def _refresh_reading(self, now_ms: int) -> None:
+        """Read the queue, and choose when to read it again."""
+        self._accepted = self._list_accepted()
+        self._reading = self._read_queue(now_ms)
+        took_ms = self._clock.monotonic_ms() - now_ms
+        age_ms = max(MIN_QUEUE_AGE_MS, QUEUE_AGE_FACTOR * took_ms)
+        self._read_again_ms = now_ms + age_ms
+
+    def _list_accepted(self) -> dict[str, QueuedJob]:
+        return {
+            job_id: added
+            for job_id, added in self._accepted.items()
+            if self._job_table.get_durable_phase(job_id) is None
+        }
+
+    def _read_queue(self, now_ms: int) -> QueueReading:
+        """Return what runs and waits in the pool."""
         links = [
             link
             for link in self._run_tracker.links.values()
             if link.is_usable(now_ms) or (link.is_listed and not link.was_polled)
         ]
-        self._share_use = self._customer_accounts.measure_use(
+        use = self._customer_accounts.measure_use(
             self._run_tracker.links.values(), links
         )
         capacity = _add_sizes([link.info.capacity for link in links])
@@ -175,25 +269,17 @@
         hosts = measure_hosts(
             capacity, held, self._arriving_cpu, self._free_cpu, self._move_duration_ms
         )
-        self._read_ms, self._queue = now_ms, None
-        self._read_again_ms = now_ms + MIN_QUEUE_AGE_MS
         if hosts is None:
-            return
+            return QueueReading(None, use, now_ms)
         waiting = [
             described
             for job in self._job_table.pending.values()
-            if (described := self._describe_waiting_job(job, now_ms)) is not None
+            if (described := self._describe_waiting_job(job, now_ms, use)) is not None
         ]
-        inflow = self._inflow.measure(now_ms)
-        self._queue = KnownQueue(Room(hosts, runs), inflow, waiting)
-        for job_id, added in list(self._accepted.items()):
-            if self._job_table.get_durable_phase(job_id) is None:
-                self._queue.add(added)
-            else:
-                del self._accepted[job_id]
-        took_ms = self._clock.monotonic_ms() - now_ms
-        age_ms = max(MIN_QUEUE_AGE_MS, QUEUE_AGE_FACTOR * took_ms)
-        self._read_again_ms = now_ms + age_ms
+        queue = KnownQueue(Room(hosts, runs), self._inflow.measure(now_ms), waiting)
+        for added in self._list_accepted().values():
+            queue.add(added)
+        return QueueReading(queue, use, now_ms)
 
     def _measure_runs(
         self, links: list[WorkerLink], now_ms: int
@@ -214,7 +300,9 @@
                     runs.append((left_ms, step.size))
         return runs, _add_sizes(held)
 
-    def _describe_waiting_job(self, job: Job, now_ms: int) -> QueuedJob | None:
+    def _describe_waiting_job(
+        self, job: Job, now_ms: int, use: ShareUse | None
+    ) -> QueuedJob | None:
         """Return a pending job; None if it holds up no other for a known time.
 
         Suspected tasks wait for a worker of their own, whatever room there is.
@@ -234,16 +322,22 @@
             work = work.plus(measure_work(step.spec.size, run_ms, count))
         if not any(work):
             return None
-        return self._describe_job(job, queue, rank, work, now_ms)
+        return self._describe_job(job, queue, rank, work, now_ms, use)
 
     def _describe_job(
-        self, job: Job, queue: Queue, rank: JobRank, work: Work, now_ms: int
+        self,
+        job: Job,
+        queue: Queue,
+        rank: JobRank,
+        work: Work,
+        now_ms: int,
+        use: ShareUse | None,
     ) -> QueuedJob:
         """Return a job that is not too late, with its place in the queue."""
         path = self._run_tracker.run_times.expect_path(job)
         objective_ms = queue.stretch * path.total_ms + queue.target_latency_ms
         passed_ms = now_ms - job.arrived_ms
-        use, customer = self._share_use, job.spec.customer
+        customer = job.spec.customer
         is_new = job.job_id not in self._job_table.jobs
         work_class = rank[0] if use is None else classify_work(job, rank)
         if use and is_new and self._customer_accounts.would_exceed(job.spec):
--- a/src/bergamotgap/pools/customer_accounts.py
+++ b/src/bergamotgap/pools/customer_accounts.py
@@ -79,11 +79,15 @@
         return msgspec.structs.replace(spec, is_excess=is_excess)
 
     def measure_use(
-        self, links: Iterable[TrackedWorker], usable: Collection[TrackedWorker]
+        self,
+        links: Iterable[TrackedWorker],
+        usable: Collection[TrackedWorker],
+        joining: Iterable[str] = (),
     ) -> ShareUse | None:
         """Return the use of the usable workers' capacity by the runs on all `links`.
 
-        Returns None if the configuration holds no customers.
+        Customers in `joining` count as if they had a job in the pool. Returns None if
+        the configuration holds no customers.
         """
         if self._customers is None:
             return None
@@ -99,19 +103,20 @@
             for job in self._job_table.pending.values()
             if _has_begun_occurrence(job)
         )
+        active.update(joining)
         use = ShareUse(
             Size(
                 sum(link.info.capacity.cpu for link in usable),
                 sum(link.info.capacity.memory_mb for link in usable),
                 sum(link.info.capacity.gpus for link in usable),
             ),
-            {name: self._get_weight(name) for name in active},
+            {name: self.get_weight(name) for name in active},
         )
         for name, size in runs:
             use.record(name, size)
         return use
 
-    def _get_weight(self, name: str) -> float:
+    def get_weight(self, name: str) -> float:
         """Return a customer's weight; jobs without a known one have the mean weight."""
         customer = self._customers.get(name) if self._customers else None
         return self._mean_weight if customer is None else customer.weight
--- a/src/bergamotgap/pools/customer_runs.py
+++ b/src/bergamotgap/pools/customer_runs.py
@@ -69,6 +69,16 @@
         add_size(used, self._used.get((customer, True), NO_SIZE), 1)
         return used
 
+    def measure(self, customer: str) -> list[int]:
+        """Return what `count` would return now, without changing what is counted."""
+        used = list(NO_SIZE)
+        for link in self._run_tracker.links.values():
+            for (name, _), size in self._sum_runs(link).items():
+                if name == customer:
+                    add_size(used, size, 1)
+        add_size(used, self._sum_unknown_runs().get(customer, NO_SIZE), 1)
+        return used
+
     def _sum_unknown_runs(self) -> dict[str, list[int]]:
         unknown: dict[str, list[int]] = {}
         for job in self._run_tracker.ownership.list_jobs_with_unknown_runs():
--- a/src/bergamotgap/pools/customer_usage.py
+++ b/src/bergamotgap/pools/customer_usage.py
@@ -16,6 +16,7 @@
     list_caps,
     measure_base_share,
     measure_fraction,
+    permits_start,
 )
 from bergamotgap.domain.fleet import FleetConfig, Size
 from bergamotgap.domain.job_state import Job, StepOccurrence, TaskPhase
@@ -48,6 +49,22 @@
     size: Size
 
 
+@dataclass(frozen=True)
+class CapState:
+    """What limits the starts of a customer in this pool.
+
+    `share` is the part of the cap that may be used here, of which `granted` is held
+    beyond the base share. Only the job `reserved_for`, if any, may start.
+    """
+
+    cap: Size
+    used: Size
+    share: float
+    granted: float
+    has_permit: bool
+    reserved_for: str
+
+
 @dataclass
 class StartableWork:
     """Waiting work that the caps permit, for the pool's demand.
@@ -130,11 +147,8 @@
         used = self._runs.count(customer)
         share = self.measure_share(customer)
         is_first = self._reserved_for.get(customer, job.job_id) == job.job_id
-        may_exceed = customer in self._held.permits
-        if is_first and (
-            fits_share(used, size, share, cap, count, 0)
-            or (may_exceed and fits_share(used, size, share, cap, count, 1))
-        ):
+        has_permit = customer in self._held.permits
+        if is_first and permits_start(used, size, share, cap, count, has_permit):
             # The caller starts it now.
             self._runs.expire_changed_runs()
             return True
@@ -170,6 +184,20 @@
         now_ms = self._clock.monotonic_ms()
         return self._base.measure(now_ms) + self._held.grants.get(customer, 0.0)
 
+    def describe_cap(self, customer: str) -> CapState | None:
+        """Return what limits a customer's starts now; None without a cap."""
+        cap = self._caps.get(customer)
+        if cap is None:
+            return None
+        return CapState(
+            cap,
+            Size(*self._runs.measure(customer)),
+            self.measure_share(customer),
+            self._held.grants.get(customer, 0.0),
+            customer in self._held.permits,
+            self._reserved_for.get(customer, ""),
+        )
+
     def _hold_back(
         self, job: Job, size: Size, used: Sequence[int], share: float
     ) -> None:
--- a/src/bergamotgap/pools/lasting_room.py
+++ b/src/bergamotgap/pools/lasting_room.py
@@ -1,7 +1,7 @@
 """Room that new long-running tasks leave to the short work of their pool."""
 
 from bergamotgap.domain.amounts import Amount
-from bergamotgap.domain.fleet import Size
+from bergamotgap.domain.fleet import Size, StepSpec
 from bergamotgap.domain.job_state import Job, StepOccurrence
 from bergamotgap.domain.pool_sizes import HEADROOM_FACTOR, forecast_need
 from bergamotgap.pools.worker_link import WorkerLink
@@ -41,20 +41,31 @@
     ) -> list[WorkerLink]:
         """Return the workers that the waiting tasks of a step may use.
 
-        If their room is needed by short work, these are the workers that hold lasting
-        tasks already or run nothing. A restarted task doesn't wait, since its job is
-        older than OWN_HOST_WAIT_MS.
+        Records the job if its tasks are held back.
         """
-        self.held_job = ""
-        is_in_force = now_ms < self._until_ms
-        is_new = now_ms - job.arrived_ms < OWN_HOST_WAIT_MS
-        if not step.spec.is_lasting or not is_in_force or not is_new:
-            return links
-        if self._room.covers(Amount(*step.spec.size).scale(waiting)):
+        if not self.holds_back(job, step.spec, waiting, now_ms):
+            self.held_job = ""
             return links
         self.held_job = job.job_id
-        return [link for link in links if link.capacity.lasting_tasks or link.is_empty]
+        return [link for link in links if accepts_held_back(link)]
+
+    def holds_back(self, job: Job, step: StepSpec, waiting: int, now_ms: int) -> bool:
+        """Return whether short work needs the room of the waiting tasks of a step.
+
+        They may then use only workers that hold lasting tasks already or run nothing. A
+        restarted task doesn't wait, since its job is older than OWN_HOST_WAIT_MS.
+        """
+        is_in_force = now_ms < self._until_ms
+        is_new = now_ms - job.arrived_ms < OWN_HOST_WAIT_MS
+        if not step.is_lasting or not is_in_force or not is_new:
+            return False
+        return not self._room.covers(Amount(*step.size).scale(waiting))
 
     def take(self, size: Size, count: int) -> None:
         """Subtract the room of tasks that started."""
         self._room -= Amount(*size).scale(count)
+
+
+def accepts_held_back(link: WorkerLink) -> bool:
+    """Return whether a worker may get a lasting task whose room short work needs."""
+    return bool(link.capacity.lasting_tasks) or link.is_empty
--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -114,12 +114,9 @@
     def may_act(self) -> bool:
         """Return whether no successor can have begun to act.
 
-        Without the log, an owner acts while most of the pool's workers accept its
-        token: a successor starts nothing before it has polled most of them.
+        Logs a change.
         """
-        may_act = self.is_confirmed() or (
-            self.may_renew_leases() and self._do_most_workers_answer()
-        )
+        may_act = self.can_act()
         if may_act is not self._is_acting:
             self._is_acting = may_act
             log.warning(
@@ -127,6 +124,16 @@
             )
         return may_act
 
+    def can_act(self) -> bool:
+        """Return whether this owner may act, without a log line.
+
+        Without the log, an owner acts while most of the pool's workers accept its
+        token: a successor starts nothing before it has polled most of them.
+        """
+        return self.is_confirmed() or (
+            self.may_renew_leases() and self._do_most_workers_answer()
+        )
+
     def _do_most_workers_answer(self) -> bool:
         now_ms = self._clock.monotonic_ms()
         listed = [worker for worker in self._workers.values() if worker.is_listed]
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -10,6 +10,7 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, WorkerInfo
 from bergamotgap.domain.job_state import Job
+from bergamotgap.domain.placement_explanation import PlacementExplanation
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.admission_check import AdmissionCheck
 from bergamotgap.pools.crash_watch import CrashWatch
@@ -18,6 +19,7 @@
 from bergamotgap.pools.job_table import JobTable, SubmitOutcome
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
+from bergamotgap.pools.placement_explainer import PoolParts, explain_placement
 from bergamotgap.pools.pool_demand import measure_demand
 from bergamotgap.pools.run_time_store import RunTimeStore
 from bergamotgap.pools.run_tracker import RunTracker
@@ -194,6 +196,22 @@
         """Accept a job; return once it is durable, or at once if the log is lost."""
         return await self.job_table.submit(spec)
 
+    def explain(self, spec: JobSpec) -> PlacementExplanation:
+        """Return what would become of a job if it were submitted now."""
+        parts = PoolParts(
+            self.name,
+            self.job_table,
+            self.run_tracker,
+            self.customer_accounts,
+            self.customer_usage,
+            self.admission_check,
+            self.crash_watch,
+            self._task_placer,
+            self._clock,
+        )
+        is_log_lost = self.journal.is_failing
+        return explain_placement(parts, spec, is_log_lost, self._is_active)
+
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job; return whether it exists, once its end is durable."""
         job = self.job_table.jobs.get(job_id)
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -6,6 +6,7 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, Queue
+from bergamotgap.domain.placement_explanation import PlacementExplanation
 from bergamotgap.pools.job_table import Stored
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.pool_peer import (
@@ -16,6 +17,8 @@
     CountWaitingCall,
     DemandCall,
     DrainCall,
+    ExplainCall,
+    ExplainReply,
     JobNotFoundReply,
     JobStateCall,
     JobStateReply,
@@ -224,6 +227,18 @@
             return WaitingCount(reply.count)
         return _build_outcome_unknown(reply)
 
+    async def explain(
+        self, spec: JobSpec, queue: Queue, wait_ms: int, key: KeyUse | None = None
+    ) -> PlacementExplanation | KeyRejected | OutcomeUnknown:
+        """Return what would become of a job if it were submitted now."""
+        call = ExplainCall(queue.service, spec, key)
+        reply = await self.call_owner(call, wait_ms, spec.job_id)
+        if isinstance(reply, ExplainReply):
+            return reply.explanation
+        if isinstance(reply, KeyRejectedReply):
+            return KeyRejected()
+        return _build_outcome_unknown(reply)
+
     def _list_candidate_pools(self, queue: Queue) -> list[str]:
         # Older jobs of a queue may be in the pool that it was configured with then.
         config = self._get_config()
@@ -246,12 +261,14 @@
         while True:
             left_ms = until_ms - self._clock.monotonic_ms()
             if left_ms <= 0:
-                log.warning(
-                    "no answer from the pool's owner",
-                    job=job_id,
-                    pool=call.pool,
-                    reason=reason,
-                )
+                # Explanations of a job's outcome take this line for a failed request.
+                if not isinstance(call, ExplainCall):
+                    log.warning(
+                        "no answer from the pool's owner",
+                        job=job_id,
+                        pool=call.pool,
+                        reason=reason,
+                    )
                 return NoReply(reason, was_sent)
             owner = self._get_owner(call.pool)
             if owner is not None:
@@ -281,6 +298,8 @@
             return NotOwnerReply()
         if self._is_key_withdrawn(call):
             return KeyRejectedReply()
+        if isinstance(call, ExplainCall):
+            return ExplainReply(pool.explain(call.spec))
         return await self._answer_from_pool(pool, call)
 
     async def _answer_from_pool(self, pool: Pool, call: PoolCall) -> PoolReply:
@@ -320,7 +339,8 @@
 
         An entry host that is cut off from the log goes on with the keys that it knew.
         """
-        if not isinstance(call, SubmitCall | JobStateCall | CancelCall):
+        keyed = SubmitCall | JobStateCall | CancelCall | ExplainCall
+        if not isinstance(call, keyed):
             return False
         config, key = self._get_config(), call.key
         if key is None or config is None or config.customers is None:
@@ -328,11 +348,14 @@
         if config.version <= key.config_version:
             return False
         customer = config.customers.find_by_digest(key.digest)
-        is_of_job = not isinstance(call, SubmitCall) or (
+        is_of_job = not isinstance(call, SubmitCall | ExplainCall) or (
             customer is not None and customer.name == call.spec.customer
         )
         if customer is not None and is_of_job:
             return False
+        if isinstance(call, ExplainCall):
+            # Nobody sent the job, so no call is rejected.
+            return True
         log.warning(
             "key rejected",
             pool=call.pool,
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -56,7 +56,7 @@
         self._wait_reasons: dict[str, tuple[str, int]] = {}
         # The usable workers, without those that are reserved for trials.
         self._links: dict[str, WorkerLink] = {}
-        self._trial_workers = TrialWorkers(run_tracker.links, clock)
+        self.trial_workers = TrialWorkers(run_tracker.links, clock)
         # Jobs of the present pass with suspected tasks that wait.
         self._trial_jobs: list[Job] = []
         self._free_room = FreeRoom()
@@ -69,7 +69,7 @@
         """Forget the wait reason and tickets of a job that ended."""
         self._wait_reasons.pop(job_id, None)
         self._ticket_cache.forget_job(job_id)
-        self._trial_workers.forget_job(job_id)
+        self.trial_workers.forget_job(job_id)
 
     def place_waiting_tasks(self) -> None:
         """Run one pass over all pending jobs and start the tasks that fit."""
@@ -78,7 +78,7 @@
         if not pending:
             return
         now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
-        self._trial_workers.release_unused(self._job_table.jobs)
+        self.trial_workers.release_unused(self._job_table.jobs)
         usable = self._run_tracker.list_usable_links(now_ms)
         self._links = {link.worker_id: link for link in usable if not link.trial_job}
         self._free_room.begin_pass(link.capacity for link in self._links.values())
@@ -185,7 +185,7 @@
                 if not self._customer_usage.may_start(job, step.spec.size):
                     still_waits = True
                     break
-                link = self._trial_workers.choose(job, task, links, is_on_time)
+                link = self.trial_workers.choose(job, task, links, is_on_time)
                 if link is None:
                     still_waits = True
                     break
@@ -205,11 +205,11 @@
         links: Sequence[WorkerLink],
         tickets: Mapping[str, str],
     ) -> int:
-        candidates = self._trial_workers.choose_for_gang(job, links)
+        candidates = self.trial_workers.choose_for_gang(job, links)
         empty = [link for link in candidates if link.is_empty]
         capacities = [link.capacity for link in candidates]
         started = self._place_gang(job, step, capacities, tickets)
-        self._trial_workers.reserve_for_gang(job, [link for link in empty if link.runs])
+        self.trial_workers.reserve_for_gang(job, [link for link in empty if link.runs])
         return started
 
     def _list_allowed_links(
--- a/src/bergamotgap/pools/trial_workers.py
+++ b/src/bergamotgap/pools/trial_workers.py
@@ -66,17 +66,13 @@
         if own:
             return None
         in_trial = [link for link in self._links.values() if link.trial_job]
-        free = [
-            link
-            for link in usable
-            if not link.trial_job and _can_become_ready(link, task)
-        ]
-        empty = [link for link in free if link.is_empty]
         has_waited = self._has_waited(job)
-        if empty and (has_waited or len(in_trial) < self._limit(EMPTY_SHARE)):
-            link = _choose_best(empty, task)
-            self._reserve(link, job)
-            return link
+        best = self.find_empty(task, usable, has_waited)
+        if best is not None:
+            self._reserve(best, job)
+            return best
+        free = _list_free(usable, task)
+        empty = [link for link in free if link.is_empty]
         # Late work takes one worker at a time from work that can be on time.
         limit = self._limit(RESERVED_SHARE) if is_on_time else 1
         if has_waited:
@@ -85,6 +81,20 @@
             self._reserve(_choose_best(free, task), job)
         return None
 
+    def find_empty(
+        self, task: Task, usable: Sequence[WorkerLink], has_waited: bool = False
+    ) -> WorkerLink | None:
+        """Return the empty worker for a trial, reserving none; None if there is none.
+
+        `has_waited` tells whether the job has waited for a worker long enough to take
+        any that is empty.
+        """
+        in_trial = sum(bool(link.trial_job) for link in self._links.values())
+        empty = [link for link in _list_free(usable, task) if link.is_empty]
+        if empty and (has_waited or in_trial < self._limit(EMPTY_SHARE)):
+            return _choose_best(empty, task)
+        return None
+
     def choose_for_gang(
         self, job: Job, usable: Sequence[WorkerLink]
     ) -> list[WorkerLink]:
@@ -95,6 +105,10 @@
         """
         if self._has_waited(job):
             return [link for link in usable if not link.trial_job]
+        return self.list_empty(usable)
+
+    def list_empty(self, usable: Sequence[WorkerLink]) -> list[WorkerLink]:
+        """Return the empty workers on which a new gang may be tried."""
         in_trial = sum(bool(link.trial_job) for link in self._links.values())
         empty = [link for link in usable if link.is_empty and not link.trial_job]
         return empty[: max(0, self._limit(EMPTY_SHARE) - in_trial)]
@@ -139,6 +153,12 @@
         return not others or age_ms >= RESERVATION_MS
 
 
+def _list_free(usable: Sequence[WorkerLink], task: Task) -> list[WorkerLink]:
+    return [
+        link for link in usable if not link.trial_job and _can_become_ready(link, task)
+    ]
+
+
 def _fits(link: WorkerLink, task: Task) -> bool:
     return choose_task_worker([link.capacity], task) is not None
 
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -98,14 +98,19 @@
 
     def is_usable(self, now_ms: int) -> bool:
         """Return whether the worker may get new work."""
-        return (
-            self.was_polled
-            and self.is_listed
-            and not self._unknown_runs
-            and not self.is_silent
-            and not self.is_leaving
-            and now_ms >= self.quarantined_until_ms
-        )
+        return not self.get_obstacle(now_ms)
+
+    def get_obstacle(self, now_ms: int) -> str:
+        """Return why the worker may get no new work; empty if it may."""
+        if not self.is_listed:
+            return "not_listed"
+        if not self.was_polled or self.is_silent:
+            return "silent" if self.was_polled else "not_polled"
+        if self._unknown_runs:
+            return "unknown_run"
+        if self.is_leaving:
+            return "draining"
+        return "quarantined" if now_ms < self.quarantined_until_ms else ""
 
     def request_poll(self) -> None:
         """Poll the worker now if it was idle."""
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -11,6 +11,7 @@
 from bergamotgap.domain.customer_caps import CustomerUse
 from bergamotgap.domain.fleet import NO_SIZE, JobPhase, JobSpec, Size
 from bergamotgap.domain.maintenance_plan import WorkerLoad
+from bergamotgap.domain.placement_explanation import PlacementExplanation
 from bergamotgap.domain.pool_sizes import IdleHost
 
 
@@ -130,6 +131,14 @@
     permits: tuple[str, ...] = ()
 
 
+class ExplainCall(msgspec.Struct, frozen=True, tag="explain"):
+    """Request to tell what would become of a job; nothing is changed."""
+
+    pool: str
+    spec: JobSpec
+    key: KeyUse | None = None
+
+
 class AcceptedReply(msgspec.Struct, frozen=True, tag="accepted"):
     """The job is stored durably; `is_new` is false if it already was."""
 
@@ -226,6 +235,12 @@
     uses: dict[str, CustomerUse]
 
 
+class ExplainReply(msgspec.Struct, frozen=True, tag="explained"):
+    """What would become of the job if it were submitted now."""
+
+    explanation: PlacementExplanation
+
+
 class LogContactReply(msgspec.Struct, frozen=True, tag="contact_was"):
     """Time since the log last responded to the sender, in ms."""
 
@@ -250,6 +265,7 @@
     | DemandCall
     | LogContactCall
     | CapCall
+    | ExplainCall
 )
 PoolReply = (
     AcceptedReply
@@ -264,6 +280,7 @@
     | DemandReply
     | LogContactReply
     | CapReply
+    | ExplainReply
     | NotOwnerReply
     | OwnershipUncertainReply
 )
