--- a/src/bergamotgap/adapters/metrics.py
+++ b/src/bergamotgap/adapters/metrics.py
@@ -65,7 +65,7 @@
         self._provider.shutdown()
 
 
-async def serve_metrics(request: web.Request) -> web.Response:
+async def serve_metrics(request: web.BaseRequest) -> web.Response:
     """Answer with all metrics in the Prometheus text format."""
     body = generate_latest(REGISTRY)
     return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
--- a/src/bergamotgap/cli/client.py
+++ b/src/bergamotgap/cli/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -80,6 +81,18 @@
         except OutcomeUnknownError as error:
             raise self._build_unreachable(error.detail) from error
 
+    def read(
+        self, path: str, body: bytes, headers: Mapping[str, str]
+    ) -> OperatorAnswer:
+        """Return the answer to a POST that changes nothing, refusals included.
+
+        Raises CommandError if no answer arrived.
+        """
+        try:
+            return asyncio.run(self._call("POST", path, body, headers))
+        except OutcomeUnknownError as error:
+            raise self._build_unreachable(error.detail) from error
+
     def send_change(self, method: str, path: str, body: Any = None) -> OperatorAnswer:
         """Return the answer to a call that changes something.
 
@@ -92,16 +105,24 @@
             raise OutcomeUnknownError(f"{answer.status} {answer.code} {answer.detail}")
         return answer
 
-    async def _call(self, method: str, path: str, body: Any) -> OperatorAnswer:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        headers: Mapping[str, str] | None = None,
+    ) -> OperatorAnswer:
         url = f"http://{self.server}{path}"
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
         )
-        data = None if body is None else json.dumps(body, ensure_ascii=False).encode()
+        data = body
+        if body is not None and not isinstance(body, bytes):
+            data = json.dumps(body, ensure_ascii=False).encode()
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
-                session.request(method, url, data=data) as response,
+                session.request(method, url, data=data, headers=headers) as response,
             ):
                 return OperatorAnswer(
                     status=response.status,
--- a/src/bergamotgap/cli/exits.py
+++ b/src/bergamotgap/cli/exits.py
@@ -8,6 +8,10 @@
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
 EXIT_UNKNOWN = 4
+EXIT_NO_CONFIGURATION = 5
+EXIT_NO_QUEUE = 6
+EXIT_MALFORMED_JOB = 7
+EXIT_NO_OWNER = 8
 
 EXIT_CODES_HELP = (
     "Exit codes: 0 done; 1 refused or invalid; 2 wrong usage or setting; "
--- a/src/bergamotgap/cli/main.py
+++ b/src/bergamotgap/cli/main.py
@@ -5,6 +5,7 @@
 from bergamotgap.cli import catalogue, maintenance
 from bergamotgap.cli.exits import EXIT_CODES_HELP
 from bergamotgap.cli.explain import explain
+from bergamotgap.cli.explain_place import EXPLAIN_PLACE_CODES_HELP, explain_place
 from bergamotgap.cli.join import join
 from bergamotgap.cli.serve import build_serve
 from bergamotgap.cli.status import dump, status
@@ -23,6 +24,7 @@
 app.command(epilog=EXIT_CODES_HELP)(status)
 app.command(epilog=EXIT_CODES_HELP)(dump)
 app.command(epilog=EXIT_CODES_HELP)(explain)
+app.command(epilog=EXPLAIN_PLACE_CODES_HELP)(explain_place)
 
 
 @app.callback()
--- a/src/bergamotgap/cli/output.py
+++ b/src/bergamotgap/cli/output.py
@@ -28,7 +28,8 @@
     JSON = "json"
 
 
-def _check_server(value: str) -> str:
+def check_server(value: str) -> str:
+    """Return an address that is IP:PORT; raises typer.BadParameter."""
     try:
         parse_address(value)
     except ValueError as error:
@@ -41,7 +42,7 @@
     typer.Option(
         "--server",
         envvar="BERGAMOTGAP_SERVER",
-        callback=_check_server,
+        callback=check_server,
         metavar="IP:PORT",
         help="operator address of any entry host",
     ),
--- /dev/null
+++ b/src/bergamotgap/platform/explain.py
@@ -0,0 +1,126 @@
+"""Answers operators who ask where a job would go; nothing is sent or changed."""
+
+import re
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import web
+
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.customers import digest_key
+from bergamotgap.domain.fleet import FleetConfig, Queue
+from bergamotgap.domain.placement_explanation import PlacementExplanation
+from bergamotgap.platform.documents import decode_job
+from bergamotgap.pools.fleet_view import UnreadableDocumentError
+from bergamotgap.pools.requests import JobRequests, KeyRejected, OutcomeUnknown
+from bergamotgap.ports.pool_peer import KeyUse
+
+EXPLAIN_PATH = "/explain/place"
+JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+KEY_HEADER = "Customer-Key"
+# Stands for the id of a job that operators give without one.
+NO_JOB_ID = "0" * 16
+WAIT_MS = 3000
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
+
+
+@dataclass(frozen=True)
+class _KeyState:
+    """What the node says about a key; `is_valid` also if none is needed."""
+
+    state: str
+    is_valid: bool
+    customer: str = ""
+    use: KeyUse | None = None
+
+
+def build_explain_handler(
+    requests: JobRequests,
+    get_config: Callable[[], FleetConfig | None],
+    is_config_current: Callable[[], bool],
+    clock: Clock,
+) -> Handler:
+    """Return the handler of EXPLAIN_PATH.
+
+    The query names a `queue`, or a `host` and a `path`; the body is a job as callers
+    send it, and KEY_HEADER holds a customer's key.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        if request.method != "POST":
+            return _build_error(405, "wrong_method", "use POST")
+        body = await request.read()
+        config = get_config()
+        if config is None:
+            detail = "the node has no configuration yet"
+            return _build_error(503, "no_configuration", detail)
+        name, host = request.query.get("queue"), request.query.get("host", "")
+        path = request.query.get("path", "/")
+        queue = config.get_queue(name) if name else config.find_queue(host, path)
+        if queue is None:
+            what = f"no queue {name!r}" if name else f"no queue for {host}{path}"
+            detail = f"configuration {config.version} has {what}"
+            return _build_error(404, "no_such_queue", detail)
+        rest = "" if name else path[len(queue.path_prefix) :]
+        job_id = rest if JOB_ID_PATTERN.fullmatch(rest) else NO_JOB_ID
+        key = _check_key(request, config, queue, is_config_current())
+        try:
+            spec = decode_job(job_id, queue.name, body, clock.wall_ms(), key.customer)
+        except UnreadableDocumentError as error:
+            return _build_error(400, "malformed_job", str(error))
+        outcome: PlacementExplanation | KeyRejected | OutcomeUnknown | None = None
+        if key.is_valid:
+            outcome = await requests.explain(spec, queue, WAIT_MS, key.use)
+        return _build_answer(config, queue, key, outcome)
+
+    return handle
+
+
+def _check_key(
+    request: web.BaseRequest, config: FleetConfig, queue: Queue, is_current: bool
+) -> _KeyState:
+    if config.customers is None or not config.needs_key(queue):
+        return _KeyState("not_needed", True)
+    key = request.headers.get(KEY_HEADER, "")
+    digest = digest_key(key)
+    customer = config.customers.find_by_digest(digest)
+    if customer is not None:
+        use = KeyUse(digest, config.version)
+        return _KeyState("known", True, customer.name, use)
+    if not is_current:
+        return _KeyState("not_known_by_stale_configuration", False)
+    return _KeyState("unknown" if key else "missing", False)
+
+
+def _build_answer(
+    config: FleetConfig,
+    queue: Queue,
+    key: _KeyState,
+    outcome: PlacementExplanation | KeyRejected | OutcomeUnknown | None,
+) -> web.Response:
+    if isinstance(outcome, OutcomeUnknown):
+        detail = f"no owner of pool {queue.service} was reached: {outcome.reason}"
+        return _build_error(503, "no_owner", detail)
+    is_withdrawn = isinstance(outcome, KeyRejected)
+    answer = {
+        "queue": queue.name,
+        "pool": queue.service,
+        "configuration": config.version,
+        "key": "withdrawn" if is_withdrawn else key.state,
+        "placement": outcome if isinstance(outcome, PlacementExplanation) else None,
+    }
+    return _build_json(200, answer)
+
+
+def _build_error(status: int, code: str, detail: str) -> web.Response:
+    return _build_json(status, {"code": code, "detail": detail})
+
+
+def _build_json(status: int, content: object) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(content),
+        content_type="application/json",
+    )
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -1,6 +1,5 @@
 """HTTP servers of a fleet node for callers, readiness checks and metrics."""
 
-import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Self
@@ -15,6 +14,12 @@
 from bergamotgap.domain.early_refusal import RefusalReason
 from bergamotgap.domain.fleet import FleetConfig, Queue
 from bergamotgap.platform.documents import decode_job
+from bergamotgap.platform.explain import (
+    EXPLAIN_PATH,
+    JOB_ID_PATTERN,
+    Handler,
+    build_explain_handler,
+)
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
 from bergamotgap.pools.requests import (
     JobAccepted,
@@ -30,9 +35,8 @@
 )
 from bergamotgap.ports.pool_peer import KeyUse
 
-JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
-DEADLINE_HEADER = "X-Request-Deadline"
 KEY_HEADER = "X-Key"
+DEADLINE_HEADER = "X-Request-Deadline"
 # Used when a request states no deadline.
 DEFAULT_WAIT_MS = 3000
 CLOSE_TIMEOUT_S = 1.0
@@ -84,7 +88,7 @@
         callers, ready, metrics = self._addresses
         await self._start_server(callers, self._handle_request)
         await self._start_server(ready, self._handle_readiness)
-        await self._start_server(metrics, serve_metrics)
+        await self._start_server(metrics, self.build_operator_handler())
         return self
 
     async def __aexit__(self, *exception: object) -> None:
@@ -92,6 +96,19 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def build_operator_handler(self) -> Handler:
+        """Return the handler of the address for operators."""
+        explain = build_explain_handler(
+            self._requests, self._get_config, self._is_config_current, self._clock
+        )
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            if request.path == EXPLAIN_PATH:
+                return await explain(request)
+            return await serve_metrics(request)
+
+        return handle
+
     async def _start_server(self, address: str, handler: Callable[..., object]) -> None:
         host, _, port = address.rpartition(":")
         server = web.Server(handler, access_log=None)  # type: ignore[arg-type]
