--- a/src/bergamotgap/platform/explain.py
+++ b/src/bergamotgap/platform/explain.py
@@ -19,8 +19,8 @@
 EXPLAIN_PATH = "/explain/place"
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 KEY_HEADER = "Customer-Key"
-# Stands for the id of a job that operators give without one.
-NO_JOB_ID = "0" * 16
+# Stands for the id of a job that operators give without one; no caller can send it.
+NO_JOB_ID = ""
 WAIT_MS = 3000
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
--- a/tests/test_explain_place_http.py
+++ b/tests/test_explain_place_http.py
@@ -216,6 +216,23 @@
         )
 
 
+async def test_a_job_without_an_id_is_not_taken_for_a_known_one() -> None:
+    """Guards against a stand-in for the id that a caller can send, such as zeros."""
+    async with Scene().run_owner(1) as (pool, _):
+        await asyncio.sleep(0.3)
+        for job_id in ("0" * 16, JOB_ID):
+            await pool.submit(build_spec(job_id))
+        phases = []
+        async with serve(Node(CONFIG, pool).handle_operator) as (session, address):
+            for path in ("/previews/", f"/previews/{JOB_ID}"):
+                query = f"host=previews.example&path={path}"
+                url = f"http://{address}/explain/place?{query}"
+                async with session.post(url, json=BODY) as reply:
+                    phases.append((await reply.json())["placement"]["known_phase"])
+    assert phases[0] == ""
+    assert phases[1] in ("queued", "running")
+
+
 async def test_the_command_prints_the_explanation_but_not_the_key(
     tmp_path: Path,
 ) -> None:
