--- a/src/bergamotgap/domain/early_refusal.py
+++ b/src/bergamotgap/domain/early_refusal.py
@@ -99,7 +99,13 @@
 class KnownQueue:
     """The jobs that wait, played in the order of placement without later arrivals."""
 
-    def __init__(self, room: Room, inflow: Work, jobs: Iterable[QueuedJob]) -> None:
+    def __init__(
+        self,
+        room: Room,
+        inflow: Work,
+        jobs: Iterable[QueuedJob],
+        held_back: Iterable[QueuedJob] = (),
+    ) -> None:
         self.room = room
         # What is left of the room if on-time work goes on to arrive.
         self.late_room = room.add_inflow(inflow)
@@ -107,6 +113,11 @@
         # Work up to and including each of the keys.
         self._totals: list[Work] = []
         self._added: list[tuple[QueueKey, Work]] = []
+        # What the cap of a customer holds back goes before its own jobs only.
+        self._held_back: dict[str, list[tuple[QueueKey, Work]]] = {}
+        for job in held_back:
+            of_customer = self._held_back.setdefault(job.customer, [])
+            of_customer.append((job.key, job.work))
         # Work of jobs that can be on time, in total and by customer.
         self._on_time = Work()
         self._on_time_of: dict[str, Work] = {}
@@ -160,11 +171,11 @@
         if job.work_class == ON_TIME:
             self._record_on_time(job)
 
-    def measure_ahead(self, key: QueueKey) -> Work:
-        """Return the waiting work that goes before a new job with this key."""
+    def measure_ahead(self, key: QueueKey, customer: str) -> Work:
+        """Return the waiting work that goes before a customer's new job."""
         position = bisect_right(self._keys, key)
         total = self._totals[position - 1] if position else Work()
-        for added_key, work in self._added:
+        for added_key, work in (*self._added, *self._held_back.get(customer, ())):
             if added_key <= key:
                 total = total.plus(work)
         return total
@@ -204,14 +215,14 @@
         return path_ms <= until_ms and is_done
 
     is_excess = job.work_class == EXCESS
-    ahead = queue.measure_ahead(job.key)
+    ahead = queue.measure_ahead(job.key, job.customer)
     first_ahead = ahead
     start_ms = job.on_time_ms - path_ms
     if not is_excess or not queue.is_taken_by_others(job.customer, start_ms + age_ms):
         room = queue.room if job.work_class == ON_TIME else queue.late_room
         if can_end(ahead, room, job.on_time_ms):
             return None
-        ahead = queue.measure_ahead(job.late_key)
+        ahead = queue.measure_ahead(job.late_key, job.customer)
         if can_end(ahead, queue.late_room, job.value_ms):
             return None
     # When it could be on time if nothing else came; a peak may end at any time.
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -1,5 +1,7 @@
 """Refuses new jobs of a pool that can't be served while they have value."""
 
+import dataclasses
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.customer_shares import EXCESS, ShareUse, classify_work
@@ -28,6 +30,7 @@
     JobRank,
 )
 from bergamotgap.pools.customer_accounts import CustomerAccounts
+from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import JobTable, NotStored
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.worker_link import WorkerLink
@@ -56,6 +59,7 @@
         job_table: JobTable,
         run_tracker: RunTracker,
         customer_accounts: CustomerAccounts,
+        customer_usage: CustomerUsage,
         move_duration_ms: int,
         clock: Clock,
     ) -> None:
@@ -63,6 +67,7 @@
         self._job_table = job_table
         self._run_tracker = run_tracker
         self._customer_accounts = customer_accounts
+        self._customer_usage = customer_usage
         self._move_duration_ms = move_duration_ms
         self._clock = clock
         # 1/1000 cores that arrive, and that are free elsewhere, as of a time (ms).
@@ -179,13 +184,8 @@
         self._read_again_ms = now_ms + MIN_QUEUE_AGE_MS
         if hosts is None:
             return
-        waiting = [
-            described
-            for job in self._job_table.pending.values()
-            if (described := self._describe_waiting_job(job, now_ms)) is not None
-        ]
         inflow = self._inflow.measure(now_ms)
-        self._queue = KnownQueue(Room(hosts, runs), inflow, waiting)
+        self._queue = KnownQueue(Room(hosts, runs), inflow, *self._list_waiting(now_ms))
         for job_id, added in list(self._accepted.items()):
             if self._job_table.get_durable_phase(job_id) is None:
                 self._queue.add(added)
@@ -214,6 +214,32 @@
                     runs.append((left_ms, step.size))
         return runs, _add_sizes(held)
 
+    def _list_waiting(self, now_ms: int) -> tuple[list[QueuedJob], list[QueuedJob]]:
+        """Return the waiting work that may start, and what caps hold back.
+
+        Work beyond a cap leaves room idle, so it must not delay other customers.
+        """
+        pending = self._job_table.pending.values()
+        startable = self._customer_usage.limit_demand(pending)
+        startable_ids = {job.job_id for job in startable.jobs}
+        waiting, held_back = [], []
+        for job in pending:
+            described = self._describe_waiting_job(job, now_ms)
+            if described is None:
+                continue
+            if job.spec.customer not in startable.held_back:
+                waiting.append(described)
+                continue
+            share = 0.0
+            if job.job_id in startable_ids:
+                share = startable.tasks[job.job_id] / _count_waiting_tasks(job)
+            may_start = described.work.times(share)
+            rest = described.work.minus(may_start)
+            if share:
+                waiting.append(dataclasses.replace(described, work=may_start))
+            held_back.append(dataclasses.replace(described, work=rest))
+        return waiting, held_back
+
     def _describe_waiting_job(self, job: Job, now_ms: int) -> QueuedJob | None:
         """Return a pending job; None if it holds up no other for a known time.
 
@@ -271,6 +297,14 @@
     return all(step.estimated_ms and not step.is_long_running for step in spec.steps)
 
 
+def _count_waiting_tasks(job: Job) -> int:
+    return sum(
+        task.phase is TaskPhase.WAITING
+        for step in job.list_ready_steps()
+        for task in step.tasks
+    )
+
+
 def _add_sizes(sizes: list[Size]) -> Size:
     return (
         Size(*(sum(parts) for parts in zip(*sizes, strict=True))) if sizes else Size()
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -118,11 +118,15 @@
         self._drains = WorkerDrains(
             self.job_table, self.run_tracker, self._settings, self._clock
         )
+        self.customer_usage = CustomerUsage(
+            self.name, self.job_table, self.run_tracker, self._clock
+        )
         self.admission_check = AdmissionCheck(
             self.name,
             self.job_table,
             self.run_tracker,
             self.customer_accounts,
+            self.customer_usage,
             self._settings.move_duration_ms,
             self._clock,
         )
@@ -136,9 +140,6 @@
         self._ticket_cache = TicketCache(
             self._advice, self._clock, self.run_tracker.placement_needed.set
         )
-        self.customer_usage = CustomerUsage(
-            self.name, self.job_table, self.run_tracker, self._clock
-        )
         self._task_placer = TaskPlacer(
             self.name,
             self.job_table,
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -9,6 +9,7 @@
 
 from bergamotgap.domain.amounts import NOTHING, Amount
 from bergamotgap.domain.customer_shares import EXCESS
+from bergamotgap.domain.customers import Customer, build_customers
 from bergamotgap.domain.early_refusal import (
     Inflow,
     KnownQueue,
@@ -17,7 +18,14 @@
     check_job,
     choose_retry_ms,
 )
-from bergamotgap.domain.fleet import FleetConfig, HostInfo, JobSpec, Size, StepSpec
+from bergamotgap.domain.fleet import (
+    FleetConfig,
+    HostInfo,
+    JobPhase,
+    JobSpec,
+    Size,
+    StepSpec,
+)
 from bergamotgap.domain.room_forecast import MAX_TIME_MS, Room, Work, measure_hosts
 from bergamotgap.domain.task_placement import LATE, ON_TIME
 from bergamotgap.platform.ingress import Ingress
@@ -337,6 +345,35 @@
     run_virtual(main())
 
 
+def test_work_beyond_a_cap_refuses_no_job_of_others() -> None:
+    """Guards against refusals in a pool whose room a customer's cap leaves idle."""
+    capped = Customer("c0", 1000.0, Size(cpu=32_000))
+    rows = [(capped, ["key-0"]), (Customer("c1", 1000.0), ["key-1"])]
+    config = dataclasses.replace(CONFIG, customers=build_customers(rows))
+
+    async def main() -> None:
+        scene = Scene(workers=3, run_s=0.6)
+        async with scene.run_owner(1, 2) as (pool, _):
+            accepted = await _fill_pool(pool, config)
+            await asyncio.sleep(0.2)
+            pool.admission_check.record_hosts(0, 0)
+            links = pool.run_tracker.links.values()
+            assert sum(link.capacity.free_cpu for link in links) >= 16_000
+            # The rest of its own work goes before further jobs of the customer.
+            for number in range(5):
+                spec = build_customer_job(f"own-{number}", "c0")
+                if isinstance(await pool.submit(spec), NotStored):
+                    break
+            else:
+                pytest.fail(f"none refused behind {len(accepted)} jobs")
+            other = await pool.submit(build_customer_job("other", "c1"))
+            assert other == Stored(is_new=True)
+            await asyncio.sleep(1)
+            assert pool.job_table.get_durable_phase("other") is JobPhase.COMPLETED
+
+    run_virtual(main())
+
+
 def test_after_a_take_over_nothing_is_refused() -> None:
     """Guards against refusals by an owner that doesn't know what runs yet."""
 
