--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -262,6 +262,9 @@
                     if was_sent and isinstance(call, SubmitCall | CancelCall):
                         until_ms = last_ms
                 else:
+                    if was_sent and _is_refused_change(call, reply):
+                        # An earlier attempt may arrive late and be accepted.
+                        return NoReply(reason, was_sent)
                     if not isinstance(reply, NotOwnerReply):
                         return reply
                     reason = "not_owner"
@@ -343,6 +346,11 @@
         return True
 
 
+def _is_refused_change(call: PoolCall, reply: PoolReply) -> bool:
+    is_refusal = isinstance(reply, NotAcceptedReply | KeyRejectedReply)
+    return isinstance(call, SubmitCall | CancelCall) and is_refusal
+
+
 def _build_outcome_unknown(reply: PoolReply | NoReply) -> OutcomeUnknown:
     return OutcomeUnknown(reply.reason if isinstance(reply, NoReply) else "unsure")
 
--- a/tests/test_pool_requests.py
+++ b/tests/test_pool_requests.py
@@ -9,6 +9,7 @@
     JobAccepted,
     JobRequests,
     JobState,
+    KeyRejected,
     NoSuchJob,
     NotAccepted,
     OutcomeUnknown,
@@ -17,6 +18,7 @@
     AcceptedReply,
     JobNotFoundReply,
     JobStateReply,
+    KeyRejectedReply,
     NotAcceptedReply,
     NotOwnerReply,
     OwnershipUncertainReply,
@@ -120,6 +122,26 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    "reply", [NotAcceptedReply("no_capacity", 1500), KeyRejectedReply()]
+)
+def test_a_refusal_after_an_unanswered_attempt_is_no_refusal(
+    reply: PoolReply,
+) -> None:
+    """Guards against a refusal of a job that an earlier attempt may still start."""
+
+    async def main() -> None:
+        peers = FakePeers(PeerCallError("silent", was_sent=True), reply)
+        outcome = await build_requests(peers).submit(build_job(), QUEUE, WAIT_MS)
+        assert isinstance(outcome, OutcomeUnknown)
+        # An attempt that was not sent can't start anything.
+        peers = FakePeers(PeerCallError("refused", was_sent=False), reply)
+        outcome = await build_requests(peers).submit(build_job(), QUEUE, WAIT_MS)
+        assert isinstance(outcome, NotAccepted | KeyRejected)
+
+    run_virtual(main())
+
+
 def test_a_request_waits_for_the_successor_of_an_owner() -> None:
     """Guards against requests that fail because a pool changes its owner."""
 
