--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -227,17 +227,17 @@
             described = self._describe_waiting_job(job, now_ms)
             if described is None:
                 continue
-            if job.spec.customer not in startable.held_back:
-                waiting.append(described)
+            if job.job_id not in startable_ids:
+                held_back.append(described)
                 continue
-            share = 0.0
-            if job.job_id in startable_ids:
-                share = startable.tasks[job.job_id] / _count_waiting_tasks(job)
-            may_start = described.work.times(share)
-            rest = described.work.minus(may_start)
-            if share:
-                waiting.append(dataclasses.replace(described, work=may_start))
-            held_back.append(dataclasses.replace(described, work=rest))
+            tasks = startable.tasks.get(job.job_id)
+            share = 1.0 if tasks is None else tasks / _count_waiting_tasks(job)
+            if share < 1:
+                may_start = described.work.times(share)
+                rest = described.work.minus(may_start)
+                held_back.append(dataclasses.replace(described, work=rest))
+                described = dataclasses.replace(described, work=may_start)
+            waiting.append(described)
         return waiting, held_back
 
     def _describe_waiting_job(self, job: Job, now_ms: int) -> QueuedJob | None:
