--- a/src/bergamotgap/domain/early_refusal.py
+++ b/src/bergamotgap/domain/early_refusal.py
@@ -8,14 +8,13 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from bergamotgap.domain.amounts import NOTHING, Amount, total
 from bergamotgap.domain.customer_shares import EXCESS
 from bergamotgap.domain.pool_sizes import PoolDemand, SpareHost
 from bergamotgap.domain.room_forecast import (
     MAX_TIME_MS,
     TIME_STEP_MS,
     Room,
-    Work,
-    sum_work,
 )
 from bergamotgap.domain.task_placement import LATE, ON_TIME, JobRank
 
@@ -51,7 +50,7 @@
     """
 
     customer: str
-    work: Work
+    work: Amount
     work_class: int
     is_over_share: bool
     rank: JobRank
@@ -75,13 +74,13 @@
     """On-time work that was accepted recently, as a rate."""
 
     def __init__(self) -> None:
-        self._arrivals: deque[tuple[int, Work]] = deque()
+        self._arrivals: deque[tuple[int, Amount]] = deque()
 
-    def record(self, at_ms: int, work: Work) -> None:
+    def record(self, at_ms: int, work: Amount) -> None:
         """Record a job that was accepted and can be on time."""
         self._arrivals.append((at_ms, work))
 
-    def measure(self, now_ms: int) -> Work:
+    def measure(self, now_ms: int) -> Amount:
         """Return the work that arrives per ms; none if few jobs arrive.
 
         Few jobs don't tell whether more will come.
@@ -90,10 +89,10 @@
             self._arrivals.popleft()
         count = len(self._arrivals)
         if count < MIN_INFLOW_JOBS:
-            return Work()
+            return NOTHING
         # Half a standard deviation less than what was counted.
         factor = (1 - 0.5 / math.sqrt(count)) / INFLOW_PERIOD_MS
-        return sum_work(work for _, work in self._arrivals).times(factor)
+        return total([work for _, work in self._arrivals]).scale(factor)
 
 
 class KnownQueue:
@@ -102,7 +101,7 @@
     def __init__(
         self,
         room: Room,
-        inflow: Work,
+        inflow: Amount,
         jobs: Iterable[QueuedJob],
         held_back: Iterable[QueuedJob] = (),
     ) -> None:
@@ -111,16 +110,16 @@
         self.late_room = room.add_inflow(inflow)
         self._keys: list[QueueKey] = []
         # Work up to and including each of the keys.
-        self._totals: list[Work] = []
-        self._added: list[tuple[QueueKey, Work]] = []
+        self._totals: list[Amount] = []
+        self._added: list[tuple[QueueKey, Amount]] = []
         # What the cap of a customer holds back goes before its own jobs only.
-        self._held_back: dict[str, list[tuple[QueueKey, Work]]] = {}
+        self._held_back: dict[str, list[tuple[QueueKey, Amount]]] = {}
         for job in held_back:
             of_customer = self._held_back.setdefault(job.customer, [])
             of_customer.append((job.key, job.work))
         # Work of jobs that can be on time, in total and by customer.
-        self._on_time = Work()
-        self._on_time_of: dict[str, Work] = {}
+        self._on_time = NOTHING
+        self._on_time_of: dict[str, Amount] = {}
         late: list[QueuedJob] = []
         excess: list[QueuedJob] = []
         on_time: list[QueuedJob] = []
@@ -151,19 +150,19 @@
         for job in sorted(jobs, key=lambda job: job.late_key):
             self._play(job.late_key, job.work, job.value_ms, self.late_room)
 
-    def _play(self, key: QueueKey, work: Work, until_ms: float, room: Room) -> bool:
-        total = (self._totals[-1] if self._totals else Work()).plus(work)
+    def _play(self, key: QueueKey, work: Amount, until_ms: float, room: Room) -> bool:
+        ahead = (self._totals[-1] if self._totals else NOTHING) + work
         # Few distinct times, so that most of them are measured once.
-        if not room.can_do(total, math.ceil(until_ms / TIME_STEP_MS) * TIME_STEP_MS):
+        if not room.can_do(ahead, math.ceil(until_ms / TIME_STEP_MS) * TIME_STEP_MS):
             return False
         self._keys.append(key)
-        self._totals.append(total)
+        self._totals.append(ahead)
         return True
 
     def _record_on_time(self, job: QueuedJob) -> None:
-        self._on_time = self._on_time.plus(job.work)
-        of_customer = self._on_time_of.get(job.customer, Work())
-        self._on_time_of[job.customer] = of_customer.plus(job.work)
+        self._on_time += job.work
+        of_customer = self._on_time_of.get(job.customer, NOTHING)
+        self._on_time_of[job.customer] = of_customer + job.work
 
     def add(self, job: QueuedJob) -> None:
         """Add a job that was accepted after the others."""
@@ -171,19 +170,19 @@
         if job.work_class == ON_TIME:
             self._record_on_time(job)
 
-    def measure_ahead(self, key: QueueKey, customer: str) -> Work:
+    def measure_ahead(self, key: QueueKey, customer: str) -> Amount:
         """Return the waiting work that goes before a customer's new job."""
         position = bisect_right(self._keys, key)
-        total = self._totals[position - 1] if position else Work()
+        ahead = self._totals[position - 1] if position else NOTHING
         for added_key, work in (*self._added, *self._held_back.get(customer, ())):
             if added_key <= key:
-                total = total.plus(work)
-        return total
+                ahead += work
+        return ahead
 
     def is_taken_by_others(self, customer: str, until_ms: float) -> bool:
         """Return whether waiting on-time work of others takes the room until then."""
-        waiting = self._on_time.minus(self._on_time_of.get(customer, Work()))
-        if not any(part > WORK_TOLERANCE for part in waiting):
+        waiting = self._on_time - self._on_time_of.get(customer, NOTHING)
+        if max(waiting.cpu, waiting.memory_mb, waiting.gpus) <= WORK_TOLERANCE:
             return False
         return not self.room.can_do(waiting, until_ms)
 
@@ -210,8 +209,8 @@
     read, by which less work is left.
     """
 
-    def can_end(ahead: Work, room: Room, until_ms: float) -> bool:
-        is_done = room.can_do(ahead.plus(job.work), until_ms + age_ms)
+    def can_end(ahead: Amount, room: Room, until_ms: float) -> bool:
+        is_done = room.can_do(ahead + job.work, until_ms + age_ms)
         return path_ms <= until_ms and is_done
 
     is_excess = job.work_class == EXCESS
@@ -226,9 +225,9 @@
         if can_end(ahead, queue.late_room, job.value_ms):
             return None
     # When it could be on time if nothing else came; a peak may end at any time.
-    first_end_ms = queue.room.measure_ms(first_ahead.plus(job.work)) - age_ms
+    first_end_ms = queue.room.measure_ms(first_ahead + job.work) - age_ms
     room_ms = first_end_ms - job.on_time_ms
-    end_ms = queue.late_room.measure_ms(ahead.plus(job.work)) - age_ms
+    end_ms = queue.late_room.measure_ms(ahead + job.work) - age_ms
     return Refusal(
         RefusalReason.OVER_SHARE if is_excess else RefusalReason.NO_CAPACITY,
         max(0.0, queue.late_room.measure_ms(ahead) - age_ms),
@@ -258,5 +257,5 @@
     idle = {
         demand.pool: sum(host.size.cpu for host in demand.idle) for demand in demands
     }
-    total = sum(host.size.cpu for host in spare) + sum(idle.values())
-    return {pool: total - own for pool, own in idle.items()}
+    free = sum(host.size.cpu for host in spare) + sum(idle.values())
+    return {pool: free - own for pool, own in idle.items()}
--- a/src/bergamotgap/domain/room_forecast.py
+++ b/src/bergamotgap/domain/room_forecast.py
@@ -3,8 +3,8 @@
 from bisect import bisect_left
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from typing import NamedTuple
 
+from bergamotgap.domain.amounts import NOTHING, Amount
 from bergamotgap.domain.fleet import Size
 
 # Longest expected time; what takes longer may as well never be done.
@@ -13,45 +13,9 @@
 TIME_STEP_MS = 10
 
 
-class Work(NamedTuple):
-    """Reserved size times the time for which it is reserved, in ms."""
-
-    cpu: float = 0.0
-    memory_mb: float = 0.0
-    gpus: float = 0.0
-
-    def plus(self, other: "Work") -> "Work":
-        """Return the sum of both."""
-        return Work(
-            self.cpu + other.cpu,
-            self.memory_mb + other.memory_mb,
-            self.gpus + other.gpus,
-        )
-
-    def minus(self, other: "Work") -> "Work":
-        """Return this work without the other."""
-        return Work(
-            self.cpu - other.cpu,
-            self.memory_mb - other.memory_mb,
-            self.gpus - other.gpus,
-        )
-
-    def times(self, factor: float) -> "Work":
-        """Return this many times the work."""
-        return Work(self.cpu * factor, self.memory_mb * factor, self.gpus * factor)
-
-
-def sum_work(works: Iterable[Work]) -> Work:
-    """Return the sum of any number of works."""
-    total = Work()
-    for work in works:
-        total = total.plus(work)
-    return total
-
-
-def measure_work(size: Size, duration_ms: float, count: int = 1) -> Work:
+def measure_work(size: Size, duration_ms: float, count: int = 1) -> Amount:
     """Return the work of tasks of this size that take this long."""
-    return Work(*size).times(count * duration_ms)
+    return Amount(*size).scale(count * duration_ms)
 
 
 @dataclass(frozen=True)
@@ -107,15 +71,15 @@
         self,
         hosts: Hosts,
         runs: Iterable[tuple[float, Size]],
-        inflow: Work | None = None,
+        inflow: Amount | None = None,
     ) -> None:
         self._hosts = hosts
         self._runs = sorted(runs, key=lambda run: run[0])
         self._until: dict[float, tuple[float, ...]] = {}
-        rates = inflow or Work()
+        rates = inflow or NOTHING
         self._usage = [
             _Usage([(left_ms, size[i]) for left_ms, size in self._runs], rate)
-            for i, rate in enumerate(rates)
+            for i, rate in enumerate((rates.cpu, rates.memory_mb, rates.gpus))
         ]
 
     @property
@@ -123,11 +87,11 @@
         """Return the 1/1000 cores of the hosts, hosts on their way included."""
         return self._hosts.now[0] or 0.0
 
-    def add_inflow(self, inflow: Work) -> "Room":
+    def add_inflow(self, inflow: Amount) -> "Room":
         """Return what is left of the room if as much work goes on to arrive."""
         return Room(self._hosts, self._runs, inflow)
 
-    def can_do(self, work: Work, until_ms: float) -> bool:
+    def can_do(self, work: Amount, until_ms: float) -> bool:
         """Return whether the work can be done within a time."""
         cpu, memory_mb, gpus = self._measure_until(until_ms)
         return (
@@ -155,7 +119,7 @@
         whole = now * soon_ms + later * (until_ms - soon_ms)
         return whole - self._usage[index].measure(until_ms)
 
-    def measure_ms(self, work: Work) -> float:
+    def measure_ms(self, work: Amount) -> float:
         """Return a time in which the work can be done, MAX_TIME_MS at most."""
         low_ms, high_ms = 0.0, float(MAX_TIME_MS)
         while high_ms - low_ms > TIME_STEP_MS:
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.amounts import NOTHING, Amount, total
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.customer_shares import EXCESS, ShareUse, classify_work
 from bergamotgap.domain.early_refusal import (
@@ -17,10 +18,8 @@
 from bergamotgap.domain.offered_load import MAX_PERIOD_MS
 from bergamotgap.domain.room_forecast import (
     Room,
-    Work,
     measure_hosts,
     measure_work,
-    sum_work,
 )
 from bergamotgap.domain.task_placement import (
     LATE,
@@ -101,9 +100,11 @@
             self._read_queue(now_ms)
         if self._queue is None:
             return None
-        work = sum_work(
-            measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
-            for step in spec.steps
+        work = total(
+            [
+                measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
+                for step in spec.steps
+            ]
         )
         path_ms = self._run_tracker.run_times.expect_path(job).remaining_ms
         rank = self._run_tracker.rank_job(job, now_ms)
@@ -233,8 +234,8 @@
             tasks = startable.tasks.get(job.job_id)
             share = 1.0 if tasks is None else tasks / _count_waiting_tasks(job)
             if share < 1:
-                may_start = described.work.times(share)
-                rest = described.work.minus(may_start)
+                may_start = described.work.scale(share)
+                rest = described.work - may_start
                 held_back.append(dataclasses.replace(described, work=rest))
                 described = dataclasses.replace(described, work=may_start)
             waiting.append(described)
@@ -251,19 +252,19 @@
         rank = self._run_tracker.rank_job(job, now_ms)
         if rank[0] == TOO_LATE:
             return None
-        work = Work()
+        work = NOTHING
         for step in job.list_ready_steps():
             if step.has_suspects:
                 continue
             run_ms = self._expect_ms(job.spec.queue, step.spec)
             count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
-            work = work.plus(measure_work(step.spec.size, run_ms, count))
-        if not any(work):
+            work += measure_work(step.spec.size, run_ms, count)
+        if not work.has_shortage():
             return None
         return self._describe_job(job, queue, rank, work, now_ms)
 
     def _describe_job(
-        self, job: Job, queue: Queue, rank: JobRank, work: Work, now_ms: int
+        self, job: Job, queue: Queue, rank: JobRank, work: Amount, now_ms: int
     ) -> QueuedJob:
         """Return a job that is not too late, with its place in the queue."""
         path = self._run_tracker.run_times.expect_path(job)
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -26,7 +26,7 @@
     Size,
     StepSpec,
 )
-from bergamotgap.domain.room_forecast import MAX_TIME_MS, Room, Work, measure_hosts
+from bergamotgap.domain.room_forecast import MAX_TIME_MS, Room, measure_hosts
 from bergamotgap.domain.task_placement import LATE, ON_TIME
 from bergamotgap.platform.ingress import Ingress
 from bergamotgap.pools.host_mover import HostMover
@@ -72,7 +72,7 @@
 ) -> QueuedJob:
     return QueuedJob(
         customer,
-        Work(cpu_work),
+        Amount(cpu_work),
         work_class,
         False,
         (ON_TIME if work_class != LATE else LATE, 1, True, slack_ms),
@@ -93,43 +93,43 @@
     assert hosts is not None
     room = Room(hosts, [])
     # 15 cores less 5, and 10 more after a second; GPUs of arriving hosts are unknown.
-    assert room.measure_ms(Work(5000, 0, 10**9)) == pytest.approx(500, abs=10)
-    assert room.measure_ms(Work(20_000)) == pytest.approx(1500, abs=10)
-    assert room.measure_ms(Work(5000, 300_000)) == pytest.approx(1600, abs=10)
+    assert room.measure_ms(Amount(5000, 0, 10**9)) == pytest.approx(500, abs=10)
+    assert room.measure_ms(Amount(20_000)) == pytest.approx(1500, abs=10)
+    assert room.measure_ms(Amount(5000, 300_000)) == pytest.approx(1600, abs=10)
     full = measure_hosts(Size(10, 100, 0), Size(10, 0, 0), 0, 0, 1000)
     assert full is not None
-    assert Room(full, []).measure_ms(Work(1)) == MAX_TIME_MS
+    assert Room(full, []).measure_ms(Amount(1)) == MAX_TIME_MS
     assert measure_hosts(Size(), Size(), 0, 0, 1000) is None
 
 
 def test_long_runs_take_only_the_room_that_they_hold() -> None:
     """Guards against refusals in a pool with free workers because of long runs."""
     room = Room(HOSTS, [(10_000, Size(3, 1, 0)), (500, Size(2, 1, 0))])
-    assert room.can_do(Work(2500), 500)
-    assert not room.can_do(Work(2501), 500)
-    assert room.can_do(Work(2500 + 3500), 1000)
+    assert room.can_do(Amount(2500), 500)
+    assert not room.can_do(Amount(2501), 500)
+    assert room.can_do(Amount(2500 + 3500), 1000)
     # Work that goes on to arrive takes the place of runs that end, not more at once.
-    busy = room.add_inflow(Work(5))
-    assert busy.can_do(Work(5000), 1000)
-    assert not busy.can_do(Work(5001), 1000)
-    assert KnownQueue(room, Work(5), []).late_room.can_do(Work(4990), 1000)
+    busy = room.add_inflow(Amount(5))
+    assert busy.can_do(Amount(5000), 1000)
+    assert not busy.can_do(Amount(5001), 1000)
+    assert KnownQueue(room, Amount(5), []).late_room.can_do(Amount(4990), 1000)
     for until_ms in (1, 100, 499, 501, 5000, 20_000):
         done = 10 * until_ms - 3 * min(until_ms, 10_000) - 2 * min(until_ms, 500)
-        assert room.can_do(Work(done), until_ms)
-        assert not room.can_do(Work(done + 1), until_ms)
+        assert room.can_do(Amount(done), until_ms)
+        assert not room.can_do(Amount(done + 1), until_ms)
 
 
 def test_jobs_that_end_too_late_anyway_hold_nobody_up() -> None:
     """Guards against refusals because of work that is passed in the order."""
     doomed = [_queue_job(50_000, customer=f"c{n}") for n in range(5)]
-    queue = KnownQueue(ROOM, Work(), doomed)
+    queue = KnownQueue(ROOM, NOTHING, doomed)
     assert _check(queue, _queue_job(2000, slack_ms=900)) is None
 
 
 def test_a_job_is_refused_if_what_is_ahead_takes_all_of_its_time() -> None:
     """Guards against jobs that are accepted although nobody can serve them."""
     ahead = [_queue_job(1000, slack_ms=100 + n, on_time_ms=4000) for n in range(35)]
-    queue = KnownQueue(Room(HOSTS, [(1000, Size(1, 1, 0))]), Work(), ahead)
+    queue = KnownQueue(Room(HOSTS, [(1000, Size(1, 1, 0))]), NOTHING, ahead)
     assert _check(queue, _queue_job(1000)) is RefusalReason.NO_CAPACITY
     # One of less slack goes before them, and one with more time can end late.
     assert _check(queue, _queue_job(1000, slack_ms=50)) is None
@@ -145,16 +145,16 @@
     """Guards against jobs accepted behind a stream of jobs that all go before them."""
     ahead = [_queue_job(1000, slack_ms=100 + n) for n in range(10)]
     new = _queue_job(1000, slack_ms=900)
-    assert _check(KnownQueue(ROOM, Work(), ahead), new) is None
-    busy = KnownQueue(ROOM, Work(9), ahead)
+    assert _check(KnownQueue(ROOM, NOTHING, ahead), new) is None
+    busy = KnownQueue(ROOM, Amount(9), ahead)
     assert _check(busy, new) is RefusalReason.NO_CAPACITY
     inflow = Inflow()
     for number in range(5):
-        inflow.record(number, Work(10**9))
+        inflow.record(number, Amount(10**9))
     # A few large jobs are no stream.
-    assert inflow.measure(100) == Work()
+    assert inflow.measure(100) == NOTHING
     for number in range(20):
-        inflow.record(100 + number, Work(1500))
+        inflow.record(100 + number, Amount(1500))
     assert inflow.measure(1599).cpu == pytest.approx(20 * (1 - 0.5 / 20**0.5), rel=0.1)
 
 
@@ -163,10 +163,10 @@
     new = _queue_job(1000, EXCESS, "a")
     of_others = [_queue_job(1000, customer="b", on_time_ms=4000) for _ in range(15)]
     of_itself = [_queue_job(1000, customer="a", on_time_ms=4000) for _ in range(15)]
-    kept_out = KnownQueue(ROOM, Work(), of_others)
+    kept_out = KnownQueue(ROOM, NOTHING, of_others)
     assert _check(kept_out, new) is RefusalReason.OVER_SHARE
-    assert _check(KnownQueue(ROOM, Work(), of_itself), new) is None
-    calm = KnownQueue(Room(HOSTS, [(700, Size(10, 1, 0))]), Work(), of_others[:1])
+    assert _check(KnownQueue(ROOM, NOTHING, of_itself), new) is None
+    calm = KnownQueue(Room(HOSTS, [(700, Size(10, 1, 0))]), NOTHING, of_others[:1])
     assert _check(calm, new) is None
 
 
