--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -38,6 +38,9 @@
 SETTLING_MS = 2000
 # What the host controller said is known for this long: ten of its rounds.
 HOSTS_KNOWN_MS = 1000
+# A worker whose quarantine ends within this time is room: most follow an order without
+# an answer, or a start that was refused as busy, and end before a job is late.
+SHORT_QUARANTINE_MS = 1000
 # How long the queue that was read is used, at least and as a multiple of the time that
 # reading it took.
 MIN_QUEUE_AGE_MS = 50
@@ -171,7 +174,8 @@
         links = [
             link
             for link in self._run_tracker.links.values()
-            if link.is_usable(now_ms) or (link.is_listed and not link.was_polled)
+            if link.is_usable(now_ms + SHORT_QUARANTINE_MS)
+            or (link.is_listed and not link.was_polled)
         ]
         self._share_use = self._customer_accounts.measure_use(
             self._run_tracker.links.values(), links
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -374,6 +374,28 @@
     run_virtual(main())
 
 
+def test_workers_that_pause_for_a_moment_are_room() -> None:
+    """Guards against refusals because some orders got no answer."""
+
+    async def main() -> None:
+        scene = Scene(workers=4, run_s=0.6)
+        async with scene.run_owner(1) as (pool, _):
+            pool.update_config(WITHOUT_CUSTOMERS)
+            await asyncio.sleep(3)
+            pool.admission_check.record_hosts(0, 0)
+            for name in ("w1", "w2", "w3"):
+                pool.run_tracker.links[name].quarantine(250)
+            specs = [build_customer_job(f"j{n}", "c0") for n in range(16)]
+            outcomes = await asyncio.gather(*(pool.submit(spec) for spec in specs))
+            assert outcomes == [Stored(is_new=True)] * len(specs)
+            # Before they are of no value, 4.7 s after they were submitted.
+            await asyncio.sleep(3)
+            phases = {pool.job_table.get_durable_phase(spec.job_id) for spec in specs}
+            assert phases == {JobPhase.COMPLETED}
+
+    run_virtual(main())
+
+
 def test_after_a_take_over_nothing_is_refused() -> None:
     """Guards against refusals by an owner that doesn't know what runs yet."""
 
