--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -115,6 +115,27 @@
             self._handle_superseded,
             self.crash_watch,
         )
+        self._build_parts(newest.values)
+        self._tasks = [
+            asyncio.create_task(supervise(f"journal {self.name}", self.journal.run)),
+            asyncio.create_task(
+                supervise(f"placing {self.name}", self._run_placement_passes)
+            ),
+            asyncio.create_task(
+                supervise(f"ticks {self.name}", self._run_housekeeping)
+            ),
+        ]
+        log.info(
+            "pool gained",
+            pool=self.name,
+            token=self.term.token,
+            term=self.term.number,
+            open_jobs=open_jobs,
+        )
+        return self
+
+    def _build_parts(self, values: Mapping[str, bytes]) -> None:
+        """Build what works on the restored jobs and on the links to the workers."""
         self._drains = WorkerDrains(
             self.job_table, self.run_tracker, self._settings, self._clock
         )
@@ -134,7 +155,7 @@
         self._run_time_store = RunTimeStore(
             self.name, self.run_tracker.estimates, self.journal, self._clock
         )
-        self._run_time_store.restore(newest.values)
+        self._run_time_store.restore(values)
         self.job_table.estimate_work = self.run_tracker.run_times.estimate_work
         self.job_table.on_job_accepted = self.run_tracker.placement_needed.set
         self._ticket_cache = TicketCache(
@@ -151,23 +172,6 @@
             self.customer_usage,
         )
         self.job_table.on_job_ended = self._task_placer.forget_job
-        self._tasks = [
-            asyncio.create_task(supervise(f"journal {self.name}", self.journal.run)),
-            asyncio.create_task(
-                supervise(f"placing {self.name}", self._run_placement_passes)
-            ),
-            asyncio.create_task(
-                supervise(f"ticks {self.name}", self._run_housekeeping)
-            ),
-        ]
-        log.info(
-            "pool gained",
-            pool=self.name,
-            token=self.term.token,
-            term=self.term.number,
-            open_jobs=open_jobs,
-        )
-        return self
 
     async def __aexit__(self, *exception: object) -> None:
         """Stop managing the pool; running tasks keep their leases."""
