--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -1,8 +1,9 @@
 """Refuses new jobs of a pool that can't be served while they have value."""
 
-from dataclasses import dataclass
+import dataclasses
 
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.domain.amounts import NOTHING, Amount, total
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.customer_shares import EXCESS, ShareUse, classify_work
 from bergamotgap.domain.early_refusal import (
@@ -22,10 +23,8 @@
 )
 from bergamotgap.domain.room_forecast import (
     Room,
-    Work,
     measure_hosts,
     measure_work,
-    sum_work,
 )
 from bergamotgap.domain.task_placement import (
     LATE,
@@ -35,6 +34,7 @@
     JobRank,
 )
 from bergamotgap.pools.customer_accounts import CustomerAccounts
+from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import JobTable, NotStored
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.worker_link import WorkerLink
@@ -43,6 +43,9 @@
 SETTLING_MS = 2000
 # What the host controller said is known for this long: ten of its rounds.
 HOSTS_KNOWN_MS = 1000
+# A worker whose quarantine ends within this time is room: most follow an order without
+# an answer, or a start that was refused as busy, and end before a job is late.
+SHORT_QUARANTINE_MS = 1000
 # How long the queue that was read is used, at least and as a multiple of the time that
 # reading it took.
 MIN_QUEUE_AGE_MS = 50
@@ -51,7 +54,7 @@
 log = get_logger(__name__)
 
 
-@dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True)
 class QueueReading:
     """What ran and waited in the pool at `read_ms`; no queue without known hosts."""
 
@@ -60,7 +63,7 @@
     read_ms: int
 
 
-@dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True)
 class CheckedJob:
     """A new job as it was checked against a queue, and its refusal, if any."""
 
@@ -82,6 +85,7 @@
         job_table: JobTable,
         run_tracker: RunTracker,
         customer_accounts: CustomerAccounts,
+        customer_usage: CustomerUsage,
         move_duration_ms: int,
         clock: Clock,
     ) -> None:
@@ -89,6 +93,7 @@
         self._job_table = job_table
         self._run_tracker = run_tracker
         self._customer_accounts = customer_accounts
+        self._customer_usage = customer_usage
         self._move_duration_ms = move_duration_ms
         self._clock = clock
         # 1/1000 cores that arrive, and that are free elsewhere, as of a time (ms).
@@ -182,9 +187,11 @@
         queue = self._run_tracker.get_queue(job)
         if queue is None or reading.queue is None:
             return None
-        work = sum_work(
-            measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
-            for step in spec.steps
+        work = total(
+            [
+                measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
+                for step in spec.steps
+            ]
         )
         path_ms = self._run_tracker.run_times.expect_path(job).remaining_ms
         rank = self._run_tracker.rank_job(job, now_ms)
@@ -259,7 +266,8 @@
         links = [
             link
             for link in self._run_tracker.links.values()
-            if link.is_usable(now_ms) or (link.is_listed and not link.was_polled)
+            if link.is_usable(now_ms + SHORT_QUARANTINE_MS)
+            or (link.is_listed and not link.was_polled)
         ]
         use = self._customer_accounts.measure_use(
             self._run_tracker.links.values(), links
@@ -271,12 +279,9 @@
         )
         if hosts is None:
             return QueueReading(None, use, now_ms)
-        waiting = [
-            described
-            for job in self._job_table.pending.values()
-            if (described := self._describe_waiting_job(job, now_ms, use)) is not None
-        ]
-        queue = KnownQueue(Room(hosts, runs), self._inflow.measure(now_ms), waiting)
+        inflow = self._inflow.measure(now_ms)
+        waiting, held_back = self._list_waiting(now_ms, use)
+        queue = KnownQueue(Room(hosts, runs), inflow, waiting, held_back)
         for added in self._list_accepted().values():
             queue.add(added)
         return QueueReading(queue, use, now_ms)
@@ -300,6 +305,34 @@
                     runs.append((left_ms, step.size))
         return runs, _add_sizes(held)
 
+    def _list_waiting(
+        self, now_ms: int, use: ShareUse | None
+    ) -> tuple[list[QueuedJob], list[QueuedJob]]:
+        """Return the waiting work that may start, and what caps hold back.
+
+        Work beyond a cap leaves room idle, so it must not delay other customers.
+        """
+        pending = self._job_table.pending.values()
+        startable = self._customer_usage.limit_demand(pending)
+        startable_ids = {job.job_id for job in startable.jobs}
+        waiting, held_back = [], []
+        for job in pending:
+            described = self._describe_waiting_job(job, now_ms, use)
+            if described is None:
+                continue
+            if job.job_id not in startable_ids:
+                held_back.append(described)
+                continue
+            tasks = startable.tasks.get(job.job_id)
+            share = 1.0 if tasks is None else tasks / _count_waiting_tasks(job)
+            if share < 1:
+                may_start = described.work.scale(share)
+                rest = described.work - may_start
+                held_back.append(dataclasses.replace(described, work=rest))
+                described = dataclasses.replace(described, work=may_start)
+            waiting.append(described)
+        return waiting, held_back
+
     def _describe_waiting_job(
         self, job: Job, now_ms: int, use: ShareUse | None
     ) -> QueuedJob | None:
@@ -313,14 +346,14 @@
         rank = self._run_tracker.rank_job(job, now_ms)
         if rank[0] == TOO_LATE:
             return None
-        work = Work()
+        work = NOTHING
         for step in job.list_ready_steps():
             if step.has_suspects:
                 continue
             run_ms = self._expect_ms(job.spec.queue, step.spec)
             count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
-            work = work.plus(measure_work(step.spec.size, run_ms, count))
-        if not any(work):
+            work += measure_work(step.spec.size, run_ms, count)
+        if not work.has_shortage():
             return None
         return self._describe_job(job, queue, rank, work, now_ms, use)
 
@@ -329,7 +362,7 @@
         job: Job,
         queue: Queue,
         rank: JobRank,
-        work: Work,
+        work: Amount,
         now_ms: int,
         use: ShareUse | None,
     ) -> QueuedJob:
@@ -365,6 +398,14 @@
     return all(step.estimated_ms and not step.is_long_running for step in spec.steps)
 
 
+def _count_waiting_tasks(job: Job) -> int:
+    return sum(
+        task.phase is TaskPhase.WAITING
+        for step in job.list_ready_steps()
+        for task in step.tasks
+    )
+
+
 def _add_sizes(sizes: list[Size]) -> Size:
     return (
         Size(*(sum(parts) for parts in zip(*sizes, strict=True))) if sizes else Size()
--- a/src/bergamotgap/pools/placement_explainer.py
+++ b/src/bergamotgap/pools/placement_explainer.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import msgspec
 
@@ -103,9 +103,6 @@
     ranked = [(parts.run_tracker.rank_job(other, now_ms), other) for other in pending]
     ahead, can_be_late = _list_ahead(ranked, job, use)
     cap = parts.customer_usage.describe_cap(spec.customer)
-    if cap and all(cap.reserved_for != other.job_id for other in ahead):
-        # A pass reserves the cap for a job only once it gets to it.
-        cap = replace(cap, reserved_for="")
     due_ms = spec.due_ms(0)
     return PlacementExplanation(
         parts.name,
