--- a/src/bergamotgap/domain/maintenance_plan.py
+++ b/src/bergamotgap/domain/maintenance_plan.py
@@ -37,6 +37,10 @@
 # Busy hosts are drained at the pace that ends the wave within this share of the time
 # left, and for no less than half of the cap. Hosts that are empty anyway take the rest.
 PACE_SHARE = 0.6
+# Late runs that would outlast the wave are stopped this long before their host must
+# begin. The stop and the polls that confirm it take up to 500 ms, the report of the
+# wave the rest. A run of seven times its declared time otherwise delays the wave.
+STOP_MS = 1000
 
 
 @dataclass
@@ -144,7 +148,8 @@
 
     `turns_ms` is the time until each host's turn, `finish_ms` that until the wave ends.
     A task that is expected to take longer than `longest_task_ms` would delay the end if
-    it started on one of these hosts.
+    it started on one of these hosts. Runs of late jobs on hosts in `stops` are stopped,
+    because they would outlast the wave.
     """
 
     drains: tuple[str, ...]
@@ -152,6 +157,7 @@
     turns_ms: Mapping[str, int]
     finish_ms: int
     longest_task_ms: int = 0
+    stops: frozenset[str] = frozenset()
 
 
 def plan_wave(
@@ -212,9 +218,23 @@
         turns_ms,
         finish_ms,
         longest_task_ms=int(max(0, target_ms - cycle_ms) / EMPTY_FACTOR),
+        stops=_list_overrunning(ordered, len(slots_ms), left_ms, cycle_ms),
     )
 
 
+def _list_overrunning(
+    ordered: Sequence[PendingHost], slot_count: int, left_ms: int, cycle_ms: int
+) -> frozenset[str]:
+    """Return the drained hosts whose short tasks end too late for the wave."""
+    overrunning = set()
+    for index, host in enumerate(ordered):
+        rounds_left = math.ceil((len(ordered) - index) / slot_count)
+        begin_ms = left_ms - rounds_left * cycle_ms
+        if host.is_draining and begin_ms <= STOP_MS and host.short_ms > begin_ms:
+            overrunning.add(host.host)
+    return frozenset(overrunning)
+
+
 def _measure_long_ms(pending: Iterable[PendingHost]) -> dict[str, int]:
     """Return the time until each host's long-running tasks can have moved.
 
--- a/src/bergamotgap/pools/wave_runner.py
+++ b/src/bergamotgap/pools/wave_runner.py
@@ -256,6 +256,7 @@
                 info.pool,
                 info.worker_id,
                 may_stop=True,
+                stops_late=info.host in self.plan.stops,
                 absent=list_absent_hosts(view.hosts, info.pool),
             )
         )
--- a/tests/test_waves_on_time.py
+++ b/tests/test_waves_on_time.py
@@ -8,6 +8,8 @@
 
 from bergamotgap.domain.maintenance_plan import (
     AHEAD_MS,
+    STOP_MS,
+    TURNOVER_MS,
     LongTasks,
     PendingHost,
     plan_wave,
@@ -185,3 +187,26 @@
             check_wave(scene)
 
     run_virtual(main())
+
+
+def test_a_late_run_that_outlasts_the_wave_is_stopped_at_its_end() -> None:
+    """Guards against hosts left over because 3 of 100 runs take seven times as long."""
+
+    async def main() -> None:
+        scene = WaveScene(1, cap=10, duration_s=DURATION_S, long_share=0.03)
+        async with scene.run(), scene.run_controller(1):
+            await asyncio.sleep(SETTLE_S)
+            await watch_wave(scene)
+
+    run_virtual(main())
+
+
+def test_runs_are_stopped_no_earlier_than_the_end_of_the_wave_requires() -> None:
+    """Guards against work that is discarded although the wave would be on time."""
+    hosts = [
+        PendingHost(f"m{n}", ms, is_draining=True) for n, ms in ((0, 300), (1, 9000))
+    ]
+    cycle_ms = MAINTENANCE_MS + TURNOVER_MS
+    assert plan_wave(hosts, [0, 0], 0, 5_000, MAINTENANCE_MS).stops == set()
+    plan = plan_wave(hosts, [0, 0], 0, cycle_ms + STOP_MS, MAINTENANCE_MS)
+    assert plan.stops == {"m1"}
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -240,10 +240,15 @@
     """Pools, hosts, workers and load; `violations` lists what broke a rule.
 
     `drained_core_s` are the core-seconds that drained hosts of the wave left unused.
+    A share of `long_share` of the runs takes seven times as long.
     """
 
-    def __init__(self, seed: int, cap: int, duration_s: float = 27.0) -> None:
+    def __init__(
+        self, seed: int, cap: int, duration_s: float = 27.0, long_share: float = 0.0
+    ) -> None:
         self.random = random.Random(seed)
+        self._long_runs = random.Random(seed)
+        self._long_share = long_share
         self.clock = LoopClock()
         self.store = FakeStore()
         self.host_names = [f"m{n:03}" for n in range(HOSTS)]
@@ -423,7 +428,9 @@
                     declared = int(seconds * 1000 * self.random.uniform(0.6, 1.5))
                     step = StepSpec(1, TASK_CORES * 1000, 4000, estimated_ms=declared)
                     spec = JobSpec(f"j{number}", f"q-{name}", "p", (step,))
-                    self._run_times[TaskId(spec.job_id, 0, 0, 0)] = seconds
+                    is_overlong = self._long_runs.random() < self._long_share
+                    run_s = seconds * 7 if is_overlong else seconds
+                    self._run_times[TaskId(spec.job_id, 0, 0, 0)] = run_s
                     job = asyncio.create_task(self.pools[name].submit(spec))
                     jobs.add(job)
                     job.add_done_callback(jobs.discard)
