--- a/src/bergamotgap/domain/maintenance_plan.py
+++ b/src/bergamotgap/domain/maintenance_plan.py
@@ -175,15 +175,15 @@
     ahead of the drain, while their host goes on with short work.
     """
     cycle_ms = maintenance_ms + TURNOVER_MS
-    long_ms = _measure_long_ms(pending)
+    long_ms, first_hosts = _measure_long_ms(pending)
     empty_ms = {host.host: max(host.short_ms, long_ms[host.host]) for host in pending}
     ordered = sorted(
         pending,
         key=lambda h: (empty_ms[h.host], not h.has_returned, not h.is_draining, h.host),
     )
     target_ms = max(1, left_ms - MARGIN_MS)
-    needed_ms = (len(pending) + missing) * cycle_ms / len(slots_ms)
-    busy_slots = math.ceil(len(slots_ms) * needed_ms / target_ms / PACE_SHARE)
+    needed_ms = (len(pending) + missing) * cycle_ms
+    busy_slots = math.ceil(needed_ms / target_ms / PACE_SHARE)
     turns_ms, finish_ms = _assign_turns(
         [(host.host, empty_ms[host.host]) for host in ordered],
         slots_ms,
@@ -192,8 +192,7 @@
         cycle_ms,
     )
     ahead_ms = _choose_ahead_ms(target_ms - finish_ms)
-    drains = []
-    due_steps: set[str] = set()
+    drains, due_steps = [], set[str]()
     for index, host in enumerate(ordered):
         turn_ms = turns_ms[host.host]
         drain_ms = empty_ms[host.host] * EMPTY_FACTOR + ahead_ms
@@ -206,7 +205,8 @@
         # nearly empty by its turn. So do hosts whose long-running tasks can't move yet.
         is_near = turn_ms <= cycle_ms + ahead_ms
         is_next = long_ms[host.host] <= LONG_TASK_MOVE_MS
-        if host.is_draining or (is_next and is_due and (is_near or is_last_call)):
+        is_ready = is_next and is_due and (is_near or is_last_call)
+        if host.is_draining or is_ready or (is_last_call and host.host in first_hosts):
             drains.append(host.host)
     return WavePlan(
         tuple(drains),
@@ -235,13 +235,17 @@
     return frozenset(overrunning)
 
 
-def _measure_long_ms(pending: Iterable[PendingHost]) -> dict[str, int]:
+def _measure_long_ms(
+    pending: Iterable[PendingHost],
+) -> tuple[dict[str, int], set[str]]:
     """Return the time until each host's long-running tasks can have moved.
 
     Those of one step move in turn, within the step's limit; the hosts with the fewest
-    go first, so that a host is empty soon.
+    go first, so that a host is empty soon. The second value are the hosts whose tasks
+    wait for those of no other host.
     """
     long_ms: dict[str, int] = {}
+    first_hosts: set[str] = set()
     queued: Counter[str] = Counter()
     order = sorted(
         pending,
@@ -253,12 +257,14 @@
     )
     for host in order:
         batches = 0
+        if host.long_tasks and not any(queued[t.step] for t in host.long_tasks):
+            first_hosts.add(host.host)
         for tasks in host.long_tasks:
             queued[tasks.step] += tasks.count
             away = max(1, tasks.max_away)
             batches = max(batches, math.ceil(queued[tasks.step] / away))
         long_ms[host.host] = batches * LONG_TASK_MOVE_MS
-    return long_ms
+    return long_ms, first_hosts
 
 
 def _assign_turns(
--- a/tests/test_waves_on_time.py
+++ b/tests/test_waves_on_time.py
@@ -210,3 +210,16 @@
     assert plan_wave(hosts, [0, 0], 0, 5_000, MAINTENANCE_MS).stops == set()
     plan = plan_wave(hosts, [0, 0], 0, cycle_ms + STOP_MS, MAINTENANCE_MS)
     assert plan.stops == {"m1"}
+
+
+def test_tasks_beyond_the_limit_of_their_step_do_not_keep_a_host_from_its_drain() -> (
+    None
+):
+    """Guards against hosts that are never drained, as their tasks move only singly.
+
+    A step that may miss one task had three on each host, and no room elsewhere.
+    """
+    hosts = [PendingHost(f"m{n}", 0, (LongTasks("step", 3, 1),)) for n in range(2)]
+    assert plan_wave(hosts, [0] * 4, 0, 27_000, MAINTENANCE_MS).drains == ()
+    assert plan_wave(hosts, [0] * 4, 0, 10_000, MAINTENANCE_MS).drains == ("m0",)
+    assert plan_wave(hosts, [0] * 4, 0, -5_000, MAINTENANCE_MS).drains == ("m0",)
