--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -376,6 +376,7 @@
         if not self._lease.is_expired or not self._ownership.may_abandon_runs():
             return
         self._remove_runs(list(self.runs.values()), "lease_ended")
+        self._unknown_runs.clear()
 
     @property
     def is_removable(self) -> bool:
@@ -383,7 +384,7 @@
         return not self.is_listed and not self.runs and self.are_runs_known
 
     def _build_lease(self) -> Lease:
-        return self._lease.build_lease(self.is_silent, bool(self.runs))
+        return self._lease.build_lease(self.is_silent, not self.is_empty)
 
     def _record_outcome(self, outcome: OrderOutcome, now_ms: int) -> None:
         if isinstance(outcome, Accepted | Refused) and outcome.clock_ms:
--- a/tests/test_pool_takeover.py
+++ b/tests/test_pool_takeover.py
@@ -3,8 +3,9 @@
 import asyncio
 import dataclasses
 
-from bergamotgap.domain.fleet import JobPhase, StepSpec
-from stand_ins.pools import SETTINGS, build_job
+from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
+from bergamotgap.ports.fleet import StartOrder
+from stand_ins.pools import SETTINGS, FakeRun, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import PARTITION, Scene
 
@@ -296,6 +297,30 @@
     run_virtual(main())
 
 
+def test_an_unknown_run_on_a_silent_worker_ends_with_its_lease() -> None:
+    """Guards against a host that can never be drained, as its worker is cut off."""
+
+    async def main() -> None:
+        scene = Scene(workers=1)
+        [(name, worker)] = scene.workers.items()
+        order = StartOrder(TaskId("gone", 0, 0, 0), 1, "", "")
+        worker.running[order.task] = FakeRun(order, 1e9)
+        worker.lease_end_s = 1e9
+        async with scene.run_owner(1) as (pool, _):
+            link = pool.run_tracker.links[name]
+            # The run is known and its stop is under way.
+            for _ in range(100):
+                await asyncio.sleep(0.001)
+                if not link.is_empty:
+                    break
+            worker.is_silent = True
+            assert not pool.drain_worker(name, True).is_empty
+            await asyncio.sleep(2 * SETTINGS.run_lease_ms / 1000)
+            assert pool.drain_worker(name, True).is_empty
+
+    run_virtual(main())
+
+
 def test_an_abandoned_start_is_not_sent_when_its_record_is_committed() -> None:
     """Guards against a start that is sent although the task runs elsewhere by then."""
 
