--- a/src/bergamotgap/domain/amounts.py
+++ b/src/bergamotgap/domain/amounts.py
@@ -65,6 +65,14 @@
             and self.gpus >= other.gpus
         )
 
+    def can_spare(self, size: "Amount") -> bool:
+        """Return whether a surplus covers what there is of each dimension in `size`."""
+        return (
+            (not size.cpu or self.cpu >= size.cpu)
+            and (not size.memory_mb or self.memory_mb >= size.memory_mb)
+            and (not size.gpus or self.gpus >= size.gpus)
+        )
+
     def limit_to(self, present: "Amount") -> "Amount":
         """Return the amount without the dimensions of which nothing is present."""
         return Amount(
--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -284,7 +284,7 @@
     for host in hosts:
         size = Amount(*host.size)
         # The last worker stays, so that a pool can always run something.
-        if not surplus.covers(size) or workers <= max(1, demand.least_workers):
+        if not surplus.can_spare(size) or workers <= max(1, demand.least_workers):
             break
         surplus -= size
         workers -= 1
--- a/tests/test_pool_room.py
+++ b/tests/test_pool_room.py
@@ -328,3 +328,11 @@
     assert room.may_hold(long.size)
     room.record_misfit(StepSpec(count=1, cpu=1000, estimated_ms=1000))
     assert not room.may_hold(long.size)
+
+
+def test_a_shortage_of_accelerators_does_not_hold_hosts_without_any() -> None:
+    """Guards against a pool that waits for accelerators and keeps all idle hosts."""
+    idle = tuple(IdleHost(f"i{n}", f"w{n}", HOST, 10_000) for n in range(2))
+    other = PoolDemand("b", Amount(64_000), NOTHING, NOTHING, NOTHING, 0, ())
+    short = build_demand(Amount(20_000, 200_000, 4), workers=3, idle=idle)
+    assert {move.source for move in plan_moves([short, other], [], "misc")} == {"a"}
