--- a/src/bergamotgap/pools/host_mover.py
+++ b/src/bergamotgap/pools/host_mover.py
@@ -162,7 +162,13 @@
     async def _drain_preempted_host(
         self, move: Move, hosts: Mapping[str, HostInfo]
     ) -> None:
-        call = DrainCall(move.source, move.worker_id, may_stop=False, stops_late=True)
+        call = DrainCall(
+            move.source,
+            move.worker_id,
+            may_stop=False,
+            stops_late=True,
+            host=move.host,
+        )
         reply = await self._call_owner(call)
         if isinstance(reply, DrainReply) and reply.is_empty:
             del self._preemptions[move.host]
@@ -305,7 +311,7 @@
     async def _order_move(self, move: Move, hosts: Mapping[str, HostInfo]) -> None:
         if move.worker_id:
             reply = await self._call_owner(
-                DrainCall(move.source, move.worker_id, may_stop=False)
+                DrainCall(move.source, move.worker_id, may_stop=False, host=move.host)
             )
             if not isinstance(reply, DrainReply) or not reply.is_empty:
                 return
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -259,15 +259,16 @@
         may_stop: bool,
         stops_late: bool = False,
         absent: Collection[str] = (),
+        host: str = "",
     ) -> DrainReply:
         """Drain a worker as far as its tasks allow; reply whether it is empty.
 
         `may_stop` permits stopping long-running tasks within the limit of their step.
         `stops_late` stops runs of jobs that can't be on time; they start again
         elsewhere. With neither, only an empty worker is drained. The hosts in `absent`
-        are not up.
+        are not up. An unknown worker is looked for by its `host`.
         """
-        return self._drains.drain(worker_id, may_stop, stops_late, absent)
+        return self._drains.drain(worker_id, may_stop, stops_late, absent, host)
 
     def prepare_maintenance(self, call: MaintenanceCall) -> MaintenanceReply:
         """Prepare hosts for their maintenance; reply what their workers run."""
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -304,7 +304,11 @@
                 return WaitingCountReply(pool.job_table.count_waiting_jobs(call.queue))
             case DrainCall():
                 return pool.drain_worker(
-                    call.worker_id, call.may_stop, call.stops_late, call.absent
+                    call.worker_id,
+                    call.may_stop,
+                    call.stops_late,
+                    call.absent,
+                    call.host,
                 )
             case MaintenanceCall():
                 return pool.prepare_maintenance(call)
--- a/src/bergamotgap/pools/wave_runner.py
+++ b/src/bergamotgap/pools/wave_runner.py
@@ -258,6 +258,7 @@
                 may_stop=True,
                 stops_late=info.host in self.plan.stops,
                 absent=list_absent_hosts(view.hosts, info.pool),
+                host=info.host,
             )
         )
         if not isinstance(reply, DrainReply):
--- a/src/bergamotgap/pools/worker_drains.py
+++ b/src/bergamotgap/pools/worker_drains.py
@@ -61,10 +61,11 @@
         may_stop: bool,
         stops_late: bool,
         absent: Collection[str] = (),
+        host: str = "",
     ) -> DrainReply:
         """Drain a worker as far as its tasks allow; reply whether it is empty."""
         self._record_absent(absent)
-        link = self._run_tracker.links.get(worker_id)
+        link = self._run_tracker.links.get(worker_id) or self._find_link(host)
         if link is None:
             # A running worker that is not listed yet is listed within this time.
             return DrainReply(self._measure_owned_ms() > self._settings.run_lease_ms)
@@ -85,6 +86,15 @@
                 self._run_tracker.stop_run(live.task)
         return DrainReply(link.is_empty)
 
+    def _find_link(self, host: str) -> WorkerLink | None:
+        """Return the link to a listed worker on a host, one with runs if any."""
+        links = [
+            link
+            for link in self._run_tracker.links.values()
+            if host and link.is_listed and link.info.host == host
+        ]
+        return max(links, key=lambda link: not link.is_empty, default=None)
+
     def prepare(self, call: MaintenanceCall) -> MaintenanceReply:
         """Keep work off the named hosts by their turn; reply what they still run."""
         self._record_absent(call.absent)
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -65,7 +65,8 @@
 
     Without `may_stop`, only a worker that runs nothing is released. With `stops_late`,
     runs of jobs that can no longer finish on time are stopped. `absent` names hosts of
-    the pool that are not up.
+    the pool that are not up. If the owner does not know the worker, what runs on `host`
+    is drained.
     """
 
     pool: str
@@ -73,6 +74,7 @@
     may_stop: bool
     stops_late: bool = False
     absent: tuple[str, ...] = ()
+    host: str = ""
 
 
 class MaintenanceCall(msgspec.Struct, frozen=True, tag="upkeep_ahead"):
--- a/tests/test_pool_takeover.py
+++ b/tests/test_pool_takeover.py
@@ -321,6 +321,20 @@
     run_virtual(main())
 
 
+def test_a_host_with_a_new_worker_is_not_empty_for_the_old_one() -> None:
+    """Guards against maintenance that ends runs, as the host's worker has a new id."""
+
+    async def main() -> None:
+        scene = Scene(workers=1, run_s=30)
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(2 * SETTINGS.run_lease_ms / 1000)
+            assert not pool.drain_worker("w0", True, host="m1").is_empty
+            assert pool.drain_worker("w0", True, host="m2").is_empty
+
+    run_virtual(main())
+
+
 def test_an_abandoned_start_is_not_sent_when_its_record_is_committed() -> None:
     """Guards against a start that is sent although the task runs elsewhere by then."""
 
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -334,7 +334,7 @@
         pool = self.pools[call.pool]
         if isinstance(call, DrainCall):
             return pool.drain_worker(
-                call.worker_id, call.may_stop, call.stops_late, call.absent
+                call.worker_id, call.may_stop, call.stops_late, call.absent, call.host
             )
         if isinstance(call, DemandCall):
             return pool.measure_demand(call.must_yield)
