--- a/src/bergamotgap/pools/worker_drains.py
+++ b/src/bergamotgap/pools/worker_drains.py
@@ -1,5 +1,6 @@
 """Drains of a pool's workers, and preparation for the maintenance of their hosts."""
 
+from collections import defaultdict
 from collections.abc import Collection
 
 from bergamotgap.adapters.logs import get_logger
@@ -102,15 +103,19 @@
         self._notice_until_ms = self._clock.monotonic_ms() + NOTICE_TTL_MS
         self.apply_notice()
         links = self._run_tracker.links
-        by_host = {link.info.host: link for link in links.values() if link.is_listed}
+        # A host whose worker has a new id has two listed workers for a time.
+        by_host: defaultdict[str, list[WorkerLink]] = defaultdict(list)
+        for link in links.values():
+            if link.is_listed:
+                by_host[link.info.host].append(link)
         for host in call.vacates:
-            if host in by_host:
-                self._move_long_tasks(by_host[host])
+            for link in by_host[host]:
+                self._move_long_tasks(link)
         return MaintenanceReply(
             tuple(
-                self._measure_load(by_host[host])
+                self._measure_load(link)
                 for host in call.turns_ms
-                if host in by_host
+                for link in by_host[host]
             )
         )
 
--- a/tests/test_pool_takeover.py
+++ b/tests/test_pool_takeover.py
@@ -5,6 +5,7 @@
 
 from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from bergamotgap.ports.fleet import StartOrder
+from bergamotgap.ports.pool_peer import MaintenanceCall
 from stand_ins.pools import SETTINGS, FakeRun, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import PARTITION, Scene
@@ -331,6 +332,11 @@
             await asyncio.sleep(2 * SETTINGS.run_lease_ms / 1000)
             assert not pool.drain_worker("w0", True, host="m1").is_empty
             assert pool.drain_worker("w0", True, host="m2").is_empty
+            former = dataclasses.replace(scene.infos["w1"], worker_id="w0")
+            pool.update_workers({"w0": former, **scene.infos})
+            call = MaintenanceCall("previews", {"m1": 1000}, 0, (), ())
+            loads = pool.prepare_maintenance(call).loads
+            assert {load.worker_id for load in loads} == {"w0", "w1"}
 
     run_virtual(main())
 
