--- a/src/bergamotgap/pools/wave_runner.py
+++ b/src/bergamotgap/pools/wave_runner.py
@@ -256,7 +256,9 @@
                 info.pool,
                 info.worker_id,
                 may_stop=True,
+                stops_late=info.host in self.plan.stops,
                 absent=list_absent_hosts(view.hosts, info.pool),
+                host=info.host,
             )
         )
         if not isinstance(reply, DrainReply):
--- a/src/bergamotgap/pools/worker_drains.py
+++ b/src/bergamotgap/pools/worker_drains.py
@@ -1,5 +1,6 @@
 """Drains of a pool's workers, and preparation for the maintenance of their hosts."""
 
+from collections import defaultdict
 from collections.abc import Collection
 
 from bergamotgap.adapters.logs import get_logger
@@ -61,10 +62,11 @@
         may_stop: bool,
         stops_late: bool,
         absent: Collection[str] = (),
+        host: str = "",
     ) -> DrainReply:
         """Drain a worker as far as its tasks allow; reply whether it is empty."""
         self._record_absent(absent)
-        link = self._run_tracker.links.get(worker_id)
+        link = self._run_tracker.links.get(worker_id) or self._find_link(host)
         if link is None:
             # A running worker that is not listed yet is listed within this time.
             return DrainReply(self._measure_owned_ms() > self._settings.run_lease_ms)
@@ -85,6 +87,15 @@
                 self._run_tracker.stop_run(live.task)
         return DrainReply(link.is_empty)
 
+    def _find_link(self, host: str) -> WorkerLink | None:
+        """Return the link to a listed worker on a host, one with runs if any."""
+        links = [
+            link
+            for link in self._run_tracker.links.values()
+            if host and link.is_listed and link.info.host == host
+        ]
+        return max(links, key=lambda link: not link.is_empty, default=None)
+
     def prepare(self, call: MaintenanceCall) -> MaintenanceReply:
         """Keep work off the named hosts by their turn; reply what they still run."""
         self._record_absent(call.absent)
@@ -92,15 +103,19 @@
         self._notice_until_ms = self._clock.monotonic_ms() + NOTICE_TTL_MS
         self.apply_notice()
         links = self._run_tracker.links
-        by_host = {link.info.host: link for link in links.values() if link.is_listed}
+        # A host whose worker has a new id has two listed workers for a time.
+        by_host: defaultdict[str, list[WorkerLink]] = defaultdict(list)
+        for link in links.values():
+            if link.is_listed:
+                by_host[link.info.host].append(link)
         for host in call.vacates:
-            if host in by_host:
-                self._move_long_tasks(by_host[host])
+            for link in by_host[host]:
+                self._move_long_tasks(link)
         return MaintenanceReply(
             tuple(
-                self._measure_load(by_host[host])
+                self._measure_load(link)
                 for host in call.turns_ms
-                if host in by_host
+                for link in by_host[host]
             )
         )
 
