--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -135,6 +135,11 @@
         """Whether a task was ever started."""
         return any(task.run for task in self.tasks)
 
+    @property
+    def waiting_tasks(self) -> int:
+        """The number of tasks that wait to be started."""
+        return sum(task.phase is TaskPhase.WAITING for task in self.tasks)
+
     def require_trial(self) -> None:
         """Let the waiting tasks start on a worker apart from other jobs only."""
         for task in self.tasks:
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -3,9 +3,9 @@
 import dataclasses
 
 from bergamotgap.adapters.logs import get_logger
-from bergamotgap.domain.amounts import NOTHING, Amount, total
+from bergamotgap.domain.amounts import total
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.customer_shares import EXCESS, ShareUse, classify_work
+from bergamotgap.domain.customer_shares import EXCESS, ShareUse
 from bergamotgap.domain.early_refusal import (
     Inflow,
     KnownQueue,
@@ -14,8 +14,8 @@
     check_job,
     estimate_times,
 )
-from bergamotgap.domain.fleet import JobSpec, Queue, Size, StepSpec
-from bergamotgap.domain.job_state import Job, TaskPhase
+from bergamotgap.domain.fleet import JobSpec
+from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.offered_load import MAX_PERIOD_MS
 from bergamotgap.domain.placement_explanation import (
     AdmissionExplanation,
@@ -28,16 +28,14 @@
 )
 from bergamotgap.domain.task_placement import (
     LATE,
-    LATE_FACTOR,
     ON_TIME,
     TOO_LATE,
-    JobRank,
 )
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import JobTable, NotStored
+from bergamotgap.pools.queue_reader import QueueReader, add_sizes
 from bergamotgap.pools.run_tracker import RunTracker
-from bergamotgap.pools.worker_link import WorkerLink
 
 # After this time an owner knows its workers and has learned what runs there.
 SETTLING_MS = 2000
@@ -93,7 +91,9 @@
         self._job_table = job_table
         self._run_tracker = run_tracker
         self._customer_accounts = customer_accounts
-        self._customer_usage = customer_usage
+        self._reader = QueueReader(
+            job_table, run_tracker, customer_accounts, customer_usage
+        )
         self._move_duration_ms = move_duration_ms
         self._clock = clock
         # 1/1000 cores that arrive, and that are free elsewhere, as of a time (ms).
@@ -189,7 +189,9 @@
             return None
         work = total(
             [
-                measure_work(step.size, self._expect_ms(spec.queue, step), step.count)
+                measure_work(
+                    step.size, self._reader.expect_ms(spec.queue, step), step.count
+                )
                 for step in spec.steps
             ]
         )
@@ -198,7 +200,9 @@
         if rank[0] == TOO_LATE:
             # Its path alone is too long, which the check finds.
             rank = (LATE, queue.urgency, False, path_ms)
-        new = self._describe_job(job, queue, rank, work, now_ms, reading.share_use)
+        new = self._reader.describe_job(
+            job, queue, rank, work, now_ms, reading.share_use
+        )
         if new.on_time_ms <= 0:
             return None
         age_ms = now_ms - reading.read_ms
@@ -272,124 +276,20 @@
         use = self._customer_accounts.measure_use(
             self._run_tracker.links.values(), links
         )
-        capacity = _add_sizes([link.info.capacity for link in links])
-        runs, held = self._measure_runs(links, now_ms)
+        capacity = add_sizes([link.info.capacity for link in links])
+        runs, held = self._reader.measure_runs(links, now_ms)
         hosts = measure_hosts(
             capacity, held, self._arriving_cpu, self._free_cpu, self._move_duration_ms
         )
         if hosts is None:
             return QueueReading(None, use, now_ms)
         inflow = self._inflow.measure(now_ms)
-        waiting, held_back = self._list_waiting(now_ms, use)
+        waiting, held_back = self._reader.list_waiting(now_ms, use)
         queue = KnownQueue(Room(hosts, runs), inflow, waiting, held_back)
         for added in self._list_accepted().values():
             queue.add(added)
         return QueueReading(queue, use, now_ms)
 
-    def _measure_runs(
-        self, links: list[WorkerLink], now_ms: int
-    ) -> tuple[list[tuple[float, Size]], Size]:
-        """Return the time left of each run, and what long-running tasks hold."""
-        runs, held = [], [Size()]
-        for link in links:
-            for live in link.runs.values():
-                job = self._job_table.jobs.get(live.task.task_id.job)
-                step = live.task.step
-                if step.is_long_running:
-                    held.append(step.size)
-                elif job is not None and not live.is_stop_requested:
-                    passed_ms = now_ms - live.task.started_ms
-                    left_ms = self._run_tracker.estimates.remaining_ms(
-                        job.spec.queue, step, passed_ms
-                    )
-                    runs.append((left_ms, step.size))
-        return runs, _add_sizes(held)
-
-    def _list_waiting(
-        self, now_ms: int, use: ShareUse | None
-    ) -> tuple[list[QueuedJob], list[QueuedJob]]:
-        """Return the waiting work that may start, and what caps hold back.
-
-        Work beyond a cap leaves room idle, so it must not delay other customers.
-        """
-        pending = self._job_table.pending.values()
-        startable = self._customer_usage.limit_demand(pending)
-        startable_ids = {job.job_id for job in startable.jobs}
-        waiting, held_back = [], []
-        for job in pending:
-            described = self._describe_waiting_job(job, now_ms, use)
-            if described is None:
-                continue
-            if job.job_id not in startable_ids:
-                held_back.append(described)
-                continue
-            tasks = startable.tasks.get(job.job_id)
-            share = 1.0 if tasks is None else tasks / _count_waiting_tasks(job)
-            if share < 1:
-                may_start = described.work.scale(share)
-                rest = described.work - may_start
-                held_back.append(dataclasses.replace(described, work=rest))
-                described = dataclasses.replace(described, work=may_start)
-            waiting.append(described)
-        return waiting, held_back
-
-    def _describe_waiting_job(
-        self, job: Job, now_ms: int, use: ShareUse | None
-    ) -> QueuedJob | None:
-        """Return a pending job; None if it holds up no other for a known time.
-
-        Suspected tasks wait for a worker of their own, whatever room there is.
-        """
-        queue = self._run_tracker.get_queue(job)
-        if queue is None or job.is_long_running:
-            return None
-        rank = self._run_tracker.rank_job(job, now_ms)
-        if rank[0] == TOO_LATE:
-            return None
-        work = NOTHING
-        for step in job.list_ready_steps():
-            if step.has_suspects:
-                continue
-            run_ms = self._expect_ms(job.spec.queue, step.spec)
-            count = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
-            work += measure_work(step.spec.size, run_ms, count)
-        if not work.has_shortage():
-            return None
-        return self._describe_job(job, queue, rank, work, now_ms, use)
-
-    def _describe_job(
-        self,
-        job: Job,
-        queue: Queue,
-        rank: JobRank,
-        work: Amount,
-        now_ms: int,
-        use: ShareUse | None,
-    ) -> QueuedJob:
-        """Return a job that is not too late, with its place in the queue."""
-        path = self._run_tracker.run_times.expect_path(job)
-        objective_ms = queue.stretch * path.total_ms + queue.target_latency_ms
-        passed_ms = now_ms - job.arrived_ms
-        customer = job.spec.customer
-        is_new = job.job_id not in self._job_table.jobs
-        work_class = rank[0] if use is None else classify_work(job, rank)
-        if use and is_new and self._customer_accounts.would_exceed(job.spec):
-            work_class = EXCESS
-        return QueuedJob(
-            customer,
-            work,
-            work_class,
-            use is not None and use.is_over_share(customer),
-            rank,
-            (LATE, queue.urgency, False, path.remaining_ms),
-            objective_ms - passed_ms,
-            LATE_FACTOR * objective_ms - passed_ms,
-        )
-
-    def _expect_ms(self, queue: str, step: StepSpec) -> float:
-        """Return the expected run time of a task."""
-        return self._run_tracker.estimates.expect_ms(queue, step)
-
 
 def _has_estimate(spec: JobSpec) -> bool:
     """Return whether the end of a job can be estimated from its submission."""
@@ -398,19 +298,5 @@
     return all(step.estimated_ms and not step.is_long_running for step in spec.steps)
 
 
-def _count_waiting_tasks(job: Job) -> int:
-    return sum(
-        task.phase is TaskPhase.WAITING
-        for step in job.list_ready_steps()
-        for task in step.tasks
-    )
-
-
-def _add_sizes(sizes: list[Size]) -> Size:
-    return (
-        Size(*(sum(parts) for parts in zip(*sizes, strict=True))) if sizes else Size()
-    )
-
-
 def _round(value: float) -> int:
     return int(min(value, 1e9))
--- a/src/bergamotgap/pools/customer_usage.py
+++ b/src/bergamotgap/pools/customer_usage.py
@@ -19,7 +19,7 @@
     permits_start,
 )
 from bergamotgap.domain.fleet import FleetConfig, Size
-from bergamotgap.domain.job_state import Job, StepOccurrence, TaskPhase
+from bergamotgap.domain.job_state import Job
 from bergamotgap.pools.customer_runs import (
     NO_SIZE,
     CustomerRuns,
@@ -325,7 +325,7 @@
                 if not step.spec.is_gang or self._can_ever_start(
                     job.spec.customer, size, members
                 ):
-                    add_size(sums, size, _count_waiting(step))
+                    add_size(sums, size, step.waiting_tasks)
         return waiting
 
     def limit_demand(self, jobs: Iterable[Job]) -> StartableWork:
@@ -360,7 +360,7 @@
         share = self.measure_share(customer)
         startable = 0
         for step in job.list_ready_steps():
-            waiting = _count_waiting(step)
+            waiting = step.waiting_tasks
             size = step.spec.size
             fitting = count_fitting(used, size, share, cap, waiting)
             if step.spec.is_gang and fitting < waiting:
@@ -373,7 +373,3 @@
             add_size(used, size, fitting)
             startable += fitting
         return startable
-
-
-def _count_waiting(step: StepOccurrence) -> int:
-    return sum(task.phase is TaskPhase.WAITING for task in step.tasks)
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -8,7 +8,7 @@
 
 from bergamotgap.domain.amounts import Amount, total
 from bergamotgap.domain.fleet import Size, StepSpec
-from bergamotgap.domain.job_state import Job, StepOccurrence, Task, TaskPhase
+from bergamotgap.domain.job_state import Job, StepOccurrence, Task
 from bergamotgap.domain.pool_room import (
     WaitingTasks,
     count_whole_hosts,
@@ -288,8 +288,7 @@
     """Return the ready steps with waiting tasks, at most `limit` tasks in all."""
     left = sys.maxsize if limit is None else limit
     for step in job.list_ready_steps():
-        waiting = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
-        count = min(left, waiting)
+        count = min(left, step.waiting_tasks)
         left -= count
         if count:
             yield step, count
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -114,7 +114,7 @@
             if step.has_suspects:
                 has_suspects = True
                 continue
-            waiting = sum(task.phase is TaskPhase.WAITING for task in step.tasks)
+            waiting = step.waiting_tasks
             started = 0
             if waiting and self._free_room.may_hold(step.spec.size):
                 started = self._place_step(job, step, waiting)
