--- a/tests/cap_scene.py
+++ b/tests/cap_scene.py
@@ -241,3 +241,15 @@
     return dataclasses.replace(
         config, version=config.version + 1, customers=changed.customers
     )
+
+
+async def submit_stream(
+    scene: CapScene, pool: str, duration_s: float, jobs_per_s: int = 100
+) -> None:
+    """Submit jobs of one task of one core, which takes 0.3 s, for a time."""
+    waits = []
+    for number in range(int(duration_s * jobs_per_s)):
+        job_id = f"{pool}-{len(scene.jobs)}-{number}"
+        waits.append(asyncio.create_task(scene.submit(pool, job_id)))
+        await asyncio.sleep(1 / jobs_per_s)
+    await asyncio.gather(*waits)
--- a/tests/test_host_controller.py
+++ b/tests/test_host_controller.py
@@ -1,10 +1,13 @@
 """The host controller orders maintenance once, and only on hosts that are empty."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 from bergamotgap.domain.fleet import FleetConfig, HostInfo, Wave
 from bergamotgap.domain.maintenance_plan import IN_MAINTENANCE, UP
+from bergamotgap.platform.node import open_resetting_socket
 from bergamotgap.pools.fleet_view import DocumentFormat, FleetView
 from bergamotgap.pools.host_controller import HostController
 from bergamotgap.pools.journal import Journal
@@ -308,3 +311,14 @@
         assert scene.reports[-1]
 
     run_virtual(main())
+
+
+async def test_an_order_to_a_host_is_dropped_when_its_socket_closes() -> None:
+    """Guards against a delayed order that arrives after one from a later controller.
+
+    A network partition holds the order up; closing the socket must discard it.
+    """
+    address = (socket.AF_INET, socket.SOCK_STREAM, 0, "", ("127.0.0.1", 1))
+    with open_resetting_socket(address) as opened:
+        value = opened.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+    assert struct.unpack("ii", value) == (1, 0)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,7 +2,6 @@
 
 import json
 import re
-import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -24,7 +23,6 @@
 )
 from bergamotgap.platform.ingress import Ingress
 from bergamotgap.platform.machines import MachineServiceClient
-from bergamotgap.platform.node import open_resetting_socket
 from bergamotgap.platform.settings import (
     PlatformSettingsError,
     build_pool_settings,
@@ -393,14 +391,3 @@
         headers["Host"] = "other.example"
         async with session.request(method, url, json=body, headers=headers) as reply:
             assert reply.status == 404
-
-
-async def test_an_order_to_a_host_is_dropped_when_its_socket_closes() -> None:
-    """Guards against a delayed order that arrives after one from a later controller.
-
-    A network partition holds the order up; closing the socket must discard it.
-    """
-    address = (socket.AF_INET, socket.SOCK_STREAM, 0, "", ("127.0.0.1", 1))
-    with open_resetting_socket(address) as opened:
-        value = opened.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
-    assert struct.unpack("ii", value) == (1, 0)
