--- a/src/bergamotgap/pools/ownership_balance.py
+++ b/src/bergamotgap/pools/ownership_balance.py
@@ -13,9 +13,10 @@
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import StoreError
 
-# A pool changes its owner for a node with at least this many times as much of a core
-# for each of its pools. Nodes of one size that differ by one pool keep theirs.
-STRONGER_FACTOR = 2.0
+# A pool changes its owner for a node with more than this many times as much of a core
+# for each of its pools: from a node with two pools to an equal one with none, which two
+# hand-overs at one time can leave behind, but not for a difference of one pool.
+STRONGER_FACTOR = 1.5
 CHECK_INTERVAL_MS = 500
 # A pool is kept for this long, so that pools don't change hands again and again.
 MIN_OWNED_MS = 2000
--- a/tests/test_ownership_balance.py
+++ b/tests/test_ownership_balance.py
@@ -27,9 +27,13 @@
         # The strong node has its share already.
         (WEAK, (WEAK, STRONG), {"a": WEAK, "b": STRONG, "c": STRONG}, None),
         (STRONG, (WEAK, STRONG), {"a": STRONG, "b": STRONG}, None),
-        # Nodes of one size that differ by one pool, and by three.
+        # Nodes of one size that differ by one pool, and by more.
         ("x/1/1000", ("x/1/1000", "y/1/1000"), {"a": "x/1/1000"}, None),
-        ("x/1/1000", ("x/1/1000", "y/1/1000"), dict.fromkeys("ab", "x/1/1000"), None),
+        ("x/1/1000", ("x/1/1000", "y/1/1000"), dict.fromkeys("ab", "x/1/1000"), "a"),
+        (
+            *("x/1/1000", ("x/1/1000", "y/1/1000")),
+            *({**dict.fromkeys("ab", "x/1/1000"), "c": "y/1/1000"}, None),
+        ),
         ("x/1/1000", ("x/1/1000", "y/1/1000"), dict.fromkeys("abc", "x/1/1000"), "a"),
         (WEAK, (WEAK,), {"a": WEAK}, None),
         (WEAK, (), {"a": WEAK}, None),
