--- a/src/bergamotgap/platform/settings.py
+++ b/src/bergamotgap/platform/settings.py
@@ -9,6 +9,8 @@
 SETTINGS_VARIABLE = "BERGAMOTGAP_CONFIG"
 # Port of `metrics` in deploy/system.toml; the usual port of metrics exporters.
 METRICS_PORT = 9464
+# The part of the rules that names callers who compete for too little room.
+PRESSURE_CONTRACT = "pressure"
 
 
 class PlatformSettingsError(Exception):
@@ -61,6 +63,8 @@
     cloud_api: _CloudApi = msgspec.field(default_factory=_CloudApi)
     advice: str | None = None
     heartbeat_interval_ms: int = 1500
+    # The parts of the platform's rules that are in force.
+    contracts: tuple[str, ...] = ()
 
 
 def read_settings_file(path: Path) -> SettingsFile:
@@ -97,6 +101,7 @@
         move_duration_ms=int(bounds.move_s * 1000),
         maintenance_ms=int(bounds.maintenance_s * 1000),
         share_window_ms=int(bounds.quota_window_s * 1000),
+        refuses_early=PRESSURE_CONTRACT in settings_file.contracts,
         heartbeat_interval_ms=settings_file.heartbeat_interval_ms,
         host_orders_per_s=settings_file.cloud_api.duties_per_s,
     )
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -36,6 +36,7 @@
 from bergamotgap.pools.job_table import JobTable, NotStored
 from bergamotgap.pools.queue_reader import QueueReader, add_sizes
 from bergamotgap.pools.run_tracker import RunTracker
+from bergamotgap.pools.settings import PoolSettings
 
 # After this time an owner knows its workers and has learned what runs there.
 SETTLING_MS = 2000
@@ -84,7 +85,7 @@
         run_tracker: RunTracker,
         customer_accounts: CustomerAccounts,
         customer_usage: CustomerUsage,
-        move_duration_ms: int,
+        settings: PoolSettings,
         clock: Clock,
     ) -> None:
         self._pool = pool
@@ -94,7 +95,7 @@
         self._reader = QueueReader(
             job_table, run_tracker, customer_accounts, customer_usage
         )
-        self._move_duration_ms = move_duration_ms
+        self._settings = settings
         self._clock = clock
         # 1/1000 cores that arrive, and that are free elsewhere, as of a time (ms).
         self._arriving_cpu, self._free_cpu = 0, 0
@@ -173,6 +174,8 @@
 
     def _find_exemption(self, spec: JobSpec, now_ms: int) -> str:
         """Return why a job is accepted unchecked; empty if it is checked."""
+        if not self._settings.refuses_early:
+            return "not_enabled"
         if self._run_tracker.get_queue(Job(spec, now_ms)) is None:
             return "queue_not_known"
         if not self._may_refuse(now_ms):
@@ -279,7 +282,11 @@
         capacity = add_sizes([link.info.capacity for link in links])
         runs, held = self._reader.measure_runs(links, now_ms)
         hosts = measure_hosts(
-            capacity, held, self._arriving_cpu, self._free_cpu, self._move_duration_ms
+            capacity,
+            held,
+            self._arriving_cpu,
+            self._free_cpu,
+            self._settings.move_duration_ms,
         )
         if hosts is None:
             return QueueReading(None, use, now_ms)
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -152,7 +152,7 @@
             self.run_tracker,
             self.customer_accounts,
             self.customer_usage,
-            self._settings.move_duration_ms,
+            self._settings,
             self._clock,
         )
         self.job_table.check_admission = self.admission_check.check
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -30,6 +30,8 @@
     host_orders_per_s: float = 64.0
     # Time over which the jobs of a customer are counted against its weight.
     share_window_ms: int = 1000
+    # Whether jobs that can't be served while they have value are refused at once.
+    refuses_early: bool = False
     # Longer than a takeover of a pool, which takes about two member TTLs.
     lease_ms: int = 4000
     # How long an owner acts on one confirmation that it still is the owner. Two
--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -40,7 +40,7 @@
 CALL_LATENCY_S = 0.005
 # Time until a call without an answer fails.
 CALL_TIMEOUT_S = 0.5
-SETTINGS = PoolSettings("node", "dc-1", "", "", "10.0.0.1:7000", "")
+SETTINGS = PoolSettings("node", "dc-1", "", "", "10.0.0.1:7000", "", refuses_early=True)
 
 
 @dataclass
--- a/tests/test_admission_check.py
+++ b/tests/test_admission_check.py
@@ -29,7 +29,7 @@
     PoolCall,
     PoolReply,
 )
-from stand_ins.pools import CONFIG
+from stand_ins.pools import CONFIG, SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.customer_load import (
     Arrival,
@@ -387,3 +387,23 @@
     assert set(busy.reasons) == {RefusalReason.OVER_SHARE}
     on_time = busy.on_time.total() - busy.on_time["c0"]
     assert on_time >= 0.95 * calm.on_time.total()
+
+
+def test_nothing_is_refused_unless_the_settings_ask_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against callers of earlier deployments that are refused."""
+    settings = dataclasses.replace(SETTINGS, refuses_early=False)
+    monkeypatch.setattr("tests.pool_scene.SETTINGS", settings)
+
+    async def main() -> None:
+        scene = Scene(run_s=5)
+        async with scene.run_owner(1) as (pool, _):
+            pool.update_config(WITHOUT_CUSTOMERS)
+            await asyncio.sleep(3)
+            for number in range(200):
+                pool.admission_check.record_hosts(0, 0)
+                job = build_customer_job(f"j{number}", "c0")
+                assert isinstance(await pool.submit(job), Stored)
+
+    run_virtual(main())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -313,7 +313,9 @@
     conf = build_pool_settings(read_settings_file(path))
     assert conf.peer_address == "10.1.0.9:7060"
     assert (conf.run_lease_ms, conf.shutdown_grace_ms) == (3000, 4500)
-    assert conf.share_window_ms == 5000
+    assert (conf.share_window_ms, conf.refuses_early) == (5000, False)
+    path.write_text(json.dumps({**document, "contracts": ["sched", "pressure"]}))
+    assert build_pool_settings(read_settings_file(path)).refuses_early
     assert (conf.move_duration_ms, conf.log_parts, conf.heartbeat_interval_ms) == (
         *(2500, 8, 900),
     )
