--- a/src/bergamotgap/domain/customer_shares.py
+++ b/src/bergamotgap/domain/customer_shares.py
@@ -47,7 +47,7 @@
     def is_empty(self, customer: str, weight: float, now_ms: int) -> bool:
         """Return whether a job that arrives now would be in excess; takes no token."""
         if customer in self._restored_ms:
-            restored = CustomerBuckets()
+            restored = CustomerBuckets(self._window_ms)
             for arrived_ms in self._restored_ms[customer]:
                 restored.take(customer, weight, arrived_ms)
             return restored.is_empty(customer, weight, now_ms)
--- a/tests/test_admission_check.py
+++ b/tests/test_admission_check.py
@@ -6,31 +6,19 @@
 import msgspec
 import pytest
 
-from bergamotgap.domain.amounts import NOTHING, Amount
 from bergamotgap.domain.customers import Customer, build_customers
-from bergamotgap.domain.early_refusal import (
-    RefusalReason,
-)
+from bergamotgap.domain.early_refusal import RefusalReason
 from bergamotgap.domain.fleet import (
     FleetConfig,
-    HostInfo,
     JobPhase,
     JobSpec,
     Size,
     StepSpec,
 )
-from bergamotgap.pools.host_mover import HostMover
 from bergamotgap.pools.job_table import NotStored, Stored
 from bergamotgap.pools.pool import Pool
-from bergamotgap.ports.pool_peer import (
-    DemandCall,
-    DemandReply,
-    DrainReply,
-    PoolCall,
-    PoolReply,
-)
 from stand_ins.pools import CONFIG, SETTINGS
-from stand_ins.virtual_time import LoopClock, run_virtual
+from stand_ins.virtual_time import run_virtual
 from tests.customer_load import (
     Arrival,
     build_config,
@@ -39,7 +27,6 @@
     play_load,
 )
 from tests.pool_scene import Scene
-from tests.test_pool_moves import IDLE_HOSTS, FakeMachineService
 
 NAMES = [f"c{number}" for number in range(10)]
 WITH_CUSTOMERS = build_config(dict.fromkeys(NAMES, 2.0))
@@ -342,41 +329,6 @@
     run_virtual(main())
 
 
-def test_owners_are_told_which_hosts_can_arrive() -> None:
-    """Guards against refusals while hosts are on their way or free elsewhere."""
-    calls: list[DemandCall] = []
-
-    async def answer(call: PoolCall) -> PoolReply:
-        if not isinstance(call, DemandCall):
-            return DrainReply(False)
-        calls.append(call)
-        if call.pool == "late":
-            return DemandReply(
-                NOTHING, NOTHING, NOTHING, Amount(24_000), 3, IDLE_HOSTS[:1]
-            )
-        offered, used = Amount(16_000), Amount(8000)
-        return DemandReply(used, NOTHING, offered, used, 1, ())
-
-    async def main() -> None:
-        hosts = {
-            name: HostInfo(name, pool, "up", worker, "dc-1", 8000)
-            for name, pool, worker in (("m0", "late", "w0"), ("m1", "spare", ""))
-        }
-        config = FleetConfig(1, CONFIG.queues, ("late", "short", "spare"))
-        config = dataclasses.replace(config, spare_services=frozenset({"spare"}))
-        mover = HostMover(
-            FakeMachineService(), answer, lambda: True, 1, 1, 1500, LoopClock()
-        )
-        for _ in range(2):
-            await mover.run_round(config, hosts, set())
-        assert [call.arriving_cpu for call in calls[:2]] == [None, None]
-        told = {call.pool: (call.arriving_cpu, call.free_cpu) for call in calls[2:4]}
-        # The spare host was ordered to the short pool meanwhile.
-        assert told == {"late": (0, 8000), "short": (8000, 16_000)}
-
-    run_virtual(main())
-
-
 def test_only_excess_is_refused_in_a_burst_and_the_others_stay_on_time() -> None:
     """Guards against a burst because of which other customers' jobs are refused."""
     load = draw_load(5, NAMES[1:], 1.8, 6)
--- a/tests/test_explain_place_effects.py
+++ b/tests/test_explain_place_effects.py
@@ -139,6 +139,14 @@
     assert vars(asked) == vars(other)
 
 
+def test_restored_tokens_are_counted_by_the_window_of_the_settings() -> None:
+    """Guards against an excess that is foretold for a job which a take allows."""
+    buckets = CustomerBuckets(window_ms=5000)
+    buckets.restore([("acme", 1000), ("acme", 1100), ("acme", 1200)])
+    assert not buckets.is_empty("acme", 1.0, 1300)
+    assert buckets.take("acme", 1.0, 1300)
+
+
 @given(
     st.tuples(*[st.integers(0, 5)] * 3),
     st.tuples(*[st.integers(0, 5)] * 3),
--- a/tests/test_pool_moves.py
+++ b/tests/test_pool_moves.py
@@ -1,6 +1,7 @@
 """Moves of hosts between pools, with fixed replies of the pools' owners."""
 
 import asyncio
+import dataclasses
 
 from bergamotgap.domain.amounts import NOTHING, Amount
 from bergamotgap.domain.fleet import FleetConfig, HostInfo, Size
@@ -229,3 +230,38 @@
         assert {host for host, _ in machines.moves} <= set(scene.hosts)
 
     run_virtual(main())
+
+
+def test_owners_are_told_which_hosts_can_arrive() -> None:
+    """Guards against refusals while hosts are on their way or free elsewhere."""
+    calls: list[DemandCall] = []
+
+    async def answer(call: PoolCall) -> PoolReply:
+        if not isinstance(call, DemandCall):
+            return DrainReply(False)
+        calls.append(call)
+        if call.pool == "late":
+            return DemandReply(
+                NOTHING, NOTHING, NOTHING, Amount(24_000), 3, IDLE_HOSTS[:1]
+            )
+        offered, used = Amount(16_000), Amount(8000)
+        return DemandReply(used, NOTHING, offered, used, 1, ())
+
+    async def main() -> None:
+        hosts = {
+            name: HostInfo(name, pool, "up", worker, "dc-1", 8000)
+            for name, pool, worker in (("m0", "late", "w0"), ("m1", "spare", ""))
+        }
+        config = FleetConfig(1, CONFIG.queues, ("late", "short", "spare"))
+        config = dataclasses.replace(config, spare_services=frozenset({"spare"}))
+        mover = HostMover(
+            FakeMachineService(), answer, lambda: True, 1, 1, 1500, LoopClock()
+        )
+        for _ in range(2):
+            await mover.run_round(config, hosts, set())
+        assert [call.arriving_cpu for call in calls[:2]] == [None, None]
+        told = {call.pool: (call.arriving_cpu, call.free_cpu) for call in calls[2:4]}
+        # The spare host was ordered to the short pool meanwhile.
+        assert told == {"late": (0, 8000), "short": (8000, 16_000)}
+
+    run_virtual(main())
