--- a/src/bergamotgap/platform/explain.py
+++ b/src/bergamotgap/platform/explain.py
@@ -2,19 +2,17 @@
 
 import re
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import msgspec
 from aiohttp import web
 
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.customers import digest_key
 from bergamotgap.domain.fleet import FleetConfig, Queue
 from bergamotgap.domain.placement_explanation import PlacementExplanation
+from bergamotgap.platform.callers import Caller, identify_caller
 from bergamotgap.platform.documents import decode_job
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
 from bergamotgap.pools.requests import JobRequests, KeyRejected, OutcomeUnknown
-from bergamotgap.ports.pool_peer import KeyUse
 
 EXPLAIN_PATH = "/explain/place"
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
@@ -26,16 +24,6 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
 
-@dataclass(frozen=True)
-class _KeyState:
-    """What the node says about a key; `is_valid` also if none is needed."""
-
-    state: str
-    is_valid: bool
-    customer: str = ""
-    use: KeyUse | None = None
-
-
 def build_explain_handler(
     requests: JobRequests,
     get_config: Callable[[], FleetConfig | None],
@@ -65,39 +53,34 @@
             return _build_error(404, "no_such_queue", detail)
         rest = "" if name else path[len(queue.path_prefix) :]
         job_id = rest if JOB_ID_PATTERN.fullmatch(rest) else NO_JOB_ID
-        key = _check_key(request, config, queue, is_config_current())
+        key = request.headers.get(KEY_HEADER, "")
+        caller = identify_caller(config, queue, key)
+        key_state = _describe_key(caller, key, is_config_current())
+        customer = caller.customer if caller else ""
         try:
-            spec = decode_job(job_id, queue.name, body, clock.wall_ms(), key.customer)
+            spec = decode_job(job_id, queue.name, body, clock.wall_ms(), customer)
         except UnreadableDocumentError as error:
             return _build_error(400, "malformed_job", str(error))
         outcome: PlacementExplanation | KeyRejected | OutcomeUnknown | None = None
-        if key.is_valid:
-            outcome = await requests.explain(spec, queue, WAIT_MS, key.use)
-        return _build_answer(config, queue, key, outcome)
+        if caller is not None:
+            outcome = await requests.explain(spec, queue, WAIT_MS, caller.key)
+        return _build_answer(config, queue, key_state, outcome)
 
     return handle
 
 
-def _check_key(
-    request: web.BaseRequest, config: FleetConfig, queue: Queue, is_current: bool
-) -> _KeyState:
-    if config.customers is None or not config.needs_key(queue):
-        return _KeyState("not_needed", True)
-    key = request.headers.get(KEY_HEADER, "")
-    digest = digest_key(key)
-    customer = config.customers.find_by_digest(digest)
-    if customer is not None:
-        use = KeyUse(digest, config.version)
-        return _KeyState("known", True, customer.name, use)
+def _describe_key(caller: Caller | None, key: str, is_current: bool) -> str:
+    if caller is not None:
+        return "known" if caller.key else "not_needed"
     if not is_current:
-        return _KeyState("not_known_by_stale_configuration", False)
-    return _KeyState("unknown" if key else "missing", False)
+        return "not_known_by_stale_configuration"
+    return "unknown" if key else "missing"
 
 
 def _build_answer(
     config: FleetConfig,
     queue: Queue,
-    key: _KeyState,
+    key_state: str,
     outcome: PlacementExplanation | KeyRejected | OutcomeUnknown | None,
 ) -> web.Response:
     if isinstance(outcome, OutcomeUnknown):
@@ -108,7 +91,7 @@
         "queue": queue.name,
         "pool": queue.service,
         "configuration": config.version,
-        "key": "withdrawn" if is_withdrawn else key.state,
+        "key": "withdrawn" if is_withdrawn else key_state,
         "placement": outcome if isinstance(outcome, PlacementExplanation) else None,
     }
     return _build_json(200, answer)
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -1,7 +1,6 @@
 """HTTP servers of a fleet node for callers, readiness checks and metrics."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Self
 
 import msgspec
@@ -10,9 +9,9 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.metrics import Metrics, serve_metrics
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.customers import digest_key
 from bergamotgap.domain.early_refusal import RefusalReason
 from bergamotgap.domain.fleet import FleetConfig, Queue
+from bergamotgap.platform.callers import Caller, identify_caller
 from bergamotgap.platform.documents import decode_job
 from bergamotgap.platform.explain import (
     EXPLAIN_PATH,
@@ -33,7 +32,6 @@
     RequestOutcome,
     WaitingCount,
 )
-from bergamotgap.ports.pool_peer import KeyUse
 
 KEY_HEADER = "X-Key"
 DEADLINE_HEADER = "X-Request-Deadline"
@@ -47,14 +45,6 @@
 log = get_logger(__name__)
 
 
-@dataclass(frozen=True)
-class Caller:
-    """The customer that a call comes from, and its key; empty if none is needed."""
-
-    customer: str = ""
-    key: KeyUse | None = None
-
-
 class Ingress:
     """Serve callers' requests, readiness checks and metrics over HTTP.
 
@@ -151,12 +141,9 @@
         self, request: web.BaseRequest, config: FleetConfig, queue: Queue
     ) -> Caller | web.Response:
         """Return the caller, or the response to a caller without a valid key."""
-        if config.customers is None or not config.needs_key(queue):
-            return Caller()
-        digest = digest_key(request.headers.get(KEY_HEADER, ""))
-        customer = config.customers.find_by_digest(digest)
-        if customer is not None:
-            return Caller(customer.name, KeyUse(digest, config.version))
+        caller = identify_caller(config, queue, request.headers.get(KEY_HEADER, ""))
+        if caller is not None:
+            return caller
         is_current = self._is_config_current()
         log.warning(
             "key rejected",
