--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -243,6 +243,29 @@
         self.highest_token = token
         return None
 
+    def begin_poll(self, lease: Lease, acked_through: int) -> Refused | None:
+        """Apply the lease and the acknowledgement of a poll, unless it is refused."""
+        if refusal := self.check_token(lease.token):
+            return refusal
+        if lease.deadline_ms and lease.deadline_ms < self.now_ms():
+            return Refused("late", self.now_ms())
+        self.lease_end_s = max(self.lease_end_s, lease.deadline_ms / 1000)
+        self.ended = [row for row in self.ended if row.sequence > acked_through]
+        return None
+
+    def end_poll(self, lease: Lease) -> PollReply | Refused:
+        """Return the reply to a poll, unless a newer owner has polled meanwhile."""
+        if refusal := self.check_token(lease.token):
+            return refusal
+        running = tuple(
+            RunReport(
+                task, run.order.run, "", self.get_percent(run), self.tail_latency_ms
+            )
+            for task, run in self.running.items()
+        )
+        life_ms = self.info.incarnation_ms
+        return PollReply(self.now_ms(), life_ms, running, tuple(self.ended))
+
 
 class FakeOrders:
     """`WorkerOrders` that calls fake workers directly.
@@ -331,12 +354,8 @@
         worker = await self._contact_worker(info)
         if worker is None:
             return Unanswered(was_sent=True)
-        if refusal := worker.check_token(lease.token):
+        if refusal := worker.begin_poll(lease, acked_through):
             return refusal
-        if lease.deadline_ms and lease.deadline_ms < worker.now_ms():
-            return Refused("late", worker.now_ms())
-        worker.lease_end_s = max(worker.lease_end_s, lease.deadline_ms / 1000)
-        worker.ended = [row for row in worker.ended if row.sequence > acked_through]
         for _ in range(wait_ms // 10):
             worker.end_due_runs()
             if worker.ended:
@@ -344,16 +363,7 @@
             await asyncio.sleep(0.01)
         if worker.is_silent:
             return Unanswered(was_sent=True)
-        if refusal := worker.check_token(lease.token):
-            return refusal
-        running = tuple(
-            RunReport(
-                task, run.order.run, "", worker.get_percent(run), worker.tail_latency_ms
-            )
-            for task, run in worker.running.items()
-        )
-        life_ms = worker.info.incarnation_ms
-        return PollReply(worker.now_ms(), life_ms, running, tuple(worker.ended))
+        return worker.end_poll(lease)
 
 
 def build_worker(
--- a/tests/test_host_controller.py
+++ b/tests/test_host_controller.py
@@ -8,15 +8,12 @@
 from bergamotgap.domain.fleet import FleetConfig, HostInfo, Wave
 from bergamotgap.domain.maintenance_plan import IN_MAINTENANCE, UP
 from bergamotgap.platform.node import open_resetting_socket
-from bergamotgap.pools.fleet_view import DocumentFormat, FleetView
-from bergamotgap.pools.host_controller import HostController
-from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.requests import NoReply
-from bergamotgap.pools.wave_records import restore_wave_progress
-from bergamotgap.ports.fleet import Fence, MachineServiceUnavailableError
+from bergamotgap.ports.fleet import MachineServiceUnavailableError
 from bergamotgap.ports.pool_peer import DrainCall, DrainReply, PoolCall, PoolReply
-from stand_ins.pools import CONFIG, SETTINGS, FakeStore
+from stand_ins.pools import CONFIG, FakeStore
 from stand_ins.virtual_time import LoopClock, run_virtual
+from tests.controller_harness import build_fleet_view, run_host_controller
 
 PARTITION = ("keyed.jobs", 3)
 WAVE = Wave(1, ("m1", "m2"), 20_000, 2)
@@ -79,10 +76,7 @@
         self.reports: list[bool] = []
         self.is_confirmed = True
         self.is_empty: Callable[[str], bool] = lambda worker_id: True
-        documents = DocumentFormat(
-            "config", "wave/", _fail_if_called, _fail_if_called, _fail_if_called
-        )
-        self.fleet_view = FleetView(documents, self.clock)
+        self.fleet_view = build_fleet_view(self.clock)
         self.fleet_view.waves[1] = WAVE
         self.fleet_view.config = FleetConfig(1, CONFIG.queues, ("previews",))
 
@@ -97,31 +91,8 @@
 
     async def run_controller(self, token: int, duration_s: float) -> None:
         """Run a host controller for a time, then kill it."""
-        fence = Fence("@hosts", token, 0)
-        journal = Journal(self.store, *PARTITION, fence, self.clock, lambda: None)
-        newest = await self.store.read_newest_values(*PARTITION)
-        controller = HostController(
-            token,
-            0,
-            journal,
-            restore_wave_progress(newest.values, self.clock.monotonic_ms()),
-            self.machines,
-            self.fleet_view,
-            self.call_owner,
-            self.report_wave,
-            lambda: self.is_confirmed,
-            SETTINGS,
-            self.clock,
-        )
-        tasks = [asyncio.create_task(run()) for run in (journal.run, controller.run)]
-        await asyncio.sleep(duration_s)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def _fail_if_called(*_: object) -> None:  # type: ignore[misc]
-    raise AssertionError
+        async with run_host_controller(self, token, PARTITION):
+            await asyncio.sleep(duration_s)
 
 
 def test_recorded_maintenance_without_an_order_is_ordered_by_a_successor() -> None:
--- a/tests/test_room_of_owners.py
+++ b/tests/test_room_of_owners.py
@@ -83,6 +83,12 @@
     await asyncio.sleep(0.2)
 
 
+async def submit_turn(pool: Pool) -> None:
+    """Submit the short work of a turn."""
+    await submit(pool, "first", SHORT)
+    await submit(pool, "second", with_count(SHORT, 10))
+
+
 def test_long_running_tasks_that_wait_ask_for_the_hosts_that_they_fill() -> None:
     """Guards against a job of 24 large tasks that waits on one host for good."""
 
@@ -144,8 +150,7 @@
         scene = LargeScene(workers=2, run_s=9)
         async with scene.run_owner(1) as (pool, _):
             await asyncio.sleep(0.2)
-            await submit(pool, "first", SHORT)
-            await submit(pool, "second", with_count(SHORT, 10))
+            await submit_turn(pool)
             pool.measure_demand(False, has_spare_host)
             await submit(pool, "lasting", with_count(LASTING, 1))
             running = sum(scene.count_running("lasting").values())
@@ -165,8 +170,7 @@
         scene = LargeScene(workers=2, run_s=9)
         async with scene.run_owner(1) as (pool, _):
             await asyncio.sleep(0.2)
-            await submit(pool, "first", SHORT)
-            await submit(pool, "second", with_count(SHORT, 10))
+            await submit_turn(pool)
             pool.measure_demand(False, has_spare_host=True)
             await submit(pool, "lasting", with_count(LASTING, 1))
             assert sum(scene.count_running("lasting").values()) == 0
--- a/tests/wave_fakes.py
+++ b/tests/wave_fakes.py
@@ -13,14 +13,10 @@
     WorkerInfo,
 )
 from bergamotgap.ports.fleet import (
-    EndReport,
     Lease,
     OrderOutcome,
     OtherInstance,
     PollOutcome,
-    PollReply,
-    Refused,
-    RunReport,
     StartOrder,
     Unanswered,
 )
@@ -105,12 +101,8 @@
         assert isinstance(worker, WaveWorker)
         if info.service != worker.info.service:
             return OtherInstance()
-        if refusal := worker.check_token(lease.token):
+        if refusal := worker.begin_poll(lease, acked_through):
             return refusal
-        if lease.deadline_ms and lease.deadline_ms < worker.now_ms():
-            return Refused("late", worker.now_ms())
-        worker.lease_end_s = max(worker.lease_end_s, lease.deadline_ms / 1000)
-        worker.ended = [row for row in worker.ended if row.sequence > acked_through]
         until_s = asyncio.get_running_loop().time() + wait_ms / 1000
         while not worker.ended and not worker.is_silent:
             now_s = asyncio.get_running_loop().time()
@@ -127,14 +119,7 @@
         if worker.is_silent:
             await asyncio.sleep(0.5)
             return Unanswered(was_sent=True)
-        if refusal := worker.check_token(lease.token):
-            return refusal
-        running = tuple(
-            RunReport(task, run.order.run, "", worker.get_percent(run), 0)
-            for task, run in worker.running.items()
-        )
-        ended: tuple[EndReport, ...] = tuple(worker.ended)
-        return PollReply(worker.now_ms(), worker.info.incarnation_ms, running, ended)
+        return worker.end_poll(lease)
 
 
 class FakeMachines:
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -4,7 +4,11 @@
 import random
 from collections import defaultdict
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 
 from bergamotgap.domain.fleet import (
     FleetConfig,
@@ -16,15 +20,11 @@
     WorkerInfo,
     WorkerState,
 )
-from bergamotgap.pools.fleet_view import DocumentFormat, FleetView
 from bergamotgap.pools.host_controller import HostController
-from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.requests import NoReply
-from bergamotgap.pools.wave_records import restore_wave_progress
 from bergamotgap.ports.fleet import (
-    Fence,
     StartOrder,
 )
 from bergamotgap.ports.pool_peer import (
@@ -36,6 +36,7 @@
 )
 from stand_ins.pools import SETTINGS, FakeStore
 from stand_ins.virtual_time import LoopClock
+from tests.controller_harness import build_fleet_view, run_host_controller
 from tests.wave_fakes import (
     BURST_CORES,
     HOSTS,
@@ -116,8 +117,7 @@
             (*POOLS, SPARE),
             frozenset({SPARE}),
         )
-        documents = DocumentFormat("config", "wave/", *[_fail_if_called] * 3)
-        self.fleet_view = FleetView(documents, self.clock)
+        self.fleet_view = build_fleet_view(self.clock)
         self.fleet_view.config = self.config
 
     def _choose_run_s(self, order: StartOrder) -> float:
@@ -284,39 +284,10 @@
         for host in self.host_names[first : first + HOSTS_PER_RACK]:
             self.machines.crash(host, duration_s)
 
-    @asynccontextmanager
-    async def run_controller(self, token: int) -> AsyncIterator[HostController]:
+    def run_controller(self, token: int) -> AbstractAsyncContextManager[HostController]:
         """Run a host controller until the context ends, then kill it."""
-        fence = Fence("@hosts", token, 0)
-        journal = Journal(self.store, *HOSTS_PARTITION, fence, self.clock, lambda: None)
-        newest = await self.store.read_newest_values(*HOSTS_PARTITION)
-        controller = HostController(
-            token,
-            0,
-            journal,
-            restore_wave_progress(newest.values, self.clock.monotonic_ms()),
-            self.machines,
-            self.fleet_view,
-            self.call_owner,
-            self.report_wave,
-            lambda: self.is_confirmed,
-            SETTINGS,
-            self.clock,
-        )
-        tasks = [asyncio.create_task(run()) for run in (journal.run, controller.run)]
-        try:
-            yield controller
-        finally:
-            for task in tasks:
-                task.cancel()
-            results = await asyncio.gather(*tasks, return_exceptions=True)
-            errors = [r for r in results if isinstance(r, Exception)]
-            assert not errors, errors
+        return run_host_controller(self, token, HOSTS_PARTITION)
 
     def list_unfinished(self) -> list[str]:
         """Return the hosts of the wave that have not begun maintenance."""
         return [host for host in self.wave.hosts if host not in self.machines.begun]
-
-
-def _fail_if_called(*_: object) -> None:  # type: ignore[misc]
-    raise AssertionError
