--- a/src/bergamotgap/domain/amounts.py
+++ b/src/bergamotgap/domain/amounts.py
@@ -94,6 +94,13 @@
     )
 
 
+def measure_work(
+    size: tuple[int, int, int], duration_ms: float, count: int = 1
+) -> Amount:
+    """Return the work of tasks of one size that take this long."""
+    return Amount(*size).scale(count * duration_ms)
+
+
 def measure_share(amount: Amount, whole: Amount) -> float:
     """Return the greatest share over the dimensions; a whole below 1 counts as 1."""
     return max(
--- a/src/bergamotgap/domain/cap_grants.py
+++ b/src/bergamotgap/domain/cap_grants.py
@@ -138,18 +138,18 @@
         sequence: int,
         base: float,
         uses: Mapping[str, CustomerUse],
-    ) -> bool:
-        """Record the reply of an owner; return whether it was news."""
+    ) -> None:
+        """Record the reply of an owner, unless a later one is known."""
         if token > self.token:
             self.is_superseded = True
-            return False
+            return
         view = self.views.get(pool)
         if view is None or owner_token < max(
             view.owner_token, self._owner_tokens.get(pool, 0)
         ):
-            return False
+            return
         if owner_token == view.owner_token and sequence < view.sequence:
-            return False
+            return
         view.sent = [
             call
             for call in view.sent
@@ -157,7 +157,6 @@
         ]
         view.owner_token, view.sequence, view.has_answered = owner_token, sequence, True
         view.base, view.uses = base, uses
-        return True
 
     def build_call(
         self, pool: str, grants: Grants | None, permits: Iterable[str] = ()
--- a/src/bergamotgap/domain/early_refusal.py
+++ b/src/bergamotgap/domain/early_refusal.py
@@ -4,13 +4,12 @@
 import zlib
 from bisect import bisect_right
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
 from bergamotgap.domain.amounts import NOTHING, Amount, total
 from bergamotgap.domain.customer_shares import EXCESS
-from bergamotgap.domain.pool_sizes import PoolDemand, SpareHost
 from bergamotgap.domain.room_forecast import (
     MAX_TIME_MS,
     TIME_STEP_MS,
@@ -255,17 +254,3 @@
     delay_ms = OVER_SHARE_DELAY_MS if is_over_share else 0
     wait_ms = min(max(MIN_RETRY_MS, room_ms), MAX_TIME_MS)
     return int(wait_ms + spread + delay_ms)
-
-
-def measure_free_cpu(
-    demands: Sequence[PoolDemand], spare: Iterable[SpareHost]
-) -> dict[str, int]:
-    """Return the 1/1000 cores that each pool could get, all free hosts counted.
-
-    A host counts for every pool, since it is not known yet which one gets it.
-    """
-    idle = {
-        demand.pool: sum(host.size.cpu for host in demand.idle) for demand in demands
-    }
-    free = sum(host.size.cpu for host in spare) + sum(idle.values())
-    return {pool: free - own for pool, own in idle.items()}
--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -1,13 +1,13 @@
 """Data types of the fleet: queues, services, workers, hosts and multi-step jobs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
-from bergamotgap.domain.amounts import Amount, total
+from bergamotgap.domain.amounts import Amount, measure_work, total
 
 if TYPE_CHECKING:
     from bergamotgap.domain.customers import Customers
@@ -26,6 +26,11 @@
 NO_SIZE = Size()
 
 
+def sum_sizes(*sizes: Sequence[int]) -> Size:
+    """Return the sum of sizes."""
+    return Size(*(sum(parts) for parts in zip(NO_SIZE, *sizes, strict=True)))
+
+
 class TaskId(NamedTuple):
     """Identifies one task of one occurrence of a job."""
 
@@ -111,7 +116,7 @@
         """
         return total(
             [
-                Amount(*step.size).scale(step.count * expect_ms(step))
+                measure_work(step.size, expect_ms(step), step.count)
                 for step in self.steps
                 if not step.is_long_running
             ]
--- a/src/bergamotgap/domain/placement_explanation.py
+++ b/src/bergamotgap/domain/placement_explanation.py
@@ -200,9 +200,3 @@
         for reason, found in names.items()
     ]
     return tuple(sorted(groups, key=lambda group: (-group.count, group.reason)))
-
-
-def add_sizes(used: Size, size: Size, count: int) -> Size:
-    """Return a use with `count` more tasks of a size."""
-    added = (a + count * b for a, b in zip(used, size, strict=True))
-    return Size(*added)
--- a/src/bergamotgap/domain/pool_sizes.py
+++ b/src/bergamotgap/domain/pool_sizes.py
@@ -187,6 +187,20 @@
     return sorted(donors, key=lambda donor: labels.isdisjoint(donor.labels))
 
 
+def measure_free_cpu(
+    demands: Sequence[PoolDemand], spare: Iterable[SpareHost]
+) -> dict[str, int]:
+    """Return the 1/1000 cores that each pool could get, all free hosts counted.
+
+    A host counts for every pool, since it is not known yet which one gets it.
+    """
+    idle = {
+        demand.pool: sum(host.size.cpu for host in demand.idle) for demand in demands
+    }
+    free = sum(host.size.cpu for host in spare) + sum(idle.values())
+    return {pool: free - own for pool, own in idle.items()}
+
+
 def list_short_pools(demands: Iterable[PoolDemand], moves: Iterable[Move]) -> set[str]:
     """Return the short pools to which neither a planned move nor a host is coming.
 
--- a/src/bergamotgap/domain/room_forecast.py
+++ b/src/bergamotgap/domain/room_forecast.py
@@ -13,11 +13,6 @@
 TIME_STEP_MS = 10
 
 
-def measure_work(size: Size, duration_ms: float, count: int = 1) -> Amount:
-    """Return the work of tasks of this size that take this long."""
-    return Amount(*size).scale(count * duration_ms)
-
-
 @dataclass(frozen=True)
 class Hosts:
     """Capacity of a pool's hosts now, and with those that can arrive in `lead_ms`.
--- a/src/bergamotgap/domain/run_time_estimates.py
+++ b/src/bergamotgap/domain/run_time_estimates.py
@@ -195,16 +195,20 @@
         built = state.built_shapes.get(shape)
         if built is not None:
             return built
-        if state.built_total is None:
-            state.built_total = _combine(state.total, DECLARED, 0, self._now_ms)
+        built_total = self._build_total(state)
         histogram = state.shapes.get(shape)
         if histogram is None:
-            return state.built_total
+            return built_total
         prior_runs = _weigh_other_shapes(state.total, histogram, self._now_ms)
-        built = _combine(histogram, state.built_total, prior_runs, self._now_ms)
+        built = _combine(histogram, built_total, prior_runs, self._now_ms)
         state.built_shapes[shape] = built
         return built
 
+    def _build_total(self, state: _QueueRuns) -> Distribution:
+        if state.built_total is None:
+            state.built_total = _combine(state.total, DECLARED, 0, self._now_ms)
+        return state.built_total
+
     def expect_ms(self, queue: str, step: StepSpec) -> float:
         """Return the expected run time of one task of a step."""
         return self._get_distribution(queue, step).mean * step.estimated_ms
@@ -249,10 +253,8 @@
         state = self._queues.get(queue)
         if state is None:
             return RunTimeSummary(1.0, 0.0, 0.0, 0.0, 0, 0)
-        if state.built_total is None:
-            state.built_total = _combine(state.total, DECLARED, 0, self._now_ms)
         return RunTimeSummary(
-            state.built_total.mean,
+            self._build_total(state).mean,
             state.error,
             state.declared_error,
             _measure_trust(state.total, self._now_ms),
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from bergamotgap.adapters.logs import get_logger
-from bergamotgap.domain.amounts import total
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.customer_shares import EXCESS, ShareUse
 from bergamotgap.domain.early_refusal import (
@@ -14,27 +13,19 @@
     check_job,
     estimate_times,
 )
-from bergamotgap.domain.fleet import JobSpec
+from bergamotgap.domain.fleet import JobSpec, sum_sizes
 from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.offered_load import MAX_PERIOD_MS
 from bergamotgap.domain.placement_explanation import (
     AdmissionExplanation,
     AdmissionFigures,
 )
-from bergamotgap.domain.room_forecast import (
-    Room,
-    measure_hosts,
-    measure_work,
-)
-from bergamotgap.domain.task_placement import (
-    LATE,
-    ON_TIME,
-    TOO_LATE,
-)
+from bergamotgap.domain.room_forecast import Room, measure_hosts
+from bergamotgap.domain.task_placement import LATE, ON_TIME, TOO_LATE
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import JobTable, NotStored
-from bergamotgap.pools.queue_reader import QueueReader, add_sizes
+from bergamotgap.pools.queue_reader import QueueReader
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.settings import PoolSettings
 
@@ -118,11 +109,12 @@
     def check(self, spec: JobSpec) -> NotStored | None:
         """Return the refusal of a new job; None if it is accepted now."""
         now_ms = self._clock.monotonic_ms()
-        if self._find_exemption(spec, now_ms):
+        job = Job(spec, now_ms)
+        if self._find_exemption(job, now_ms):
             return None
         if now_ms >= self._read_again_ms:
             self._refresh_reading(now_ms)
-        checked = self._check_reading(spec, self._reading, now_ms)
+        checked = self._check_reading(job, self._reading, now_ms)
         if checked is None:
             return None
         new, refusal = checked.job, checked.refusal
@@ -138,13 +130,14 @@
     def explain(self, spec: JobSpec) -> AdmissionExplanation:
         """Return what `check` would decide about a new job, and from which figures."""
         now_ms = self._clock.monotonic_ms()
-        exemption = self._find_exemption(spec, now_ms)
+        job = Job(spec, now_ms)
+        exemption = self._find_exemption(job, now_ms)
         if exemption:
             return AdmissionExplanation(True, exemption)
         reading = self._reading
         if now_ms >= self._read_again_ms:
             reading = self._read_queue(now_ms)
-        checked = self._check_reading(spec, reading, now_ms)
+        checked = self._check_reading(job, reading, now_ms)
         if checked is None:
             is_known = reading.queue is not None
             reason = "no_objective" if is_known else "capacity_not_known"
@@ -172,33 +165,26 @@
             refusal.retry_ms if refusal else 0,
         )
 
-    def _find_exemption(self, spec: JobSpec, now_ms: int) -> str:
+    def _find_exemption(self, job: Job, now_ms: int) -> str:
         """Return why a job is accepted unchecked; empty if it is checked."""
         if not self._settings.refuses_early:
             return "not_enabled"
-        if self._run_tracker.get_queue(Job(spec, now_ms)) is None:
+        if self._run_tracker.get_queue(job) is None:
             return "queue_not_known"
         if not self._may_refuse(now_ms):
             return "capacity_not_known"
-        return "" if _has_estimate(spec) else "no_estimate"
+        return "" if _has_estimate(job.spec) else "no_estimate"
 
     def _check_reading(
-        self, spec: JobSpec, reading: QueueReading, now_ms: int
+        self, job: Job, reading: QueueReading, now_ms: int
     ) -> CheckedJob | None:
         """Return the check of a new job; None if there is nothing to check it by."""
-        job = Job(spec, now_ms)
         queue = self._run_tracker.get_queue(job)
         if queue is None or reading.queue is None:
             return None
-        work = total(
-            [
-                measure_work(
-                    step.size, self._reader.expect_ms(spec.queue, step), step.count
-                )
-                for step in spec.steps
-            ]
-        )
-        path_ms = self._run_tracker.run_times.expect_path(job).remaining_ms
+        run_times = self._run_tracker.run_times
+        work = run_times.estimate_work(job.spec)
+        path_ms = run_times.expect_path(job).remaining_ms
         rank = self._run_tracker.rank_job(job, now_ms)
         if rank[0] == TOO_LATE:
             # Its path alone is too long, which the check finds.
@@ -209,7 +195,7 @@
         if new.on_time_ms <= 0:
             return None
         age_ms = now_ms - reading.read_ms
-        refusal = check_job(reading.queue, spec.job_id, new, path_ms, age_ms)
+        refusal = check_job(reading.queue, job.job_id, new, path_ms, age_ms)
         return CheckedJob(reading.queue, new, path_ms, refusal)
 
     def _may_refuse(self, now_ms: int) -> bool:
@@ -231,12 +217,11 @@
             if now_ms - self._refused_ms[oldest] < MAX_PERIOD_MS:
                 break
             del self._refused_ms[oldest]
+        new = checked.job
         if spec.job_id not in self._refused_ms:
             # Hosts follow the offered load, and the job may return.
             self._refused_ms[spec.job_id] = now_ms
-            work = self._job_table.estimate_work(spec)
-            self._job_table.offered_load.record(now_ms, work, spec.customer)
-        new = checked.job
+            self._job_table.offered_load.record(now_ms, new.work, spec.customer)
         log.info(
             "job refused early",
             job=spec.job_id,
@@ -279,7 +264,7 @@
         use = self._customer_accounts.measure_use(
             self._run_tracker.links.values(), links
         )
-        capacity = add_sizes([link.info.capacity for link in links])
+        capacity = sum_sizes(*(link.info.capacity for link in links))
         runs, held = self._reader.measure_runs(links, now_ms)
         hosts = measure_hosts(
             capacity,
--- a/src/bergamotgap/pools/customer_runs.py
+++ b/src/bergamotgap/pools/customer_runs.py
@@ -3,13 +3,12 @@
 from collections.abc import Sequence
 
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import NO_SIZE
 from bergamotgap.domain.job_state import TaskPhase
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.tracked_worker import TrackedWorker
 
-NO_SIZE = (0, 0, 0)
-
 # Sums by customer, and by whether the tasks are long-running ones.
 Sums = dict[tuple[str, bool], list[int]]
 
@@ -129,8 +128,3 @@
     """Add a size to sums, `count` times."""
     for index, part in enumerate(size):
         sums[index] += count * part
-
-
-def sum_sizes(a: Sequence[int], b: Sequence[int]) -> list[int]:
-    """Return the sum of two sizes."""
-    return [x + y for x, y in zip(a, b, strict=True)]
--- a/src/bergamotgap/pools/customer_usage.py
+++ b/src/bergamotgap/pools/customer_usage.py
@@ -18,14 +18,9 @@
     measure_fraction,
     permits_start,
 )
-from bergamotgap.domain.fleet import FleetConfig, Size
+from bergamotgap.domain.fleet import NO_SIZE, FleetConfig, Size, sum_sizes
 from bergamotgap.domain.job_state import Job
-from bergamotgap.pools.customer_runs import (
-    NO_SIZE,
-    CustomerRuns,
-    add_size,
-    sum_sizes,
-)
+from bergamotgap.pools.customer_runs import CustomerRuns, add_size
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.ports.pool_peer import CapCall, CapReply
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -15,7 +15,7 @@
 from bergamotgap.node.supervision import supervise
 from bergamotgap.pools.cap_coordinator import CapCoordinator
 from bergamotgap.pools.fleet_view import FleetView
-from bergamotgap.pools.host_controller import HOSTS_POOL, HostController, ReportWave
+from bergamotgap.pools.host_controller import HOSTS_POOL, HostController
 from bergamotgap.pools.job_table import RecordKind, format_record_key
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.outage_detector import OutageDetector
@@ -28,6 +28,7 @@
 from bergamotgap.pools.requests import JobRequests, NoReply
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.wave_records import restore_wave_progress
+from bergamotgap.pools.wave_runner import ReportWave
 from bergamotgap.ports.fleet import (
     AdviceService,
     Fence,
--- a/src/bergamotgap/pools/host_controller.py
+++ b/src/bergamotgap/pools/host_controller.py
@@ -26,7 +26,6 @@
 LOAD_TTL_MS = 1500
 
 log = get_logger(__name__)
-__all__ = ["HOSTS_POOL", "HostController", "ReportWave"]
 
 
 class HostController:
--- a/src/bergamotgap/pools/host_mover.py
+++ b/src/bergamotgap/pools/host_mover.py
@@ -6,7 +6,6 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.amounts import Amount, total
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.early_refusal import measure_free_cpu
 from bergamotgap.domain.fleet import FleetConfig, HostInfo, Size
 from bergamotgap.domain.maintenance_plan import UP
 from bergamotgap.domain.pool_sizes import (
@@ -16,6 +15,7 @@
     SpareHost,
     forecast_need,
     list_short_pools,
+    measure_free_cpu,
     plan_moves,
     plan_preemptions,
 )
--- a/src/bergamotgap/pools/placement_explainer.py
+++ b/src/bergamotgap/pools/placement_explainer.py
@@ -23,7 +23,6 @@
     PlacementExplanation,
     RankExplanation,
     StepExplanation,
-    add_sizes,
     copy_capacity,
     find_obstacle,
     group_workers,
@@ -39,6 +38,7 @@
 from bergamotgap.pools.admission_check import AdmissionCheck
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.customer_accounts import CustomerAccounts
+from bergamotgap.pools.customer_runs import add_size
 from bergamotgap.pools.customer_usage import CapState, CustomerUsage
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.lasting_room import accepts_held_back
@@ -210,9 +210,9 @@
     """Return whether the cap permits a task or gang after those that started."""
     if cap is None:
         return True
-    used = cap.used
+    used = list(cap.used)
     for other, number in started:
-        used = add_sizes(used, other.size, number)
+        add_size(used, other.size, number)
     return not cap.reserved_for and permits_start(
         used, step.size, cap.share, cap.cap, count, cap.has_permit
     )
--- a/src/bergamotgap/pools/pool_demand.py
+++ b/src/bergamotgap/pools/pool_demand.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from bergamotgap.domain.amounts import Amount, total
+from bergamotgap.domain.amounts import Amount, measure_work, total
 from bergamotgap.domain.fleet import Size, StepSpec
 from bergamotgap.domain.job_state import Job, StepOccurrence, Task
 from bergamotgap.domain.pool_room import (
@@ -273,7 +273,7 @@
     for step, count in _count_waiting_tasks(job, limit):
         if not step.spec.is_lasting:
             run_ms = _expect_run_ms(job, step.spec, run_tracker)
-            work += Amount(*step.spec.size).scale(count * run_ms)
+            work += measure_work(step.spec.size, run_ms, count)
     return work
 
 
--- a/src/bergamotgap/pools/queue_reader.py
+++ b/src/bergamotgap/pools/queue_reader.py
@@ -2,12 +2,11 @@
 
 import dataclasses
 
-from bergamotgap.domain.amounts import NOTHING, Amount
+from bergamotgap.domain.amounts import NOTHING, Amount, measure_work
 from bergamotgap.domain.customer_shares import EXCESS, ShareUse, classify_work
 from bergamotgap.domain.early_refusal import QueuedJob
-from bergamotgap.domain.fleet import Queue, Size, StepSpec
+from bergamotgap.domain.fleet import Queue, Size, sum_sizes
 from bergamotgap.domain.job_state import Job
-from bergamotgap.domain.room_forecast import measure_work
 from bergamotgap.domain.task_placement import LATE, LATE_FACTOR, TOO_LATE, JobRank
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_usage import CustomerUsage
@@ -35,7 +34,7 @@
         self, links: list[WorkerLink], now_ms: int
     ) -> tuple[list[tuple[float, Size]], Size]:
         """Return the time left of each run, and what long-running tasks hold."""
-        runs, held = [], [Size()]
+        runs, held = [], list[Size]()
         for link in links:
             for live in link.runs.values():
                 job = self._job_table.jobs.get(live.task.task_id.job)
@@ -43,12 +42,11 @@
                 if step.is_long_running:
                     held.append(step.size)
                 elif job is not None and not live.is_stop_requested:
-                    passed_ms = now_ms - live.task.started_ms
-                    left_ms = self._run_tracker.estimates.remaining_ms(
-                        job.spec.queue, step, passed_ms
+                    left_ms = self._run_tracker.run_times.expect_task_rest(
+                        job.spec.queue, live.task, now_ms
                     )
                     runs.append((left_ms, step.size))
-        return runs, add_sizes(held)
+        return runs, sum_sizes(*held)
 
     def list_waiting(
         self, now_ms: int, use: ShareUse | None
@@ -99,7 +97,7 @@
         for step in job.list_ready_steps():
             if step.has_suspects:
                 continue
-            run_ms = self.expect_ms(job.spec.queue, step.spec)
+            run_ms = self._run_tracker.estimates.expect_ms(job.spec.queue, step.spec)
             work += measure_work(step.spec.size, run_ms, step.waiting_tasks)
         if not work.has_shortage():
             return None
@@ -133,14 +131,3 @@
             objective_ms - passed_ms,
             LATE_FACTOR * objective_ms - passed_ms,
         )
-
-    def expect_ms(self, queue: str, step: StepSpec) -> float:
-        """Return the expected run time of a task."""
-        return self._run_tracker.estimates.expect_ms(queue, step)
-
-
-def add_sizes(sizes: list[Size]) -> Size:
-    """Return the sum of sizes."""
-    return (
-        Size(*(sum(parts) for parts in zip(*sizes, strict=True))) if sizes else Size()
-    )
--- a/src/bergamotgap/pools/run_time_observer.py
+++ b/src/bergamotgap/pools/run_time_observer.py
@@ -175,11 +175,12 @@
             tasks = [task for task in step.tasks if task.phase is not TaskPhase.DONE]
             if tasks and all(task.is_active for task in tasks):
                 times[step.number] = max(
-                    self._expect_task_rest(queue, task, now_ms) for task in tasks
+                    self.expect_task_rest(queue, task, now_ms) for task in tasks
                 )
         return measure_longest_path(job.spec.steps, times)
 
-    def _expect_task_rest(self, queue: str, task: Task, now_ms: int) -> float:
+    def expect_task_rest(self, queue: str, task: Task, now_ms: int) -> float:
+        """Return the expected time that is left for a running task."""
         passed_ms = now_ms - task.started_ms
         return self._estimates.remaining_ms(queue, task.step, passed_ms)
 
--- a/src/bergamotgap/pools/worker_drains.py
+++ b/src/bergamotgap/pools/worker_drains.py
@@ -224,11 +224,12 @@
 
     def _expect_remaining_ms(self, live: LiveRun) -> int:
         job = self._job_table.jobs.get(live.task.task_id.job)
-        passed_ms = self._clock.monotonic_ms() - live.task.started_ms
-        step = live.task.step
-        expected_ms: float = step.estimated_ms - passed_ms
+        now_ms = self._clock.monotonic_ms()
+        passed_ms = now_ms - live.task.started_ms
+        expected_ms: float = live.task.step.estimated_ms - passed_ms
         if job is not None:
-            estimates = self._run_tracker.estimates
-            expected_ms = estimates.remaining_ms(job.spec.queue, step, passed_ms)
+            expected_ms = self._run_tracker.run_times.expect_task_rest(
+                job.spec.queue, live.task, now_ms
+            )
         overtime_ms = max(MIN_REMAINING_MS, OVERTIME_SHARE * passed_ms)
         return int(expected_ms if expected_ms > MIN_REMAINING_MS else overtime_ms)
