--- a/review/stand_in/scene.py
+++ b/review/stand_in/scene.py
@@ -39,6 +39,8 @@
 ENDS_AT_A_TIME = 500
 RECORD_BYTES = 262144
 CALL_BYTES = 2097152
+# The service whose machines are off.
+SPARE = "spare"
 
 
 class Record:
@@ -450,7 +452,7 @@
 class Scene:
     """The platform, its workers and the nodes of one script.
 
-    `pools` gives the number of machines of each service.
+    `pools` gives the number of machines of each service; those of `spare` are off.
     """
 
     def __init__(
@@ -523,7 +525,7 @@
         self.session = await self._stack.enter_async_context(
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         )
-        self.publish_config({name: name for name in self._services})
+        self.publish_config({name: name for name in self._services if name != SPARE})
         for machine in self.machines.values():
             await self.begin_worker(machine)
         for number in range(self._node_count):
@@ -558,7 +560,8 @@
         ]  # fmt: skip
         services = [
             {"name": name, "healthPath": "/health", "maxConnections": 64,
-             "protocol": "h1", "tls": False, "enforcesCapacity": False, "spare": False}
+             "protocol": "h1", "tls": False, "enforcesCapacity": False,
+             "spare": name == SPARE}
             for name in self._services
         ]  # fmt: skip
         content = {
@@ -570,8 +573,10 @@
         self.record.write("config", version=self._version, routes=service_of_route)
 
     async def begin_worker(self, machine: Machine) -> None:
-        machine.worker = Worker(self, machine, f"i-{next(self._ids):08x}")
         machine.state = "up"
+        if machine.pool == SPARE:
+            return
+        machine.worker = Worker(self, machine, f"i-{next(self._ids):08x}")
         await machine.worker.begin()
 
     async def crash_machine(self, machine: Machine, down_s: float) -> None:
@@ -612,7 +617,7 @@
         machine = self.machines.get(call["machine"])
         if machine is None:
             return answer(400, {})
-        if machine.state != "up" or machine.worker is None:
+        if machine.state != "up":
             return answer(409, {"reason": "busy"})
         self.record.write(
             "cloud", path=request.path, call=call,
@@ -624,8 +629,9 @@
         if is_move:
             machine.pool = call["pool"]
         machine.state = "moving" if is_move else "upkeep"
-        await worker.crash()
-        self.spawn(self._expire(worker))
+        if worker is not None:
+            await worker.crash()
+            self.spawn(self._expire(worker))
         after_s = BOUNDS["moveS"] if is_move else BOUNDS["maintenanceS"]
         self.spawn(self._return(machine, float(after_s)))
         return answer(200, {})
@@ -687,6 +693,20 @@
         )
         self.record.write("node-start", node=node.name)
 
+    def find_owner(self, pool: str) -> Node:
+        """Return the node that owns a pool, by its claim in the log."""
+        claim, _ = self.store.get("keyed.owners", 0).newest[pool]
+        # The claim names the address at which the owner's peers call it.
+        return next(
+            node for node in self.nodes if f"{node.settings['ip']}:".encode() in claim
+        )
+
+    async def kill(self, node: Node) -> None:
+        if node.process is not None:
+            node.process.kill()
+            await node.process.wait()
+        self.record.write("node-kill", node=node.name)
+
     async def _wait_until_ready(self) -> None:
         until_s = time.monotonic() + 20
         while time.monotonic() < until_s:
