--- a/review/stand_in/scene.py
+++ b/review/stand_in/scene.py
@@ -39,6 +39,7 @@
 ENDS_AT_A_TIME = 500
 RECORD_BYTES = 262144
 CALL_BYTES = 2097152
+RETRY_ATTEMPTS = 4
 # The service whose machines are off.
 SPARE = "spare"
 
@@ -385,7 +386,8 @@
         run.work_s = self._scene.choose_work_s(task)
         self.running[task] = run
         loop = asyncio.get_running_loop()
-        run.timer = loop.call_later(run.work_s, self._end, run, "done")
+        how = self._scene.choose_end(task)
+        run.timer = loop.call_later(run.work_s, self._end, run, how)
         self._scene.note_start(self, run)
         return answer(200, {"clockMs": self.clock_ms()})
 
@@ -478,11 +480,16 @@
         self._version = 0
         # Task name: rows of start, end (s, None while it runs), how, worker, run, acked.
         self.runs: dict[str, list[dict[str, Any]]] = {}
+        # What tasks take, and how they end.
         self.work_s = 0.8
+        self.end = "done"
 
     def choose_work_s(self, task: str) -> float:
         return self.work_s
 
+    def choose_end(self, task: str) -> str:
+        return self.end
+
     def note_start(self, worker: Worker, run: Run) -> None:
         row = {
             "began_ms": self.record.now_ms(), "ended_ms": None, "how": "", "n": 0,
@@ -554,7 +561,7 @@
                 "name": f"r-{name}", "host": f"{name}.example",
                 "pathPrefix": f"/{name}/", "kind": "unsafe", "timeoutMs": 3000,
                 "targetLatencyMs": 600, "priority": 0, "service": service,
-                "retryAttempts": 4, "stretch": 1.6,
+                "retryAttempts": RETRY_ATTEMPTS, "stretch": 1.6,
             }
             for name, service in service_of_route.items()
         ]  # fmt: skip
