--- a/review/stand_in/scene.py
+++ b/review/stand_in/scene.py
@@ -36,6 +36,8 @@
     "leaseMs": 3000, "thawSlackMs": 300, "paceMs": 100, "harmMs": 4000,
 }  # fmt: skip
 HEARTBEAT_S = 1.5
+# From a worker's start to its entry in the store (`lag_ms` of the site files).
+ENTRY_LAG_S = 0.8
 ENDS_AT_A_TIME = 500
 RECORD_BYTES = 262144
 CALL_BYTES = 2097152
@@ -68,10 +70,12 @@
     )
 
 
-async def listen(handler: Any, ip: str) -> tuple[web.ServerRunner, str]:
+async def listen(
+    handler: Any, ip: str, port: int = 0
+) -> tuple[web.ServerRunner, str]:
     runner = web.ServerRunner(web.Server(handler, access_log=None), shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, ip, 0).start()
+    await web.TCPSite(runner, ip, port, reuse_address=True).start()
     host, port = runner.addresses[0][:2]
     return runner, f"{host}:{port}"
 
@@ -269,12 +273,17 @@
         self._has_end = asyncio.Event()
         self.sequence = 0
         self.is_up = True
+        # No call reaches the worker and no answer leaves it; it runs on, and reports.
+        self.is_cut = False
         self.address = ""
         self._tasks: list[asyncio.Task[None]] = []
         self.runner: web.ServerRunner | None = None
+        # When the lease was last found to have lapsed (ms of the record).
+        self.lapsed_ms = -1
 
-    async def begin(self) -> None:
-        self.runner, self.address = await listen(self._handle, self._scene.ip)
+    async def begin(self, address: str = "") -> None:
+        port = int(address.rpartition(":")[2] or 0)
+        self.runner, self.address = await listen(self._receive, self._scene.ip, port)
         self._scene.record.write(
             "worker-up", worker=self.worker_id, machine=self.machine.name,
             service=self.machine.pool,
@@ -288,6 +297,7 @@
         return int((time.monotonic() - self._began_s) * 1000) + 1
 
     async def _beat(self) -> None:
+        await asyncio.sleep(ENTRY_LAG_S)
         while True:
             if not self._scene.store.trouble:
                 self.publish()
@@ -308,7 +318,8 @@
     async def _watch_lease(self) -> None:
         while True:
             await asyncio.sleep(0.01)
-            if self.running and self.clock_ms() > self.deadline_ms:
+            if self.clock_ms() > self.deadline_ms:
+                self.lapsed_ms = self._scene.record.now_ms()
                 for run in list(self.running.values()):
                     self._end(run, "lapsed")
 
@@ -342,6 +353,15 @@
         self._has_end.set()
         self._has_end = asyncio.Event()
 
+    async def _receive(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = None if self.is_cut else await self._handle(request)
+        if self.is_cut or response is None:
+            while self.is_cut:
+                await asyncio.sleep(0.02)
+            if request.transport is not None:
+                request.transport.abort()
+        return response or web.Response(status=503)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = json.loads(await request.read() or b"{}")
         if not self.is_up and request.transport is not None:
@@ -494,6 +514,7 @@
         row = {
             "began_ms": self.record.now_ms(), "ended_ms": None, "how": "", "n": 0,
             "worker": worker.worker_id, "run": run.number, "acked_ms": None,
+            "born": worker.born_ms,
         }  # fmt: skip
         self.runs.setdefault(run.task, []).append(row)
         self.record.write(
@@ -504,7 +525,9 @@
         return next(
             row
             for row in self.runs[task]
-            if row["run"] == number and row["worker"] == worker.worker_id
+            if row["run"] == number
+            and row["worker"] == worker.worker_id
+            and row["born"] == worker.born_ms
         )
 
     def note_end(self, worker: Worker, run: Run, how: str, number: int) -> None:
@@ -517,10 +540,14 @@
 
     def note_ack(self, worker: Worker, end: list[Any]) -> None:
         row = self._find(worker, end[1], end[2])
-        row["acked_ms"] = self.record.now_ms()
+        # "unless the worker's lease lapsed between the two"
+        has_lapsed = worker.lapsed_ms >= row["ended_ms"]
+        if not has_lapsed:
+            row["acked_ms"] = self.record.now_ms()
         self.record.write(
-            "end-noted", worker=worker.worker_id, task=end[1], run=end[2], how=end[3]
-        )
+            "end-noted", worker=worker.worker_id, task=end[1], run=end[2], how=end[3],
+            has_lapsed=has_lapsed,
+        )  # fmt: skip
 
     async def __aenter__(self) -> "Scene":
         runner, self.store_address = await listen(self.store.handle, self.ip)
@@ -579,29 +606,45 @@
         self.store.publish("keyed.op", "config", content)
         self.record.write("config", version=self._version, routes=service_of_route)
 
-    async def begin_worker(self, machine: Machine) -> None:
+    async def begin_worker(
+        self, machine: Machine, worker_id: str = "", address: str = ""
+    ) -> None:
         machine.state = "up"
         if machine.pool == SPARE:
             return
-        machine.worker = Worker(self, machine, f"i-{next(self._ids):08x}")
-        await machine.worker.begin()
+        worker_id = worker_id or f"i-{next(self._ids):08x}"
+        machine.worker = Worker(self, machine, worker_id)
+        await machine.worker.begin(address)
+
+    async def crash_machine(
+        self, machine: Machine, down_s: float, keeps_id: bool = False
+    ) -> None:
+        """Crash a machine's worker; it starts again after `down_s`.
 
-    async def crash_machine(self, machine: Machine, down_s: float) -> None:
-        """Crash a machine's worker; it starts again, under a new id, after `down_s`."""
+        With `keeps_id` the new life has the id and the address of the former.
+        """
         worker = machine.worker
         machine.worker, machine.state = None, "down"
-        if worker is not None:
-            await worker.crash()
+        if worker is None:
+            return
+        await worker.crash()
+        if keeps_id:
+            self.spawn(
+                self._return(machine, down_s, worker.worker_id, worker.address)
+            )
+        else:
             self.spawn(self._expire(worker))
-        self.spawn(self._return(machine, down_s))
+            self.spawn(self._return(machine, down_s))
 
     async def _expire(self, worker: Worker) -> None:
         await asyncio.sleep(3 * HEARTBEAT_S)
         self.store.publish("keyed.servers", worker.worker_id, None)
 
-    async def _return(self, machine: Machine, after_s: float) -> None:
+    async def _return(
+        self, machine: Machine, after_s: float, worker_id: str = "", address: str = ""
+    ) -> None:
         await asyncio.sleep(after_s)
-        await self.begin_worker(machine)
+        await self.begin_worker(machine, worker_id, address)
 
     def spawn(self, work: Any) -> None:
         task = asyncio.create_task(work)
@@ -792,7 +835,8 @@
         """Return how the rule TWICE was broken.
 
         Two runs of a task at the same time, or a start after a run has ended `done`,
-        if that end is taken note of then or later.
+        if that end is taken note of then or later: `ackedThrough` has reached it, and
+        the worker's lease has not lapsed between the two.
         """
         found = []
         now_ms = self.record.now_ms()
