--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/deps ] || { echo "run the build of deploy/system.toml first"; exit 2; }
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:review/stand_in exec python3 review/5/case.py
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:review exec python3 review/5/case.py
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 [ -d target/deps ] || { echo "target/deps is missing: run the build of deploy/system.toml"; exit 2; }
-python3 -m compileall -q review
+PYTHONPYCACHEPREFIX=target/review-pycache python3 -m compileall -q review
--- a/review/stand_in/scene.py
+++ b/review/scene.py
@@ -27,7 +27,7 @@
 import aiohttp
 from aiohttp import web
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 BOUNDS = {
     "contactMs": 3000, "ackTimeoutMs": 4000, "drainTimeoutMs": 2000, "gracePeriodS": 6,
     "configApplyMs": 2000, "maxHoldMs": 10000, "stopTimeoutMs": 200,
