Give leases in the clock of a worker's present life only

Cause: an order names the end of a lease on the worker's clock, which starts anew with each life. The poll of a silent worker carried the end that its former life had been given, so the new life held the longest lease, 10 s, while the owner reckoned with 4 s. The same poll acknowledged ends in the former life's numbers. A start on an idle worker, which is not polled, was sent in the former clock too.

Ruled out: clock drift (0.08 s of 4 s), a late poll (the worker had answered it).

Change: WorkerLife holds what belongs to one life; only polls, which name the life, set it. A worker that did not answer, or was not heard of for 2 s, gets a poll that renews and acknowledges nothing first; a start on an idle worker waits for it beside its record. A restart, shown by a poll or by the list, resets the same things in one place, and the former life's leases count as the longest that a worker grants.

Why it works: no order with the former life's clock is sent to a worker that was down for longer than a poll's gap, and if one was, the owner waits out the longest lease.

--- a/src/bergamotgap/pools/run_lease.py
+++ b/src/bergamotgap/pools/run_lease.py
@@ -5,50 +5,94 @@
 
 # A worker's monotonic clock may run slower than the local one by this share.
 MAX_CLOCK_DRIFT = 0.02
+# A reading of a worker's clock counts for this time. Busy workers are polled more
+# often, and a worker that was not heard of for longer may have restarted.
+CLOCK_TTL_MS = 2000
 
 
 class RunLease:
     """Choose the ends of leases, and bound when the last one given expires.
 
     `end_ms` is that bound on the local clock. `former_lease_ms` is how long leases
-    given by a former owner may last from now on.
+    given by a former owner may last from now on, and `longest_ms` the longest lease
+    that a worker grants whatever an order says.
     """
 
     def __init__(
-        self, token: int, duration_ms: int, former_lease_ms: int, clock: Clock
+        self,
+        token: int,
+        duration_ms: int,
+        longest_ms: int,
+        former_lease_ms: int,
+        clock: Clock,
     ) -> None:
         self._token = token
         self._duration_ms = duration_ms
+        self._longest_ms = longest_ms
         self._clock = clock
         self._clock_reading: tuple[int, int] | None = None
-        self._deadline_ms = 0
+        # End of the last lease given, on the worker's clock and on the local one.
+        self._deadline_ms = self._deadline_end_ms = 0
+        # Until then, a lease given in the clock of a former life may last.
+        self._misread_end_ms = 0
         self.end_ms = clock.monotonic_ms() + former_lease_ms
 
     @property
     def is_expired(self) -> bool:
         """Whether all leases given so far have expired."""
-        return self._clock.monotonic_ms() >= self.end_ms
+        return self._clock.monotonic_ms() >= max(self.end_ms, self._misread_end_ms)
+
+    @property
+    def is_in_force(self) -> bool:
+        """Whether the last lease given in the clock of this life has not expired."""
+        return self._clock.monotonic_ms() < self._deadline_end_ms
+
+    @property
+    def is_clock_known(self) -> bool:
+        """Whether the worker's clock was read lately enough to be that of its life.
+
+        In the clock of a former life, the end of a lease lies far ahead for the new
+        one, which then holds the longest lease.
+        """
+        if self._clock_reading is None:
+            return False
+        _, at_ms = self._clock_reading
+        return self._clock.monotonic_ms() - at_ms < CLOCK_TTL_MS
 
     def record_clock(self, clock_ms: int, now_ms: int) -> None:
         """Record the worker's clock and the local time when it was received."""
         self._clock_reading = (clock_ms, now_ms)
 
-    def forget_clock(self) -> None:
-        """Forget the clock of a former incarnation of the worker."""
+    def begin_life(self) -> None:
+        """Forget the clock of a former life.
+
+        Orders with a lease in that clock may have reached the new life.
+        """
         self._clock_reading = None
+        self._deadline_ms = self._deadline_end_ms = 0
+        longest_ms = int(self._longest_ms / (1 - MAX_CLOCK_DRIFT)) + 1
+        self._misread_end_ms = self._clock.monotonic_ms() + longest_ms
 
     def limit_end(self, now_ms: int) -> None:
         """Limit the bound: no lease given so far lasts beyond `now_ms`."""
         self.end_ms = min(self.end_ms, now_ms)
+        self._misread_end_ms = min(self._misread_end_ms, now_ms)
+
+    def build_empty_lease(self) -> Lease:
+        """Return a lease that renews nothing."""
+        return Lease(self._token, 0)
 
     def build_lease(self, is_silent: bool, has_runs: bool) -> Lease:
-        """Return the lease to send with an order or a poll."""
-        if self._clock_reading is None:
-            return Lease(self._token, 0)
+        """Return the lease to send with an order or a poll.
+
+        It renews nothing while the worker's clock is not known.
+        """
         if is_silent:
             # An order without an answer may still be executed later. A silent worker's
             # lease is therefore not extended, or its runs could never count as ended.
-            return Lease(self._token, self._deadline_ms)
+            return Lease(self._token, self._deadline_ms if self.is_in_force else 0)
+        if self._clock_reading is None or not self.is_clock_known:
+            return self.build_empty_lease()
         clock_ms, at_ms = self._clock_reading
         passed_ms = self._clock.monotonic_ms() - at_ms
         deadline_ms = int(
@@ -56,5 +100,5 @@
         )
         end_ms = at_ms + int((deadline_ms - clock_ms) / (1 - MAX_CLOCK_DRIFT)) + 1
         self.end_ms = max(self.end_ms, end_ms) if has_runs else end_ms
-        self._deadline_ms = deadline_ms
+        self._deadline_ms, self._deadline_end_ms = deadline_ms, end_ms
         return Lease(self._token, deadline_ms)
--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -4,14 +4,23 @@
 from bergamotgap.domain.fleet import TaskId, WorkerInfo, WorkerState
 from bergamotgap.domain.task_placement import WorkerCapacity
 from bergamotgap.pools.link_interface import LiveRun
+from bergamotgap.pools.worker_life import WorkerLife
 
 
 class TrackedWorker:
-    """Hold the runs of one worker, and until when it gets no new work."""
+    """Hold the runs and the life of one worker, and whether it gets new work.
 
-    def __init__(self, info: WorkerInfo, clock: Clock) -> None:
+    `unknown_runs` are runs of unknown size that were found there.
+    """
+
+    def __init__(self, info: WorkerInfo, life: WorkerLife, clock: Clock) -> None:
         self._clock = clock
+        self._life = life
         self.info = info
+        self.was_polled = False
+        self.is_listed = True
+        self.is_silent = False
+        self.unknown_runs: set[tuple[TaskId, int]] = set()
         self.capacity = WorkerCapacity(info)
         self.runs: dict[TaskId, LiveRun] = {}
         # Number of changes of `runs` so far.
@@ -30,6 +39,51 @@
         """The worker's id."""
         return self.info.worker_id
 
+    @property
+    def incarnation_ms(self) -> int:
+        """The life of the worker that answered last, or the listed one."""
+        return self._life.incarnation_ms or self.info.incarnation_ms
+
+    @property
+    def are_runs_known(self) -> bool:
+        """Whether every run that may be on the worker is known."""
+        return self.was_polled or self._life.are_leases_expired
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no run is tracked on the worker, nor was an unknown one found."""
+        return not self.runs and not self.unknown_runs
+
+    @property
+    def is_removable(self) -> bool:
+        """Whether the worker has left and nothing can run there any more."""
+        return not self.is_listed and not self.runs and self.are_runs_known
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Return whether the worker may get new work."""
+        return not self.get_obstacle(now_ms)
+
+    def get_obstacle(self, now_ms: int) -> str:
+        """Return why the worker may get no new work; empty if it may."""
+        if not self.is_listed:
+            return "not_listed"
+        if not self.was_polled or self.is_silent:
+            return "silent" if self.was_polled else "not_polled"
+        if self.unknown_runs:
+            return "unknown_run"
+        if self.is_leaving:
+            return "draining"
+        return "quarantined" if now_ms < self.quarantined_until_ms else ""
+
+    def begin_life(self, incarnation_ms: int) -> None:
+        """Forget what held for a former life; `incarnation_ms` is 0 if not polled yet.
+
+        The runs of the former life are left to the caller.
+        """
+        self._life.begin(incarnation_ms)
+        self.unknown_runs.clear()
+        self.draining_until_ms = self.quarantined_until_ms = 0
+
     @property
     def is_leaving(self) -> bool:
         """Whether the worker is being drained, by its own report or by this owner."""
--- /dev/null
+++ b/src/bergamotgap/pools/worker_life.py
@@ -0,0 +1,83 @@
+"""What holds for one life of a worker only: its clock, lease and numbers of ends."""
+
+from bergamotgap.pools.run_lease import RunLease
+from bergamotgap.ports.fleet import Lease
+
+
+class WorkerLife:
+    """The life of a worker that answers; `incarnation_ms` is 0 until it does.
+
+    A worker that starts again under its id counts its ends and its time anew. So an
+    owner that has heard nothing for a while, or got no answer, renews no lease and
+    acknowledges no end before a poll shows the life.
+    """
+
+    def __init__(self, lease: RunLease) -> None:
+        self._lease = lease
+        self._is_doubtful = False
+        self._acked_end_sequence = 0
+        self.incarnation_ms = 0
+        self.last_end_sequence = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the last poll was answered, and lately."""
+        return self._lease.is_clock_known and not self._is_doubtful
+
+    @property
+    def may_get_start(self) -> bool:
+        """Whether a start can be sent with a lease in the clock of this life.
+
+        A worker that was busy when it fell silent may still get starts that were queued
+        for it, with the lease that it has.
+        """
+        return self.is_known or (self._is_doubtful and self._lease.is_in_force)
+
+    @property
+    def are_leases_expired(self) -> bool:
+        """Whether all leases given so far have expired."""
+        return self._lease.is_expired
+
+    @property
+    def has_unacked_ends(self) -> bool:
+        """Whether ends were read that are not acknowledged yet."""
+        return self.last_end_sequence != self._acked_end_sequence
+
+    @property
+    def acked_end_sequence(self) -> int:
+        """Number up to which ends are acknowledged; 0 while the life is not known."""
+        return self._acked_end_sequence if self.is_known else 0
+
+    def begin(self, incarnation_ms: int) -> None:
+        """Begin another life of the worker."""
+        self._lease.begin_life()
+        self._acked_end_sequence = self.last_end_sequence = 0
+        self.incarnation_ms = incarnation_ms
+
+    def doubt(self) -> None:
+        """Record that an order got no answer."""
+        self._is_doubtful = True
+
+    def confirm(self, incarnation_ms: int, clock_ms: int, now_ms: int) -> None:
+        """Record the life and the clock that a poll showed."""
+        self.incarnation_ms = incarnation_ms
+        self._is_doubtful = False
+        self._lease.record_clock(clock_ms, now_ms)
+
+    def end(self, now_ms: int) -> None:
+        """Record that the life has ended, and all leases with it."""
+        self._lease.limit_end(now_ms)
+
+    def build_start_lease(self) -> Lease:
+        """Return the lease to send with a start."""
+        return self._lease.build_lease(self._is_doubtful, has_runs=True)
+
+    def build_poll_lease(self, has_runs: bool) -> Lease:
+        """Return the lease to send with a poll."""
+        if not self.is_known:
+            return self._lease.build_empty_lease()
+        return self._lease.build_lease(is_silent=False, has_runs=has_runs)
+
+    def ack_ends(self) -> None:
+        """Acknowledge all ends read so far."""
+        self._acked_end_sequence = self.last_end_sequence
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -1,6 +1,7 @@
 """The pool owner's link to one worker: orders, lease and polls."""
 
 import asyncio
+import contextlib
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
@@ -19,9 +20,9 @@
 from bergamotgap.pools.run_lease import RunLease
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.tracked_worker import TrackedWorker
+from bergamotgap.pools.worker_life import WorkerLife
 from bergamotgap.ports.fleet import (
     Accepted,
-    Lease,
     OrderOutcome,
     OtherInstance,
     PollReply,
@@ -39,6 +40,8 @@
 IDLE_POLL_MS = 400
 # A worker that did not answer is polled again after this time.
 RETRY_MS = 250
+# Longest wait of a start for a poll that shows the life of its worker.
+LIFE_WAIT_MS = 600
 # A worker that refused a start as busy is quarantined for this time.
 BUSY_QUARANTINE_MS = 1000
 
@@ -58,9 +61,15 @@
         settings: PoolSettings,
         clock: Clock,
     ) -> None:
-        super().__init__(info, clock)
-        self.was_polled = False
-        self.is_listed = True
+        # A former owner may have renewed the lease until its token was refused.
+        lease = RunLease(
+            token,
+            settings.run_lease_ms,
+            settings.max_lease_ms,
+            settings.former_lease_ms,
+            clock,
+        )
+        super().__init__(info, WorkerLife(lease), clock)
         self.consecutive_failures = 0
         self._token = token
         self._orders = orders
@@ -70,47 +79,8 @@
         self._queue = OrderQueue(self._send)
         self._poll_requested = asyncio.Event()
         self._poll_requested.set()
-        self._incarnation_ms = 0
-        self._unknown_runs: set[tuple[TaskId, int]] = set()
-        self.is_silent = False
-        self._last_end_sequence = 0
-        self._acked_end_sequence = 0
+        self._poll_ended = asyncio.Event()
         self.answered_ms = clock.monotonic_ms()
-        # A former owner may have renewed the lease until its token was refused.
-        self._lease = RunLease(
-            token, settings.run_lease_ms, settings.former_lease_ms, clock
-        )
-
-    @property
-    def are_runs_known(self) -> bool:
-        """Whether every run that may be on the worker is known."""
-        return self.was_polled or self._lease.is_expired
-
-    @property
-    def incarnation_ms(self) -> int:
-        """The life of the worker that answered last, or the listed one."""
-        return self._incarnation_ms or self.info.incarnation_ms
-
-    @property
-    def is_empty(self) -> bool:
-        """Whether no run is tracked on the worker, nor was an unknown one found."""
-        return not self.runs and not self._unknown_runs
-
-    def is_usable(self, now_ms: int) -> bool:
-        """Return whether the worker may get new work."""
-        return not self.get_obstacle(now_ms)
-
-    def get_obstacle(self, now_ms: int) -> str:
-        """Return why the worker may get no new work; empty if it may."""
-        if not self.is_listed:
-            return "not_listed"
-        if not self.was_polled or self.is_silent:
-            return "silent" if self.was_polled else "not_polled"
-        if self._unknown_runs:
-            return "unknown_run"
-        if self.is_leaving:
-            return "draining"
-        return "quarantined" if now_ms < self.quarantined_until_ms else ""
 
     def request_poll(self) -> None:
         """Poll the worker now if it was idle."""
@@ -122,6 +92,8 @@
         """Hold capacity and queue the start; it is sent once `change` is committed."""
         live = LiveRun(task, run, is_whole=not task.checkpoint)
         self.add_run(live)
+        if not self._life.is_known:
+            self.request_poll()
         self._queue.put(PendingStart(live, payload, change, ticket, task.runs_alone))
 
     def queue_stop(self, task_id: TaskId, run: int) -> None:
@@ -139,7 +111,7 @@
     def stop_unknown_run(self, run: RunReport) -> None:
         """Stop a run of unknown size."""
         log.warning("unknown run", task=run.task, run=run.run, worker=self.worker_id)
-        self._unknown_runs.add((run.task, run.run))
+        self.unknown_runs.add((run.task, run.run))
         self.queue_stop(run.task, run.run)
 
     def queue_pace(self, task: Task, percent: int) -> None:
@@ -149,7 +121,7 @@
 
     def handle_restart(self, info: WorkerInfo) -> None:
         """Switch to a new incarnation of the worker; runs of the former are lost."""
-        if info.incarnation_ms == self._incarnation_ms:
+        if info.incarnation_ms == self._life.incarnation_ms:
             # A poll showed it before, and what runs now runs there.
             self.info = self.capacity.info = info
             self.draining_until_ms = 0
@@ -157,11 +129,8 @@
         log.info("listed as restarted", worker=self.worker_id, runs=len(self.runs))
         self._remove_runs(list(self.runs.values()), "restart")
         self.info = self.capacity.info = info
-        self.was_polled = False
-        self.draining_until_ms = self.quarantined_until_ms = 0
-        self._last_end_sequence = self._acked_end_sequence = self._incarnation_ms = 0
-        self._lease.forget_clock()
-        self.is_silent = False
+        self.was_polled = self.is_silent = False
+        self.begin_life(0)
         self.request_poll()
 
     async def run_orders(self) -> None:
@@ -185,6 +154,8 @@
         is_allowed = await self._events.wait_until_start_allowed(
             call.journal_change, call.needs_record
         )
+        if is_allowed and not self._life.may_get_start:
+            is_allowed = await self._wait_until_start_possible()
         # The run may have been abandoned meanwhile and its task started elsewhere.
         if self.runs.get(task.task_id) is not live:
             return
@@ -192,7 +163,7 @@
             self.remove_run(live)
             self._events.handle_not_started(self, live, Unanswered(was_sent=False))
             return
-        lease = self._build_lease()
+        lease = self._life.build_start_lease()
         order = StartOrder(
             task.task_id, live.run, call.payload, task.checkpoint, call.ticket
         )
@@ -217,6 +188,16 @@
                 self.remove_run(live)
                 self._events.handle_not_started(self, live, outcome)
 
+    async def _wait_until_start_possible(self) -> bool:
+        """Wait for a poll of an idle worker; return whether a start can be sent."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIFE_WAIT_MS / 1000):
+                while not self._life.may_get_start and not self.is_silent:
+                    self.request_poll()
+                    self._poll_ended.clear()
+                    await self._poll_ended.wait()
+        return self._life.may_get_start
+
     async def _send_stop(self, order: StopOrder) -> None:
         live = order.live_run
         if live is not None and self.runs.get(order.task_id) is not live:
@@ -245,23 +226,25 @@
                 await self._clock.sleep_ms(RETRY_MS)
                 self._remove_expired_runs()
                 continue
-            was_silent = self.is_silent
-            if not await self._poll():
+            is_renewed = self._life.is_known or not self.was_polled
+            is_answered = await self._poll()
+            self._poll_ended.set()
+            if not is_answered:
                 await self._clock.sleep_ms(RETRY_MS)
                 self._remove_expired_runs()
                 continue
-            if was_silent:
+            if not is_renewed:
                 # Only a further poll renews the lease, which may be about to expire.
                 continue
             is_saved = await self._events.wait_for_journal()
             if is_saved:
-                self._acked_end_sequence = self._last_end_sequence
+                self._life.ack_ends()
             gap_ms = self._events.choose_poll_gap_ms() if is_saved else POLL_WAIT_MS / 2
             await self._clock.sleep_ms(gap_ms)
 
     @property
     def _is_idle(self) -> bool:
-        is_due = self._last_end_sequence != self._acked_end_sequence or self.is_silent
+        is_due = self._life.has_unacked_ends or self.is_silent
         return self.was_polled and self.is_empty and not is_due
 
     async def _wait_until_poll_needed(self) -> bool:
@@ -278,7 +261,7 @@
     async def _poll(self) -> bool:
         sent_ms = self._clock.monotonic_ms()
         wait_ms = POLL_WAIT_MS
-        if not self.was_polled or not self.runs or self.is_silent:
+        if not self.runs or not self._life.is_known:
             wait_ms = 0
         elif any(live.is_stop_sent for live in self.runs.values()):
             wait_ms = self._settings.stop_timeout_ms
@@ -287,7 +270,10 @@
         elif self.trial_job or self.is_long_task_starting:
             wait_ms = START_MS
         outcome = await self._orders.poll(
-            self.info, self._build_lease(), self._acked_end_sequence, wait_ms
+            self.info,
+            self._life.build_poll_lease(not self.is_empty),
+            self._life.acked_end_sequence,
+            wait_ms,
         )
         now_ms = self._clock.monotonic_ms()
         match outcome:
@@ -298,7 +284,7 @@
                 self._events.handle_superseded(f"worker {self.worker_id}")
                 return False
             case OtherInstance():
-                self._lease.limit_end(now_ms)
+                self._life.end(now_ms)
                 self.is_listed = False
                 self._remove_expired_runs()
                 return False
@@ -313,26 +299,26 @@
         if not self.is_silent:
             log.warning("worker silent", worker=self.worker_id, runs=len(self.runs))
         self.is_silent = True
+        self._life.doubt()
 
-    def _record_answer(self, clock_ms: int, now_ms: int) -> None:
+    def _record_answer(self, now_ms: int) -> None:
         if self.is_silent:
             log.info("worker answers again", worker=self.worker_id)
             self.silence_ended_ms = now_ms
         self.is_silent = False
-        self._lease.record_clock(clock_ms, now_ms)
         self.answered_ms = now_ms
 
     def _handle_poll_reply(self, reply: PollReply, sent_ms: int, now_ms: int) -> None:
-        if self._incarnation_ms and reply.incarnation_ms != self._incarnation_ms:
-            self._handle_polled_restart()
-        self._incarnation_ms = reply.incarnation_ms
-        self._record_answer(reply.clock_ms, now_ms)
+        if self._life.incarnation_ms not in (0, reply.incarnation_ms):
+            self._handle_polled_restart(reply.incarnation_ms)
+        self._life.confirm(reply.incarnation_ms, reply.clock_ms, now_ms)
+        self._record_answer(now_ms)
         for end in reply.ended:
-            if end.sequence > self._last_end_sequence:
-                self._last_end_sequence = end.sequence
+            if end.sequence > self._life.last_end_sequence:
+                self._life.last_end_sequence = end.sequence
                 self._events.handle_ended(self, end)
         running = {(row.task, row.run) for row in reply.running}
-        self._unknown_runs &= running
+        self.unknown_runs &= running
         for row in reply.running:
             self._events.handle_running(self, row)
         for live in list(self.runs.values()):
@@ -346,9 +332,9 @@
             self.was_polled = True
             self._events.handle_first_poll(self)
 
-    def _handle_polled_restart(self) -> None:
+    def _handle_polled_restart(self, incarnation_ms: int) -> None:
         log.warning("worker restarted", worker=self.worker_id, runs=len(self.runs))
-        self._last_end_sequence = self._acked_end_sequence = 0
+        self.begin_life(incarnation_ms)
         runs = [
             live
             for live in self.runs.values()
@@ -378,21 +364,13 @@
         self._events.handle_lost(self, live, reason)
 
     def _remove_expired_runs(self) -> None:
-        if not self._lease.is_expired or not self._ownership.may_abandon_runs():
+        if not self._life.are_leases_expired or not self._ownership.may_abandon_runs():
             return
         self._remove_runs(list(self.runs.values()), "lease_ended")
-        self._unknown_runs.clear()
-
-    @property
-    def is_removable(self) -> bool:
-        """Whether the worker has left and nothing can run there any more."""
-        return not self.is_listed and not self.runs and self.are_runs_known
-
-    def _build_lease(self) -> Lease:
-        return self._lease.build_lease(self.is_silent, not self.is_empty)
+        self.unknown_runs.clear()
 
     def _record_outcome(self, outcome: OrderOutcome, now_ms: int) -> None:
         if isinstance(outcome, Accepted | Refused) and outcome.clock_ms:
-            self._record_answer(outcome.clock_ms, now_ms)
+            self._record_answer(now_ms)
         elif isinstance(outcome, Unanswered):
             self._record_silence()
--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -1,6 +1,7 @@
 """In-memory fakes of the log and the workers that pool owners use, with faults."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -163,9 +164,10 @@
 
 
 class FakeWorker:
-    """One incarnation of a worker, with fencing tokens and a lease.
+    """A worker with fencing tokens and a lease; it may restart under its id.
 
-    Ends of runs are kept until the owner acknowledges them.
+    Ends of runs are kept until the owner acknowledges them. A lease is never shortened,
+    and lasts `max_lease_ms` of the settings at most.
     """
 
     def __init__(self, info: WorkerInfo, run_s: float = 1.0) -> None:
@@ -173,6 +175,9 @@
         self.run_s = run_s
         self.highest_token = 0
         self.lease_end_s = 0.0
+        # When the worker's clock was 0, by the event loop's clock.
+        self.clock_start_s = 0.0
+        self.restarts = 0
         # Returns the run time of a task in s.
         self.choose_run_s: Callable[[StartOrder], float] = lambda order: self.run_s
         self.running: dict[TaskId, FakeRun] = {}
@@ -197,7 +202,8 @@
 
     def now_ms(self) -> int:
         """Return the time of the worker's clock."""
-        return int(asyncio.get_running_loop().time() * 1000)
+        now_s = asyncio.get_running_loop().time()
+        return int((now_s - self.clock_start_s) * 1000)
 
     def end_due_runs(self) -> None:
         """End the runs that are finished or whose lease has expired."""
@@ -218,6 +224,25 @@
             self.run_intervals.append((task, run.start_s, now_s))
         self.running.clear()
 
+    def restart(self) -> WorkerInfo:
+        """Crash and begin a new life under the same id; return its report."""
+        self.crash()
+        self.restarts += 1
+        born_ms = self.info.incarnation_ms + 1
+        self.info = dataclasses.replace(self.info, incarnation_ms=born_ms)
+        self.clock_start_s = asyncio.get_running_loop().time()
+        self.highest_token = self.last_sequence = 0
+        self.lease_end_s = 0.0
+        self.ended.clear()
+        self.barred_runs.clear()
+        return self.info
+
+    def extend_lease(self, lease: Lease) -> None:
+        """Extend the lease of all runs as far as the order says."""
+        longest_ms = self.now_ms() + SETTINGS.max_lease_ms
+        end_s = self.clock_start_s + min(lease.deadline_ms, longest_ms) / 1000
+        self.lease_end_s = max(self.lease_end_s, end_s)
+
     def end_run(self, task: TaskId, outcome: str, ended_s: float | None = None) -> None:
         """End a run and keep its end until it is acknowledged."""
         run = self.running.pop(task)
@@ -249,7 +274,7 @@
             return refusal
         if lease.deadline_ms and lease.deadline_ms < self.now_ms():
             return Refused("late", self.now_ms())
-        self.lease_end_s = max(self.lease_end_s, lease.deadline_ms / 1000)
+        self.extend_lease(lease)
         self.ended = [row for row in self.ended if row.sequence > acked_through]
         return None
 
@@ -306,7 +331,9 @@
             return Unanswered(was_sent=True)
         if refusal := worker.check_token(lease.token):
             return refusal
-        worker.lease_end_s = max(worker.lease_end_s, lease.deadline_ms / 1000)
+        if lease.deadline_ms < worker.now_ms():
+            return Refused("late", worker.now_ms())
+        worker.extend_lease(lease)
         if order.run <= worker.barred_runs.get(order.task, 0):
             return Refused("old", worker.now_ms())
         now_s = asyncio.get_running_loop().time()
@@ -356,12 +383,13 @@
             return Unanswered(was_sent=True)
         if refusal := worker.begin_poll(lease, acked_through):
             return refusal
+        restarts = worker.restarts
         for _ in range(wait_ms // 10):
             worker.end_due_runs()
-            if worker.ended:
+            if worker.ended or worker.restarts != restarts:
                 break
             await asyncio.sleep(0.01)
-        if worker.is_silent:
+        if worker.is_silent or worker.restarts != restarts:
             return Unanswered(was_sent=True)
         return worker.end_poll(lease)
 
