Start nothing in a life of a worker whose report is not listed

Cause: when a poll shows the restart before the list does, the link kept the report of the former life, with its labels and its capacity.

Change: the obstacle life_not_listed, also checked before a queued start is sent.

--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -44,6 +44,14 @@
         """The life of the worker that answered last, or the listed one."""
         return self._life.incarnation_ms or self.info.incarnation_ms
 
+    @property
+    def is_life_listed(self) -> bool:
+        """Whether the report is that of the life that answers, as far as is known.
+
+        A new life may have another capacity and other labels.
+        """
+        return self._life.incarnation_ms in (0, self.info.incarnation_ms)
+
     @property
     def are_runs_known(self) -> bool:
         """Whether every run that may be on the worker is known."""
@@ -69,6 +77,8 @@
             return "not_listed"
         if not self.was_polled or self.is_silent:
             return "silent" if self.was_polled else "not_polled"
+        if not self.is_life_listed:
+            return "life_not_listed"
         if self.unknown_runs:
             return "unknown_run"
         if self.is_leaving:
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -159,7 +159,8 @@
         # The run may have been abandoned meanwhile and its task started elsewhere.
         if self.runs.get(task.task_id) is not live:
             return
-        if live.is_stop_requested or not is_allowed or not self._ownership.may_act():
+        is_allowed = is_allowed and self.is_life_listed and self._ownership.may_act()
+        if live.is_stop_requested or not is_allowed:
             self.remove_run(live)
             self._events.handle_not_started(self, live, Unanswered(was_sent=False))
             return
