--- a/tests/test_pool_owner.py
+++ b/tests/test_pool_owner.py
@@ -1,7 +1,6 @@
 """A pool with a single owner, from a job's acceptance to its end."""
 
 import asyncio
-import dataclasses
 
 from bergamotgap.domain.fleet import JobPhase, StepSpec
 from bergamotgap.pools.job_table import NotStored, Stored
