--- a/src/bergamotgap/platform/explain.py
+++ b/src/bergamotgap/platform/explain.py
@@ -12,7 +12,8 @@
 from bergamotgap.platform.callers import Caller, identify_caller
 from bergamotgap.platform.documents import decode_job
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
-from bergamotgap.pools.requests import JobRequests, KeyRejected, OutcomeUnknown
+from bergamotgap.pools.request_outcomes import KeyRejected, OutcomeUnknown
+from bergamotgap.pools.requests import JobRequests
 
 EXPLAIN_PATH = "/explain/place"
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -20,10 +20,9 @@
     build_explain_handler,
 )
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
-from bergamotgap.pools.requests import (
+from bergamotgap.pools.request_outcomes import (
     JobAccepted,
     JobCancelled,
-    JobRequests,
     JobState,
     KeyRejected,
     NoSuchJob,
@@ -32,6 +31,7 @@
     RequestOutcome,
     WaitingCount,
 )
+from bergamotgap.pools.requests import JobRequests
 
 KEY_HEADER = "X-Key"
 DEADLINE_HEADER = "X-Request-Deadline"
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -25,7 +25,8 @@
 from bergamotgap.pools.partition_follower import READ_WAIT_MS, PartitionFollower
 from bergamotgap.pools.partitions import choose_partition
 from bergamotgap.pools.pool import Pool
-from bergamotgap.pools.requests import JobRequests, NoReply
+from bergamotgap.pools.request_outcomes import NoReply
+from bergamotgap.pools.requests import JobRequests
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.wave_records import restore_wave_progress
 from bergamotgap.pools.wave_runner import ReportWave
--- a/src/bergamotgap/pools/owner_calls.py
+++ b/src/bergamotgap/pools/owner_calls.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from bergamotgap.pools.requests import NoReply
+from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.ports.pool_peer import PoolCall, PoolReply
 
 # Returns the owner's reply, or a NoReply with the reason if no owner answered.
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -1,14 +1,25 @@
 """Callers' requests about jobs, answered through the owners of the pools."""
 
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.fleet import FleetConfig, JobPhase, JobSpec, Queue
+from bergamotgap.domain.fleet import FleetConfig, JobSpec, Queue
 from bergamotgap.domain.placement_explanation import PlacementExplanation
 from bergamotgap.pools.job_table import Stored
 from bergamotgap.pools.pool import Pool
+from bergamotgap.pools.request_outcomes import (
+    JobAccepted,
+    JobCancelled,
+    JobState,
+    KeyRejected,
+    NoReply,
+    NoSuchJob,
+    NotAccepted,
+    OutcomeUnknown,
+    RequestOutcome,
+    WaitingCount,
+)
 from bergamotgap.ports.pool_peer import (
     AcceptedReply,
     CancelCall,
@@ -46,81 +57,10 @@
 OWNER_WAIT_MS = 600
 # Longest wait for one attempt, so that a successor is called soon after its claim.
 CALL_TIMEOUT_MS = 600
-RETRY_AFTER_MS = 1000
 
 log = get_logger(__name__)
 
 
-@dataclass(frozen=True)
-class JobAccepted:
-    """The job was accepted and is durable."""
-
-
-@dataclass(frozen=True)
-class JobState:
-    """State of a job."""
-
-    phase: JobPhase
-
-
-@dataclass(frozen=True)
-class JobCancelled:
-    """The job was cancelled, or had ended before."""
-
-
-@dataclass(frozen=True)
-class WaitingCount:
-    """Number of a queue's jobs none of whose tasks has started."""
-
-    count: int
-
-
-@dataclass(frozen=True)
-class NoSuchJob:
-    """No such job was accepted."""
-
-
-@dataclass(frozen=True)
-class NotAccepted:
-    """The job was not accepted and never runs."""
-
-    reason: str
-    retry_ms: int = RETRY_AFTER_MS
-
-
-@dataclass(frozen=True)
-class KeyRejected:
-    """The caller's key is not valid any more; nothing was done."""
-
-
-@dataclass(frozen=True)
-class OutcomeUnknown:
-    """The outcome is not known; the request may be repeated with the same job id."""
-
-    reason: str
-    retry_ms: int = RETRY_AFTER_MS
-
-
-RequestOutcome = (
-    JobAccepted
-    | JobState
-    | JobCancelled
-    | WaitingCount
-    | NoSuchJob
-    | NotAccepted
-    | KeyRejected
-    | OutcomeUnknown
-)
-
-
-@dataclass(frozen=True)
-class NoReply:
-    """No owner answered; `was_sent` states whether one may still act on the call."""
-
-    reason: str
-    was_sent: bool
-
-
 # Returns whether the log holds a job of a pool; None if the log does not answer.
 IsStored = Callable[[str, str], Awaitable[bool | None]]
 
--- a/tests/cap_scene.py
+++ b/tests/cap_scene.py
@@ -12,7 +12,7 @@
 from bergamotgap.pools.cap_coordinator import CapCoordinator
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
-from bergamotgap.pools.requests import NoReply
+from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.ports.pool_peer import CapCall, CapReply, PoolCall, PoolReply
 from stand_ins.pools import SETTINGS, FakeOrders, FakeStore, FakeWorker, build_worker
 from stand_ins.virtual_time import LoopClock
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -9,7 +9,7 @@
 from bergamotgap.pools.fleet_view import DocumentFormat, FleetView
 from bergamotgap.pools.host_controller import HostController
 from bergamotgap.pools.journal import Journal
-from bergamotgap.pools.requests import NoReply
+from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.pools.wave_records import restore_wave_progress
 from bergamotgap.ports.fleet import Fence, MachineService
 from bergamotgap.ports.pool_peer import PoolCall, PoolReply
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -15,14 +15,14 @@
 from bergamotgap.pools.fleet_node import MAX_CONFIG_AGE_MS
 from bergamotgap.pools.fleet_view import FleetView, UnreadableDocumentError
 from bergamotgap.pools.partition_follower import PartitionFollower
-from bergamotgap.pools.requests import (
+from bergamotgap.pools.request_outcomes import (
     JobAccepted,
-    JobRequests,
     JobState,
     KeyRejected,
     NoSuchJob,
     RequestOutcome,
 )
+from bergamotgap.pools.requests import JobRequests
 from bergamotgap.ports.fleet import KeyedRecord
 from bergamotgap.ports.pool_peer import (
     AcceptedReply,
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -19,7 +19,7 @@
 from bergamotgap.domain.room_forecast import MAX_TIME_MS, Room, measure_hosts
 from bergamotgap.domain.task_placement import LATE, ON_TIME
 from bergamotgap.platform.ingress import Ingress
-from bergamotgap.pools.requests import NotAccepted
+from bergamotgap.pools.request_outcomes import NotAccepted
 from stand_ins.pools import CONFIG
 from stand_ins.virtual_time import LoopClock
 from tests.test_platform_adapter import JOB_ID, FakeMetrics, serve
--- a/tests/test_explain_place_http.py
+++ b/tests/test_explain_place_http.py
@@ -22,7 +22,8 @@
 from bergamotgap.domain.placement_explanation import PlacementExplanation
 from bergamotgap.platform.ingress import Ingress
 from bergamotgap.pools.pool import Pool
-from bergamotgap.pools.requests import JobRequests, OutcomeUnknown
+from bergamotgap.pools.request_outcomes import OutcomeUnknown
+from bergamotgap.pools.requests import JobRequests
 from bergamotgap.ports.pool_peer import (
     ExplainCall,
     ExplainReply,
--- a/tests/test_host_controller.py
+++ b/tests/test_host_controller.py
@@ -8,7 +8,7 @@
 from bergamotgap.domain.fleet import FleetConfig, HostInfo, Wave
 from bergamotgap.domain.maintenance_plan import IN_MAINTENANCE, UP
 from bergamotgap.platform.node import open_resetting_socket
-from bergamotgap.pools.requests import NoReply
+from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.ports.fleet import MachineServiceUnavailableError
 from bergamotgap.ports.pool_peer import DrainCall, DrainReply, PoolCall, PoolReply
 from stand_ins.pools import CONFIG, FakeStore
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -31,7 +31,7 @@
 from bergamotgap.platform.store import StoreClient, decode_page, encode_records
 from bergamotgap.platform.workers import WorkerOrderClient
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
-from bergamotgap.pools.requests import (
+from bergamotgap.pools.request_outcomes import (
     JobAccepted,
     JobCancelled,
     JobState,
--- a/tests/test_pool_requests.py
+++ b/tests/test_pool_requests.py
@@ -5,15 +5,15 @@
 import pytest
 
 from bergamotgap.domain.fleet import JobPhase
-from bergamotgap.pools.requests import (
+from bergamotgap.pools.request_outcomes import (
     JobAccepted,
-    JobRequests,
     JobState,
     KeyRejected,
     NoSuchJob,
     NotAccepted,
     OutcomeUnknown,
 )
+from bergamotgap.pools.requests import JobRequests
 from bergamotgap.ports.pool_peer import (
     AcceptedReply,
     JobNotFoundReply,
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -23,7 +23,7 @@
 from bergamotgap.pools.host_controller import HostController
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
-from bergamotgap.pools.requests import NoReply
+from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.ports.fleet import (
     StartOrder,
 )
