Let one pool at a time accept the jobs of a queue

Cause: the pool of a submission was looked up in the configuration of the moment, while accepted jobs stay in the pool that accepted them, and a pool knew only its own.

Ruled out: asking all pools at each submission (it would fail while any pool has no owner), and a history of configurations (a node that starts later never sees it).

Change: QueueHomes. A pool accepts jobs of a queue once all others have released it and named their jobs of it; releases and homes are durable. A repeat of a named job is answered as accepted, and a submission that nobody can judge yet with 504, not with a refusal. Two paths of the same cause go with it: the look-up in the log of a submission without an owner (it refused an accepted job while its new pool had no owner), and the number of waiting jobs (6 became 0 when a route got another service).

Why it works: of two owners only one holds the queue in the log at any time, so a job's id can be in one pool, or in the list that this pool got when it took the queue.

--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -166,6 +166,11 @@
     spare_services: frozenset[str] = frozenset()
     customers: "Customers | None" = None
 
+    @property
+    def pools(self) -> tuple[str, ...]:
+        """The services whose pools have owners."""
+        return tuple(s for s in self.services if s not in self.spare_services)
+
     def needs_key(self, queue: Queue) -> bool:
         """Return whether calls to a queue must carry a customer's key."""
         return self.customers is not None and not queue.is_public
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -16,7 +16,7 @@
 from bergamotgap.pools.cap_coordinator import CapCoordinator
 from bergamotgap.pools.fleet_view import FleetView
 from bergamotgap.pools.host_controller import HOSTS_POOL, HostController
-from bergamotgap.pools.job_table import RecordKind, format_record_key
+from bergamotgap.pools.job_lookup import build_job_lookup
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.outage_detector import OutageDetector
 from bergamotgap.pools.ownership_balance import OwnershipBalancer, stop_pool
@@ -101,7 +101,7 @@
             lambda: self.fleet_view.config,
             settings.peer_address,
             self._peers,
-            self._is_job_stored,
+            build_job_lookup(ports.store, settings.log_parts, self.fleet_view),
             clock,
         )
         self._outage_detector = OutageDetector(
@@ -193,8 +193,7 @@
         config = self.fleet_view.config
         if config is None:
             return
-        names = set(config.services) - config.spare_services
-        self.registry.set_claimable_pools(frozenset(names | {HOSTS_POOL}))
+        self.registry.set_claimable_pools(frozenset({*config.pools, HOSTS_POOL}))
         for pool in self.pools.values():
             pool.update_config(config)
 
@@ -262,6 +261,7 @@
             ),
             lambda _: lost.set(),
             self._ports.advice,
+            self._call_owner_for_controller,
         )
         async with pool:
             self._require_newest_coordinator(pool)
@@ -357,18 +357,6 @@
             return ORDER_ANSWER_MS
         return self._settings.confirmation_ttl_ms + ORDER_ANSWER_MS
 
-    async def _is_job_stored(self, pool: str, job_id: str) -> bool | None:
-        topic, part = choose_partition(pool, self._settings.log_parts)
-        try:
-            newest = await self._ports.store.read_newest_values(topic, part)
-        except StoreError as error:
-            log.warning("job lookup in the log failed", job=job_id, error=str(error))
-            return None
-        kinds = (RecordKind.SPEC, RecordKind.PROGRESS)
-        return any(
-            format_record_key(pool, kind, job_id) in newest.values for kind in kinds
-        )
-
     async def _call_owner_for_controller(self, call: PoolCall) -> PoolReply | NoReply:
         return await self.requests.call_owner(call, CONTROLLER_CALL_TIMEOUT_MS, "")
 
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -28,7 +28,7 @@
 class RecordKind(StrEnum):
     """Kind of a record: the second part of its key `pool/kind/name`.
 
-    The name is a job's id, or a queue for `RUN_TIMES`.
+    The name is a job's id, or a queue for `RUN_TIMES` and `HOME`.
     """
 
     SPEC = "j"
@@ -36,6 +36,8 @@
     # Never has a value; see `JobTable._refuse`.
     REFUSED = "r"
     RUN_TIMES = "e"
+    # See `QueueHomes`.
+    HOME = "h"
 
 
 @dataclass(frozen=True)
@@ -53,7 +55,12 @@
     retry_ms: int
 
 
-SubmitOutcome = Stored | NotStored
+@dataclass(frozen=True)
+class HomeUnknown:
+    """The pool may not accept jobs of the queue, or not yet; nothing is known."""
+
+
+SubmitOutcome = Stored | NotStored | HomeUnknown
 
 
 def format_record_key(pool: str, kind: str, name: str) -> str:
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -1,12 +1,13 @@
 """Callers' requests about jobs, answered through the owners of the pools."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, JobSpec, Queue
 from bergamotgap.domain.placement_explanation import PlacementExplanation
-from bergamotgap.pools.job_table import Stored
+from bergamotgap.pools.job_lookup import IsStored
+from bergamotgap.pools.job_table import HomeUnknown, Stored
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.request_outcomes import (
     JobAccepted,
@@ -43,6 +44,9 @@
     PoolCall,
     PoolPeerClient,
     PoolReply,
+    QueueElsewhereReply,
+    QueuesReleasedReply,
+    ReleaseQueuesCall,
     SubmitCall,
     WaitingCountReply,
 )
@@ -61,10 +65,6 @@
 log = get_logger(__name__)
 
 
-# Returns whether the log holds a job of a pool; None if the log does not answer.
-IsStored = Callable[[str, str], Awaitable[bool | None]]
-
-
 class JobRequests:
     """Answer callers through the owners of the pools, which may be this node."""
 
@@ -89,10 +89,22 @@
     async def submit(
         self, spec: JobSpec, queue: Queue, wait_ms: int, key: KeyUse | None = None
     ) -> RequestOutcome:
-        """Submit a job to the pool of its queue and wait `wait_ms` at most."""
-        reply = await self.call_owner(
-            SubmitCall(queue.service, spec, key), wait_ms, spec.job_id
-        )
+        """Submit a job to the pool of its queue and wait `wait_ms` at most.
+
+        The pool of a queue may change meanwhile, in this node's configuration or first
+        in that of the pool's owner.
+        """
+        started_ms = self._clock.monotonic_ms()
+        while True:
+            call = SubmitCall(queue.service, spec, key)
+            passed_ms = self._clock.monotonic_ms() - started_ms
+            reply = await self.call_owner(call, wait_ms - passed_ms, spec.job_id)
+            is_settled = not isinstance(reply, QueueElsewhereReply)
+            if is_settled or passed_ms + RETRY_MS > OWNER_WAIT_MS:
+                break
+            await self._clock.sleep_ms(RETRY_MS)
+            config = self._get_config()
+            queue = (config.get_queue(queue.name) if config else None) or queue
         match reply:
             case AcceptedReply():
                 return JobAccepted()
@@ -112,7 +124,7 @@
         An earlier attempt of the caller may have been accepted, so only the log can
         prove that the job does not exist.
         """
-        is_stored = await self._is_stored(queue.service, job_id)
+        is_stored = await self._is_stored(queue, job_id)
         log.info(
             "job looked up in the log",
             job=job_id,
@@ -160,12 +172,17 @@
         return NoSuchJob()
 
     async def count_waiting_jobs(self, queue: Queue, wait_ms: int) -> RequestOutcome:
-        """Return the number of a queue's waiting jobs."""
-        call = CountWaitingCall(queue.service, queue.name)
-        reply = await self.call_owner(call, wait_ms, "")
-        if isinstance(reply, WaitingCountReply):
-            return WaitingCount(reply.count)
-        return _build_outcome_unknown(reply)
+        """Return the number of a queue's waiting jobs, wherever they were accepted."""
+        count, pools = 0, [queue.service]
+        for pool in pools:
+            call = CountWaitingCall(pool, queue.name)
+            reply = await self.call_owner(call, wait_ms, "")
+            if not isinstance(reply, WaitingCountReply):
+                return _build_outcome_unknown(reply)
+            count += reply.count
+            if pool == queue.service:
+                pools += reply.others
+        return WaitingCount(count)
 
     async def explain(
         self, spec: JobSpec, queue: Queue, wait_ms: int, key: KeyUse | None = None
@@ -182,10 +199,8 @@
     def _list_candidate_pools(self, queue: Queue) -> list[str]:
         # Older jobs of a queue may be in the pool that it was configured with then.
         config = self._get_config()
-        services = config.services if config else ()
-        spare = config.spare_services if config else frozenset()
-        others = [s for s in services if s != queue.service and s not in spare]
-        return [queue.service, *others]
+        pools = config.pools if config else ()
+        return [queue.service, *(pool for pool in pools if pool != queue.service)]
 
     async def call_owner(
         self, call: PoolCall, wait_ms: int, job_id: str
@@ -243,43 +258,7 @@
             return KeyRejectedReply()
         if isinstance(call, ExplainCall):
             return ExplainReply(pool.explain(call.spec))
-        return await self._answer_from_pool(pool, call)
-
-    async def _answer_from_pool(self, pool: Pool, call: PoolCall) -> PoolReply:
-        match call:
-            case SubmitCall():
-                outcome = await pool.submit(call.spec)
-                if isinstance(outcome, Stored):
-                    return AcceptedReply(outcome.is_new)
-                return NotAcceptedReply(outcome.reason, outcome.retry_ms)
-            case JobStateCall():
-                phase = pool.job_table.get_durable_phase(call.job_id)
-                return (
-                    JobStateReply(phase) if phase else await _reply_job_not_found(pool)
-                )
-            case CancelCall():
-                is_known = await pool.cancel(call.job_id)
-                return (
-                    CancelledReply() if is_known else await _reply_job_not_found(pool)
-                )
-            case CountWaitingCall():
-                return WaitingCountReply(pool.job_table.count_waiting_jobs(call.queue))
-            case DrainCall():
-                return pool.drain_worker(
-                    call.worker_id,
-                    call.may_stop,
-                    call.stops_late,
-                    call.absent,
-                    call.host,
-                )
-            case MaintenanceCall():
-                return pool.prepare_maintenance(call)
-            case DemandCall():
-                pool.admission_check.record_hosts(call.arriving_cpu, call.free_cpu)
-                return pool.measure_demand(call.must_yield, call.has_spare_host)
-            case CapCall():
-                return pool.customer_usage.answer(call)
-        return NotOwnerReply()
+        return await _answer_caller(pool, call) or await _answer_fleet(pool, call)
 
     def _is_key_withdrawn(self, call: PoolCall) -> bool:
         """Return whether this node's configuration is newer and lacks the call's key.
@@ -313,6 +292,55 @@
         return True
 
 
+async def _answer_caller(pool: Pool, call: PoolCall) -> PoolReply | None:
+    """Answer a caller's request; return None for calls of other kinds."""
+    match call:
+        case SubmitCall():
+            outcome = await pool.submit(call.spec)
+            if isinstance(outcome, Stored):
+                return AcceptedReply(outcome.is_new)
+            if isinstance(outcome, HomeUnknown):
+                return QueueElsewhereReply()
+            return NotAcceptedReply(outcome.reason, outcome.retry_ms)
+        case JobStateCall():
+            phase = pool.job_table.get_durable_phase(call.job_id)
+            return JobStateReply(phase) if phase else await _reply_job_not_found(pool)
+        case CancelCall():
+            is_known = await pool.cancel(call.job_id)
+            return CancelledReply() if is_known else await _reply_job_not_found(pool)
+        case CountWaitingCall():
+            return WaitingCountReply(
+                pool.job_table.count_waiting_jobs(call.queue),
+                pool.queue_homes.list_other_pools(call.queue),
+            )
+    return None
+
+
+async def _answer_fleet(pool: Pool, call: PoolCall) -> PoolReply:
+    """Answer a call of another owner or of the host controller."""
+    match call:
+        case ReleaseQueuesCall():
+            return QueuesReleasedReply(
+                await pool.queue_homes.release(call.queues, call.config_version)
+            )
+        case DrainCall():
+            return pool.drain_worker(
+                call.worker_id,
+                call.may_stop,
+                call.stops_late,
+                call.absent,
+                call.host,
+            )
+        case MaintenanceCall():
+            return pool.prepare_maintenance(call)
+        case DemandCall():
+            pool.admission_check.record_hosts(call.arriving_cpu, call.free_cpu)
+            return pool.measure_demand(call.must_yield, call.has_spare_host)
+        case CapCall():
+            return pool.customer_usage.answer(call)
+    return NotOwnerReply()
+
+
 def _is_refused_change(call: PoolCall, reply: PoolReply) -> bool:
     is_refusal = isinstance(reply, NotAcceptedReply | KeyRejectedReply)
     return isinstance(call, SubmitCall | CancelCall) and is_refusal
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -133,6 +133,17 @@
     permits: tuple[str, ...] = ()
 
 
+class ReleaseQueuesCall(msgspec.Struct, frozen=True, tag="release_queues"):
+    """Request to accept no more jobs of queues that a configuration sends elsewhere.
+
+    `config_version` is that of the sender's configuration.
+    """
+
+    pool: str
+    queues: tuple[str, ...]
+    config_version: int
+
+
 class ExplainCall(msgspec.Struct, frozen=True, tag="explain"):
     """Request to tell what would become of a job; nothing is changed."""
 
@@ -154,6 +165,16 @@
     retry_ms: int
 
 
+class QueueElsewhereReply(msgspec.Struct, frozen=True, tag="queue_elsewhere"):
+    """The pool may not accept jobs of the queue, or not yet; nothing is known."""
+
+
+class QueuesReleasedReply(msgspec.Struct, frozen=True, tag="queues_released"):
+    """The ids of the pool's jobs by queue, for the queues that it has released."""
+
+    jobs: dict[str, tuple[str, ...]]
+
+
 class KeyRejectedReply(msgspec.Struct, frozen=True, tag="key_rejected"):
     """A newer configuration than the sender's has withdrawn the caller's key."""
 
@@ -173,9 +194,10 @@
 
 
 class WaitingCountReply(msgspec.Struct, frozen=True, tag="count"):
-    """Number of jobs."""
+    """Number of jobs in the pool; `others` are the pools that may have more."""
 
     count: int
+    others: tuple[str, ...] = ()
 
 
 class DrainReply(msgspec.Struct, frozen=True, tag="vacated"):
@@ -267,11 +289,14 @@
     | DemandCall
     | LogContactCall
     | CapCall
+    | ReleaseQueuesCall
     | ExplainCall
 )
 PoolReply = (
     AcceptedReply
     | NotAcceptedReply
+    | QueueElsewhereReply
+    | QueuesReleasedReply
     | KeyRejectedReply
     | JobStateReply
     | JobNotFoundReply
