Keep the terms of a job's queue with the accepted job

Cause: RunTracker looked the attempts up in the configuration of the moment, and ended a job only if its queue was found there. Everything else that the queue says of a job, its urgency, its objective and its need of advice, was lost in the same way.

Ruled out: lost counts of failures (the log shows them rise).

Change: an accepted job carries QueueTerms in its record. Its attempts are those that it was accepted with; the rest follows the configuration while the queue is there.

Why it works: what decides whether a job ends no longer depends on a look-up that can fail, and a successor restores it with the job.

--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -87,6 +87,16 @@
         return self.is_long_running and bool(self.memory_mb or self.gpus)
 
 
+class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
+    """What a job keeps of the queue that it was accepted in; fields as in `Queue`."""
+
+    urgency: int
+    attempts: int
+    stretch: float
+    target_latency_ms: int
+    needs_advice: bool
+
+
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
     """Specification of a job as submitted by its caller; start times in Unix ms."""
 
@@ -102,6 +112,8 @@
     customer: str = ""
     # Whether the pool's owner accepted the job beyond its customer's weight.
     is_excess: bool = False
+    # Set when the pool's owner accepts the job.
+    terms: QueueTerms | None = None
 
     @property
     def occurrences(self) -> int:
@@ -122,6 +134,18 @@
             ]
         )
 
+    def build_queue(self) -> "Queue | None":
+        """Return the queue by the job's terms, for a job whose queue was removed."""
+        if self.terms is None:
+            return None
+        return Queue(
+            self.queue,
+            host="",
+            path_prefix="",
+            service="",
+            **msgspec.structs.asdict(self.terms),
+        )
+
     def due_ms(self, occurrence: int) -> int:
         """Return the earliest start time of an occurrence, in Unix ms."""
         if not self.repetitions:
@@ -152,6 +176,17 @@
     needs_advice: bool = False
     is_public: bool = False
 
+    @property
+    def terms(self) -> QueueTerms:
+        """What a job keeps when it is accepted."""
+        return QueueTerms(
+            self.urgency,
+            self.attempts,
+            self.stretch,
+            self.target_latency_ms,
+            self.needs_advice,
+        )
+
 
 @dataclass(frozen=True)
 class FleetConfig:
--- a/src/bergamotgap/pools/admission_check.py
+++ b/src/bergamotgap/pools/admission_check.py
@@ -169,7 +169,7 @@
         """Return why a job is accepted unchecked; empty if it is checked."""
         if not self._settings.refuses_early:
             return "not_enabled"
-        if self._run_tracker.get_queue(job) is None:
+        if self._run_tracker.queues.get(job) is None:
             return "queue_not_known"
         if not self._may_refuse(now_ms):
             return "capacity_not_known"
@@ -179,7 +179,7 @@
         self, job: Job, reading: QueueReading, now_ms: int
     ) -> CheckedJob | None:
         """Return the check of a new job; None if there is nothing to check it by."""
-        queue = self._run_tracker.get_queue(job)
+        queue = self._run_tracker.queues.get(job)
         if queue is None or reading.queue is None:
             return None
         run_times = self._run_tracker.run_times
--- a/src/bergamotgap/pools/placement_explainer.py
+++ b/src/bergamotgap/pools/placement_explainer.py
@@ -324,7 +324,7 @@
     The others are pairs of reason and worker id.
     """
     job, links, step = trial.job, trial.links, task.step
-    queue = parts.run_tracker.get_queue(job)
+    queue = parts.run_tracker.queues.get(job)
     if queue is not None and queue.needs_advice:
         # Tickets are asked for when a task waits, and only those show who may run it.
         return [], [("needs_ticket", name) for name in links]
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -224,6 +224,7 @@
                 return HomeUnknown()
             if self.queue_homes.is_elsewhere(spec.queue, spec.job_id):
                 return Stored(is_new=False)
+            spec = self.run_tracker.queues.add_terms(spec)
         return await self.job_table.submit(spec)
 
     def explain(self, spec: JobSpec) -> PlacementExplanation:
--- a/src/bergamotgap/pools/queue_reader.py
+++ b/src/bergamotgap/pools/queue_reader.py
@@ -87,7 +87,7 @@
 
         Suspected tasks wait for a worker of their own, whatever room there is.
         """
-        queue = self._run_tracker.get_queue(job)
+        queue = self._run_tracker.queues.get(job)
         if queue is None or job.is_long_running:
             return None
         rank = self._run_tracker.rank_job(job, now_ms)
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -6,12 +6,13 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import MS_PER_SECOND, Clock
 from bergamotgap.domain.crash_suspicion import START_MS, record_age
-from bergamotgap.domain.fleet import FleetConfig, JobPhase, Queue, WorkerInfo
+from bergamotgap.domain.fleet import FleetConfig, JobPhase, WorkerInfo
 from bergamotgap.domain.job_state import Job, Task, TaskPhase
 from bergamotgap.domain.pacing import list_pace_changes
 from bergamotgap.domain.run_time_estimates import RunTimeEstimates
 from bergamotgap.domain.task_placement import JobRank, rank_job
 from bergamotgap.pools.crash_watch import CrashWatch
+from bergamotgap.pools.job_queues import JobQueues
 from bergamotgap.pools.job_table import JobTable, forget_assigned_worker
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.link_interface import LiveRun, build_adopted_run
@@ -74,7 +75,7 @@
         self._settings = settings
         self._clock = clock
         self._on_superseded = on_superseded
-        self._queues: dict[str, Queue] = {}
+        self.queues = JobQueues()
         self.links: dict[str, WorkerLink] = {}
         self._link_manager = LinkManager(self.links, self._build_link)
         self.placement_needed = asyncio.Event()
@@ -88,24 +89,20 @@
         """Cancel the orders and polls of all links."""
         await self._link_manager.close()
 
-    def get_queue(self, job: Job) -> Queue | None:
-        """Return the queue of a job, or None if it is not configured."""
-        return self._queues.get(job.spec.queue)
-
     def rank_job(self, job: Job, now_ms: int) -> JobRank:
         """Return the sort key of a job in the placement order; the least goes first."""
         path = self.run_times.expect_path(job)
-        return rank_job(job, self.get_queue(job), now_ms, path)
+        return rank_job(job, self.queues.get(job), now_ms, path)
 
     def rank_running_job(self, job: Job, now_ms: int) -> JobRank:
         """Return the sort key of a job all of whose open tasks are running."""
         rest_ms = self.run_times.expect_rest(job, now_ms)
         path = self.run_times.expect_path(job)._replace(remaining_ms=rest_ms)
-        return rank_job(job, self.get_queue(job), now_ms, path)
+        return rank_job(job, self.queues.get(job), now_ms, path)
 
     def update_config(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
-        self._queues = {queue.name: queue for queue in config.queues}
+        self.queues.update_config(config)
         self.placement_needed.set()
 
     def update_workers(self, workers: Mapping[str, WorkerInfo]) -> None:
@@ -347,8 +344,7 @@
         if end.outcome == "failed" and end.run > task.counted_run:
             job.record_failure(task, end.run)
             task.failed_on.add(link.worker_id)
-            queue = self.get_queue(job)
-            attempts = queue.attempts if queue else 1
+            attempts = self.queues.get_attempts(job)
             log.info(
                 "run failed",
                 task=end.task,
@@ -357,7 +353,7 @@
                 failures=task.failures,
                 attempts=attempts,
             )
-            if queue and not task.step.is_long_running and task.failures >= attempts:
+            if not task.step.is_long_running and task.failures >= attempts:
                 job.end(JobPhase.FAILED, self._clock.wall_ms(), "attempts_used")
                 return
         if is_current:
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -216,7 +216,7 @@
         self, job: Job, step: StepOccurrence, links: list[WorkerLink]
     ) -> tuple[Mapping[str, str], list[WorkerLink]]:
         """Return the tickets by worker id, if needed, and the workers allowed."""
-        queue = self._run_tracker.get_queue(job)
+        queue = self._run_tracker.queues.get(job)
         if queue is None or not queue.needs_advice:
             return {}, links
         tickets = self._ticket_cache.get_tickets(
--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -416,8 +416,12 @@
     """Return a job of two steps, of which the second depends on the first."""
     first = StepSpec(count=3, cpu=1000, memory_mb=100, estimated_ms=1000)
     second = StepSpec(count=2, cpu=2000, memory_mb=100, estimated_ms=1000, after=(0,))
-    fields: dict[str, object] = {"steps": (first, second), **changes}
-    return JobSpec(job_id, "q-previews", "payload", **fields)  # type: ignore[arg-type]
+    fields: dict[str, object] = {
+        "queue": "q-previews",
+        "steps": (first, second),
+        **changes,
+    }
+    return JobSpec(job_id, payload="payload", **fields)  # type: ignore[arg-type]
 
 
 CONFIG = FleetConfig(
