Bound the wait of restored jobs for most workers

Cause: a successor repeats restored work once most listed workers have answered it, and that wait had no end.

Ruled out: the wait for the workers in a job's record, which ends with their leases.

Change: the wait ends when the leases that a former owner can have given have expired.

Why it works: a former owner renews for 2 s at most without the log and starts nothing after that, so no run of it outlives 6 s, whoever answers.

--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -166,7 +166,8 @@
         A former owner starts nothing more once it has had time to learn of its
         successor, because most workers then refuse it. Its runs are known once the
         workers that it recorded for the job were polled, or the leases of those workers
-        have expired even by the slowest clock.
+        have expired even by the slowest clock. By then it has not renewed any lease for
+        a whole lease, and starts nothing, whatever workers answer.
         """
         if job.job_id not in self._unrecovered_jobs:
             return True
@@ -180,9 +181,12 @@
         )
         if listed and 2 * len(polled) <= len(listed):
             self._majority_last_unpolled_ms = now_ms
-        if now_ms < self._majority_last_unpolled_ms + max(wait_ms, MIN_RECOVERY_MS):
-            return False
         are_leases_expired = now_ms >= self.started_ms + self._settings.former_lease_ms
+        is_successor_known = now_ms >= self._majority_last_unpolled_ms + max(
+            wait_ms, MIN_RECOVERY_MS
+        )
+        if not is_successor_known and not are_leases_expired:
+            return False
         are_runs_known = not job.former_workers
         if not self.term.are_former_starts_recorded:
             are_runs_known = are_runs_known and len(polled) == len(listed)
--- a/tests/test_pool_takeover.py
+++ b/tests/test_pool_takeover.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from bergamotgap.ports.fleet import StartOrder
 from bergamotgap.ports.pool_peer import MaintenanceCall
@@ -363,3 +365,28 @@
             assert set(scene.count_starts().values()) == {1}
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("phantoms", [1, 3])
+@pytest.mark.parametrize("is_former_owner_stopped", [True, False])
+def test_listed_workers_that_never_answer_hold_up_no_restored_job(
+    phantoms: int, is_former_owner_stopped: bool
+) -> None:
+    """Guards against restored jobs that wait for workers which nobody can reach."""
+
+    async def main() -> None:
+        scene = Scene(workers=1 + phantoms, run_s=3)
+        for number in range(phantoms):
+            scene.workers[f"w{number + 2}"].is_silent = True
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job())
+            await asyncio.sleep(1)
+        async with scene.run_owner(
+            2, term_number=2, is_former_owner_stopped=is_former_owner_stopped
+        ) as (pool, _):
+            # The first step ends after 2 s; the second may wait for the leases.
+            await asyncio.sleep(SETTINGS.former_lease_ms / 1000 + 4)
+            assert pool.job_table.get_durable_phase("job-1") is JobPhase.COMPLETED
+        assert set(scene.count_starts().values()) == {1}
+
+    run_virtual(main())
