Read the reports of workers strictly

Cause: the decoder gave missing fields defaults and took any figure and any text as an address.

Ruled out: processes that end, and a list that is not followed.

Figures in workers' answers and in the configuration have ranges, since a record of a job with a larger one could not be encoded. Documents that are nested too deeply are refused where they are read, and an odd row of the list of hosts no longer makes the others unreadable.

--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -1,9 +1,12 @@
 """Decode the platform's documents: configuration, worker reports, waves and jobs."""
 
-from typing import Annotated, Any
+import ipaddress
+import re
+from typing import Any, TypeVar
 
 import msgspec
 
+from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.customers import (
     Customer,
     Customers,
@@ -22,6 +25,7 @@
     WorkerInfo,
     WorkerState,
 )
+from bergamotgap.platform.figures import Natural, Positive, Quantity, Whole
 from bergamotgap.pools.fleet_view import DocumentFormat, UnreadableDocumentError
 
 OPERATOR_TOPIC = "keyed.op"
@@ -29,29 +33,28 @@
 STATUS_TOPIC = "keyed.status"
 CONFIG_KEY = "config"
 WAVE_PREFIX = "wave/"
-
-
-# Figures beyond any use would exceed what a record of the log can hold.
-_MAX_FIGURE = 10**15
-_Natural = Annotated[int, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
-_Positive = Annotated[int, msgspec.Meta(ge=1, le=_MAX_FIGURE)]
-_Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
-_Weight = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
+MAX_PORT = 65_535
+MAX_HOST_NAME = 253
+_HOST_LABEL = r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+HOST_NAME = re.compile(rf"{_HOST_LABEL}(\.{_HOST_LABEL})*\.?")
 # Tasks of a job in all its occurrences. Each takes about 500 bytes of its owner's
 # memory, so a job takes 50 MB at most.
 MAX_TASKS_PER_JOB = 100_000
 
+T = TypeVar("T")
+log = get_logger(__name__)
+
 
 class _Route(msgspec.Struct, rename="camel"):
     name: str
     service: str
     host: str = ""
     path_prefix: str = "/"
-    priority: int = 0
-    retry_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: float = 0
-    timeout_ms: float = 0
+    priority: Whole = 0
+    retry_attempts: Natural = 1
+    stretch: Quantity = 1.0
+    target_latency_ms: Quantity = 0
+    timeout_ms: Quantity = 0
     advice: Any = None
     public: bool = False
 
@@ -62,76 +65,82 @@
 
 
 class _Cap(msgspec.Struct, rename="camel"):
-    cpu: _Natural = 0
-    requested_memory_mb: _Natural = 0
-    gpus: _Natural = 0
+    cpu: Natural = 0
+    requested_memory_mb: Natural = 0
+    gpus: Natural = 0
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
     api_keys: list[str] = []
-    weight: _Weight = 1.0
+    weight: Quantity = 1.0
     cap: _Cap = msgspec.field(default_factory=_Cap)
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Natural
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Tenant] | None = None
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    requested_memory_mb: int = 0
-    gpus: int = 0
+    cpu: Natural = 0
+    requested_memory_mb: Natural = 0
+    gpus: Natural = 0
+
 
+class _Entry(msgspec.Struct, rename="camel"):
+    """A worker's report; one without these fields is another writer's."""
 
-class _Entry(msgspec.Struct):
     service: str
     address: str
     zone: str
+    version: str
+    slots: Natural
     state: str
+    cold_remaining_ms: Quantity
+    sequence: Natural
     capacity: _Capacity
-    labels: list[str] = []
-    born: int = 0
+    labels: list[str]
+    born: Natural = 0
     machine: str = ""
 
 
 class _Wave(msgspec.Struct, rename="camel"):
-    wave: int
+    wave: Natural
     machines: list[str]
-    duration_s: float = msgspec.field(name="durationS", default=0.0)
-    cap: int = 1
+    duration_s: Quantity = msgspec.field(name="durationS", default=0.0)
+    cap: Natural = 1
 
 
 class _Step(msgspec.Struct, rename="camel"):
-    count: _Positive
-    cpu: _Natural = 0
-    requested_memory_mb: _Natural = 0
-    gpus: _Natural = 0
-    estimated_ms: _Duration = 0
-    after: tuple[_Natural, ...] = ()
+    count: Positive
+    cpu: Natural = 0
+    requested_memory_mb: Natural = 0
+    gpus: Natural = 0
+    estimated_ms: Quantity = 0
+    after: tuple[Natural, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requirements: Any = ""
     data_rack: str = ""
-    anti_affinity: _Natural = 0
+    anti_affinity: Natural = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: _Duration = 0
+    target_ms: Quantity = 0
     fills: bool = False
-    may_miss: _Natural = 0
+    may_miss: Natural = 0
 
 
 class _Job(msgspec.Struct, rename="camel"):
     steps: list[_Step]
     specification: str = ""
-    repetitions: _Natural = 0
-    start_at_ms: _Natural = 0
-    interval_ms: _Natural = 0
+    repetitions: Natural = 0
+    start_at_ms: Natural = 0
+    interval_ms: Natural = 0
 
 
 class _Host(msgspec.Struct):
@@ -147,25 +156,32 @@
 class HostPage(msgspec.Struct, rename="camel"):
     """One page of the platform's list of machines."""
 
-    machines: list[_Host]
+    machines: list[msgspec.Raw]
     next_page_token: str | None = None
 
     def list_hosts(self) -> list[HostInfo]:
-        """Return the hosts listed on the page."""
-        return [
-            HostInfo(
-                host.machine,
-                host.pool,
-                host.state,
-                host.id or "",
-                host.zone,
-                host.capacity.cpu,
-                frozenset(host.labels),
-                host.capacity.requested_memory_mb,
-                host.capacity.gpus,
-            )
-            for host in self.machines
-        ]
+        """Return the hosts listed on the page, without rows that can't be decoded."""
+        hosts = []
+        for row in self.machines:
+            try:
+                hosts.append(_convert_host(decode_document(bytes(row), _Host)))
+            except UnreadableDocumentError as error:
+                log.debug("row of the list of hosts not decoded", error=str(error))
+        return hosts
+
+
+def _convert_host(host: _Host) -> HostInfo:
+    return HostInfo(
+        host.machine,
+        host.pool,
+        host.state,
+        host.id or "",
+        host.zone,
+        host.capacity.cpu,
+        frozenset(host.labels),
+        host.capacity.requested_memory_mb,
+        host.capacity.gpus,
+    )
 
 
 def build_document_format() -> DocumentFormat:
@@ -177,7 +193,7 @@
 
 def decode_config(value: bytes) -> FleetConfig:
     """Decode the fleet's configuration; raises UnreadableDocumentError."""
-    document = _decode(value, _Config)
+    document = decode_document(value, _Config)
     queues = tuple(
         Queue(
             name=route.name,
@@ -225,11 +241,15 @@
 
 def decode_worker(worker_id: str, value: bytes) -> WorkerInfo:
     """Decode a worker's report; raises UnreadableDocumentError."""
-    entry = _decode(value, _Entry)
+    entry = decode_document(value, _Entry)
     if entry.state not in tuple(WorkerState):
         raise UnreadableDocumentError(
             f"worker {worker_id} has unknown state {entry.state!r}"
         )
+    if not is_address(entry.address):
+        raise UnreadableDocumentError(
+            f"worker {worker_id} has the address {entry.address[:60]!r}"
+        )
     # The first label is the kind of worker, the second its rack.
     rack = entry.labels[1] if len(entry.labels) > 1 else ""
     capacity = entry.capacity
@@ -249,7 +269,7 @@
 
 def decode_wave(value: bytes) -> Wave:
     """Decode a maintenance wave; raises UnreadableDocumentError."""
-    wave = _decode(value, _Wave)
+    wave = decode_document(value, _Wave)
     duration_ms = int(wave.duration_s * 1000)
     return Wave(wave.wave, tuple(wave.machines), duration_ms, max(1, wave.cap))
 
@@ -264,7 +284,7 @@
     job_id: str, queue: str, body: bytes, accepted_ms: int, customer: str = ""
 ) -> JobSpec:
     """Decode a submitted job; raises UnreadableDocumentError."""
-    job = _decode(body, _Job)
+    job = decode_document(body, _Job)
     steps = tuple(_convert_step(step) for step in job.steps)
     if not steps or any(
         before >= number for number, step in enumerate(steps) for before in step.after
@@ -326,17 +346,42 @@
     parts = name.split(".")
     try:
         job, occurrence, step, index = parts
-        return TaskId(job, int(occurrence), int(step), int(index))
+        return TaskId(
+            job, _parse_natural(occurrence), _parse_natural(step), _parse_natural(index)
+        )
     except ValueError as error:
         raise UnreadableDocumentError(
             f"task name {name!r} is not JOB.OCCURRENCE.STEP.NUMBER"
         ) from error
 
 
-def _decode(value: bytes, kind: Any) -> Any:
+def _parse_natural(text: str) -> int:
+    if not re.fullmatch(r"[0-9]{1,15}", text):
+        raise ValueError(f"{text[:30]!r} is not a number of at most 15 digits")
+    return int(text)
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is a host, or an IP address, and a port."""
+    host, _, port = text.rpartition(":")
+    if not re.fullmatch(r"[0-9]{1,5}", port) or not 1 <= int(port) <= MAX_PORT:
+        return False
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        return False
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return len(host) <= MAX_HOST_NAME and bool(HOST_NAME.fullmatch(host))
+    return True
+
+
+def decode_document(value: bytes, kind: type[T]) -> T:
+    """Decode a document of the platform; raises UnreadableDocumentError."""
     try:
         return msgspec.json.decode(value, type=kind)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise UnreadableDocumentError(
-            f"malformed {kind.__name__[1:].lower()} document: {error}"
+            f"malformed {kind.__name__.strip('_').lower()} document: {error}"
         ) from error
--- a/src/bergamotgap/platform/machines.py
+++ b/src/bergamotgap/platform/machines.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from bergamotgap.domain.fleet import HostInfo
-from bergamotgap.platform.documents import HostPage
+from bergamotgap.platform.documents import HostPage, decode_document
+from bergamotgap.pools.fleet_view import UnreadableDocumentError
 from bergamotgap.ports.fleet import MachineServiceUnavailableError
 
 # The same as for the store. It is longer than a slow response takes, and shorter than
@@ -40,8 +41,8 @@
                     f"list of machines answered {status}"
                 )
             try:
-                page = msgspec.json.decode(body, type=HostPage)
-            except msgspec.MsgspecError as error:
+                page = decode_document(body, HostPage)
+            except UnreadableDocumentError as error:
                 raise MachineServiceUnavailableError(
                     f"malformed list of machines: {error}"
                 ) from error
@@ -77,7 +78,13 @@
         if status == 409:
             try:
                 return str(msgspec.json.decode(content)["reason"])
-            except (msgspec.MsgspecError, KeyError, TypeError):
+            except (
+                msgspec.MsgspecError,
+                ValueError,
+                RecursionError,
+                LookupError,
+                TypeError,
+            ):
                 return "busy"
         if status == 400:
             return "unknown"
--- a/src/bergamotgap/platform/workers.py
+++ b/src/bergamotgap/platform/workers.py
@@ -8,7 +8,12 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.fleet import TaskId, WorkerInfo
-from bergamotgap.platform.documents import format_task_name, parse_task_name
+from bergamotgap.platform.documents import (
+    decode_document,
+    format_task_name,
+    parse_task_name,
+)
+from bergamotgap.platform.figures import Figure, Natural, Quantity
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
 from bergamotgap.ports.fleet import (
     Accepted,
@@ -39,7 +44,7 @@
 
 
 class _OrderPayload(msgspec.Struct):
-    clockMs: int | None = None  # noqa: N815
+    clockMs: Natural | None = None  # noqa: N815
     reason: str = BUSY_REASON
 
 
@@ -51,27 +56,27 @@
     """
 
     task: str
-    run: int
+    run: Natural
     saved: str | None
-    percent: float
-    latency_or_cpu: float | None = 0
+    percent: Figure
+    latency_or_cpu: Figure | None = 0
 
 
 class _EndRow(msgspec.Struct, array_like=True):
     """A row of `ended`."""
 
-    sequence: int
+    sequence: Natural
     task: str
-    run: int
+    run: Natural
     outcome: str
     saved: str | None = ""
 
 
 class _PollPayload(msgspec.Struct):
-    clockMs: int  # noqa: N815
+    clockMs: Natural  # noqa: N815
     running: list[_RunRow]
     ended: list[_EndRow]
-    born: int = 0
+    born: Natural = 0
 
 
 class _TicketRow(msgspec.Struct, array_like=True):
@@ -81,7 +86,7 @@
 
 class _TicketsPayload(msgspec.Struct):
     good: list[_TicketRow]
-    validityMs: float = 0  # noqa: N815
+    validityMs: Quantity = 0  # noqa: N815
 
 
 class WorkerOrderClient:
@@ -150,7 +155,7 @@
         if status != 200:
             return _convert_refusal(status, content)
         try:
-            answer = msgspec.json.decode(content, type=_PollPayload)
+            answer = decode_document(content, _PollPayload)
             return PollReply(
                 answer.clockMs,
                 answer.born,
@@ -158,7 +163,7 @@
                 tuple(_convert_end(row) for row in answer.ended),
                 may_have_more_ends=len(answer.ended) >= ENDS_PER_REPLY,
             )
-        except (msgspec.MsgspecError, UnreadableDocumentError) as error:
+        except UnreadableDocumentError as error:
             log.warning(
                 "poll reply not decoded", worker=worker.worker_id, error=str(error)
             )
@@ -222,10 +227,13 @@
                         "advice request refused", job=task.job, status=response.status
                     )
                     return NO_TICKETS
-                answer = msgspec.json.decode(
-                    await response.read(), type=_TicketsPayload
-                )
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+                answer = decode_document(await response.read(), _TicketsPayload)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            UnreadableDocumentError,
+        ) as e:
             log.warning("advice request failed", job=task.job, error=repr(e))
             return NO_TICKETS
         tickets = {row.worker: row.ticket for row in answer.good}
@@ -241,8 +249,8 @@
 
 def _decode_order_payload(content: bytes) -> _OrderPayload:
     try:
-        return msgspec.json.decode(content, type=_OrderPayload)
-    except msgspec.MsgspecError:
+        return decode_document(content, _OrderPayload)
+    except UnreadableDocumentError:
         # Some refusals have no body, such as those of an unhealthy worker.
         return _OrderPayload()
 
--- a/src/bergamotgap/pools/fleet_view.py
+++ b/src/bergamotgap/pools/fleet_view.py
@@ -39,6 +39,8 @@
         self.workers: dict[str, WorkerInfo] = {}
         self.waves: dict[int, Wave] = {}
         self.wave_first_seen_ms: dict[int, int] = {}
+        # By worker: why its report could not be decoded, so that it is logged once.
+        self._unreadable_reports: dict[str, str] = {}
 
     def apply_operator_record(self, record: KeyedRecord) -> None:
         """Fold an operators' record; ignores a configuration that is not newer."""
@@ -70,15 +72,19 @@
         """Fold a worker's report; a report that can't be decoded removes the worker."""
         if record.value is None:
             self.workers.pop(record.key, None)
+            self._unreadable_reports.pop(record.key, None)
             return
         try:
             info = self._document_format.decode_worker(record.key, record.value)
         except UnreadableDocumentError as error:
-            if self.workers.pop(record.key, None) is not None:
+            self.workers.pop(record.key, None)
+            if self._unreadable_reports.get(record.key) != str(error):
+                self._unreadable_reports[record.key] = str(error)
                 log.warning(
                     "worker report not decoded", worker=record.key, error=str(error)
                 )
             return
+        self._unreadable_reports.pop(record.key, None)
         self.workers[record.key] = info
 
     def list_pool_workers(self, pool: str) -> dict[str, WorkerInfo]:
--- a/src/bergamotgap/pools/job_lookup.py
+++ b/src/bergamotgap/pools/job_lookup.py
@@ -1,7 +1,10 @@
 """Looks jobs up in the log, for submissions that reached no owner."""
 
+import contextlib
 from collections.abc import Awaitable, Callable, Mapping
 
+import msgspec
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.fleet import Queue
 from bergamotgap.pools.fleet_view import FleetView
@@ -52,7 +55,8 @@
     The queue's pool records which; without a record, each pool may.
     """
     home = values.get(format_record_key(queue.service, RecordKind.HOME, queue.name))
-    if home is not None:
-        return decode_home(home)
+    with contextlib.suppress(msgspec.MsgspecError):
+        if home is not None:
+            return decode_home(home)
     pools = fleet_view.config.pools if fleet_view.config else ()
     return tuple(pool for pool in pools if pool != queue.service)
--- a/src/bergamotgap/pools/queue_homes.py
+++ b/src/bergamotgap/pools/queue_homes.py
@@ -57,8 +57,13 @@
         """Restore the homes that a former owner recorded."""
         prefix = format_record_key(self._pool, RecordKind.HOME, "")
         for key, value in values.items():
-            if key.startswith(prefix):
+            if not key.startswith(prefix):
+                continue
+            try:
                 self._homes[key[len(prefix) :]] = decode_home(value)
+            except msgspec.MsgspecError as error:
+                # The other pools are asked again.
+                log.error("queue home not decoded", key=key, error=str(error))
 
     def update_config(self, config: FleetConfig) -> None:
         """Give up the queues that a newer configuration sends elsewhere."""
