Publish whole reports from the stand-in of the users' platform

The short soak lost all jobs, since the stand-in published reports without version, slots, coldRemainingMs and sequence, which the users' page names for every report.

--- a/stand_ins/users_platform.py
+++ b/stand_ins/users_platform.py
@@ -97,6 +97,7 @@
         self.hosts = {f"m{n}": Host(f"m{n}", pool) for n, pool in enumerate(names)}
         # All incarnations of workers, including ended ones.
         self.workers: list[FakeWorker] = []
+        self._sequences = itertools.count(1)
         self._pools = list(pools)
 
     async def __aenter__(self) -> Self:
@@ -175,7 +176,11 @@
             "service": info.service,
             "address": info.address,
             "zone": "dc-1",
+            "version": "v1",
+            "slots": 8,
             "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": next(self._sequences),
             "capacity": {"cpu": 8000, "requestedMemoryMb": 16_000},
             "labels": ["a", "r1"],
             "born": info.incarnation_ms,
--- a/tests/test_pool_room.py
+++ b/tests/test_pool_room.py
@@ -290,7 +290,8 @@
     """Guards against spare hosts that seem to have no memory to give."""
     capacity = {"cpu": 64_000, "requestedMemoryMb": 256_000, "gpus": 2}
     page = {"machines": [{"machine": "m1", "pool": "a", "capacity": capacity}]}
-    hosts = msgspec.convert(page, HostPage).list_hosts()
+    body = msgspec.json.encode(page)
+    hosts = msgspec.json.decode(body, type=HostPage).list_hosts()
     assert hosts[0].size == Size(64_000, 256_000, 2)
 
 
