Poll an idle worker until all its ends are read

Found when the new waits were read for ones that never end: where the last runs of a worker just fill its list of ends, nothing runs there any more, so it was not polled again, and with its ends not read it got no work for good.

Change: a worker with ends that may not be read yet isn't idle.

--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -245,7 +245,8 @@
 
     @property
     def _is_idle(self) -> bool:
-        is_due = self._life.has_unacked_ends or self.is_silent
+        has_ends = self._life.has_unacked_ends or self.has_unread_ends
+        is_due = has_ends or self.is_silent
         return self.was_polled and self.is_empty and not is_due
 
     async def _wait_until_poll_needed(self) -> bool:
--- a/tests/test_long_end_lists.py
+++ b/tests/test_long_end_lists.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from bergamotgap.domain.fleet import JobPhase, StepSpec
+from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from bergamotgap.pools.pool import Pool
+from bergamotgap.ports.fleet import EndReport
 from stand_ins.pools import ENDS_PER_REPLY, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
@@ -139,3 +140,33 @@
             assert count_most_starts(scene) == 1
 
     run_virtual(main())
+
+
+def test_a_worker_whose_ends_just_fill_the_list_gets_work_again() -> None:
+    """Guards against a worker that is not asked again, as nothing runs there."""
+
+    async def main() -> None:
+        scene = Scene(workers=1, run_s=0.5)
+        worker = scene.workers["w1"]
+        steps = (StepSpec(count=3, cpu=1000),)
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job("first", steps=steps))
+            await asyncio.sleep(0.3)
+            scene.is_log_down_for_all = scene.store.is_down = True
+            # A change that waits for the log holds up acknowledgements.
+            pool.job_table.record_progress(pool.job_table.jobs["first"])
+            for _ in range(ENDS_PER_REPLY - 3):
+                worker.last_sequence += 1
+                number = worker.last_sequence
+                end = EndReport(number, TaskId("gone", 0, 0, 0), number, "done", "")
+                worker.ended.append(end)
+            await asyncio.sleep(3)
+            assert len(worker.ended) == ENDS_PER_REPLY
+            scene.is_log_down_for_all = scene.store.is_down = False
+            await asyncio.sleep(3)
+            await pool.submit(build_job("second", steps=steps))
+            await asyncio.sleep(3)
+            phase = pool.job_table.get_durable_phase("second")
+            assert phase is JobPhase.COMPLETED
+
+    run_virtual(main())
