--- a/bench/turning_demand.py
+++ b/bench/turning_demand.py
@@ -41,7 +41,8 @@
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import StartOrder
 from bergamotgap.ports.pool_peer import DemandCall, DrainCall, PoolCall, PoolReply
-from stand_ins.pools import SETTINGS, FakeOrders, FakeStore, FakeWorker, build_worker
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_worker
 from stand_ins.virtual_time import LoopClock, run_virtual
 
 SEEDS = (1, 2, 3, 4)
--- a/stand_ins/users_log.py
+++ b/stand_ins/users_log.py
@@ -17,7 +17,7 @@
     KeyedRecord,
     SequenceError,
 )
-from stand_ins.pools import FakeStore
+from stand_ins.pool_store import FakeStore
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
--- a/tests/cap_scene.py
+++ b/tests/cap_scene.py
@@ -14,7 +14,8 @@
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.ports.pool_peer import CapCall, CapReply, PoolCall, PoolReply
-from stand_ins.pools import SETTINGS, FakeOrders, FakeStore, FakeWorker, build_worker
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_worker
 from stand_ins.virtual_time import LoopClock
 
 CORE = 1000
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -13,7 +13,8 @@
 from bergamotgap.pools.wave_records import restore_wave_progress
 from bergamotgap.ports.fleet import Fence, MachineService
 from bergamotgap.ports.pool_peer import PoolCall, PoolReply
-from stand_ins.pools import SETTINGS, FakeStore
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS
 from stand_ins.virtual_time import LoopClock
 
 
--- a/tests/pool_scene.py
+++ b/tests/pool_scene.py
@@ -9,14 +9,8 @@
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import AdviceService, Tickets
-from stand_ins.pools import (
-    CONFIG,
-    SETTINGS,
-    FakeOrders,
-    FakeStore,
-    FakeWorker,
-    build_worker,
-)
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import CONFIG, SETTINGS, FakeOrders, FakeWorker, build_worker
 from stand_ins.virtual_time import LoopClock
 
 PARTITION = ("keyed.jobs", 0)
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -33,7 +33,8 @@
     NotOwnerReply,
     SubmitCall,
 )
-from stand_ins.pools import FakeStore, build_job
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import build_job
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.pool_scene import Scene
 from tests.test_platform_adapter import JOB_ID, FakeMetrics, serve
--- a/tests/test_host_controller.py
+++ b/tests/test_host_controller.py
@@ -11,7 +11,8 @@
 from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.ports.fleet import MachineServiceUnavailableError
 from bergamotgap.ports.pool_peer import DrainCall, DrainReply, PoolCall, PoolReply
-from stand_ins.pools import CONFIG, FakeStore
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import CONFIG
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.controller_harness import build_fleet_view, run_host_controller
 
--- a/tests/test_long_end_lists.py
+++ b/tests/test_long_end_lists.py
@@ -1,15 +1,18 @@
 """Workers with more unacknowledged ends than one reply lists."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
+from bergamotgap.platform.workers import WorkerOrderClient
 from bergamotgap.pools.pool import Pool
-from bergamotgap.ports.fleet import EndReport
-from stand_ins.pools import ENDS_PER_REPLY, build_job
+from bergamotgap.ports.fleet import EndReport, Lease, PollReply
+from stand_ins.pools import ENDS_PER_REPLY, build_job, build_worker
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
+from tests.test_platform_adapter import JOB_ID, respond_with, serve
 
 JOBS = 4
 # Small enough that the tasks of all jobs fit on one worker at once.
@@ -170,3 +173,17 @@
             assert phase is JobPhase.COMPLETED
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(("count", "may_have_more"), [(499, False), (500, True)])
+async def test_a_full_list_of_ends_may_have_more(
+    count: int, may_have_more: bool
+) -> None:
+    """Guards against runs that count as gone because their ends are not listed yet."""
+    ends = [[n, f"{JOB_ID}.0.1.{n}", 1, "done", ""] for n in range(1, count + 1)]
+    lists = {"clockMs": 1, "born": 17, "running": [], "ended": ends}
+    async with serve(respond_with(200, lists)) as (session, address):
+        worker = dataclasses.replace(build_worker(1), address=address)
+        reply = await WorkerOrderClient(session).poll(worker, Lease(7, 9), 0, 0)
+    assert isinstance(reply, PollReply)
+    assert reply.may_have_more_ends is may_have_more
--- a/tests/test_operators_warnings.py
+++ b/tests/test_operators_warnings.py
@@ -17,7 +17,8 @@
     KeyedLogPage,
     KeyedRecord,
 )
-from stand_ins.pools import SETTINGS, FakeStore, build_job
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS, build_job
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.pool_scene import PARTITION, Scene
 
--- a/tests/test_outage_at_size.py
+++ b/tests/test_outage_at_size.py
@@ -8,7 +8,8 @@
 from bergamotgap.pools.outage_detector import OutageDetector
 from bergamotgap.pools.ownership_registry import Member, OwnershipRegistry
 from bergamotgap.ports.pool_peer import LogContactReply, PoolCall, PoolReply
-from stand_ins.pools import SETTINGS, FakeStore
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
 
 NODES = 300
--- a/tests/test_ownership_balance.py
+++ b/tests/test_ownership_balance.py
@@ -11,7 +11,8 @@
     choose_pool_to_hand_over,
 )
 from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
-from stand_ins.pools import SETTINGS, FakeStore
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.test_pool_parts import start_registry
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,5 @@
 """Test the adapter for the users' platform with HTTP servers of fixed responses."""
 
-import dataclasses
 import json
 import re
 import struct
@@ -208,20 +207,6 @@
     assert (reply.ended[0].sequence, reply.ended[0].outcome) == (58, "done")
 
 
-@pytest.mark.parametrize(("count", "may_have_more"), [(499, False), (500, True)])
-async def test_a_full_list_of_ends_may_have_more(
-    count: int, may_have_more: bool
-) -> None:
-    """Guards against runs that count as gone because their ends are not listed yet."""
-    ends = [[n, f"{JOB_ID}.0.1.{n}", 1, "done", ""] for n in range(1, count + 1)]
-    lists = {"clockMs": 1, "born": 17, "running": [], "ended": ends}
-    async with serve(respond_with(200, lists)) as (session, address):
-        worker = dataclasses.replace(build_worker(1), address=address)
-        reply = await WorkerOrderClient(session).poll(worker, Lease(7, 9), 0, 0)
-    assert isinstance(reply, PollReply)
-    assert reply.may_have_more_ends is may_have_more
-
-
 async def test_order_cut_off_by_the_worker_may_have_arrived() -> None:
     """Guards against restarting a run that may still be at work.
 
--- a/tests/test_pool_parts.py
+++ b/tests/test_pool_parts.py
@@ -20,7 +20,8 @@
     PoolCall,
     PoolReply,
 )
-from stand_ins.pools import SETTINGS, FakeStore
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
 
 TOPIC = "keyed.jobs"
--- a/tests/test_queue_homes.py
+++ b/tests/test_queue_homes.py
@@ -24,11 +24,11 @@
     WaitingCount,
 )
 from bergamotgap.pools.requests import JobRequests
+from stand_ins.pool_store import FakeStore
 from stand_ins.pools import (
     CONFIG,
     SETTINGS,
     FakeOrders,
-    FakeStore,
     FakeWorker,
     build_job,
     build_worker,
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -34,7 +34,8 @@
     PoolCall,
     PoolReply,
 )
-from stand_ins.pools import SETTINGS, FakeStore
+from stand_ins.pool_store import FakeStore
+from stand_ins.pools import SETTINGS
 from stand_ins.virtual_time import LoopClock
 from tests.controller_harness import build_fleet_view, run_host_controller
 from tests.wave_fakes import (
