Call the right of a pool to accept a queue's jobs its holding

The glossary has "home pool" for another thing, the pool that a new host begins in. Only names change.

--- a/src/bergamotgap/pools/job_lookup.py
+++ b/src/bergamotgap/pools/job_lookup.py
@@ -10,7 +10,7 @@
 from bergamotgap.pools.fleet_view import FleetView
 from bergamotgap.pools.job_table import RecordKind, format_record_key
 from bergamotgap.pools.partitions import choose_partition
-from bergamotgap.pools.queue_homes import decode_home
+from bergamotgap.pools.queue_holdings import decode_holding
 from bergamotgap.ports.fleet import Store, StoreError
 
 # Returns whether the log holds a job of a queue, in whichever pool; None if the log
@@ -54,9 +54,11 @@
 
     The queue's pool records which; without a record, each pool may.
     """
-    home = values.get(format_record_key(queue.service, RecordKind.HOME, queue.name))
+    holding = values.get(
+        format_record_key(queue.service, RecordKind.HOLDING, queue.name)
+    )
     with contextlib.suppress(msgspec.MsgspecError):
-        if home is not None:
-            return decode_home(home)
+        if holding is not None:
+            return decode_holding(holding)
     pools = fleet_view.config.pools if fleet_view.config else ()
     return tuple(pool for pool in pools if pool != queue.service)
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -28,7 +28,7 @@
 class RecordKind(StrEnum):
     """Kind of a record: the second part of its key `pool/kind/name`.
 
-    The name is a job's id, or a queue for `RUN_TIMES` and `HOME`.
+    The name is a job's id, or a queue for `RUN_TIMES` and `HOLDING`.
     """
 
     SPEC = "j"
@@ -36,8 +36,8 @@
     # Never has a value; see `JobTable._refuse`.
     REFUSED = "r"
     RUN_TIMES = "e"
-    # See `QueueHomes`.
-    HOME = "h"
+    # See `QueueHoldings`.
+    HOLDING = "h"
 
 
 @dataclass(frozen=True)
@@ -56,11 +56,11 @@
 
 
 @dataclass(frozen=True)
-class HomeUnknown:
+class QueueNotHeld:
     """The pool may not accept jobs of the queue, or not yet; nothing is known."""
 
 
-SubmitOutcome = Stored | NotStored | HomeUnknown
+SubmitOutcome = Stored | NotStored | QueueNotHeld
 
 
 def format_record_key(pool: str, kind: str, name: str) -> str:
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -17,8 +17,8 @@
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_usage import CustomerUsage
 from bergamotgap.pools.job_table import (
-    HomeUnknown,
     JobTable,
+    QueueNotHeld,
     Stored,
     SubmitOutcome,
 )
@@ -27,7 +27,7 @@
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.placement_explainer import PoolParts, explain_placement
 from bergamotgap.pools.pool_demand import measure_demand
-from bergamotgap.pools.queue_homes import QueueHomes
+from bergamotgap.pools.queue_holdings import QueueHoldings
 from bergamotgap.pools.run_time_store import RunTimeStore
 from bergamotgap.pools.run_tracker import RunTracker
 from bergamotgap.pools.settings import PoolSettings
@@ -103,7 +103,7 @@
             name, self.job_table, settings.share_window_ms, clock
         )
         self.job_table.mark_excess = self.customer_accounts.mark_excess
-        self.queue_homes = QueueHomes(
+        self.queue_holdings = QueueHoldings(
             name, self.job_table, self.journal, call_owner, clock
         )
         self.crash_watch = CrashWatch(name, self.job_table, clock, self._give_up_job)
@@ -116,7 +116,7 @@
         )
         newest = await self._store.read_newest_values(self._topic, self._part)
         open_jobs = self.job_table.restore(newest.values)
-        self.queue_homes.restore(newest.values)
+        self.queue_holdings.restore(newest.values)
         self.customer_accounts.restore()
         self.crash_watch.watch_inherited_runs()
         self.journal.last_append_ms = self._clock.monotonic_ms()
@@ -140,7 +140,9 @@
             asyncio.create_task(
                 supervise(f"ticks {self.name}", self._run_housekeeping)
             ),
-            asyncio.create_task(supervise(f"queues {self.name}", self.queue_homes.run)),
+            asyncio.create_task(
+                supervise(f"queues {self.name}", self.queue_holdings.run)
+            ),
         ]
         log.info(
             "pool gained",
@@ -220,9 +222,9 @@
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return once it is durable, or at once if the log is lost."""
         if spec.job_id not in self.job_table.jobs:
-            if not self.queue_homes.holds(spec.queue):
-                return HomeUnknown()
-            if self.queue_homes.is_elsewhere(spec.queue, spec.job_id):
+            if not self.queue_holdings.holds(spec.queue):
+                return QueueNotHeld()
+            if self.queue_holdings.is_elsewhere(spec.queue, spec.job_id):
                 return Stored(is_new=False)
             spec = self.run_tracker.queues.add_terms(spec)
         return await self.job_table.submit(spec)
@@ -270,7 +272,7 @@
 
     def update_config(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
-        self.queue_homes.update_config(config)
+        self.queue_holdings.update_config(config)
         self.customer_usage.update_config(config)
         self.customer_accounts.update_customers(config.customers)
         self.run_tracker.update_config(config)
--- a/src/bergamotgap/pools/queue_homes.py
+++ b/src/bergamotgap/pools/queue_holdings.py
@@ -21,13 +21,13 @@
 log = get_logger(__name__)
 
 
-class QueueHomes:
+class QueueHoldings:
     """Hold the queues whose jobs this pool alone may accept.
 
     A configuration may send a queue to another pool, while its accepted jobs stay. So a
     pool accepts jobs of a queue only once all other pools have released it, each with
-    the ids of its jobs: a job that is submitted again is known then. A home is recorded
-    with the pools that had jobs, so that a successor asks only these again.
+    the ids of its jobs: a job that is submitted again is known then. A holding is
+    recorded with the pools that had jobs, so that a successor asks only these again.
 
     `call_owner` is None if there are no other pools.
     """
@@ -48,36 +48,36 @@
         self._config: FleetConfig | None = None
         self._own_queues: frozenset[str] = frozenset()
         # By queue held: the other pools with jobs of it.
-        self._homes: dict[str, tuple[str, ...]] = {}
+        self._holdings: dict[str, tuple[str, ...]] = {}
         # By queue, and by pool that released it: the ids of the pool's jobs.
         self._released: dict[str, dict[str, frozenset[str]]] = {}
         self._config_changed = asyncio.Event()
 
     def restore(self, values: Mapping[str, bytes]) -> None:
-        """Restore the homes that a former owner recorded."""
-        prefix = format_record_key(self._pool, RecordKind.HOME, "")
+        """Restore the holdings that a former owner recorded."""
+        prefix = format_record_key(self._pool, RecordKind.HOLDING, "")
         for key, value in values.items():
             if not key.startswith(prefix):
                 continue
             try:
-                self._homes[key[len(prefix) :]] = decode_home(value)
+                self._holdings[key[len(prefix) :]] = decode_holding(value)
             except msgspec.MsgspecError as error:
                 # The other pools are asked again.
-                log.error("queue home not decoded", key=key, error=str(error))
+                log.error("queue holding not decoded", key=key, error=str(error))
 
     def update_config(self, config: FleetConfig) -> None:
         """Give up the queues that a newer configuration sends elsewhere."""
         self._config = config
         own = [queue.name for queue in config.queues if queue.service == self._pool]
         self._own_queues = frozenset(own)
-        for queue in (self._homes.keys() | self._released.keys()) - self._own_queues:
+        for queue in (self._holdings.keys() | self._released.keys()) - self._own_queues:
             self._give_up(queue)
         self._take_released_queues()
         self._config_changed.set()
 
     def holds(self, queue: str) -> bool:
         """Return whether jobs of a queue may be accepted."""
-        is_home = queue in self._own_queues and queue in self._homes
+        is_home = queue in self._own_queues and queue in self._holdings
         return is_home and not self._list_unasked(queue)
 
     def is_elsewhere(self, queue: str, job_id: str) -> bool:
@@ -86,7 +86,7 @@
 
     def list_other_pools(self, queue: str) -> tuple[str, ...]:
         """Return the other pools that may have jobs of a queue."""
-        return self._homes[queue] if self.holds(queue) else self._list_others()
+        return self._holdings[queue] if self.holds(queue) else self._list_others()
 
     async def release(
         self, queues: Iterable[str], version: int
@@ -110,12 +110,12 @@
         }
 
     def _give_up(self, queue: str) -> int:
-        self._homes.pop(queue, None)
+        self._holdings.pop(queue, None)
         self._released.pop(queue, None)
         return self._journal.put(self._format_key(queue), lambda: None)
 
     def _format_key(self, queue: str) -> str:
-        return format_record_key(self._pool, RecordKind.HOME, queue)
+        return format_record_key(self._pool, RecordKind.HOLDING, queue)
 
     def _list_jobs(self, queue: str) -> tuple[str, ...]:
         """Return the ids of a queue's jobs, and of those of no present queue.
@@ -136,7 +136,7 @@
 
     def _list_unasked(self, queue: str) -> list[str]:
         others, released = self._list_others(), self._released.get(queue, {})
-        pools = self._homes.get(queue, others)
+        pools = self._holdings.get(queue, others)
         return [pool for pool in pools if pool in others and pool not in released]
 
     async def run(self) -> None:
@@ -169,26 +169,26 @@
             self._released.setdefault(queue, {})[pool] = frozenset(ids)
 
     def _take_released_queues(self) -> None:
-        """Record the homes of queues that all other pools have released."""
+        """Record the holdings of queues that all other pools have released."""
         for queue in self._own_queues:
             if self._list_unasked(queue):
                 continue
             released = self._released.get(queue, {})
             pools = tuple(sorted(pool for pool, ids in released.items() if ids))
-            if self._homes.get(queue) != pools:
-                self._homes[queue] = pools
+            if self._holdings.get(queue) != pools:
+                self._holdings[queue] = pools
                 log.info(
                     "queue taken", pool=self._pool, queue=queue, others=",".join(pools)
                 )
-                self._record_home(queue, pools)
+                self._record_holding(queue, pools)
 
-    def _record_home(self, queue: str, pools: tuple[str, ...]) -> None:
+    def _record_holding(self, queue: str, pools: tuple[str, ...]) -> None:
         if self._call_owner is None:
             return
         value = msgspec.msgpack.encode(pools)
         self._journal.put(self._format_key(queue), lambda: value)
 
 
-def decode_home(value: bytes) -> tuple[str, ...]:
-    """Return the other pools that had jobs of a queue when its home was recorded."""
+def decode_holding(value: bytes) -> tuple[str, ...]:
+    """Return the other pools that had jobs of a queue when its holding was recorded."""
     return msgspec.msgpack.decode(value, type=tuple[str, ...])
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -7,7 +7,7 @@
 from bergamotgap.domain.fleet import FleetConfig, JobSpec, Queue
 from bergamotgap.domain.placement_explanation import PlacementExplanation
 from bergamotgap.pools.job_lookup import IsStored
-from bergamotgap.pools.job_table import HomeUnknown, Stored
+from bergamotgap.pools.job_table import QueueNotHeld, Stored
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.request_outcomes import (
     JobAccepted,
@@ -44,7 +44,7 @@
     PoolCall,
     PoolPeerClient,
     PoolReply,
-    QueueElsewhereReply,
+    QueueNotHeldReply,
     QueuesReleasedReply,
     ReleaseQueuesCall,
     SubmitCall,
@@ -99,7 +99,7 @@
             call = SubmitCall(queue.service, spec, key)
             passed_ms = self._clock.monotonic_ms() - started_ms
             reply = await self.call_owner(call, wait_ms - passed_ms, spec.job_id)
-            is_settled = not isinstance(reply, QueueElsewhereReply)
+            is_settled = not isinstance(reply, QueueNotHeldReply)
             if is_settled or passed_ms + RETRY_MS > OWNER_WAIT_MS:
                 break
             await self._clock.sleep_ms(RETRY_MS)
@@ -299,8 +299,8 @@
             outcome = await pool.submit(call.spec)
             if isinstance(outcome, Stored):
                 return AcceptedReply(outcome.is_new)
-            if isinstance(outcome, HomeUnknown):
-                return QueueElsewhereReply()
+            if isinstance(outcome, QueueNotHeld):
+                return QueueNotHeldReply()
             return NotAcceptedReply(outcome.reason, outcome.retry_ms)
         case JobStateCall():
             phase = pool.job_table.get_durable_phase(call.job_id)
@@ -311,7 +311,7 @@
         case CountWaitingCall():
             return WaitingCountReply(
                 pool.job_table.count_waiting_jobs(call.queue),
-                pool.queue_homes.list_other_pools(call.queue),
+                pool.queue_holdings.list_other_pools(call.queue),
             )
     return None
 
@@ -321,7 +321,7 @@
     match call:
         case ReleaseQueuesCall():
             return QueuesReleasedReply(
-                await pool.queue_homes.release(call.queues, call.config_version)
+                await pool.queue_holdings.release(call.queues, call.config_version)
             )
         case DrainCall():
             return pool.drain_worker(
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -165,7 +165,7 @@
     retry_ms: int
 
 
-class QueueElsewhereReply(msgspec.Struct, frozen=True, tag="queue_elsewhere"):
+class QueueNotHeldReply(msgspec.Struct, frozen=True, tag="queue_not_held"):
     """The pool may not accept jobs of the queue, or not yet; nothing is known."""
 
 
@@ -295,7 +295,7 @@
 PoolReply = (
     AcceptedReply
     | NotAcceptedReply
-    | QueueElsewhereReply
+    | QueueNotHeldReply
     | QueuesReleasedReply
     | KeyRejectedReply
     | JobStateReply
--- a/tests/test_queue_homes.py
+++ b/tests/test_queue_holdings.py
@@ -231,13 +231,21 @@
             fleet.config = build_config(2, "b")
             fleet.pools["b"].update_config(fleet.config)
             await asyncio.sleep(1)
-            homes = [pool.queue_homes for pool in fleet.pools.values()]
-            assert [home.holds(JOB.queue) for home in homes] == [True, False, False]
+            holdings = [pool.queue_holdings for pool in fleet.pools.values()]
+            assert [holding.holds(JOB.queue) for holding in holdings] == [
+                True,
+                False,
+                False,
+            ]
             assert isinstance(await fleet.submit(), OutcomeUnknown)
             for name in "ac":
                 fleet.pools[name].update_config(fleet.config)
             await asyncio.sleep(0.5)
-            assert [home.holds(JOB.queue) for home in homes] == [False, True, False]
+            assert [holding.holds(JOB.queue) for holding in holdings] == [
+                False,
+                True,
+                False,
+            ]
 
     run_virtual(main())
 
