Let soaks run beside each other on one machine

Traced: both soaks gave their nodes the addresses 127.0.0.2 to 127.0.0.4, and the port of the metrics is fixed (OSError 98 in the nodes' logs when two soaks are started at once). Nothing in the product or in a check changed.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,6 +12,7 @@
 import asyncio
 import itertools
 import json
+import os
 import random
 import signal
 import sys
@@ -57,6 +58,10 @@
     process: asyncio.subprocess.Process | None = None
 
 
+# Loopback addresses of the nodes of this process.
+SOAK_BLOCK = f"{1 + os.getpid() // 254 % 254}.{1 + os.getpid() % 254}"
+
+
 @dataclass
 class CallerRecord:
     """What callers were answered, and the faults that were injected."""
@@ -108,8 +113,9 @@
         settings = {
             "node": f"n{number}",
             "zone": "dc-1",
-            # Each node needs its own IP address for its peers and its metrics.
-            "ip": f"127.0.0.{number + 2}",
+            # Each node needs its own IP address for its peers and its metrics, also
+            # beside another soak on this machine.
+            "ip": f"127.{SOAK_BLOCK}.{number + 2}",
             "listenAddresses": {
                 "front": f"127.0.0.1:{front}",
                 "ready": f"127.0.0.1:{ready}",
