List other pools in one place, and read a task's name with one match

Found on reading the change once more. Three modules left one pool out of the pools of the configuration, one of them at each submission; FleetConfig.list_other_pools serves them, and a pool's holdings keep the list until the configuration changes. The stricter task names took a split and three matches for each run of each poll; one pattern does it. The same names are accepted.

--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -206,6 +206,10 @@
         """The services whose pools have owners."""
         return tuple(s for s in self.services if s not in self.spare_services)
 
+    def list_other_pools(self, pool: str) -> tuple[str, ...]:
+        """Return the pools without the named one."""
+        return tuple(other for other in self.pools if other != pool)
+
     def needs_key(self, queue: Queue) -> bool:
         """Return whether calls to a queue must carry a customer's key."""
         return self.customers is not None and not queue.is_public
--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -37,6 +37,7 @@
 MAX_HOST_NAME = 253
 _HOST_LABEL = r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
 HOST_NAME = re.compile(rf"{_HOST_LABEL}(\.{_HOST_LABEL})*\.?")
+TASK_NAME = re.compile(r"([^.]*)" + 3 * r"\.([0-9]{1,15})")
 # Tasks of a job in all its occurrences. Each takes about 500 bytes of its owner's
 # memory, so a job takes 50 MB at most.
 MAX_TASKS_PER_JOB = 100_000
@@ -343,22 +344,13 @@
 
 def parse_task_name(name: str) -> TaskId:
     """Parse a task's name as sent by a worker; raises UnreadableDocumentError."""
-    parts = name.split(".")
-    try:
-        job, occurrence, step, index = parts
-        return TaskId(
-            job, _parse_natural(occurrence), _parse_natural(step), _parse_natural(index)
-        )
-    except ValueError as error:
+    match = TASK_NAME.fullmatch(name)
+    if match is None:
         raise UnreadableDocumentError(
-            f"task name {name!r} is not JOB.OCCURRENCE.STEP.NUMBER"
-        ) from error
-
-
-def _parse_natural(text: str) -> int:
-    if not re.fullmatch(r"[0-9]{1,15}", text):
-        raise ValueError(f"{text[:30]!r} is not a number of at most 15 digits")
-    return int(text)
+            f"task name {name[:60]!r} is not JOB.OCCURRENCE.STEP.NUMBER"
+        )
+    job, occurrence, step, index = match.groups()
+    return TaskId(job, int(occurrence), int(step), int(index))
 
 
 def is_address(text: str) -> bool:
--- a/src/bergamotgap/pools/job_lookup.py
+++ b/src/bergamotgap/pools/job_lookup.py
@@ -60,5 +60,5 @@
     with contextlib.suppress(msgspec.MsgspecError):
         if holding is not None:
             return decode_holding(holding)
-    pools = fleet_view.config.pools if fleet_view.config else ()
-    return tuple(pool for pool in pools if pool != queue.service)
+    config = fleet_view.config
+    return config.list_other_pools(queue.service) if config else ()
--- a/src/bergamotgap/pools/queue_holdings.py
+++ b/src/bergamotgap/pools/queue_holdings.py
@@ -47,6 +47,7 @@
         self._clock = clock
         self._config: FleetConfig | None = None
         self._own_queues: frozenset[str] = frozenset()
+        self._other_pools: tuple[str, ...] = ()
         # By queue held: the other pools with jobs of it.
         self._holdings: dict[str, tuple[str, ...]] = {}
         # By queue, and by pool that released it: the ids of the pool's jobs.
@@ -70,6 +71,8 @@
         self._config = config
         own = [queue.name for queue in config.queues if queue.service == self._pool]
         self._own_queues = frozenset(own)
+        if self._call_owner is not None:
+            self._other_pools = config.list_other_pools(self._pool)
         for queue in (self._holdings.keys() | self._released.keys()) - self._own_queues:
             self._give_up(queue)
         self._take_released_queues()
@@ -77,8 +80,8 @@
 
     def holds(self, queue: str) -> bool:
         """Return whether jobs of a queue may be accepted."""
-        is_home = queue in self._own_queues and queue in self._holdings
-        return is_home and not self._list_unasked(queue)
+        is_held = queue in self._own_queues and queue in self._holdings
+        return is_held and not self._list_unasked(queue)
 
     def is_elsewhere(self, queue: str, job_id: str) -> bool:
         """Return whether another pool had the job when it released the queue."""
@@ -86,7 +89,7 @@
 
     def list_other_pools(self, queue: str) -> tuple[str, ...]:
         """Return the other pools that may have jobs of a queue."""
-        return self._holdings[queue] if self.holds(queue) else self._list_others()
+        return self._holdings[queue] if self.holds(queue) else self._other_pools
 
     async def release(
         self, queues: Iterable[str], version: int
@@ -129,13 +132,8 @@
             if job.spec.queue == queue or job.spec.queue not in names
         )
 
-    def _list_others(self) -> tuple[str, ...]:
-        if self._config is None or self._call_owner is None:
-            return ()
-        return tuple(pool for pool in self._config.pools if pool != self._pool)
-
     def _list_unasked(self, queue: str) -> list[str]:
-        others, released = self._list_others(), self._released.get(queue, {})
+        others, released = self._other_pools, self._released.get(queue, {})
         pools = self._holdings.get(queue, others)
         return [pool for pool in pools if pool in others and pool not in released]
 
--- a/src/bergamotgap/pools/requests.py
+++ b/src/bergamotgap/pools/requests.py
@@ -199,8 +199,8 @@
     def _list_candidate_pools(self, queue: Queue) -> list[str]:
         # Older jobs of a queue may be in the pool that it was configured with then.
         config = self._get_config()
-        pools = config.pools if config else ()
-        return [queue.service, *(pool for pool in pools if pool != queue.service)]
+        others = config.list_other_pools(queue.service) if config else ()
+        return [queue.service, *others]
 
     async def call_owner(
         self, call: PoolCall, wait_ms: int, job_id: str
