Add a failing test of a start that a new life of its worker accepts

Cause as read: a listed restart drops all runs of the link, also one whose start is under way, and nobody waits for the end of its stop.

--- /dev/null
+++ b/tests/test_runs_at_once.py
@@ -0,0 +1,76 @@
+"""Runs of one task on two workers at once, where stops take as long as they may."""
+
+import asyncio
+
+import pytest
+
+from bergamotgap.domain.fleet import StepSpec, TaskId, WorkerInfo
+from bergamotgap.ports.fleet import Lease, OrderOutcome, StartOrder
+from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_job
+from stand_ins.virtual_time import run_virtual
+from tests.pool_scene import Scene
+from tests.test_worker_lives import list_simultaneous_runs, publish_reports
+
+STOP_S = 0.9 * SETTINGS.stop_timeout_ms / 1000
+
+
+class SlowStopOrders(FakeOrders):
+    """Stops take almost as long as they may; answers of starts take `answer_s`."""
+
+    answer_s = 0.0
+
+    async def start(
+        self, info: WorkerInfo, order: StartOrder, lease: Lease
+    ) -> OrderOutcome:
+        outcome = await super().start(info, order, lease)
+        await asyncio.sleep(self.answer_s)
+        return outcome
+
+    def execute_stop(
+        self, worker: FakeWorker, task: TaskId, run: int, token: int
+    ) -> OrderOutcome:
+        stopping = worker.running.pop(task, None)
+        outcome = super().execute_stop(worker, task, run, token)
+        if stopping is None:
+            return outcome
+        worker.running[task] = stopping
+
+        def end_stopped() -> None:
+            if worker.running.get(task) is stopping:
+                worker.end_run(task, "stopped")
+
+        asyncio.get_running_loop().call_later(STOP_S, end_stopped)
+        return outcome
+
+
+@pytest.mark.parametrize("answer_s", [0.0, 0.02, 0.3])
+@pytest.mark.parametrize("lag_s", [0.0, 0.003, 0.02, 0.1, 0.4])
+def test_a_start_that_a_new_life_accepts_is_not_lost_with_the_former_life(
+    lag_s: float, answer_s: float
+) -> None:
+    """Guards against a second run beside one that began in a life not listed yet.
+
+    All workers are idle and begin another life under their ids; the list shows it a
+    little after the start was sent.
+    """
+
+    async def main() -> None:
+        scene = Scene(workers=3, run_s=3)
+        scene.orders_class = SlowStopOrders
+        step = StepSpec(count=1, cpu=1000, estimated_ms=3000)
+        async with scene.run_owner(1) as (pool, orders):
+            assert isinstance(orders, SlowStopOrders)
+            orders.answer_s = answer_s
+            await asyncio.sleep(1)
+            for worker in scene.workers.values():
+                worker.restart()
+            await pool.submit(build_job("job", steps=(step,)))
+            while not any(link.runs for link in pool.run_tracker.links.values()):
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(lag_s)
+            publish_reports(scene, pool)
+            await asyncio.sleep(8)
+            assert not list_simultaneous_runs(scene)
+            assert pool.job_table.jobs["job"].phase.is_final
+
+    run_virtual(main())
