Log accepted starts, ends that free a task, and stops of starts of a former life

The log could not tell why a task waited again: an end stopped, lapsed, broken or alone had no line, nor had a run taken for stopped, a stop that a new life gets for a start of a former one, or the answer to a start. 'start accepted' names the life and the worker's clock, so one sees which life has the run.

--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -47,6 +47,8 @@
 QUARANTINE_MS = 4000
 # Reasons for which a run is gone while its worker is up.
 ENDED_REASONS = frozenset({"stopped", "vanished", "end_not_processed"})
+# Outcomes of runs that have another line, or leave the task as it is.
+LOGGED_ELSEWHERE = frozenset({"done", "failed"})
 
 log = get_logger(__name__)
 
@@ -331,6 +333,16 @@
 
     def _fold_end(self, link: WorkerLink, end: EndReport, job: Job, task: Task) -> None:
         is_current = task.worker_id == link.worker_id and task.run == end.run
+        if end.outcome not in LOGGED_ELSEWHERE:
+            log.info(
+                "run ended",
+                task=end.task,
+                run=end.run,
+                worker=link.worker_id,
+                outcome=end.outcome,
+                sequence=end.sequence,
+                is_current=is_current,
+            )
         job.mark_started()
         if end.outcome == "done" and not task.step.is_long_running:
             if not is_current:
@@ -368,7 +380,17 @@
         self.run_times.record_end(link, live, is_done=False)
         if reason in ENDED_REASONS:
             live.task.end_exposure(link.worker_id)
-        if reason != "stopped":
+        if reason == "stopped":
+            log.info(
+                "run ended",
+                task=live.task.task_id,
+                run=live.run,
+                worker=link.worker_id,
+                outcome="not_listed",
+                sequence=0,
+                is_current=live.task.run == live.run,
+            )
+        else:
             log.warning(
                 "run lost",
                 task=live.task.task_id,
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -191,13 +191,24 @@
             task.task_id, live.run, call.payload, task.checkpoint, call.ticket
         )
         live.is_start_sent = True
+        sent_ms = self._clock.monotonic_ms()
         self._unanswered_starts.record_sent(task.task_id, live.run)
         outcome = await await_outcome(self._orders.start(self.info, order, lease))
         now_ms = self._clock.monotonic_ms()
         self._unanswered_starts.record_outcome(task.task_id, live.run, outcome)
         self.record_outcome(outcome, now_ms)
         match outcome:
-            case Accepted():
+            case Accepted(clock_ms):
+                log.info(
+                    "start accepted",
+                    task=task.task_id,
+                    run=live.run,
+                    worker=self.worker_id,
+                    life=self.incarnation_ms,
+                    clock_ms=clock_ms,
+                    after_ms=now_ms - sent_ms,
+                    is_held=self.runs.get(task.task_id) is live,
+                )
                 live.start_accepted_ms = now_ms
                 self._events.handle_started(self, live)
                 self.request_poll()
@@ -379,6 +390,12 @@
         for task_id, run in self._unanswered_starts.list_all():
             live = self.runs.get(task_id)
             if live is None or live.run != run:
+                log.info(
+                    "start of a former life stopped",
+                    task=task_id,
+                    run=run,
+                    worker=self.worker_id,
+                )
                 self.queue_stop(task_id, run)
 
     def _remove_runs(self, runs: list[LiveRun], reason: str) -> None:
