Let a task start only when no run of it may exist

Cause: whether a run of a task may still be somewhere was answered by several states kept apart: the task's phase, the runs of each link, runs of unknown size, unanswered starts. A listed restart dropped all runs of the link, also a start that was under way or that the new life had just accepted; a polled restart dropped accepted ones, by whichever life. The stop that followed was not awaited.

Now PossibleRuns holds every run from before its start is sent until it is proven gone, and the three paths to a start ask RunTracker.may_start. Proofs: a listed end; a start refused or not sent; a poll of the life that has the run, or that accepted a stop of it; the end of the last lease. WorkerRuns decides what a restart proves: runs that a poll listed, or that an answer with the former life's clock confirmed, are gone; the others are left to the new life, which lists them or gets the stop anew. Unanswered starts count as runs of a new life until it has refused them, also after the worker was off the list. A start whose call is open is not given up. A lasting job forgets a worker only once no run can be there.

--- a/src/bergamotgap/domain/task_placement.py
+++ b/src/bergamotgap/domain/task_placement.py
@@ -11,7 +11,6 @@
     Queue,
     Size,
     StepSpec,
-    TaskId,
     WorkerInfo,
 )
 from bergamotgap.domain.job_paths import ExpectedPath
@@ -38,8 +37,7 @@
     `accepts_tasks` tells whether the worker takes new work. `serving_tasks` counts its
     tasks with a latency target, `filler_tasks` its fillers. `maintenance_in_ms` is the
     expected time until the maintenance of its host, if one is to come; until then only
-    tasks of at most `longest_task_ms` start there. `task_ids` names the tasks that have
-    a run there, one that is being stopped included.
+    tasks of at most `longest_task_ms` start there.
     """
 
     info: WorkerInfo
@@ -50,7 +48,6 @@
     # Speed of the worker's tasks relative to the median.
     speed: float = 1.0
     tasks_of_step: Counter[StepKey] = field(default_factory=Counter)
-    task_ids: set[TaskId] = field(default_factory=set)
     serving_tasks: int = 0
     filler_tasks: int = 0
     # Tasks that keep memory or accelerators until they are cancelled, and their sizes.
@@ -113,20 +110,15 @@
             self.tasks_of_step[task.task_id[:3]] >= step.max_per_host
         ):
             return "max_per_host"
-        # A second run would replace the first one, which may still be executing.
-        if task.task_id in self.task_ids:
-            return "former_run"
         return "" if self.accepts_tasks else "not_accepting"
 
     def reserve(self, task: Task) -> None:
         """Reserve capacity for a task."""
         self._adjust_reserved(task, 1)
-        self.task_ids.add(task.task_id)
 
     def release(self, task: Task) -> None:
         """Release the capacity reserved for a task."""
         self._adjust_reserved(task, -1)
-        self.task_ids.discard(task.task_id)
 
     def _adjust_reserved(self, task: Task, sign: int) -> None:
         size = task.step.size
@@ -148,11 +140,7 @@
 
 def copy_capacity(worker: WorkerCapacity) -> WorkerCapacity:
     """Return a copy on which placement can be tried."""
-    return replace(
-        worker,
-        tasks_of_step=Counter(worker.tasks_of_step),
-        task_ids=set(worker.task_ids),
-    )
+    return replace(worker, tasks_of_step=Counter(worker.tasks_of_step))
 
 
 def rank_job(job: Job, queue: Queue | None, now_ms: int, path: ExpectedPath) -> JobRank:
@@ -226,7 +214,7 @@
     if step.is_long_running or step.is_filler or step.max_per_host or task.failed_on:
         return False
     size = step.size
-    if not worker.fits(size) or task.task_id in worker.task_ids:
+    if not worker.fits(size):
         return False
     if not (size.memory_mb or size.gpus):
         return True
--- a/src/bergamotgap/pools/crash_watch.py
+++ b/src/bergamotgap/pools/crash_watch.py
@@ -117,7 +117,10 @@
         if tasks:
             key = (worker.worker_id, worker.incarnation_ms)
             now_ms = self._clock.monotonic_ms()
-            self._lost[key] = LostWorker(*key, worker.host, tasks, now_ms)
+            # Some runs of a life are found to be lost later than others.
+            former = self._lost.get(key)
+            others = former.tasks if former is not None else []
+            self._lost[key] = LostWorker(*key, worker.host, others + tasks, now_ms)
             self._record_progress(tasks)
             # A later life may be listed already, and the tasks are about to wait again.
             self.resolve_losses()
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -310,17 +310,6 @@
         return dict(Counter(job.phase.value for job in self._jobs.values()))
 
 
-def forget_assigned_worker(job: Job, worker_id: str) -> None:
-    """Forget a worker that has no more runs of a long-running job.
-
-    Workers of other jobs are kept: those jobs end soon, and may start there again while
-    the log does not answer.
-    """
-    tasks = job.list_tasks() if job.is_long_running else []
-    if tasks and not any(task.worker_id == worker_id for task in tasks):
-        job.assigned_workers.pop(worker_id, None)
-
-
 def describe_step(step: StepSpec) -> str:
     """Format a step for a log line: tasks, 1/1000 cores, estimated ms and kind.
 
--- a/src/bergamotgap/pools/link_interface.py
+++ b/src/bergamotgap/pools/link_interface.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from bergamotgap.domain.fleet import TaskId
+from bergamotgap.domain.fleet import TaskId, WorkerInfo
 from bergamotgap.domain.task_state import Task
 from bergamotgap.ports.fleet import EndReport, OrderOutcome, RunReport
 
 if TYPE_CHECKING:
     from bergamotgap.pools.worker_link import WorkerLink
+    from bergamotgap.pools.worker_runs import WorkerRuns
 
 
 @dataclass(eq=False)
@@ -19,10 +20,14 @@
     `start_accepted_ms` is when the worker accepted the start, `stop_accepted_ms` when
     it accepted a stop. A requested stop is repeated until it is accepted;
     `is_stop_sent` is cleared when a stop has to be sent again. `is_start_sent`: the
-    worker may have received the start. `has_survived_start`: a poll listed the run some
-    time after its start. `is_whole`: this owner started the run, not from a checkpoint,
-    and knows when. `seen_ms` is when a poll last listed it. `is_pace_set`: the task's
-    pace was ordered, or is that of every start; it has to be ordered again otherwise.
+    worker may have received the start; `is_start_open` until the call ends. `life` is
+    the number of the worker's life, as its link counts them, that the start was sent to
+    or that listed the run; `is_in_life`: that life is known to have carried it out.
+    `is_loss_recorded`: a crash of that life counts for the task. `worker` is the report
+    by which the start was sent. `has_survived_start`: a poll listed the run some time
+    after its start. `is_whole`: this owner started the run, not from a checkpoint, and
+    knows when. `seen_ms` is when a poll last listed it. `is_pace_set`: the task's pace
+    was ordered, or is that of every start; it has to be ordered again otherwise.
     """
 
     task: Task
@@ -32,22 +37,39 @@
     is_stop_requested: bool = False
     is_stop_sent: bool = False
     is_start_sent: bool = False
+    is_start_open: bool = False
+    life: int = 0
+    is_in_life: bool = False
+    is_loss_recorded: bool = False
+    worker: WorkerInfo | None = None
     has_survived_start: bool = False
     is_whole: bool = False
     seen_ms: int = 0
     is_pace_set: bool = True
 
-    def get_loss_reason(self, sent_ms: int, stop_timeout_ms: int) -> str:
+    def get_loss_reason(self, sent_ms: int, stop_timeout_ms: int, life: int) -> str:
         """Return why a run is gone that a poll sent at `sent_ms` does not list.
 
-        Empty if the run may still be about to start or to stop.
+        Empty if the run may still be about to start or to stop. `life` is the number of
+        the life that answered the poll.
         """
+        if self.is_start_open:
+            return ""
         if self.stop_accepted_ms is not None:
-            is_stopped = sent_ms > self.stop_accepted_ms + stop_timeout_ms
-            return "stopped" if is_stopped else ""
-        if self.start_accepted_ms is not None and self.start_accepted_ms < sent_ms:
-            return "vanished"
-        return ""
+            reason = "stopped"
+            is_gone = sent_ms > self.stop_accepted_ms + stop_timeout_ms
+        else:
+            reason = "vanished"
+            accepted_ms = self.start_accepted_ms
+            is_gone = accepted_ms is not None and accepted_ms < sent_ms
+        if not is_gone:
+            return ""
+        return reason if self.life == life else "restart"
+
+    def forget_stop(self) -> None:
+        """Forget that a stop was sent, since another life knows nothing of it."""
+        self.stop_accepted_ms = None
+        self.is_stop_sent = False
 
 
 def build_adopted_run(task: Task, run: int, now_ms: int) -> LiveRun:
@@ -99,29 +121,29 @@
 class LinkEventHandler(Protocol):
     """What a worker link reports to the pool, and what it waits for."""
 
-    def handle_started(self, link: "WorkerLink", live: LiveRun) -> None:
+    def handle_started(self, link: "WorkerRuns", live: LiveRun) -> None:
         """Handle a start that the worker accepted."""
 
     def handle_not_started(
-        self, link: "WorkerLink", live: LiveRun, outcome: OrderOutcome
+        self, link: "WorkerRuns", live: LiveRun, outcome: OrderOutcome
     ) -> None:
         """Handle a start that was refused or not sent."""
 
     def handle_start_unanswered(self, link: "WorkerLink", live: LiveRun) -> None:
         """Handle a start without an answer: the run may be on the worker."""
 
-    def handle_running(self, link: "WorkerLink", report: RunReport) -> None:
+    def handle_running(self, link: "WorkerRuns", report: RunReport) -> None:
         """Handle a run that a poll lists as running."""
 
-    def handle_ended(self, link: "WorkerLink", end: EndReport) -> None:
+    def handle_ended(self, link: "WorkerRuns", end: EndReport) -> None:
         """Handle the end of a run when a poll first lists it."""
 
     def handle_worker_lost(
-        self, link: "WorkerLink", runs: Sequence[LiveRun], reason: str
+        self, worker: WorkerInfo, runs: Sequence[LiveRun], reason: str
     ) -> None:
-        """Handle the loss of all runs at once; each is reported after this call."""
+        """Handle the loss of a life with runs; each lost run is reported separately."""
 
-    def handle_lost(self, link: "WorkerLink", live: LiveRun, reason: str) -> None:
+    def handle_lost(self, link: "WorkerRuns", live: LiveRun, reason: str) -> None:
         """Handle a run that is gone from the worker without a reported end."""
 
     def handle_first_poll(self, link: "WorkerLink") -> None:
--- /dev/null
+++ b/src/bergamotgap/pools/possible_runs.py
@@ -0,0 +1,59 @@
+"""Every run of a pool's tasks that may be on a worker, by task."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.fleet import TaskId
+from bergamotgap.pools.unanswered_starts import UnansweredStarts
+
+
+class PossibleRun(NamedTuple):
+    """A run that is or may be on a worker."""
+
+    worker_id: str
+    run: int
+
+
+class PossibleRuns:
+    """Hold each run from before its start is sent until it is proven to be gone.
+
+    A task starts only while it has none. Proofs are an end that the worker lists, a
+    start that was not sent or was refused, a poll of the life that has the run, or must
+    refuse its start, and the end of the last lease that it can hold.
+
+    `unanswered_starts` may still be carried out by a later life of their worker.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.unanswered_starts = UnansweredStarts(clock)
+        self._by_task: dict[TaskId, set[PossibleRun]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of runs."""
+        return sum(len(runs) for runs in self._by_task.values())
+
+    def add(self, task_id: TaskId, worker_id: str, run: int) -> None:
+        """Add a run that may be on a worker from now on."""
+        self._by_task.setdefault(task_id, set()).add(PossibleRun(worker_id, run))
+
+    def remove(self, task_id: TaskId, worker_id: str, run: int) -> None:
+        """Remove a run that is proven to be gone."""
+        runs = self._by_task.get(task_id)
+        if runs is None:
+            return
+        runs.discard(PossibleRun(worker_id, run))
+        if not runs:
+            del self._by_task[task_id]
+
+    def may_exist(self, task_id: TaskId) -> bool:
+        """Return whether a run of a task may be on any worker."""
+        return task_id in self._by_task
+
+    def may_be_on(self, task_id: TaskId, worker_id: str) -> bool:
+        """Return whether a run of a task may be on a worker."""
+        return any(run.worker_id == worker_id for run in self.list_runs(task_id))
+
+    def list_runs(self, task_id: TaskId) -> Collection[PossibleRun]:
+        """Return the runs of a task that may be on workers."""
+        return self._by_task.get(task_id, ())
--- a/src/bergamotgap/pools/run_lease.py
+++ b/src/bergamotgap/pools/run_lease.py
@@ -70,9 +70,25 @@
         """
         self._clock_reading = None
         self._deadline_ms = self._deadline_end_ms = 0
+        self.record_misread()
+
+    def record_misread(self) -> None:
+        """Record that a lease in the clock of a former life may have been given now."""
         longest_ms = int(self._longest_ms / (1 - MAX_CLOCK_DRIFT)) + 1
         self._misread_end_ms = self._clock.monotonic_ms() + longest_ms
 
+    def is_same_clock(self, clock_ms: int, now_ms: int) -> bool:
+        """Return whether a time of the worker's clock is of the life read last.
+
+        `clock_ms` was received at `now_ms`, after the last reading. A clock that began
+        anew since then shows less than has passed.
+        """
+        if self._clock_reading is None:
+            return False
+        read_ms, at_ms = self._clock_reading
+        longest_ms = (now_ms - at_ms) * (1 + MAX_CLOCK_DRIFT) + 1
+        return longest_ms < read_ms <= clock_ms <= read_ms + longest_ms
+
     def limit_end(self, now_ms: int) -> None:
         """Limit the bound: no lease given so far lasts beyond `now_ms`."""
         self.end_ms = min(self.end_ms, now_ms)
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -14,15 +14,19 @@
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.filler_pacing import pace_fillers
 from bergamotgap.pools.job_queues import JobQueues
-from bergamotgap.pools.job_table import JobTable, forget_assigned_worker
+from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.journal import Journal
-from bergamotgap.pools.link_interface import LiveRun, build_adopted_run
+from bergamotgap.pools.link_interface import LiveRun
 from bergamotgap.pools.link_manager import LinkManager
 from bergamotgap.pools.ownership_guard import LogConfirmation, OwnershipGuard, Term
+from bergamotgap.pools.possible_runs import PossibleRuns
+from bergamotgap.pools.run_adoption import adopt_or_stop_run
+from bergamotgap.pools.run_lines import log_end, log_loss
 from bergamotgap.pools.run_time_observer import RunTimeObserver
 from bergamotgap.pools.settings import PoolSettings
-from bergamotgap.pools.stop_lines import StopReason, log_stop, log_unwanted_run
+from bergamotgap.pools.stop_lines import StopReason, log_stop
 from bergamotgap.pools.worker_link import WorkerLink
+from bergamotgap.pools.worker_runs import WorkerRuns
 from bergamotgap.ports.fleet import (
     EndReport,
     OrderOutcome,
@@ -47,8 +51,6 @@
 QUARANTINE_MS = 4000
 # Reasons for which a run is gone while its worker is up.
 ENDED_REASONS = frozenset({"stopped", "vanished", "end_not_processed"})
-# Outcomes of runs that have another line, or leave the task as it is.
-LOGGED_ELSEWHERE = frozenset({"done", "failed"})
 
 log = get_logger(__name__)
 
@@ -80,6 +82,7 @@
         self._clock = clock
         self._on_superseded = on_superseded
         self.queues = JobQueues()
+        self.possible_runs = PossibleRuns(clock)
         self.links: dict[str, WorkerLink] = {}
         self._link_manager = LinkManager(self.links, self._build_link)
         self.placement_needed = asyncio.Event()
@@ -122,6 +125,7 @@
             self._orders,
             self,
             self.ownership,
+            self.possible_runs,
             self._settings,
             self._clock,
         )
@@ -200,7 +204,7 @@
         """Return the links to workers that may get new work."""
         return [link for link in self.links.values() if link.is_usable(now_ms)]
 
-    def handle_started(self, link: WorkerLink, live: LiveRun) -> None:
+    def handle_started(self, link: WorkerRuns, live: LiveRun) -> None:
         """Mark the task and its job as running."""
         task = live.task
         task.confirm_start(link.worker_id)
@@ -209,7 +213,7 @@
             self._job_table.jobs[task.task_id.job].mark_started()
 
     def handle_not_started(
-        self, link: WorkerLink, live: LiveRun, outcome: OrderOutcome
+        self, link: WorkerRuns, live: LiveRun, outcome: OrderOutcome
     ) -> None:
         """Return the task to waiting, and stop the other members of its gang."""
         reason = outcome.reason if isinstance(outcome, Refused) else str(outcome)
@@ -253,11 +257,12 @@
             if member is not live.task and member.run == live.run:
                 self.stop_run(member, StopReason.GANG_NOT_STARTED)
 
-    def handle_running(self, link: WorkerLink, report: RunReport) -> None:
+    def handle_running(self, link: WorkerRuns, report: RunReport) -> None:
         """Update a run's progress; adopt or stop a run that is not tracked yet."""
         live = link.runs.get(report.task)
         if live is None or live.run != report.run:
-            self._handle_untracked_run(link, report)
+            now_ms = self._clock.monotonic_ms()
+            adopt_or_stop_run(link, report, self._job_table, now_ms)
             return
         task = live.task
         if live.start_accepted_ms is None and not live.is_stop_requested:
@@ -279,30 +284,7 @@
         task.latency_or_cpu = report.latency_or_cpu
         task.checkpoint = report.checkpoint or task.checkpoint
 
-    def _handle_untracked_run(self, link: WorkerLink, report: RunReport) -> None:
-        job = self._job_table.jobs.get(report.task.job)
-        task = job.get_task(report.task) if job and job.spec.steps else None
-        if job is None or task is None or report.task in link.runs:
-            # The run's size is not known, so the worker gets no work until it is gone.
-            link.stop_unknown_run(report)
-            return
-        now_ms = self._clock.monotonic_ms()
-        if job.phase.is_final or task.phase is not TaskPhase.WAITING:
-            # The run is not wanted, but holds capacity until it is gone.
-            task = Task(report.task, task.step)
-            link.add_run(build_adopted_run(task, report.run, now_ms))
-            log_unwanted_run(report, link.worker_id)
-            link.queue_stop(report.task, report.run)
-            return
-        task.begin_run(
-            TaskPhase.RUNNING, report.run, link.worker_id, now_ms, report.percent
-        )
-        link.add_run(build_adopted_run(task, report.run, now_ms))
-        self._job_table.record_assigned_worker(job, link.worker_id)
-        job.mark_started()
-        log.info("run adopted", task=report.task, run=report.run, worker=link.worker_id)
-
-    def handle_ended(self, link: WorkerLink, end: EndReport) -> None:
+    def handle_ended(self, link: WorkerRuns, end: EndReport) -> None:
         """Apply the end of a run to its job, and write the job's progress."""
         live = link.runs.get(end.task)
         if live is not None and live.run == end.run:
@@ -324,25 +306,16 @@
         if end.outcome == "done":
             self._crash_watch.record_survival(task)
         self._fold_end(link, end, job, task)
-        forget_assigned_worker(job, link.worker_id)
+        self._forget_assigned_worker(job, link.worker_id)
         if job.phase.is_final:
             self._job_table.record_end(job)
             self.stop_job_runs(job, StopReason.JOB_ENDED)
         else:
             self._job_table.record_progress(job)
 
-    def _fold_end(self, link: WorkerLink, end: EndReport, job: Job, task: Task) -> None:
+    def _fold_end(self, link: WorkerRuns, end: EndReport, job: Job, task: Task) -> None:
         is_current = task.worker_id == link.worker_id and task.run == end.run
-        if end.outcome not in LOGGED_ELSEWHERE:
-            log.info(
-                "run ended",
-                task=end.task,
-                run=end.run,
-                worker=link.worker_id,
-                outcome=end.outcome,
-                sequence=end.sequence,
-                is_current=is_current,
-            )
+        log_end(end, link.worker_id, is_current)
         job.mark_started()
         if end.outcome == "done" and not task.step.is_long_running:
             if not is_current:
@@ -370,42 +343,46 @@
             self._job_table.pending[job.job_id] = job
 
     def handle_worker_lost(
-        self, link: WorkerLink, runs: Sequence[LiveRun], reason: str
+        self, worker: WorkerInfo, runs: Sequence[LiveRun], reason: str
     ) -> None:
         """Watch the worker until it is known whether it crashed."""
-        self._crash_watch.record_loss(link.info, runs, reason)
+        self._crash_watch.record_loss(worker, runs, reason)
 
-    def handle_lost(self, link: WorkerLink, live: LiveRun, reason: str) -> None:
+    def handle_lost(self, link: WorkerRuns, live: LiveRun, reason: str) -> None:
         """Return a task to waiting whose run is gone without a reported end."""
         self.run_times.record_end(link, live, is_done=False)
         if reason in ENDED_REASONS:
             live.task.end_exposure(link.worker_id)
-        if reason == "stopped":
-            log.info(
-                "run ended",
-                task=live.task.task_id,
-                run=live.run,
-                worker=link.worker_id,
-                outcome="not_listed",
-                sequence=0,
-                is_current=live.task.run == live.run,
-            )
-        else:
-            log.warning(
-                "run lost",
-                task=live.task.task_id,
-                run=live.run,
-                worker=link.worker_id,
-                reason=reason,
-            )
+        task_id, is_current = live.task.task_id, live.task.run == live.run
+        log_loss(task_id, live.run, link.worker_id, reason, is_current)
         self._requeue(live)
         job = self._job_table.jobs.get(live.task.task_id.job)
         if job is None or job.phase.is_final:
             return
-        forget_assigned_worker(job, link.worker_id)
+        self._forget_assigned_worker(job, link.worker_id)
         if reason in ENDED_REASONS or job.is_long_running:
             self._job_table.record_progress(job)
 
+    def _forget_assigned_worker(self, job: Job, worker_id: str) -> None:
+        """Forget a worker that can have no run of a long-running job any more.
+
+        Workers of other jobs are kept: those jobs end soon, and may start there again
+        while the log does not answer.
+        """
+        if not job.is_long_running or not job.spec.steps:
+            return
+        may_be_on = self.possible_runs.may_be_on
+        if not any(may_be_on(task.task_id, worker_id) for task in job.list_tasks()):
+            job.assigned_workers.pop(worker_id, None)
+
+    def may_start(self, task: Task, now_ms: int) -> bool:
+        """Return whether a task may start: it waits, and no run of it may exist."""
+        return (
+            task.phase is TaskPhase.WAITING
+            and now_ms >= task.retry_ms
+            and not self.possible_runs.may_exist(task.task_id)
+        )
+
     def _requeue(self, live: LiveRun) -> None:
         task = live.task
         job = self._job_table.jobs.get(task.task_id.job)
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -1,6 +1,6 @@
 """Placement passes of a pool: which tasks start on which worker, and why jobs wait."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
@@ -14,7 +14,7 @@
     is_still_best_worker,
     place_gang,
 )
-from bergamotgap.domain.task_state import Task, TaskPhase
+from bergamotgap.domain.task_state import TaskPhase
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_usage import CustomerUsage
@@ -160,12 +160,10 @@
         started = 0
         capacity: WorkerCapacity | None = None
         for task in step.tasks:
-            if task.phase is not TaskPhase.WAITING or now_ms < task.retry_ms:
+            if not self._run_tracker.may_start(task, now_ms):
                 continue
             if capacity is None or not is_still_best_worker(capacity, task):
                 capacity = choose_task_worker(capacities, task)
-            if capacity is None and _has_former_run(task, capacities):
-                continue
             if capacity is None:
                 if len(links) == len(self._links):
                     self._free_room.record_misfit(step.spec)
@@ -191,7 +189,7 @@
             tasks = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
             if not tasks or not step.has_suspects:
                 continue
-            due = [task for task in tasks if now_ms >= task.retry_ms]
+            due = [task for task in tasks if self._run_tracker.may_start(task, now_ms)]
             still_waits |= len(due) < len(tasks)
             tickets, links = self._list_allowed_links(job, step, usable)
             if step.spec.is_gang:
@@ -204,8 +202,6 @@
                 link = self.trial_workers.choose(job, task, links, is_on_time)
                 if link is None:
                     still_waits = True
-                    if _has_former_run(task, [link.capacity for link in links]):
-                        continue
                     break
                 run = self._run_tracker.choose_run_number(task)
                 ticket = tickets.get(link.worker_id, "")
@@ -251,10 +247,7 @@
         tickets: Mapping[str, str],
     ) -> int:
         now_ms = self._clock.monotonic_ms()
-        if any(
-            task.phase is not TaskPhase.WAITING or now_ms < task.retry_ms
-            for task in step.tasks
-        ):
+        if not all(self._run_tracker.may_start(task, now_ms) for task in step.tasks):
             return 0
         placed = place_gang(capacities, step)
         if placed is None:
@@ -290,11 +283,6 @@
         )
 
 
-def _has_former_run(task: Task, workers: Iterable[WorkerCapacity]) -> bool:
-    """Return whether a run of the task keeps only this task off a worker."""
-    return any(task.task_id in worker.task_ids for worker in workers)
-
-
 def _rank_trial(job: Job) -> tuple[bool, tuple[int, int]]:
     """Return the sort key of a job with suspected tasks; the least is tried first.
 
--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -1,10 +1,13 @@
 """A worker as the owner of its pool tracks it: its runs, and whether it gets work."""
 
+from collections.abc import Collection
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import TaskId, WorkerInfo, WorkerState
 from bergamotgap.domain.task_placement import WorkerCapacity
 from bergamotgap.pools.link_interface import LiveRun
+from bergamotgap.pools.possible_runs import PossibleRuns
 from bergamotgap.pools.worker_life import WorkerLife
 from bergamotgap.ports.fleet import Accepted, OrderOutcome, Refused, Unanswered
 
@@ -17,13 +20,21 @@
     `unknown_runs` are runs of unknown size that were found there.
     """
 
-    def __init__(self, info: WorkerInfo, life: WorkerLife, clock: Clock) -> None:
+    def __init__(
+        self,
+        info: WorkerInfo,
+        life: WorkerLife,
+        possible_runs: PossibleRuns,
+        clock: Clock,
+    ) -> None:
         self._clock = clock
+        self._possible_runs = possible_runs
         self._life = life
         self.info = info
         self.was_polled = False
         self.is_listed = True
         self.is_silent = False
+        self.consecutive_failures = 0
         # Runs that are not listed may have ended: the worker lists only so many ends.
         self.has_unread_ends = False
         self.unknown_runs: set[tuple[TaskId, int]] = set()
@@ -106,7 +117,7 @@
         The runs of the former life are left to the caller.
         """
         self._life.begin(incarnation_ms)
-        self.unknown_runs.clear()
+        self.keep_unknown_runs(set())
         self.has_unread_ends = False
         self.draining_until_ms = self.quarantined_until_ms = 0
 
@@ -139,8 +150,9 @@
                 former=former.run,
                 worker=self.worker_id,
             )
-            self.capacity.release(former.task)
+            self.remove_run(former)
         self.runs[live.task.task_id] = live
+        self._possible_runs.add(live.task.task_id, self.worker_id, live.run)
         self.run_changes += 1
         self.capacity.reserve(live.task)
 
@@ -148,10 +160,22 @@
         """Stop tracking a run and release its capacity."""
         if self.runs.get(live.task.task_id) is live:
             del self.runs[live.task.task_id]
+            self._possible_runs.remove(live.task.task_id, self.worker_id, live.run)
             self.run_changes += 1
             self.capacity.release(live.task)
             self.idle_since_ms = self._clock.monotonic_ms()
 
+    def add_unknown_run(self, task_id: TaskId, run: int) -> None:
+        """Track a run of unknown size."""
+        self.unknown_runs.add((task_id, run))
+        self._possible_runs.add(task_id, self.worker_id, run)
+
+    def keep_unknown_runs(self, running: Collection[tuple[TaskId, int]]) -> None:
+        """Stop tracking the runs of unknown size that are not running any more."""
+        for task_id, run in self.unknown_runs.difference(running):
+            self.unknown_runs.discard((task_id, run))
+            self._possible_runs.remove(task_id, self.worker_id, run)
+
     def record_silence(self) -> None:
         """Record that the worker did not answer."""
         if not self.is_silent:
--- a/src/bergamotgap/pools/worker_life.py
+++ b/src/bergamotgap/pools/worker_life.py
@@ -57,6 +57,14 @@
         self.incarnation_ms = incarnation_ms
         self.number += 1
 
+    def is_answer_of(self, clock_ms: int, now_ms: int) -> bool:
+        """Return whether an answer is known to be of this life, by the clock in it."""
+        return self._lease.is_same_clock(clock_ms, now_ms)
+
+    def record_misread(self) -> None:
+        """Record that an order meant for a former life may have reached this one."""
+        self._lease.record_misread()
+
     def doubt(self) -> None:
         """Record that an order got no answer."""
         self._is_doubtful = True
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -17,18 +17,18 @@
     StopOrder,
 )
 from bergamotgap.pools.order_queue import Order, OrderQueue, await_outcome
+from bergamotgap.pools.possible_runs import PossibleRuns
 from bergamotgap.pools.run_lease import RunLease
 from bergamotgap.pools.settings import PoolSettings
-from bergamotgap.pools.tracked_worker import TrackedWorker
-from bergamotgap.pools.unanswered_starts import UnansweredStarts
 from bergamotgap.pools.worker_life import WorkerLife
+from bergamotgap.pools.worker_runs import WorkerRuns
 from bergamotgap.ports.fleet import (
     Accepted,
-    EndReport,
+    Lease,
+    OrderOutcome,
     OtherInstance,
     PollReply,
     Refused,
-    RunReport,
     StartOrder,
     Unanswered,
     WorkerOrders,
@@ -49,7 +49,7 @@
 log = get_logger(__name__)
 
 
-class WorkerLink(TrackedWorker):
+class WorkerLink(WorkerRuns):
     """Send orders to one worker and poll it, each in its own asyncio task."""
 
     def __init__(
@@ -59,6 +59,7 @@
         orders: WorkerOrders,
         events: LinkEventHandler,
         ownership: OwnershipChecks,
+        possible_runs: PossibleRuns,
         settings: PoolSettings,
         clock: Clock,
     ) -> None:
@@ -70,18 +71,20 @@
             settings.former_lease_ms,
             clock,
         )
-        super().__init__(info, WorkerLife(lease), clock)
-        self.consecutive_failures = 0
+        super().__init__(
+            info, WorkerLife(lease), possible_runs, events, settings, clock
+        )
         self._token = token
         self._orders = orders
-        self._events = events
         self._ownership = ownership
-        self._settings = settings
         self._queue = OrderQueue(self._send, self._handle_failed_order)
-        self._unanswered_starts = UnansweredStarts(clock)
         self._poll_requested = asyncio.Event()
         self._poll_requested.set()
         self._poll_ended = asyncio.Event()
+        if self._unanswered_starts.list_of(info.worker_id):
+            # They may be carried out with a lease in the clock of a former life.
+            self._life.record_misread()
+            self.stop_unanswered_starts()
 
     def request_poll(self) -> None:
         """Poll the worker now if it was idle."""
@@ -109,33 +112,12 @@
         self._queue.put(StopOrder(task_id, run, live))
         self.request_poll()
 
-    def stop_unknown_run(self, run: RunReport) -> None:
-        """Stop a run of unknown size."""
-        log.warning("unknown run", task=run.task, run=run.run, worker=self.worker_id)
-        self.unknown_runs.add((run.task, run.run))
-        self.queue_stop(run.task, run.run)
-
     def queue_pace(self, live: LiveRun, percent: int) -> None:
         """Queue a limit of a run's speed."""
         live.task.pace = percent
         live.is_pace_set = True
         self._queue.put(PaceOrder(live, percent))
 
-    def handle_restart(self, info: WorkerInfo) -> None:
-        """Switch to a new incarnation of the worker; runs of the former are lost."""
-        if info.incarnation_ms == self._life.incarnation_ms:
-            # A poll showed it before, and what runs now runs there.
-            self.info = self.capacity.info = info
-            self.draining_until_ms = 0
-            return
-        log.info("listed as restarted", worker=self.worker_id, runs=len(self.runs))
-        self._remove_runs(list(self.runs.values()), "restart")
-        self.info = self.capacity.info = info
-        self.was_polled = self.is_silent = False
-        self.begin_life(0)
-        self._stop_unanswered_starts()
-        self.request_poll()
-
     async def run_orders(self) -> None:
         """Send queued orders until cancelled."""
         await self._queue.run()
@@ -190,29 +172,43 @@
         order = StartOrder(
             task.task_id, live.run, call.payload, task.checkpoint, call.ticket
         )
-        live.is_start_sent = True
-        sent_ms = self._clock.monotonic_ms()
-        self._unanswered_starts.record_sent(task.task_id, live.run)
-        outcome = await await_outcome(self._orders.start(self.info, order, lease))
+        outcome = await self._call_start(live, order, lease)
         now_ms = self._clock.monotonic_ms()
-        self._unanswered_starts.record_outcome(task.task_id, live.run, outcome)
         self.record_outcome(outcome, now_ms)
+        self._handle_start_outcome(live, outcome, now_ms)
+
+    async def _call_start(
+        self, live: LiveRun, order: StartOrder, lease: Lease
+    ) -> OrderOutcome:
+        """Send a start, and track what may come of it if it is not answered."""
+        life = self._life.number
+        live.is_start_sent = live.is_start_open = True
+        live.life, live.worker = life, self.info
+        self._unanswered_starts.add(self.worker_id, live.task, live.run)
+        try:
+            outcome = await await_outcome(self._orders.start(self.info, order, lease))
+        finally:
+            live.is_start_open = False
+        if not isinstance(outcome, Unanswered) or not outcome.was_sent:
+            self._unanswered_starts.remove(self.worker_id, live.task.task_id, live.run)
+        if self._life.number != life:
+            self._life.record_misread()
+        return outcome
+
+    def _handle_start_outcome(
+        self, live: LiveRun, outcome: OrderOutcome, now_ms: int
+    ) -> None:
         match outcome:
             case Accepted(clock_ms):
-                log.info(
-                    "start accepted",
-                    task=task.task_id,
-                    run=live.run,
-                    worker=self.worker_id,
-                    life=self.incarnation_ms,
-                    clock_ms=clock_ms,
-                    after_ms=now_ms - sent_ms,
-                    is_held=self.runs.get(task.task_id) is live,
-                )
                 live.start_accepted_ms = now_ms
+                if self._life.is_answer_of(clock_ms, now_ms):
+                    live.life, live.is_in_life = self._life.number, True
+                self._log_accepted(live, clock_ms)
                 self._events.handle_started(self, live)
                 self.request_poll()
             case Unanswered(was_sent=True):
+                if live.life != self._life.number:
+                    self._record_loss([live])
                 self._events.handle_start_unanswered(self, live)
             case Refused(reason="fence"):
                 self._events.handle_superseded(f"worker {self.worker_id}")
@@ -224,6 +220,18 @@
                 self.remove_run(live)
                 self._events.handle_not_started(self, live, outcome)
 
+    def _log_accepted(self, live: LiveRun, clock_ms: int) -> None:
+        log.info(
+            "start accepted",
+            task=live.task.task_id,
+            run=live.run,
+            worker=self.worker_id,
+            life=self.incarnation_ms,
+            clock_ms=clock_ms,
+            is_life_certain=live.is_in_life,
+            is_held=self.runs.get(live.task.task_id) is live,
+        )
+
     async def _wait_until_start_possible(self) -> bool:
         """Wait for a poll of an idle worker; return whether a start can be sent."""
         with contextlib.suppress(TimeoutError):
@@ -238,13 +246,14 @@
         live = order.live_run
         if live is not None and self.runs.get(order.task_id) is not live:
             return
+        life = self._life.number
         outcome = await await_outcome(
             self._orders.stop(self.info, order.task_id, order.run, self._token)
         )
         self.record_outcome(outcome, self._clock.monotonic_ms())
         match outcome:
             case Accepted():
-                if live is not None:
+                if live is not None and self._life.number == life:
                     live.stop_accepted_ms = self._clock.monotonic_ms()
             case Refused(reason="fence"):
                 self._events.handle_superseded(f"worker {self.worker_id}")
@@ -260,14 +269,14 @@
                 continue
             if not self._ownership.may_renew_leases():
                 await self._clock.sleep_ms(RETRY_MS)
-                self._remove_expired_runs()
+                self._remove_expired_runs(self._ownership.may_abandon_runs())
                 continue
             is_renewed = self._life.is_known or not self.was_polled
             is_answered = await self._poll()
             self._poll_ended.set()
             if not is_answered:
                 await self._clock.sleep_ms(RETRY_MS)
-                self._remove_expired_runs()
+                self._remove_expired_runs(self._ownership.may_abandon_runs())
                 continue
             if not is_renewed:
                 # Only a further poll renews the lease, which may be about to expire.
@@ -321,7 +330,7 @@
             case OtherInstance():
                 self._life.end(now_ms)
                 self.is_listed = False
-                self._remove_expired_runs()
+                self._remove_expired_runs(self._ownership.may_abandon_runs())
                 return False
             case Refused():
                 self.record_outcome(outcome, now_ms)
@@ -331,16 +340,7 @@
         return False
 
     def _handle_poll_reply(self, reply: PollReply, sent_ms: int, now_ms: int) -> None:
-        if self._life.incarnation_ms not in (0, reply.incarnation_ms):
-            self._handle_polled_restart(reply.incarnation_ms)
-        self._life.confirm(reply.incarnation_ms, reply.clock_ms, now_ms)
-        self.record_answer(now_ms)
-        for end in reply.ended:
-            if end.sequence > self._life.last_end_sequence:
-                self._life.last_end_sequence = end.sequence
-                self._handle_end(end)
-        self.has_unread_ends = reply.may_have_more_ends
-        self._apply_running(reply, sent_ms)
+        self._apply_poll(reply, sent_ms, now_ms)
         for live in self.runs.values():
             if live.is_stop_requested:
                 self.queue_stop(live.task.task_id, live.run)
@@ -348,68 +348,3 @@
         if not self.was_polled and not self.has_unread_ends:
             self.was_polled = True
             self._events.handle_first_poll(self)
-
-    def _handle_end(self, end: EndReport) -> None:
-        """Apply an end once; if that fails, the run counts as lost."""
-        live = self.runs.get(end.task)
-        try:
-            self._events.handle_ended(self, end)
-        except Exception:
-            log.exception("end not processed", task=end.task, run=end.run)
-            if live is not None and live.run == end.run:
-                self._remove_lost_run(live, "end_not_processed")
-
-    def _apply_running(self, reply: PollReply, sent_ms: int) -> None:
-        running = {(row.task, row.run) for row in reply.running}
-        self.unknown_runs &= running
-        for row in reply.running:
-            self._events.handle_running(self, row)
-        if reply.may_have_more_ends:
-            # A run that is not listed may have ended, and its end be listed later.
-            return
-        timeout_ms = self._settings.stop_timeout_ms
-        for live in list(self.runs.values()):
-            if (live.task.task_id, live.run) in running:
-                continue
-            if reason := live.get_loss_reason(sent_ms, timeout_ms):
-                self._remove_lost_run(live, reason)
-
-    def _handle_polled_restart(self, incarnation_ms: int) -> None:
-        log.warning("worker restarted", worker=self.worker_id, runs=len(self.runs))
-        self.begin_life(incarnation_ms)
-        runs = [
-            live
-            for live in self.runs.values()
-            if live.start_accepted_ms is not None or live.is_stop_requested
-        ]
-        self._remove_runs(runs, "restart")
-        self._stop_unanswered_starts()
-
-    def _stop_unanswered_starts(self) -> None:
-        """Let a new life refuse the starts that were meant for a former one."""
-        for task_id, run in self._unanswered_starts.list_all():
-            live = self.runs.get(task_id)
-            if live is None or live.run != run:
-                log.info(
-                    "start of a former life stopped",
-                    task=task_id,
-                    run=run,
-                    worker=self.worker_id,
-                )
-                self.queue_stop(task_id, run)
-
-    def _remove_runs(self, runs: list[LiveRun], reason: str) -> None:
-        if runs:
-            self._events.handle_worker_lost(self, runs, reason)
-        for live in runs:
-            self._remove_lost_run(live, reason)
-
-    def _remove_lost_run(self, live: LiveRun, reason: str) -> None:
-        self.remove_run(live)
-        self._events.handle_lost(self, live, reason)
-
-    def _remove_expired_runs(self) -> None:
-        if not self._life.are_leases_expired or not self._ownership.may_abandon_runs():
-            return
-        self._remove_runs(list(self.runs.values()), "lease_ended")
-        self.unknown_runs.clear()
--- a/tests/test_trial_workers.py
+++ b/tests/test_trial_workers.py
@@ -11,6 +11,7 @@
 from bergamotgap.domain.placement_explanation import find_obstacle
 from bergamotgap.domain.task_state import Task
 from bergamotgap.pools.link_interface import LiveRun
+from bergamotgap.pools.possible_runs import PossibleRuns
 from bergamotgap.pools.run_lease import RunLease
 from bergamotgap.pools.tracked_worker import TrackedWorker
 from bergamotgap.pools.trial_workers import TrialWorkers
@@ -62,7 +63,7 @@
         build_worker(number), capacity=Size(4000, 4000, 0), labels=labels
     )
     lease = RunLease(1, SETTINGS.run_lease_ms, SETTINGS.max_lease_ms, 0, clock)
-    return TrackedWorker(info, WorkerLife(lease), clock)
+    return TrackedWorker(info, WorkerLife(lease), PossibleRuns(clock), clock)
 
 
 def add_runs(
--- a/tests/test_waiting_tasks.py
+++ b/tests/test_waiting_tasks.py
@@ -8,7 +8,8 @@
 
 from bergamotgap.domain.fleet import JobSpec, StepSpec, TaskId
 from bergamotgap.pools.pool import Pool
-from stand_ins.pools import build_job
+from bergamotgap.ports.fleet import StartOrder
+from stand_ins.pools import FakeRun, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.crash_scene import CrashScene
 from tests.pool_scene import Scene
@@ -90,11 +91,12 @@
     run_virtual(main())
 
 
-def test_a_task_starts_on_no_worker_that_still_has_its_former_run() -> None:
-    """Guards against room that is held for good by a run that another replaced.
+def test_a_task_starts_nowhere_while_its_former_run_may_be_on_a_worker() -> None:
+    """Guards against a second run, and room that is held for a run that it replaced.
 
-    A start arrives late at a new life of its worker, so the task runs twice. While the
-    stop of the late run gets no answer, the other run fails.
+    A start may arrive late at a new life of its worker, whose stop gets no answer.
+    Later, a run of the task is on that worker beside another one, which fails while the
+    stop of the former one gets no answer.
     """
 
     async def main() -> None:
@@ -103,7 +105,7 @@
         task = TaskId("late", 0, 0, 0)
         async with scene.run_owner(1) as (pool, orders):
             await asyncio.sleep(0.3)
-            orders.start_delays_s.append(2.0)
+            orders.start_delays_s.append(4.0)
             await pool.submit(build_job("late", steps=(step,)))
             await asyncio.sleep(0.1)
             links = pool.run_tracker.links
@@ -111,24 +113,31 @@
             worker = scene.workers[former.worker_id]
             (other,) = (w for w in scene.workers.values() if w is not worker)
             await asyncio.sleep(0.6)
-            # The new life does not learn that it must not start the run.
-            orders.drop_stops = 1
+            # The new life does not learn at once that it must not start the run.
+            orders.drop_stops = 2
             scene.infos[former.worker_id] = worker.restart()
             pool.update_workers(scene.infos)
-            await asyncio.sleep(0.3)
+            while task not in worker.barred_runs:
+                assert task not in other.running
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(5)
             assert task in other.running
+            assert task not in worker.running
             # Another run lets the owner poll the worker.
             label = next(iter(worker.info.labels - other.info.labels))
             beside = StepSpec(count=1, cpu=1000, requirement=label)
             await pool.submit(build_job("beside", steps=(beside,)))
-            while task not in worker.running:
-                await asyncio.sleep(0.01)
+            await asyncio.sleep(1)
+            now_s = asyncio.get_running_loop().time()
+            stray = StartOrder(task, 1, "payload", "")
+            worker.running[task] = FakeRun(stray, now_s + LASTING_RUN_S, now_s)
             orders.drop_stops = 1
             while task not in former.runs:
                 await asyncio.sleep(0.01)
             other.end_run(task, "failed")
             while task in worker.running and worker.running[task].order.run == 1:
                 assert former.runs[task].run == 1
+                assert task not in other.running
                 await asyncio.sleep(0.001)
             await asyncio.sleep(3)
             sizes = [live.task.step.cpu for live in former.runs.values()]
