--- a/src/bergamotgap/pools/worker_runs.py
+++ b/src/bergamotgap/pools/worker_runs.py
@@ -10,6 +10,7 @@
 from bergamotgap.pools.possible_runs import PossibleRuns
 from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.pools.tracked_worker import TrackedWorker
+from bergamotgap.pools.unanswered_starts import UnansweredStart
 from bergamotgap.pools.worker_life import WorkerLife
 from bergamotgap.ports.fleet import EndReport, PollReply, RunReport, Unanswered
 
@@ -107,21 +108,25 @@
         Until it does, it may have these runs, and their tasks start nowhere.
         """
         for start in self._unanswered_starts.list_of(self.worker_id):
-            if start.task_id not in self.runs:
-                log.info(
-                    "start of a former life stopped",
-                    task=start.task_id,
-                    run=start.run,
-                    worker=self.worker_id,
-                    sent_ms_ago=self._clock.monotonic_ms() - start.sent_ms,
-                )
-                task = Task(start.task_id, start.step)
-                live = LiveRun(task, start.run, is_start_sent=True)
-                live.life, live.is_loss_recorded = self._life.number, True
-                self.add_run(live)
-            if self.runs[start.task_id].run >= start.run:
+            live = self.runs.get(start.task_id)
+            if live is None:
+                self._track_unanswered_start(start)
+            if live is None or live.run != start.run:
                 self.queue_stop(start.task_id, start.run)
 
+    def _track_unanswered_start(self, start: UnansweredStart) -> None:
+        log.info(
+            "start of a former life stopped",
+            task=start.task_id,
+            run=start.run,
+            worker=self.worker_id,
+            sent_ms_ago=self._clock.monotonic_ms() - start.sent_ms,
+        )
+        task = Task(start.task_id, start.step)
+        live = LiveRun(task, start.run, is_start_sent=True)
+        live.life, live.is_loss_recorded = self._life.number, True
+        self.add_run(live)
+
     def _apply_poll(self, reply: PollReply, sent_ms: int, now_ms: int) -> None:
         """Apply the life, the ends and the runs that a poll shows."""
         if self._life.incarnation_ms not in (0, reply.incarnation_ms):
--- a/tests/test_runs_at_once.py
+++ b/tests/test_runs_at_once.py
@@ -11,6 +11,7 @@
 from tests.pool_scene import Scene
 from tests.test_worker_lives import list_simultaneous_runs, publish_reports
 
+TASK = TaskId("job", 0, 0, 0)
 STOP_S = 0.9 * SETTINGS.stop_timeout_ms / 1000
 
 
@@ -72,5 +73,7 @@
             await asyncio.sleep(8)
             assert not list_simultaneous_runs(scene)
             assert pool.job_table.jobs["job"].phase.is_final
+            # The run that the new life has begun goes on.
+            assert scene.count_starts() == {TASK: 1}
 
     run_virtual(main())
