Keep the link to a worker that left until its runs of unknown size are gone

Cause: a link was closed while such a run was tracked on it. Since a task starts only when no run of it may exist, its entry in PossibleRuns would have stayed for the rest of the term, and the task of a job submitted later would never have started. test_a_run_of_unknown_size_on_a_worker_that_left_holds_no_task_up failed before.

--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -89,7 +89,7 @@
     @property
     def is_removable(self) -> bool:
         """Whether the worker has left and nothing can run there any more."""
-        return not self.is_listed and not self.runs and self.are_runs_known
+        return not self.is_listed and self.is_empty and self.are_runs_known
 
     def is_usable(self, now_ms: int) -> bool:
         """Return whether the worker may get new work."""
--- a/tests/test_runs_at_once.py
+++ b/tests/test_runs_at_once.py
@@ -6,7 +6,7 @@
 
 from bergamotgap.domain.fleet import StepSpec, TaskId, WorkerInfo
 from bergamotgap.ports.fleet import Lease, OrderOutcome, StartOrder
-from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_job
+from stand_ins.pools import SETTINGS, FakeOrders, FakeRun, FakeWorker, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
 from tests.test_worker_lives import list_simultaneous_runs, publish_reports
@@ -77,3 +77,32 @@
             assert scene.count_starts() == {TASK: 1}
 
     run_virtual(main())
+
+
+def test_a_run_of_unknown_size_on_a_worker_that_left_holds_no_task_up() -> None:
+    """Guards against a task that waits for good for a run on a worker long gone."""
+
+    async def main() -> None:
+        scene = Scene(workers=3, run_s=1)
+        scene.orders_class = SlowStopOrders
+        step = StepSpec(count=1, cpu=1000, estimated_ms=1000)
+        async with scene.run_owner(1) as (pool, _):
+            await asyncio.sleep(1)
+            now_s = asyncio.get_running_loop().time()
+            stray = StartOrder(TASK, 1, "payload", "")
+            worker, link = scene.workers["w1"], pool.run_tracker.links["w1"]
+            worker.running[TASK] = FakeRun(stray, now_s + 100, now_s)
+            worker.lease_end_s = now_s + 100
+            link.request_poll()
+            while not link.unknown_runs:
+                await asyncio.sleep(0.001)
+            worker.is_silent = True
+            del scene.infos["w1"]
+            pool.update_workers(scene.infos)
+            await pool.submit(build_job("job", steps=(step,)))
+            await asyncio.sleep(1)
+            assert not scene.count_starts()
+            await asyncio.sleep(SETTINGS.former_lease_ms / 1000 + 3)
+            assert scene.count_starts() == {TASK: 1}
+
+    run_virtual(main())
