Record the worker of a stray run for successors

Cause: a worker on which the owner stops a run that is not wanted was not among the workers of the job once its first recovery had ended. A successor did not wait for that worker, and started the task beside the stray run if the worker was cut off before the stop reached it. test_a_successor_waits_for_a_run_that_its_predecessor_was_stopping failed before.

--- a/src/bergamotgap/pools/run_adoption.py
+++ b/src/bergamotgap/pools/run_adoption.py
@@ -26,6 +26,9 @@
         task = Task(report.task, task.step)
         link.add_run(build_adopted_run(task, report.run, now_ms))
         log_unwanted_run(report, link.worker_id)
+        if not job.phase.is_final:
+            # A successor must wait for this run as well.
+            job_table.record_assigned_worker(job, link.worker_id)
         link.queue_stop(report.task, report.run)
         return
     task.begin_run(
--- a/tests/test_runs_at_once.py
+++ b/tests/test_runs_at_once.py
@@ -106,3 +106,40 @@
             assert scene.count_starts() == {TASK: 1}
 
     run_virtual(main())
+
+
+def test_a_successor_waits_for_a_run_that_its_predecessor_was_stopping() -> None:
+    """Guards against a second run beside a stray one that a former owner had to stop.
+
+    The stray run is on a worker that is cut off before the stop reaches it.
+    """
+
+    async def main() -> None:
+        scene = Scene(workers=3, run_s=1000)
+        scene.orders_class = SlowStopOrders
+        step = StepSpec(count=1, cpu=1000, is_long_running=True)
+        async with scene.run_owner(1) as (pool, orders):
+            await pool.submit(build_job("job", steps=(step,)))
+            await asyncio.sleep(1)
+            holder = next(n for n, w in scene.workers.items() if w.running)
+            stray = next(n for n in scene.workers if n != holder)
+            now_s = asyncio.get_running_loop().time()
+            order = StartOrder(TASK, 0, "payload", "")
+            scene.workers[stray].running[TASK] = FakeRun(order, now_s + 1000, now_s)
+            scene.workers[stray].lease_end_s = now_s + 5
+            orders.drop_stops = 1
+            pool.run_tracker.links[stray].request_poll()
+            while TASK not in pool.run_tracker.links[stray].runs:
+                await asyncio.sleep(0.001)
+            scene.workers[stray].is_silent = True
+            scene.workers[holder].end_run(TASK, "failed")
+            await asyncio.sleep(0.5)
+            assert not scene.workers[holder].running
+        async with scene.run_owner(2, term_number=2) as (pool, _):
+            for _ in range(800):
+                await asyncio.sleep(0.01)
+                scene.workers[stray].end_due_runs()
+                assert sum(TASK in w.running for w in scene.workers.values()) <= 1
+            assert any(TASK in w.running for w in scene.workers.values())
+
+    run_virtual(main())
