Count the longest lease from the last poll that was meant for a former life

Cause, by reading: a poll that was under way when the list showed a restart can give the new life a lease in the former life's clock until its call ends, up to 1.5 s after the owner began to reckon with the longest lease. Not reproduced; no test.

--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -317,7 +317,9 @@
             wait_ms,
         )
         if self._life.number != life_number:
-            # A restart was listed meanwhile; the outcome may be that of a former life.
+            # A restart was listed meanwhile; the outcome may be that of a former life,
+            # or the new one may have got the lease of the former.
+            self._life.record_misread()
             return False
         now_ms = self._clock.monotonic_ms()
         match outcome:
