Send no start beside a run of its task that was found since its placement

Cause: may_start was asked at the placement only; a start then waits up to 1.2 s for its record and for the life of its worker.

--- a/src/bergamotgap/pools/possible_runs.py
+++ b/src/bergamotgap/pools/possible_runs.py
@@ -50,6 +50,10 @@
         """Return whether a run of a task may be on any worker."""
         return task_id in self._by_task
 
+    def may_exist_beside(self, task_id: TaskId, run: int) -> bool:
+        """Return whether another run of a task than `run` may be on any worker."""
+        return any(other.run != run for other in self.list_runs(task_id))
+
     def may_be_on(self, task_id: TaskId, worker_id: str) -> bool:
         """Return whether a run of a task may be on a worker."""
         return any(run.worker_id == worker_id for run in self.list_runs(task_id))
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -163,7 +163,12 @@
         # The run may have been abandoned meanwhile and its task started elsewhere.
         if self.runs.get(task.task_id) is not live:
             return
-        is_allowed = is_allowed and self.is_life_listed and self._ownership.may_act()
+        is_allowed = (
+            is_allowed
+            and self.is_life_listed
+            and self._ownership.may_act()
+            and not self._possible_runs.may_exist_beside(live.task.task_id, live.run)
+        )
         if live.is_stop_requested or not is_allowed:
             self.remove_run(live)
             self._events.handle_not_started(self, live, Unanswered(was_sent=False))
