Count the end of a worker's life once, by its last report

Now all runs that may have ended a life are reported at once when the next one shows, with the last report of that life. test_a_worker_that_drained_and_left_counts_as_no_crash, test_a_crash_under_two_starting_jobs_is_blamed_on_neither and test_a_run_that_ended_is_not_lost_with_its_worker_afterwards failed before.

--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -212,8 +212,6 @@
                 self._events.handle_started(self, live)
                 self.request_poll()
             case Unanswered(was_sent=True):
-                if live.life != self._life.number:
-                    self._record_loss([live])
                 self._events.handle_start_unanswered(self, live)
             case Refused(reason="fence"):
                 self._events.handle_superseded(f"worker {self.worker_id}")
--- a/src/bergamotgap/pools/worker_runs.py
+++ b/src/bergamotgap/pools/worker_runs.py
@@ -74,14 +74,17 @@
     def _handle_new_life(self, incarnation_ms: int) -> None:
         runs = list(self.runs.values())
         gone = [live for live in runs if live.is_in_life]
+        # A start without an answer may have ended the former life.
         unanswered = [
             live
             for live in runs
-            if not live.is_in_life
-            and live.is_start_sent
-            and not live.is_start_open
+            if live.is_start_sent
+            and not live.is_in_life
             and live.start_accepted_ms is None
         ]
+        for live in runs:
+            if live.life == self._life.number:
+                live.worker = self.info
         self.begin_life(incarnation_ms)
         self._record_loss([*gone, *unanswered])
         for live in gone:
@@ -181,8 +184,9 @@
         for live in lost:
             live.is_loss_recorded = True
         if lost:
-            worker = next((live.worker for live in lost if live.worker), self.info)
-            self._events.handle_worker_lost(worker, lost, reason)
+            is_present_life = lost[0].life == self._life.number
+            worker = self.info if is_present_life else lost[0].worker
+            self._events.handle_worker_lost(worker or self.info, lost, reason)
 
     def _remove_lost_run(self, live: LiveRun, reason: str) -> None:
         self.remove_run(live)
