Let stops of the stand-in of a worker take time, and answers overtake

Cause: the stand-in ended a run at once when told to stop; the users' pages allow stopTimeoutMs, list the run as running until it has ended, and let answers overtake each other. A stand-in faster than the platform hid a task on two workers.

A stop now takes 0 to stop_timeout_ms (drawn from the worker's id), bars the run and lower ones at once, and its end is listed then. Answers take 0 to 4 ms, seeded. Ruled out: stand_ins/worker.py and tasks.py have the same fault; theirs is another protocol, without a limit for stops.

--- a/stand_ins/pools.py
+++ b/stand_ins/pools.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import math
+import operator
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -33,6 +35,8 @@
 
 # Time until a call without an answer fails.
 CALL_TIMEOUT_S = 0.5
+# Answers take up to this long, so that they may overtake each other.
+MAX_ANSWER_S = 0.004
 # Most ends that a worker lists in one reply.
 ENDS_PER_REPLY = 500
 SETTINGS = PoolSettings("node", "dc-1", "", "", "10.0.0.1:7000", "", refuses_early=True)
@@ -45,11 +49,13 @@
     order: StartOrder
     end_s: float
     start_s: float = 0.0
+    stop_end_s: float = math.inf
 
 
 class FakeWorker:
     """A worker with fencing tokens and a lease; it may restart under its id.
 
+    A stop takes up to `stop_timeout_ms` of the settings, drawn from the worker's id.
     Ends of runs are kept until the owner acknowledges them. A lease is never shortened,
     and lasts `max_lease_ms` of the settings at most.
     """
@@ -64,6 +70,10 @@
         self.restarts = 0
         # Returns the run time of a task in s.
         self.choose_run_s: Callable[[StartOrder], float] = lambda order: self.run_s
+        # Returns how long a stop takes in s.
+        draw = random.Random(info.worker_id).uniform
+        max_stop_s = SETTINGS.stop_timeout_ms / 1000
+        self.choose_stop_s: Callable[[], float] = lambda: draw(0, max_stop_s)
         self.running: dict[TaskId, FakeRun] = {}
         self.ended: list[EndReport] = []
         self.starts: list[tuple[TaskId, int]] = []
@@ -86,27 +96,35 @@
 
     def now_ms(self) -> int:
         """Return the time of the worker's clock."""
-        now_s = asyncio.get_running_loop().time()
-        return int((now_s - self.clock_start_s) * 1000)
+        return int((asyncio.get_running_loop().time() - self.clock_start_s) * 1000)
 
     def end_due_runs(self) -> None:
-        """End the runs that are finished or whose lease has expired."""
+        """End the runs that are finished or stopped, or whose lease has expired."""
         now_s = asyncio.get_running_loop().time()
+        done = "failed" if self.fails_all_tasks else "done"
         for task, run in list(self.running.items()):
-            work_end_s = math.inf if self.is_stalled else run.end_s
-            if self.lease_end_s <= min(now_s, work_end_s):
-                self.end_run(task, "lapsed", self.lease_end_s)
-            elif work_end_s <= now_s:
-                self.end_run(
-                    task, "failed" if self.fails_all_tasks else "done", run.end_s
-                )
+            ends = [(self.lease_end_s, "lapsed"), (run.stop_end_s, "stopped")]
+            if not self.is_stalled:
+                ends.append((run.end_s, done))
+            end_s, outcome = min(ends, key=operator.itemgetter(0))
+            if end_s <= now_s:
+                self.end_run(task, outcome, end_s)
+
+    def stop_run(self, task: TaskId, run: int) -> None:
+        """Bar a run and all lower ones at once; end it later if it is there."""
+        self.barred_runs[task] = max(self.barred_runs.get(task, 0), run)
+        live, loop = self.running.get(task), asyncio.get_running_loop()
+        if live and live.order.run == run and live.stop_end_s == math.inf:
+            live.stop_end_s = loop.time() + self.choose_stop_s()
+            loop.call_at(live.stop_end_s, self.end_due_runs)
 
     def crash(self) -> None:
         """End all runs without reporting their ends."""
         self.end_due_runs()
         now_s = asyncio.get_running_loop().time()
-        for task, run in self.running.items():
-            self.run_intervals.append((task, run.start_s, now_s))
+        self.run_intervals += [
+            (t, run.start_s, now_s) for t, run in self.running.items()
+        ]
         self.running.clear()
 
     def restart(self) -> WorkerInfo:
@@ -167,10 +185,9 @@
         """Return the reply to a poll, unless a newer owner has polled meanwhile."""
         if refusal := self.check_token(lease.token):
             return refusal
+        tail_ms = self.tail_latency_ms
         running = tuple(
-            RunReport(
-                task, run.order.run, "", self.get_percent(run), self.tail_latency_ms
-            )
+            RunReport(task, run.order.run, "", self.get_percent(run), tail_ms)
             for task, run in self.running.items()
         )
         return PollReply(
@@ -189,7 +206,8 @@
     `lose_starts` starts are executed without an answer; the next `drop_starts` starts
     and `drop_stops` stops are neither executed nor answered. The next starts and stops
     for which `start_delays_s` and `stop_delays_s` hold a delay get no answer and are
-    executed that much later, if the worker answers then.
+    executed that much later, if the worker answers then. Other answers take a moment,
+    so that they may overtake each other; `max_answer_s` bounds that.
     """
 
     def __init__(self, workers: dict[str, FakeWorker]) -> None:
@@ -200,15 +218,17 @@
         self.drop_starts = self.drop_stops = 0
         self.start_delays_s: list[float] = []
         self.stop_delays_s: list[float] = []
+        self.max_answer_s = MAX_ANSWER_S
+        self._draw = random.Random(0)
+
+    async def _delay_answer(self) -> None:
+        await asyncio.sleep(self._draw.uniform(0, self.max_answer_s))
 
     async def _contact_worker(self, info: WorkerInfo) -> FakeWorker | None:
         await asyncio.sleep(CALL_LATENCY_S)
         worker = self.workers.get(info.worker_id)
-        if (
-            worker is None
-            or worker.is_silent
-            or info.worker_id in self.unreachable_workers
-        ):
+        is_cut = info.worker_id in self.unreachable_workers
+        if worker is None or worker.is_silent or is_cut:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return None
         worker.end_due_runs()
@@ -225,15 +245,14 @@
             return Unanswered(was_sent=True)
         if self.start_delays_s:
             delay_s = self.start_delays_s.pop()
-            _execute_later(
+            return await _execute_late(
                 worker, delay_s, lambda: self.execute_start(worker, order, lease)
             )
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            return Unanswered(was_sent=True)
         outcome = self.execute_start(worker, order, lease)
         if self.lose_starts and isinstance(outcome, Accepted):
             self.lose_starts -= 1
             return Unanswered(was_sent=True)
+        await self._delay_answer()
         return outcome
 
     def execute_start(
@@ -269,12 +288,12 @@
             return Unanswered(was_sent=True)
         if self.stop_delays_s:
             delay_s = self.stop_delays_s.pop()
-            _execute_later(
+            return await _execute_late(
                 worker, delay_s, lambda: self.execute_stop(worker, task, run, token)
             )
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            return Unanswered(was_sent=True)
-        return self.execute_stop(worker, task, run, token)
+        outcome = self.execute_stop(worker, task, run, token)
+        await self._delay_answer()
+        return outcome
 
     def execute_stop(
         self, worker: FakeWorker, task: TaskId, run: int, token: int
@@ -282,9 +301,7 @@
         """Let a worker carry out a stop, or refuse it."""
         if refusal := worker.check_token(token):
             return refusal
-        worker.barred_runs[task] = max(worker.barred_runs.get(task, 0), run)
-        if task in worker.running and worker.running[task].order.run == run:
-            worker.end_run(task, "stopped")
+        worker.stop_run(task, run)
         return Accepted(worker.now_ms())
 
     async def pace(
@@ -315,13 +332,15 @@
             await asyncio.sleep(0.01)
         if worker.is_silent or worker.restarts != restarts:
             return Unanswered(was_sent=True)
-        return worker.end_poll(lease)
+        reply = worker.end_poll(lease)
+        await self._delay_answer()
+        return reply
 
 
-def _execute_later(
+async def _execute_late(
     worker: FakeWorker, delay_s: float, execute: Callable[[], object]
-) -> None:
-    """Execute an order after a delay, unless the worker is silent by then."""
+) -> Unanswered:
+    """Execute an order after a delay, unless the worker is silent; fail the call."""
 
     def execute_unless_silent() -> None:
         if not worker.is_silent:
@@ -329,6 +348,8 @@
             execute()
 
     asyncio.get_running_loop().call_later(delay_s, execute_unless_silent)
+    await asyncio.sleep(CALL_TIMEOUT_S)
+    return Unanswered(was_sent=True)
 
 
 def build_worker(
--- a/tests/waiting_scene.py
+++ b/tests/waiting_scene.py
@@ -53,9 +53,12 @@
     `problems` lists what broke a rule, and `events` what happened.
     """
 
+    disruptions = DISRUPTIONS
+    max_workers, max_disruptions = 12, 40
+
     def __init__(self, seed: int) -> None:
         self.seed, self.rng = seed, random.Random(seed)
-        super().__init__(workers=self.rng.randint(3, 12))
+        super().__init__(workers=self.rng.randint(3, self.max_workers))
         count = len(self.infos)
         for name in self.rng.sample(sorted(self.infos), max(1, count // 3)):
             info = self.infos[name]
@@ -70,7 +73,6 @@
         if self.rng.random() < 0.25:
             self.advice = SceneAdvice(self)
         self.has_demand_calls = self.rng.random() < 0.5
-        self.has_slow_stops = self.rng.random() < 0.5
         self.cut_workers: set[str] = set()
         self.takeover_lock = asyncio.Lock()
         # When the log has answered for a while.
@@ -219,7 +221,7 @@
                         return await call(self.pool)
             await asyncio.sleep(0.1)
 
-    async def _submit(self, spec: JobSpec) -> None:
+    async def submit(self, spec: JobSpec) -> None:
         spec = msgspec.structs.replace(spec, accepted_ms=self.clock.wall_ms())
         self._specs[spec.job_id] = spec
         outcome = await self._call_owner(lambda pool: pool.submit(spec))
@@ -233,16 +235,16 @@
     async def disrupt(self) -> None:
         """Submit jobs and disrupt the pool, until all disruptions are over."""
         draw = self.rng
-        kinds = draw.sample(DISRUPTIONS, draw.randint(2, len(DISRUPTIONS)))
+        kinds = draw.sample(self.disruptions, draw.randint(2, len(self.disruptions)))
         async with asyncio.TaskGroup() as group:
             for spec in draw_jobs(draw, len(self.infos), self.clock.wall_ms()):
                 at_s = draw.uniform(0, DISRUPTION_S) if draw.random() < 0.5 else 0.5
-                group.create_task(_run_at(at_s, functools.partial(self._submit, spec)))
+                group.create_task(_run_at(at_s, functools.partial(self.submit, spec)))
                 if draw.random() < 0.15:
                     at_s = draw.uniform(at_s, DISRUPTION_S + 2)
                     cancel = functools.partial(self._cancel, spec.job_id)
                     group.create_task(_run_at(at_s, cancel))
-            for _ in range(draw.randint(5, 40)):
+            for _ in range(draw.randint(5, self.max_disruptions)):
                 at_s = draw.uniform(1, DISRUPTION_S)
                 disrupt = functools.partial(self._disrupt_once, draw.choice(kinds))
                 group.create_task(_run_at(at_s, disrupt))
@@ -267,6 +269,10 @@
             await asyncio.sleep(1)
             if self.now_s() > start_s + MIN_CALM_S and not self._has_open_work():
                 break
+        self.check_runs()
+
+    def check_runs(self) -> None:
+        """Check that no task had two runs at once."""
         for problem in check_overlaps(self.workers, self.now_s()):
             self.report(problem)
 
--- a/tests/waiting_workers.py
+++ b/tests/waiting_workers.py
@@ -27,7 +27,6 @@
 # Run time of what does not end by itself.
 LASTING_RUN_S = 1e6
 STARTUP_S = 0.4
-MAX_STOP_S = 0.15
 # A gang whose members don't all start within this time ends `alone`.
 GANG_TIMEOUT_S = 2.0
 STALLED_PERCENT = 7
@@ -74,7 +73,7 @@
 
 
 class SceneOrders(FakeOrders):
-    """Orders of one owner; stops take a moment in some scenes."""
+    """Orders of one owner, which check each start."""
 
     def __init__(self, workers: dict[str, FakeWorker], scene: WaitingScene) -> None:
         super().__init__(workers)
@@ -111,25 +110,6 @@
         if step.max_per_host and count > step.max_per_host:
             scene.report(f"over the limit per host: {where}")
 
-    def execute_stop(
-        self, worker: FakeWorker, task: TaskId, run: int, token: int
-    ) -> OrderOutcome:
-        stopping = worker.running.get(task)
-        is_stopping = stopping is not None and stopping.order.run == run
-        if not self._scene.has_slow_stops or not is_stopping:
-            return super().execute_stop(worker, task, run, token)
-        if refusal := worker.check_token(token):
-            return refusal
-
-        def end_stopped() -> None:
-            if stopping is not None and worker.running.get(task) is stopping:
-                worker.end_run(task, "stopped")
-
-        worker.barred_runs[task] = max(worker.barred_runs.get(task, 0), run)
-        delay_s = self._scene.rng.uniform(0, MAX_STOP_S)
-        asyncio.get_running_loop().call_later(delay_s, end_stopped)
-        return Accepted(worker.now_ms())
-
 
 class SceneAdvice:
     """Allow some hosts for each step, always the same."""
