--- a/tests/test_runs_at_once.py
+++ b/tests/test_runs_at_once.py
@@ -5,8 +5,9 @@
 import pytest
 
 from bergamotgap.domain.fleet import StepSpec, TaskId, WorkerInfo
+from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import Lease, OrderOutcome, StartOrder
-from stand_ins.pools import SETTINGS, FakeOrders, FakeRun, FakeWorker, build_job
+from stand_ins.pools import SETTINGS, FakeOrders, FakeRun, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
 from tests.test_worker_lives import list_simultaneous_runs, publish_reports
@@ -15,8 +16,8 @@
 STOP_S = 0.9 * SETTINGS.stop_timeout_ms / 1000
 
 
-class SlowStopOrders(FakeOrders):
-    """Stops take almost as long as they may; answers of starts take `answer_s`."""
+class SlowAnswerOrders(FakeOrders):
+    """Answers of starts take `answer_s` longer."""
 
     answer_s = 0.0
 
@@ -27,21 +28,21 @@
         await asyncio.sleep(self.answer_s)
         return outcome
 
-    def execute_stop(
-        self, worker: FakeWorker, task: TaskId, run: int, token: int
-    ) -> OrderOutcome:
-        stopping = worker.running.pop(task, None)
-        outcome = super().execute_stop(worker, task, run, token)
-        if stopping is None:
-            return outcome
-        worker.running[task] = stopping
 
-        def end_stopped() -> None:
-            if worker.running.get(task) is stopping:
-                worker.end_run(task, "stopped")
+def build_scene(workers: int = 3, run_s: float = 3) -> Scene:
+    """Return a scene whose workers take almost as long for a stop as they may."""
+    scene = Scene(workers, run_s)
+    for worker in scene.workers.values():
+        worker.choose_stop_s = lambda: STOP_S
+    return scene
 
-        asyncio.get_running_loop().call_later(STOP_S, end_stopped)
-        return outcome
+
+async def wait_for_start(pool: Pool) -> str:
+    """Wait until a start is on its way; return its worker."""
+    while not any(link.runs for link in pool.run_tracker.links.values()):
+        await asyncio.sleep(0.001)
+    links = pool.run_tracker.links.values()
+    return next(link.worker_id for link in links if link.runs)
 
 
 @pytest.mark.parametrize("answer_s", [0.0, 0.02, 0.3])
@@ -56,18 +57,17 @@
     """
 
     async def main() -> None:
-        scene = Scene(workers=3, run_s=3)
-        scene.orders_class = SlowStopOrders
+        scene = build_scene()
+        scene.orders_class = SlowAnswerOrders
         step = StepSpec(count=1, cpu=1000, estimated_ms=3000)
         async with scene.run_owner(1) as (pool, orders):
-            assert isinstance(orders, SlowStopOrders)
+            assert isinstance(orders, SlowAnswerOrders)
             orders.answer_s = answer_s
             await asyncio.sleep(1)
             for worker in scene.workers.values():
                 worker.restart()
             await pool.submit(build_job("job", steps=(step,)))
-            while not any(link.runs for link in pool.run_tracker.links.values()):
-                await asyncio.sleep(0.001)
+            await wait_for_start(pool)
             await asyncio.sleep(lag_s)
             publish_reports(scene, pool)
             await asyncio.sleep(8)
@@ -83,8 +83,7 @@
     """Guards against a task that waits for good for a run on a worker long gone."""
 
     async def main() -> None:
-        scene = Scene(workers=3, run_s=1)
-        scene.orders_class = SlowStopOrders
+        scene = build_scene(run_s=1)
         step = StepSpec(count=1, cpu=1000, estimated_ms=1000)
         async with scene.run_owner(1) as (pool, _):
             await asyncio.sleep(1)
@@ -115,8 +114,7 @@
     """
 
     async def main() -> None:
-        scene = Scene(workers=3, run_s=1000)
-        scene.orders_class = SlowStopOrders
+        scene = build_scene(run_s=1000)
         step = StepSpec(count=1, cpu=1000, is_long_running=True)
         async with scene.run_owner(1) as (pool, orders):
             await pool.submit(build_job("job", steps=(step,)))
--- a/tests/waiting_checks.py
+++ b/tests/waiting_checks.py
@@ -122,7 +122,15 @@
 
 
 def check_overlaps(workers: Mapping[str, FakeWorker], now_s: float) -> Iterator[str]:
-    """Yield the tasks that had two runs at once."""
+    """Yield what is wrong with each task that had two runs at once."""
+    for _, problem in list_overlaps(workers, now_s):
+        yield problem
+
+
+def list_overlaps(
+    workers: Mapping[str, FakeWorker], now_s: float
+) -> Iterator[tuple[TaskId, str]]:
+    """Yield the tasks that had two runs at once, and the runs."""
     runs: dict[TaskId, list[tuple[float, float, str]]] = {}
     for name, worker in workers.items():
         worker.end_due_runs()
@@ -132,4 +140,4 @@
     for task, intervals in runs.items():
         for former, later in itertools.pairwise(sorted(intervals)):
             if later[0] < former[1] - 1e-6:
-                yield f"two runs at once: {task} {former} {later}"
+                yield task, f"two runs at once: {task} {former} {later}"
