Take no older report of a worker for a restart

Cause: a report of a former life that is listed after that of the present one counted as a restart, and the runs that polls had shown in the present life as lost with it; they started elsewhere beside it (TWICE). Writes of a worker may take effect late, so its reports need not come in order. The review's tests use the stand-in's slow stops.

--- a/src/bergamotgap/pools/worker_runs.py
+++ b/src/bergamotgap/pools/worker_runs.py
@@ -55,16 +55,19 @@
 
     def handle_restart(self, info: WorkerInfo) -> None:
         """Apply the report of another life of the worker."""
-        is_polled_life = self._life.incarnation_ms not in (0, self.info.incarnation_ms)
-        if is_polled_life:
-            # Polls tell what runs in a life that the list did not show first.
-            self.info = self.capacity.info = info
-            self.draining_until_ms = 0
-        else:
+        polled_ms, listed_ms = self._life.incarnation_ms, self.info.incarnation_ms
+        is_polled_life_listed = (
+            polled_ms == listed_ms and info.incarnation_ms > listed_ms
+        )
+        if not polled_ms or is_polled_life_listed:
             log.info("listed as restarted", worker=self.worker_id, runs=len(self.runs))
             self._handle_new_life(0)
             self.info = self.capacity.info = info
             self.was_polled = self.is_silent = False
+        else:
+            # The report may be that of a life before the one that was polled.
+            self.info = self.capacity.info = info
+            self.draining_until_ms = 0
         self.request_poll()
 
     def _handle_polled_restart(self, incarnation_ms: int) -> None:
--- a/tests/test_review_of_runs.py
+++ b/tests/test_review_of_runs.py
@@ -19,7 +19,7 @@
 from stand_ins.pools import SETTINGS, FakeOrders, FakeRun, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
-from tests.test_runs_at_once import SlowStopOrders
+from tests.test_runs_at_once import build_scene
 from tests.test_worker_lives import (
     LASTING,
     list_simultaneous_runs,
@@ -191,8 +191,7 @@
     """Guards against a second run where one is found between placement and sending."""
 
     async def main() -> None:
-        scene = Scene(workers=3, run_s=1000)
-        scene.orders_class = SlowStopOrders
+        scene = build_scene(run_s=1000)
         async with scene.run_owner(1) as (pool, orders):
             # Keeps the links polled.
             await pool.submit(build_job("other", steps=(EVERYWHERE,)))
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -234,3 +234,24 @@
             assert find_busy(scene)
 
     run_virtual(main())
+
+
+def test_a_report_of_a_former_life_after_that_of_the_present_one_ends_no_runs() -> None:
+    """Guards against a second run because an older report is listed once more."""
+
+    async def main() -> None:
+        scene = Scene(workers=2, run_s=1000)
+        async with scene.run_owner(1) as (pool, _):
+            await asyncio.sleep(1)
+            former = {name: worker.info for name, worker in scene.workers.items()}
+            await restart_all(scene, pool, DOWN_S)
+            await asyncio.sleep(2)
+            await pool.submit(LASTING)
+            name = await wait_until_busy(scene)
+            await asyncio.sleep(0.5)
+            pool.update_workers({**scene.infos, name: former[name]})
+            await asyncio.sleep(2)
+            assert not list_simultaneous_runs(scene)
+            assert list(scene.count_starts().values()) == [1]
+
+    run_virtual(main())
