Compare the runs that may exist with the links, and tell a run beside another

PossibleRuns decides alone whether a task may start, and nothing checked it: an entry without a run on its link holds its task for ever, a run without an entry lets the task start beside it. The check of owners finds both (held_without_run, run_not_held), also at the end of each scene of the tests.

Tests: find_disagreements takes the runs that may exist; the scenes call it through find_pool_disagreements. No check was changed otherwise.

--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -106,6 +106,11 @@
         "Disagreements of jobs and workers' runs told in this term",
         lambda pool: pool.run_audit.found,
     )
+    observe(
+        "pool_doubled_runs",
+        "Times in this term that a run of a task may have been beside another",
+        lambda pool: pool.run_tracker.possible_runs.doubled,
+    )
     observe(
         "pool_excess_jobs",
         "Jobs accepted in this term beyond the weight of their customer",
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -134,7 +134,11 @@
             self.crash_watch,
         )
         self.run_audit = RunAudit(
-            self.name, self.job_table, self.run_tracker.links, self._clock
+            self.name,
+            self.job_table,
+            self.run_tracker.links,
+            self.run_tracker.possible_runs,
+            self._clock,
         )
         self._build_parts(newest.values)
         self._tasks = [
--- a/src/bergamotgap/pools/run_audit.py
+++ b/src/bergamotgap/pools/run_audit.py
@@ -1,17 +1,18 @@
 """Compares the tasks of a pool's jobs with the runs on its links; mends nothing."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.amounts import Amount
 from bergamotgap.domain.clock import Clock
-from bergamotgap.domain.fleet import StepSpec
+from bergamotgap.domain.fleet import StepSpec, TaskId
 from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.task_placement import StepKey
 from bergamotgap.domain.task_state import Task, TaskPhase
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.link_interface import LiveRun
+from bergamotgap.pools.possible_runs import PossibleRun, PossibleRuns, describe_runs
 from bergamotgap.pools.worker_link import WorkerLink
 
 AUDIT_INTERVAL_MS = 1000
@@ -31,9 +32,12 @@
     Kinds: `no_link` and `no_run` for an active task whose worker has no link, or whose
     link doesn't hold its run; `tracked_while_waiting` and `tracked_twice` for a task
     with a run, or two, on links; `not_pending` for a waiting task of a job that no pass
-    looks at; `capacity` for a worker whose reserved capacity isn't that of its runs.
-    `task` is empty for a worker. `found` is what the links have of the task, or, for
-    each amount and step that differs, what is reserved and what the runs need.
+    looks at; `capacity` for a worker whose reserved capacity isn't that of its runs;
+    `held_without_run` for a run that may exist, as far as the owner knows, and isn't on
+    its link, so that its task never starts; `run_not_held` for a run on a link beside
+    which its task may start again. `task` is empty for a worker. `found` is what the
+    links have of the task, or the runs of it that may exist, or, for each amount and
+    step that differs, what is reserved and what the runs need.
     """
 
     kind: str
@@ -60,11 +64,13 @@
         pool: str,
         job_table: JobTable,
         links: Mapping[str, WorkerLink],
+        possible_runs: PossibleRuns,
         clock: Clock,
     ) -> None:
         self._pool = pool
         self._job_table = job_table
         self._links = links
+        self._possible_runs = possible_runs
         self._clock = clock
         self._next_check_ms = 0
         self._last: frozenset[tuple[str, str]] = frozenset()
@@ -82,10 +88,10 @@
         self._next_check_ms = now_ms + max(AUDIT_INTERVAL_MS, rest_ms)
 
     def _check(self) -> None:
-        by_key = {
-            found.key: found
-            for found in find_disagreements(self._job_table, self._links)
-        }
+        disagreements = find_disagreements(
+            self._job_table, self._links, self._possible_runs
+        )
+        by_key = {found.key: found for found in disagreements}
         new = [key for key in by_key if key in self._last and key not in self._told]
         told = new[:MAX_LINES_PER_CHECK]
         for key in told:
@@ -106,9 +112,9 @@
 
 
 def find_disagreements(
-    job_table: JobTable, links: Mapping[str, WorkerLink]
+    job_table: JobTable, links: Mapping[str, WorkerLink], possible_runs: PossibleRuns
 ) -> Iterator[Disagreement]:
-    """Return where open jobs and the links to the workers disagree now."""
+    """Return where open jobs, runs that may exist and the links disagree now."""
     # Worker and number of the run of each task, by the task's identity.
     tracked: dict[int, tuple[str, int]] = {}
     for link in links.values():
@@ -119,6 +125,7 @@
                 found = f"run {former[1]} on {former[0]}, {live.run} on {worker_id}"
                 yield _describe_task("tracked_twice", live.task, found)
         yield from _check_capacity(link)
+    yield from _check_possible_runs(job_table, links, possible_runs)
     for job in job_table.jobs.values():
         if job.phase.is_final:
             continue
@@ -150,6 +157,66 @@
             yield _describe_task("no_run" if link else "no_link", task, found)
 
 
+def _check_possible_runs(
+    job_table: JobTable, links: Mapping[str, WorkerLink], possible_runs: PossibleRuns
+) -> Iterator[Disagreement]:
+    by_task, on_links = possible_runs.by_task, 0
+    for link in links.values():
+        worker_id, unknown = link.worker_id, link.unknown_runs
+        on_links += len(link.runs) + len(unknown)
+        missing = [
+            (task_id, live.run)
+            for task_id, live in link.runs.items()
+            if (worker_id, live.run) not in by_task.get(task_id, ())
+        ]
+        missing += [
+            (task_id, run)
+            for task_id, run in unknown
+            if (worker_id, run) not in by_task.get(task_id, ())
+        ]
+        on_links -= len(missing)
+        for task_id, run in missing:
+            held = describe_runs(possible_runs.list_runs(task_id))
+            yield _describe_run(
+                "run_not_held", job_table, task_id, worker_id, run, held
+            )
+    # An unknown run that was adopted counts twice until the next poll.
+    if on_links != len(possible_runs):
+        yield from _check_held_runs(job_table, links, by_task)
+
+
+def _check_held_runs(
+    job_table: JobTable,
+    links: Mapping[str, WorkerLink],
+    by_task: Mapping[TaskId, Collection[PossibleRun]],
+) -> Iterator[Disagreement]:
+    for task_id, held in by_task.items():
+        for worker_id, run in held:
+            link = links.get(worker_id)
+            live = link.runs.get(task_id) if link else None
+            if live is not None and live.run == run:
+                continue
+            if link is None or (task_id, run) not in link.unknown_runs:
+                found = f"run {live.run} on {worker_id}" if live else ""
+                yield _describe_run(
+                    "held_without_run", job_table, task_id, worker_id, run, found
+                )
+
+
+def _describe_run(
+    kind: str,
+    job_table: JobTable,
+    task_id: TaskId,
+    worker_id: str,
+    run: int,
+    found: str,
+) -> Disagreement:
+    job = job_table.jobs.get(task_id.job)
+    task = job.get_task(task_id) if job and job.spec.steps else None
+    phase = task.phase.name.lower() if task else "unknown"
+    return Disagreement(kind, str(task_id), run, phase, worker_id, found)
+
+
 def _check_not_pending(job: Job) -> Iterator[Disagreement]:
     for step in job.list_ready_steps():
         for task in step.tasks:
--- a/tests/cap_scene.py
+++ b/tests/cap_scene.py
@@ -13,11 +13,11 @@
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.request_outcomes import NoReply
-from bergamotgap.pools.run_audit import find_disagreements
 from bergamotgap.ports.pool_peer import CapCall, CapReply, PoolCall, PoolReply
 from stand_ins.pool_store import FakeStore
 from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_worker
 from stand_ins.virtual_time import LoopClock
+from tests.pool_scene import find_pool_disagreements
 
 CORE = 1000
 CAP_CORES = 16
@@ -133,7 +133,7 @@
     async def stop_owner(self, pool: str) -> None:
         """Stop an owner; its tasks go on, and agree with its workers' runs."""
         owner = self.owners.pop(pool)
-        found = list(find_disagreements(owner.job_table, owner.run_tracker.links))
+        found = find_pool_disagreements(owner)
         await self._stacks.pop(pool).aclose()
         assert not found, found
 
--- a/tests/pool_scene.py
+++ b/tests/pool_scene.py
@@ -8,7 +8,7 @@
 from bergamotgap.domain.fleet import TaskId
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
-from bergamotgap.pools.run_audit import find_disagreements
+from bergamotgap.pools.run_audit import Disagreement, find_disagreements
 from bergamotgap.ports.fleet import AdviceService, Tickets
 from stand_ins.pool_store import FakeStore
 from stand_ins.pools import CONFIG, SETTINGS, FakeOrders, FakeWorker, build_worker
@@ -22,6 +22,13 @@
 )
 
 
+def find_pool_disagreements(pool: Pool) -> list[Disagreement]:
+    """Return where the jobs, the runs that may exist and the links disagree."""
+    tracker = pool.run_tracker
+    found = find_disagreements(pool.job_table, tracker.links, tracker.possible_runs)
+    return list(found)
+
+
 class FakeAdvice:
     """Return a ticket for one worker only, valid for 3 s."""
 
@@ -87,7 +94,7 @@
             pool.update_config(ADVISED_CONFIG if self.advice else CONFIG)
             pool.update_workers(self.infos)
             yield pool, orders
-            found = list(find_disagreements(pool.job_table, pool.run_tracker.links))
+            found = find_pool_disagreements(pool)
             assert not found, found
 
     def count_starts(self) -> dict[object, int]:
--- a/tests/test_run_audit.py
+++ b/tests/test_run_audit.py
@@ -14,12 +14,12 @@
 from bergamotgap.pools.run_audit import (
     AUDIT_INTERVAL_MS,
     MAX_LINES_PER_CHECK,
-    find_disagreements,
 )
 from bergamotgap.pools.worker_link import WorkerLink
+from bergamotgap.ports.fleet import Lease, StartOrder
 from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
-from tests.pool_scene import Scene
+from tests.pool_scene import Scene, find_pool_disagreements
 
 TASK = TaskId("job-1", 0, 0, 0)
 STEP = StepSpec(count=2, cpu=1000, memory_mb=100, estimated_ms=1000)
@@ -80,6 +80,25 @@
     link.capacity.reserve(task)
 
 
+def forget_possible_run(pool: Pool) -> None:
+    task = get_task(pool)
+    pool.run_tracker.possible_runs.remove(TASK, task.worker_id, task.run)
+
+
+def hold_without_run(pool: Pool) -> None:
+    """Hold the run of a task that the owner does not know, on a worker that is gone."""
+    pool.run_tracker.possible_runs.add(TaskId("job-2", 0, 0, 0), "w99", 7)
+
+
+def hold_another_number(pool: Pool) -> None:
+    possible_runs, task = pool.run_tracker.possible_runs, get_task(pool)
+    possible_runs.add(TASK, task.worker_id, task.run + 1)
+
+
+def forget_unknown_run(pool: Pool) -> None:
+    get_link(pool).unknown_runs.add((TaskId("job-2", 0, 0, 0), 7))
+
+
 def leave_pending(pool: Pool) -> None:
     forget_run(pool)
     get_task(pool).requeue()
@@ -130,6 +149,10 @@
         (track_twice, {"tracked_twice"}),
         (replace_run, {"capacity"}),
         (leave_pending, {"not_pending"}),
+        (forget_possible_run, {"run_not_held"}),
+        (forget_unknown_run, {"run_not_held"}),
+        (hold_without_run, {"held_without_run"}),
+        (hold_another_number, {"held_without_run"}),
     ],
 )
 def test_each_disagreement_is_told_once_and_fails_the_scene(
@@ -229,8 +252,36 @@
                         pool.update_workers(scene.infos)
                     if number % 4 == 3:
                         await pool.cancel(f"j{number - 1}")
-                    found = find_disagreements(pool.job_table, pool.run_tracker.links)
-                    assert list(found) == []
+                    found = find_pool_disagreements(pool)
+                    assert found == []
         assert not [line for line in lines if line["event"] == "runs disagree"]
 
     run_virtual(main())
+
+
+def test_a_run_beside_another_of_its_task_is_told_at_once_and_counted() -> None:
+    """Guards against two runs of a task that no operator hears of."""
+
+    async def main() -> None:
+        scene = Scene(run_s=60.0)
+        async with scene.run_owner(1) as (pool, orders):
+            await asyncio.sleep(3)
+            await pool.submit(build_job(steps=(STEP,)))
+            await asyncio.sleep(0.5)
+            assert pool.run_tracker.possible_runs.doubled == 0
+            other, task = get_other_link(pool), get_task(pool)
+            worker = scene.workers[other.worker_id]
+            stray = StartOrder(TASK, task.run + 6, "", "", "")
+            with structlog.testing.capture_logs() as lines:
+                orders.execute_start(worker, stray, Lease(1, worker.now_ms() + 4000))
+                other.request_poll()
+                await asyncio.sleep(2)
+            assert pool.run_tracker.possible_runs.doubled == 1
+            (told,) = [line for line in lines if line["event"] == "task may run twice"]
+            assert told["log_level"] == "warning"
+            assert (told["task"], told["run"]) == (TASK, task.run + 6)
+            assert told["worker"] == other.worker_id
+            assert told["others"] == f"run {task.run} on {task.worker_id}"
+            assert not worker.running
+
+    run_virtual(main())
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -24,7 +24,6 @@
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.request_outcomes import NoReply
-from bergamotgap.pools.run_audit import find_disagreements
 from bergamotgap.ports.fleet import (
     StartOrder,
 )
@@ -39,6 +38,7 @@
 from stand_ins.pools import SETTINGS
 from stand_ins.virtual_time import LoopClock
 from tests.controller_harness import build_fleet_view, run_host_controller
+from tests.pool_scene import find_pool_disagreements
 from tests.wave_fakes import (
     BURST_CORES,
     HOSTS,
@@ -216,7 +216,7 @@
 
     async def _stop_owner(self, name: str) -> None:
         owner = self.pools[name]
-        found = list(find_disagreements(owner.job_table, owner.run_tracker.links))
+        found = find_pool_disagreements(owner)
         await self._owners[name].aclose()
         assert not found, found
 
