Name the former run that a waiting task is held by

A task starts only while no run of it may exist, but a job whose tasks wait for that was told to wait for room, beside workers that fit.

'job waits' has the reason former_run where each waiting task, or a member of each waiting gang, is held by such a run, and names the run: former_worker, former_run and former_state, what the owner knows of it. Another reason stays where one of the tasks could start but for room, cap or trial. 'explain' names the run in its cause, 'explain-place' lists the former runs of a known job. Gauges: pool_held_tasks and pool_former_run_age_ms, the age of the oldest run that holds a waiting task (not of the wait, which may have begun later).

A task whose run is being stopped counts as active, not as waiting, so it has no such line.

--- a/src/bergamotgap/adapters/job_explanation.py
+++ b/src/bergamotgap/adapters/job_explanation.py
@@ -114,6 +114,7 @@
         waited_ms = until_ms - waits[0].time_ms
         reason = waits[0].fields.get("reason", "")
         causes.append(f"waited {waited_ms:.0f} ms for {reason}")
+    causes += _list_former_runs(waits)
     counts = Counter(
         (line.event, line.fields.get("reason", ""), line.fields.get("worker", ""))
         for line in job_lines
@@ -146,6 +147,19 @@
     return "; ".join(causes) or "nothing delayed it"
 
 
+def _list_former_runs(waits: Sequence[LogLine]) -> list[str]:
+    """Return the tasks that were held by runs of them that might still exist."""
+    held = dict.fromkeys(
+        (one.get("task", ""), one.get("former_run", ""), one.get("former_worker", ""))
+        for one in (line.fields for line in waits)
+        if one.get("reason") == "former_run"
+    )
+    return [
+        f"{task} waited for the end of run {run} on {worker}"
+        for task, run, worker in held
+    ]
+
+
 def _is_pool_short(line: LogLine) -> bool:
     return _measure_shortage(line) > SHORTAGE_RATIO
 
--- a/src/bergamotgap/cli/explain_place.py
+++ b/src/bergamotgap/cli/explain_place.py
@@ -130,6 +130,12 @@
             f"a job with this id is {placement['known_phase']}, so a repeat is "
             "answered as accepted; the rest holds for a new job"
         )
+    for former in placement.get("former_runs", ()):
+        typer.echo(
+            f"its task {former['task']} waits until run {former['run']} on "
+            f"{former['worker']} is proven gone ({former['state']}, may exist for "
+            f"{former['age_ms']} ms)"
+        )
     if placement["customer"]:
         _print_customer(placement["customer"])
     _print_admission(placement["admission"])
--- a/src/bergamotgap/domain/placement_explanation.py
+++ b/src/bergamotgap/domain/placement_explanation.py
@@ -113,12 +113,26 @@
     ahead_by_class: dict[str, int]
 
 
+class FormerRun(msgspec.Struct, frozen=True):
+    """A run that may exist and holds a waiting task; `state` is what is known of it.
+
+    `age_ms` is that of the oldest run of the task.
+    """
+
+    task: str
+    worker: str
+    run: int
+    state: str
+    age_ms: int
+
+
 class PlacementExplanation(msgspec.Struct, frozen=True):
     """What the owner of a pool would do with a job now.
 
     `known_phase` is the phase of a job that has the same id, if any. `blocked_by` is
     why the pool places nothing of the job, whatever room there is. Of a job with many
-    steps only the first are explained; `other_steps` counts the rest.
+    steps only the first are explained; `other_steps` counts the rest. Waiting tasks of
+    a known job can't start before their `former_runs` are gone.
     """
 
     pool: str
@@ -130,6 +144,7 @@
     due_in_ms: int
     steps: tuple[StepExplanation, ...]
     other_steps: int
+    former_runs: tuple[FormerRun, ...] = ()
 
 
 def find_obstacle(worker: WorkerCapacity, task: Task) -> str:
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -8,6 +8,7 @@
 from bergamotgap.domain.worker_speeds import SLOW_SPEED
 from bergamotgap.pools.cap_gauges import register_cap_gauges
 from bergamotgap.pools.fleet_node import FleetNode
+from bergamotgap.pools.former_runs import measure_held_tasks
 from bergamotgap.pools.pool import Pool
 
 
@@ -111,6 +112,7 @@
         "Times in this term that a run of a task may have been beside another",
         lambda pool: pool.run_tracker.possible_runs.doubled,
     )
+    _register_held_tasks(observe)
     observe(
         "pool_excess_jobs",
         "Jobs accepted in this term beyond the weight of their customer",
@@ -123,6 +125,25 @@
     )
 
 
+def _register_held_tasks(
+    observe: Callable[[str, str, Callable[[Pool], float]], None],
+) -> None:
+    def measure(pool: Pool) -> tuple[int, int]:
+        possible_runs = pool.run_tracker.possible_runs
+        return measure_held_tasks(pool.job_table.pending.values(), possible_runs)
+
+    observe(
+        "pool_held_tasks",
+        "Waiting tasks that can't start since a run of them may exist",
+        lambda pool: measure(pool)[0],
+    )
+    observe(
+        "pool_former_run_age_ms",
+        "Age of the oldest run that may exist and holds a waiting task",
+        lambda pool: measure(pool)[1],
+    )
+
+
 def _register_run_time_gauges(metrics: Metrics, node: FleetNode) -> None:
     def observe(
         name: str, description: str, read: Callable[[RunTimeSummary], float]
--- a/src/bergamotgap/pools/placement_explainer.py
+++ b/src/bergamotgap/pools/placement_explainer.py
@@ -20,6 +20,7 @@
     AdmissionExplanation,
     CapExplanation,
     CustomerExplanation,
+    FormerRun,
     PlacementExplanation,
     RankExplanation,
     StepExplanation,
@@ -41,6 +42,7 @@
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_runs import add_size
 from bergamotgap.pools.customer_usage import CapState, CustomerUsage
+from bergamotgap.pools.former_runs import list_former_runs
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.lasting_room import accepts_held_back
 from bergamotgap.pools.run_tracker import RunTracker
@@ -51,6 +53,8 @@
 # for which the owner does nothing else.
 MAX_STEPS = 32
 MAX_EXAMINED = 200
+# Former runs of a known job that are named.
+MAX_FORMER_RUNS = 20
 # Takes the place of the id of a job that the pool knows already.
 UNUSED_ID = "explained"
 CLASS_NAMES = {ON_TIME: "on_time", LATE: "late", EXCESS: "excess"}
@@ -115,9 +119,18 @@
         max(0, due_ms - parts.clock.wall_ms()) if due_ms else 0,
         _explain_steps(parts, job, cap, now_ms),
         max(0, len(spec.steps) - MAX_STEPS),
+        _list_former_runs(parts, known),
     )
 
 
+def _list_former_runs(parts: PoolParts, known: Job | None) -> tuple[FormerRun, ...]:
+    if known is None or known.phase.is_final:
+        return ()
+    tracker = parts.run_tracker
+    runs = list_former_runs(known, tracker.links, tracker.possible_runs)
+    return tuple(runs[:MAX_FORMER_RUNS])
+
+
 def _explain_admission(
     parts: PoolParts, spec: JobSpec, is_log_lost: bool
 ) -> AdmissionExplanation:
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -18,6 +18,7 @@
 from bergamotgap.pools.crash_watch import CrashWatch
 from bergamotgap.pools.customer_accounts import CustomerAccounts
 from bergamotgap.pools.customer_usage import CustomerUsage
+from bergamotgap.pools.former_runs import FORMER_RUN, find_held_task
 from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.lasting_room import LastingRoom
 from bergamotgap.pools.run_tracker import RunTracker
@@ -52,7 +53,12 @@
         self._ticket_cache = ticket_cache
         self._clock = clock
         self._wait_log = WaitLog(
-            pool, run_tracker.links, run_tracker.queues, ticket_cache, clock
+            pool,
+            run_tracker.links,
+            run_tracker.possible_runs,
+            run_tracker.queues,
+            ticket_cache,
+            clock,
         )
         # The usable workers, without those that are reserved for trials.
         self._links: dict[str, WorkerLink] = {}
@@ -265,9 +271,11 @@
         return len(placed)
 
     def _get_wait_reason(self, job: Job, reason: str) -> str:
-        """Return the reason for which a job waits if the cap doesn't hold it back."""
-        is_held_back = self._customer_usage.is_held_back(job)
-        return "customer_cap" if is_held_back else reason
+        """Return why a job waits; `reason`: if no cap or former run holds it back."""
+        if self._customer_usage.is_held_back(job):
+            return "customer_cap"
+        held = find_held_task(job, self._run_tracker.possible_runs)
+        return FORMER_RUN if held is not None else reason
 
     def _log_wait(self, job: Job, reason: str) -> None:
         self._wait_log.record(job, reason, len(self._job_table.pending))
--- a/src/bergamotgap/pools/wait_reasons.py
+++ b/src/bergamotgap/pools/wait_reasons.py
@@ -9,8 +9,10 @@
 from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.placement_explanation import find_obstacle
 from bergamotgap.domain.task_state import Task, TaskPhase
+from bergamotgap.pools.former_runs import FORMER_RUN, describe_state, find_held_task
 from bergamotgap.pools.job_queues import JobQueues
 from bergamotgap.pools.lasting_room import accepts_held_back
+from bergamotgap.pools.possible_runs import PossibleRun, PossibleRuns
 from bergamotgap.pools.ticket_cache import TicketCache
 from bergamotgap.pools.worker_link import WorkerLink
 
@@ -45,12 +47,14 @@
         self,
         pool: str,
         links: Mapping[str, WorkerLink],
+        possible_runs: PossibleRuns,
         queues: JobQueues,
         ticket_cache: TicketCache,
         clock: Clock,
     ) -> None:
         self._pool = pool
         self._links = links
+        self._possible_runs = possible_runs
         self._queues = queues
         self._ticket_cache = ticket_cache
         self._clock = clock
@@ -84,7 +88,8 @@
         if is_repeated and not may_examine:
             return
         self._last_lines[job.job_id] = _LastLine(reason, now_ms)
-        task = _find_waiting_task(job)
+        task = self._find_task(job, reason)
+        former = self._find_former_run(task)
         obstacles = "not_examined"
         if may_examine:
             self._examined[is_repeated] += 1
@@ -101,8 +106,27 @@
             task=task.task_id if task else "",
             run=task.run if task else 0,
             obstacles=obstacles,
+            former_worker=former.worker_id if former else "",
+            former_run=former.run if former else 0,
+            former_state=(
+                describe_state(task.task_id, former, self._links)
+                if task and former
+                else ""
+            ),
         )
 
+    def _find_task(self, job: Job, reason: str) -> Task | None:
+        """Return the waiting task that a line names."""
+        held = (
+            find_held_task(job, self._possible_runs) if reason == FORMER_RUN else None
+        )
+        return held or _find_waiting_task(job)
+
+    def _find_former_run(self, task: Task | None) -> PossibleRun | None:
+        """Return the first run that holds a task, if any."""
+        runs = self._possible_runs.list_runs(task.task_id) if task else ()
+        return next(iter(runs), None)
+
     def _may_examine(self, now_ms: int, is_repeated: bool) -> bool:
         second = now_ms // MS_PER_SECOND
         if second != self._second:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -69,6 +69,21 @@
     )
 
 
+def test_the_cause_names_the_former_run_that_held_a_task() -> None:
+    """Guards against a wait beside free workers that nothing explains."""
+    task = f"{JOB}.0.0.1"
+    former = {"former_worker": "w2", "former_run": 7, "former_state": "stop_accepted"}
+    waits = [
+        line(
+            15.4 + after, "b", "job waits", job=JOB, reason=reason, task=task, **former
+        )
+        for after, reason in enumerate(["no_room", "former_run", "former_run"])
+    ]
+    explanation = explain_job(JOB, align_clocks(parse_lines([*LINES, *waits])))
+    assert explanation is not None
+    assert f"; {task} waited for the end of run 7 on w2; 1 x" in explanation.cause
+
+
 def test_the_cause_names_a_shortage_of_memory() -> None:
     """Guards against a job that waits for memory beside cores that are free."""
     size = {"wanted_cpu": 9, "capacity_cpu": 99, "wanted_mb": 900, "capacity_mb": 100}
--- a/tests/test_wait_lines.py
+++ b/tests/test_wait_lines.py
@@ -10,7 +10,8 @@
 import pytest
 import structlog
 
-from bergamotgap.domain.fleet import StepSpec, WorkerState
+from bergamotgap.domain.fleet import StepSpec, TaskId, WorkerState
+from bergamotgap.pools.former_runs import FORMER_RUN, find_held_task, measure_held_tasks
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.wait_reasons import (
     MAX_EXAMINED_PER_S,
@@ -20,6 +21,7 @@
     WAIT_LOG_GAP_MS,
     summarize_obstacles,
 )
+from bergamotgap.ports.fleet import Lease, StartOrder
 from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import FakeAdvice, Scene
@@ -167,3 +169,93 @@
     named = [f"o{kind}:{kinds - kind}" for kind in range(MAX_OBSTACLES)]
     others = sum(range(1, kinds - MAX_OBSTACLES + 1))
     assert parts == named + ([f"other:{others}"] if others else [])
+
+
+def test_a_task_held_by_a_former_run_is_named_with_that_run() -> None:
+    """Guards against a task that waits beside free workers without a cause."""
+    held, spec = TaskId("held", 0, 0, 0), build_job("held", steps=(WHOLE_WORKER,))
+
+    async def main() -> None:
+        scene = Scene(2, run_s=100.0)
+        async with scene.run_owner(1) as (pool, orders):
+            await asyncio.sleep(3)
+            await pool.submit(spec)
+            await asyncio.sleep(0.5)
+            (task,) = pool.job_table.jobs["held"].list_tasks()
+            (name,) = scene.workers.keys() - {task.worker_id}
+            other = scene.workers[name]
+            orders.drop_stops = 100
+            start = StartOrder(held, 7, "", "", "")
+            orders.execute_start(other, start, Lease(1, other.now_ms() + 4000))
+            pool.run_tracker.links[name].request_poll()
+            await asyncio.sleep(0.2)
+
+            def measure() -> tuple[int, int]:
+                possible_runs = pool.run_tracker.possible_runs
+                return measure_held_tasks(
+                    pool.job_table.pending.values(), possible_runs
+                )
+
+            assert measure() == (0, 0)
+            scene.workers[task.worker_id].end_run(held, "stopped")
+            with structlog.testing.capture_logs() as lines:
+                await asyncio.sleep(1.2)
+            line = next(line for line in lines if line["event"] == "job waits")
+            assert (line["reason"], line["task"]) == (FORMER_RUN, held)
+            assert (line["former_worker"], line["former_run"]) == (name, 7)
+            assert line["former_state"] == "stop_not_answered"
+            count, age_ms = measure()
+            assert count == 1
+            assert 1200 <= age_ms <= 1500
+            (former,) = pool.explain(spec).former_runs
+            assert (former.task, former.worker, former.run) == (str(held), name, 7)
+            assert former.state == "stop_not_answered"
+            orders.drop_stops = 0
+            await asyncio.sleep(2)
+            assert task.is_active
+            assert measure() == (0, 0)
+            assert pool.explain(spec).former_runs == ()
+
+    run_virtual(main())
+
+
+def test_a_former_run_of_one_task_is_no_cause_for_the_others() -> None:
+    """Guards against a wait for room that is told as one for a former run."""
+    step = StepSpec(count=2, cpu=8000, memory_mb=100, estimated_ms=1000)
+
+    async def check(scene: Scene, pool: Pool) -> None:
+        await pool.submit(build_job("full", steps=(WHOLE_WORKER,)))
+        await asyncio.sleep(0.1)
+        possible_runs = pool.run_tracker.possible_runs
+        possible_runs.add(TaskId("two", 0, 0, 0), "w1", 9)
+        await pool.submit(build_job("two", steps=(step,)))
+        await asyncio.sleep(1.5)
+        possible_runs.add(TaskId("two", 0, 0, 1), "w1", 9)
+        await asyncio.sleep(1.5)
+        possible_runs.remove(TaskId("two", 0, 0, 0), "w1", 9)
+        possible_runs.remove(TaskId("two", 0, 0, 1), "w1", 9)
+
+    waits = [line for line in play(check, workers=1) if line["job"] == "two"]
+    assert [line["reason"] for line in waits] == ["no_room", FORMER_RUN]
+    assert waits[1]["former_state"] == "unknown_size"
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_one_held_member_holds_its_gang(is_gang: bool) -> None:
+    """Guards against a gang that waits for a former run and is told to lack room."""
+    step = StepSpec(count=2, cpu=9000, estimated_ms=1000, is_gang=is_gang)
+
+    async def check(scene: Scene, pool: Pool) -> None:
+        await pool.submit(build_job("two", steps=(step,)))
+        await asyncio.sleep(0.1)
+        job, possible_runs = pool.job_table.jobs["two"], pool.run_tracker.possible_runs
+        first, second = job.list_tasks()
+        assert find_held_task(job, possible_runs) is None
+        possible_runs.add(second.task_id, "w1", 9)
+        assert find_held_task(job, possible_runs) is (second if is_gang else None)
+        possible_runs.add(first.task_id, "w1", 9)
+        assert find_held_task(job, possible_runs) is first
+        possible_runs.remove(first.task_id, "w1", 9)
+        possible_runs.remove(second.task_id, "w1", 9)
+
+    play(check)
