Show each run of a task in 'explain', and which of them overlapped by the log

Whether two runs of a task were on workers at once had to be put together from some ten kinds of lines by hand. 'explain' now takes a task's own name as well as a job's and lists the runs of the task, or of each task that had several, with worker, life, answer, stop and end, and with restarts of their workers.

An overlap is told plainly where the log proves it, and as possible where it doesn't: the answer to a start comes after the run began, at the earliest with its placement; a run taken for lost that a poll lists again was there in between; an end listed late by a worker that was cut off tells only that the run ended before. The end of a task that is done has no line of its own, so an overlap with such a run has a bound ('up to').

--- a/src/bergamotgap/adapters/job_explanation.py
+++ b/src/bergamotgap/adapters/job_explanation.py
@@ -1,10 +1,15 @@
-"""Explain one job from the nodes' logs: the decisions about it and the cause."""
+"""Explain one job or task from the nodes' logs: decisions, runs and the cause."""
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from bergamotgap.adapters.log_lines import LogLine
+from bergamotgap.adapters.run_history import (
+    RESTART_EVENTS,
+    TaskHistory,
+    list_task_histories,
+)
 
 # Events that help to explain a job without naming it: those of its pool, and those of
 # all pools or of the log.
@@ -41,18 +46,32 @@
 
 @dataclass(frozen=True)
 class Explanation:
-    """The lines of a job and its context lines in time order, and the cause."""
+    """The lines of a job and its context lines in time order, its runs, and the cause.
+
+    `tasks` are those that had more than one run, or the one that was asked for.
+    """
 
     lines: tuple[LogLine, ...]
     cause: str
+    tasks: tuple[TaskHistory, ...] = ()
+
 
+def explain_job(name: str, lines: Sequence[LogLine]) -> Explanation | None:
+    """Explain a job, or one of its tasks, from aligned lines.
 
-def explain_job(job_id: str, lines: Sequence[LogLine]) -> Explanation | None:
-    """Explain a job from aligned lines; returns None if no line names the job."""
-    job_lines = [line for line in lines if _names_job(line, job_id)]
-    if not job_lines:
+    Returns None if no line names it.
+    """
+    job_id, is_task = name.split(".")[0], "." in name
+    job_lines = [
+        line
+        for line in lines
+        if _names_job(line, job_id)
+        and (not is_task or line.fields.get("task", name) == name)
+    ]
+    if not any(_names(line, name, is_task) for line in job_lines):
         return None
     pools = {line.fields["pool"] for line in job_lines if "pool" in line.fields}
+    workers = {line.fields["worker"] for line in job_lines if "worker" in line.fields}
     first_ms, last_ms = job_lines[0].time_ms - CONTEXT_BEFORE_MS, job_lines[-1].time_ms
     context_lines = [
         line
@@ -61,10 +80,23 @@
         and (
             line.event in FLEET_EVENTS
             or (line.event in POOL_EVENTS and line.fields.get("pool") in pools)
+            or (line.event in RESTART_EVENTS and line.fields.get("worker") in workers)
         )
     ]
-    sorted_lines = sorted([*job_lines, *context_lines], key=lambda line: line.time_ms)
-    return Explanation(tuple(sorted_lines), _find_cause(job_lines, context_lines))
+    # Lines of the same millisecond stay in the order of writing.
+    chosen = {id(line) for line in (*job_lines, *context_lines)}
+    sorted_lines = [line for line in lines if id(line) in chosen]
+    tasks = [
+        history
+        for history in list_task_histories(sorted_lines)
+        if is_task or len(history.runs) > 1
+    ]
+    cause = _find_cause(job_lines, context_lines)
+    return Explanation(tuple(sorted_lines), cause, tuple(tasks))
+
+
+def _names(line: LogLine, name: str, is_task: bool) -> bool:
+    return not is_task or line.fields.get("task") == name
 
 
 def _names_job(line: LogLine, job_id: str) -> bool:
--- /dev/null
+++ b/src/bergamotgap/cli/run_texts.py
@@ -0,0 +1,69 @@
+"""Texts of the `explain` command about the runs of a task."""
+
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from math import isinf
+
+from bergamotgap.adapters.log_lines import LogLine
+from bergamotgap.adapters.run_history import (
+    JOB_END_EVENT,
+    Overlap,
+    RunHistory,
+    TaskHistory,
+)
+
+# Fields of the lines that tell what an operator asks about a run.
+DETAILS = {
+    "start accepted": ("life", "is_life_certain", "is_held"),
+    "start of a former life stopped": ("sent_ms_ago",),
+    "start refused": ("reason",),
+    "run stopped": ("reason", "phase", "is_held"),
+    "run ended": ("outcome", "is_current"),
+    "run lost": ("reason", "is_current"),
+    "run ended by crash": ("evidence",),
+    "job ended": ("phase", "reason"),
+    "task may run twice": ("others",),
+}
+
+
+def format_time(time_ms: float) -> str:
+    """Return the time of day of a Unix time."""
+    when = datetime.fromtimestamp(time_ms / 1000, UTC)
+    return f"{when:%H:%M:%S}.{when.microsecond // 1000:03}"
+
+
+def describe_task(task: TaskHistory) -> Iterator[str]:
+    """Return the lines about the runs of a task and about those that overlapped."""
+    yield f"task {task.task}: {len(task.runs)} runs"
+    for run in task.runs:
+        yield f"  {_name_run(run)}"
+        for line in run.lines:
+            yield f"    {_describe_line(line)}"
+    for overlap in task.overlaps:
+        yield f"  {_describe_overlap(overlap)}"
+    if not task.overlaps:
+        yield "  by the log, no two of its runs overlapped"
+
+
+def _name_run(run: RunHistory) -> str:
+    return f"run {run.run} on {run.worker}"
+
+
+def _describe_line(line: LogLine) -> str:
+    event = "job ended" if line.event == JOB_END_EVENT else line.event
+    names = DETAILS.get(event, ())
+    shown = ", ".join(f"{n} {line.fields[n]}" for n in names if line.fields.get(n))
+    details = f" ({shown})" if shown else ""
+    return f"{format_time(line.time_ms)} {event}{details}, by {line.node}"
+
+
+def _describe_overlap(overlap: Overlap) -> str:
+    names = f"{_name_run(overlap.first)} and {_name_run(overlap.second)}"
+    begin = format_time(overlap.begin_ms)
+    if isinf(overlap.end_ms):
+        return (
+            f"MAY HAVE OVERLAPPED: {names} from {begin}; the log has no end of either"
+        )
+    verb = "OVERLAPPED" if overlap.is_certain else "MAY HAVE OVERLAPPED"
+    duration_ms = overlap.end_ms - overlap.begin_ms
+    return f"{verb}: {names} for up to {duration_ms:.0f} ms from {begin}"
