Let the stand-in's crashed workers close their connections

The stand-in kept a poll of a crashed worker open until its wait was over. Calls now say whether the connection was closed or the time was up (Unanswered.is_cut_off), and the stand-in does either.

--- a/src/bergamotgap/platform/workers.py
+++ b/src/bergamotgap/platform/workers.py
@@ -200,7 +200,11 @@
                 return response.status, await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Unanswered(was_sent=False)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except TimeoutError:
+            return Unanswered(was_sent=True)
+        except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError):
+            return Unanswered(was_sent=True, is_cut_off=True)
+        except (aiohttp.ClientError, OSError):
             return Unanswered(was_sent=True)
 
 
--- a/src/bergamotgap/ports/fleet.py
+++ b/src/bergamotgap/ports/fleet.py
@@ -185,9 +185,13 @@
 
 @dataclass(frozen=True)
 class Unanswered:
-    """No response; an order that was sent may still be carried out."""
+    """No response; an order that was sent may still be carried out.
+
+    `is_cut_off`: the connection was closed or reset while it was waited for.
+    """
 
     was_sent: bool
+    is_cut_off: bool = False
 
 
 OrderOutcome = Accepted | Refused | OtherInstance | Unanswered
--- a/tests/crash_scene.py
+++ b/tests/crash_scene.py
@@ -25,6 +25,7 @@
 class CrashScene(Scene):
     """A scene in which `is_deadly` tasks crash the workers that start them.
 
+    Only processes crash, so that their connections are closed, if `closes_connections`.
     `crashes` has, for each deadly task, the number of starts of it at each crash, and
     `victims` the tasks that ran on each worker that crashed.
     """
@@ -34,11 +35,14 @@
         is_deadly: Callable[[TaskId], bool],
         workers: int = 4,
         run_s: float = 0.5,
+        closes_connections: bool = False,
     ) -> None:
         super().__init__(workers, run_s)
         self.is_deadly = is_deadly
         self.crash_delay_s = CRASH_DELAY_S
         self.down_s = DOWN_S
+        for worker in self.workers.values():
+            worker.closes_connections = closes_connections
         self.crashes: dict[TaskId, list[str]] = defaultdict(list)
         self.victims: list[set[TaskId]] = []
         # Jobs whose tasks end `broken` when the worker of another one crashes.
@@ -106,6 +110,7 @@
         )
         worker = self.workers[info.worker_id] = FakeWorker(info, former.run_s)
         worker.choose_run_s = former.choose_run_s
+        worker.closes_connections = former.closes_connections
         worker.reports_full_progress = former.reports_full_progress
         self.infos[info.worker_id] = info
         self.publish_workers()
