Know a run's age at a crash by the end of its worker's poll

test_a_run_that_worked_for_a_while_was_not_at_its_start[False] fails before: a crash 0.9 s after the start is blamed on the task. Cause: a poll waits up to 1 s for an end and shows the age of a run only then.

The owner does know more: a poll that the worker held for 200 ms or longer and that ends with a closed connection says that the worker lived until then. Runs accepted 200 ms before count as past their start. A poll of a worker that is gone already is cut off at once, so it says nothing.

Ruled out: - Polls that wait 200 ms after each start: a poll more for each start. - The last answer of any kind: an order may have been answered by a later life under the same id, which would acquit a task that crashed the former one; a poll shows its life first. A held poll tells nearly all of it. - The heartbeat of the worker's report (1.5 s), and the birth of the later life: too coarse, and no lower bound on the crash. - Polls without a closed connection: crashes at 10 and at 900 ms look alike to the owner, so those stay blamed. test_age_at_crash.py has both kinds: closed connections acquit at 250 ms and later and never at 10 or 150 ms, silence acquits nothing.

Suspected: on a link on which packets wait 200 ms or more, a poll sent just before a crash is cut off that late, which acquits that one crash.

--- a/src/bergamotgap/pools/crash_watch.py
+++ b/src/bergamotgap/pools/crash_watch.py
@@ -7,6 +7,7 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.crash_suspicion import (
     PROBATION_SHARE,
+    START_MS,
     LostRun,
     StartOutcomes,
     is_given_up,
@@ -86,16 +87,23 @@
         )
 
     def record_loss(
-        self, worker: WorkerInfo, runs: Sequence[LiveRun], reason: str
+        self,
+        worker: WorkerInfo,
+        runs: Sequence[LiveRun],
+        reason: str,
+        cut_off_ms: int = 0,
     ) -> None:
-        """Watch a worker whose runs were lost, and mark the suspects among them."""
+        """Watch a worker whose runs were lost, and mark the suspects among them.
+
+        At `cut_off_ms` the worker closed the connection of the last poll.
+        """
         if worker.state is WorkerState.DRAINING:
             for live in runs:
                 live.task.end_exposure(worker.worker_id)
             return
         # Runs of jobs that have ended may be at fault as well.
         started = [
-            LostRun(live.task, live.has_survived_start)
+            LostRun(live.task, _has_survived_start(live, cut_off_ms))
             for live in runs
             if live.is_start_sent
         ]
@@ -226,3 +234,13 @@
             "runs": len(lost.tasks),
             "after_ms": self._clock.monotonic_ms() - lost.lost_ms,
         }
+
+
+def _has_survived_start(live: LiveRun, cut_off_ms: int) -> bool:
+    """Return whether a run was past its start when its worker was last known to live.
+
+    A poll waits for an end, so none may have listed the run before the crash.
+    """
+    if live.has_survived_start or live.start_accepted_ms is None:
+        return live.has_survived_start
+    return cut_off_ms - live.start_accepted_ms >= START_MS
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -373,7 +373,7 @@
         self, link: WorkerLink, runs: Sequence[LiveRun], reason: str
     ) -> None:
         """Watch the worker until it is known whether it crashed."""
-        self._crash_watch.record_loss(link.info, runs, reason)
+        self._crash_watch.record_loss(link.info, runs, reason, link.cut_off_ms)
 
     def handle_lost(self, link: WorkerLink, live: LiveRun, reason: str) -> None:
         """Return a task to waiting whose run is gone without a reported end."""
--- a/src/bergamotgap/pools/tracked_worker.py
+++ b/src/bergamotgap/pools/tracked_worker.py
@@ -2,6 +2,7 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.crash_suspicion import START_MS
 from bergamotgap.domain.fleet import TaskId, WorkerInfo, WorkerState
 from bergamotgap.domain.task_placement import WorkerCapacity
 from bergamotgap.pools.link_interface import LiveRun
@@ -37,6 +38,8 @@
         self.answered_ms = clock.monotonic_ms()
         # When the worker last answered after a silence.
         self.silence_ended_ms = 0
+        # When the worker last closed the connection of a poll that it had held.
+        self.cut_off_ms = 0
         # The job whose suspected tasks are tried on this worker, and since when.
         self.trial_job = ""
         self.trial_since_ms = 0
@@ -159,6 +162,17 @@
         self.is_silent = True
         self._life.doubt()
 
+    def record_unanswered_poll(
+        self, outcome: Unanswered, sent_ms: int, now_ms: int
+    ) -> None:
+        """Record that a poll got no answer, and when its connection was closed.
+
+        A poll of a worker that is gone already is cut off as well, but at once.
+        """
+        if outcome.is_cut_off and now_ms - sent_ms >= START_MS:
+            self.cut_off_ms = now_ms
+        self.record_silence()
+
     def record_answer(self, now_ms: int) -> None:
         """Record that the worker answered."""
         if self.is_silent:
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -326,7 +326,7 @@
             case Refused():
                 self.record_outcome(outcome, now_ms)
             case _:
-                self.record_silence()
+                self.record_unanswered_poll(outcome, sent_ms, now_ms)
         self.quarantine(2 * RETRY_MS)
         return False
 
--- a/tests/test_given_up_jobs.py
+++ b/tests/test_given_up_jobs.py
@@ -108,15 +108,18 @@
     run_virtual(main())
 
 
-@pytest.mark.parametrize("delay_s", [0.01, 0.15, 0.3, 0.6, 0.9, 1.5])
-@pytest.mark.parametrize("is_long_running", [False, True])
-def test_a_task_that_crashes_workers_is_started_five_times_at_most(
-    delay_s: float, is_long_running: bool
+def check_starts_of_a_deadly_task(
+    delay_s: float, is_long_running: bool, closes_connections: bool
 ) -> None:
-    """Guards against deadly tasks that are tried without end, by the crash's time."""
+    """Check that a task which crashes its workers is given up after a few starts."""
 
     async def main() -> None:
-        scene = CrashScene(is_first_task_of_bad, workers=6, run_s=100)
+        scene = CrashScene(
+            is_first_task_of_bad,
+            workers=6,
+            run_s=100,
+            closes_connections=closes_connections,
+        )
         scene.crash_delay_s = delay_s
         for worker in scene.workers.values():
             worker.reports_full_progress = is_long_running
@@ -137,6 +140,29 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("delay_s", [0.01, 0.15, 0.3, 0.6, 0.9, 1.5])
+@pytest.mark.parametrize("is_long_running", [False, True])
+def test_a_task_that_crashes_workers_is_started_five_times_at_most(
+    delay_s: float, is_long_running: bool
+) -> None:
+    """Guards against deadly tasks that are tried without end, by the crash's time."""
+    check_starts_of_a_deadly_task(delay_s, is_long_running, closes_connections=False)
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "is_long_running"),
+    [
+        *((delay_s, False) for delay_s in (0.01, 0.15, 0.3, 0.6, 0.9, 1.5)),
+        *((delay_s, True) for delay_s in (0.01, 0.15)),
+    ],
+)
+def test_a_task_whose_age_at_the_crash_is_known_is_started_five_times_at_most(
+    delay_s: float, is_long_running: bool
+) -> None:
+    """Guards against deadly tasks acquitted by the end of their workers' polls."""
+    check_starts_of_a_deadly_task(delay_s, is_long_running, closes_connections=True)
+
+
 def test_a_job_is_given_up_before_its_next_start_if_the_crash_is_known() -> None:
     """Guards against a run that is started only to be stopped a moment later.
 
@@ -161,10 +187,11 @@
     """Guards against blame for a crash 0.9 s after the start, as in the users' record.
 
     No poll was answered between the start and the crash, since it waits for an end.
+    What is known where the connections are not closed is in test_age_at_crash.py.
     """
 
     async def main() -> None:
-        scene = CrashScene(lambda _: False, workers=3, run_s=5)
+        scene = CrashScene(lambda _: False, workers=3, run_s=5, closes_connections=True)
         step = StepSpec(count=1, cpu=1000, memory_mb=100, estimated_ms=5000)
         other = StepSpec(count=3, cpu=1000, memory_mb=100, estimated_ms=5000)
         async with scene.run_owner(1) as (pool, _):
