Merge the age of runs at a crash; the fake of a worker gets a module of its own

A poll that its worker held and closed tells how long a run worked. The link's cut-off time goes to the crash watch with the runs, since the report is that of the life that was lost.

--- a/bench/learned_run_times.py
+++ b/bench/learned_run_times.py
@@ -31,7 +31,8 @@
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import StartOrder
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_worker
+from stand_ins.pool_workers import SETTINGS, FakeWorker
+from stand_ins.pools import FakeOrders, build_worker
 from stand_ins.virtual_time import LoopClock, run_virtual
 
 SEEDS = (1, 2, 3, 4)
--- a/src/bergamotgap/pools/link_interface.py
+++ b/src/bergamotgap/pools/link_interface.py
@@ -139,9 +139,16 @@
         """Handle the end of a run when a poll first lists it."""
 
     def handle_worker_lost(
-        self, worker: WorkerInfo, runs: Sequence[LiveRun], reason: str
+        self,
+        worker: WorkerInfo,
+        runs: Sequence[LiveRun],
+        reason: str,
+        cut_off_ms: int,
     ) -> None:
-        """Handle the loss of a life with runs; each lost run is reported separately."""
+        """Handle the loss of a life with runs; each lost run is reported separately.
+
+        At `cut_off_ms` the worker closed the connection of the last poll.
+        """
 
     def handle_lost(self, link: "WorkerRuns", live: LiveRun, reason: str) -> None:
         """Handle a run that is gone from the worker without a reported end."""
--- a/stand_ins/users_platform.py
+++ b/stand_ins/users_platform.py
@@ -21,7 +21,8 @@
     Refused,
     StartOrder,
 )
-from stand_ins.pools import FakeOrders, FakeWorker
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import FakeOrders
 from stand_ins.users_log import HttpServer, UsersLog, build_answer
 
 MOVE_DURATION_S = 1.5
--- a/tests/cap_scene.py
+++ b/tests/cap_scene.py
@@ -15,7 +15,8 @@
 from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.ports.pool_peer import CapCall, CapReply, PoolCall, PoolReply
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_worker
+from stand_ins.pool_workers import SETTINGS, FakeWorker
+from stand_ins.pools import FakeOrders, build_worker
 from stand_ins.virtual_time import LoopClock
 from tests.pool_scene import find_pool_disagreements
 
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -14,7 +14,7 @@
 from bergamotgap.ports.fleet import Fence, MachineService
 from bergamotgap.ports.pool_peer import PoolCall, PoolReply
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS
+from stand_ins.pool_workers import SETTINGS
 from stand_ins.virtual_time import LoopClock
 
 
--- a/tests/host_scene.py
+++ b/tests/host_scene.py
@@ -11,7 +11,8 @@
 from bergamotgap.pools.host_mover import HostMover
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.pool_peer import DemandCall, DrainCall, PoolCall, PoolReply
-from stand_ins.pools import CONFIG, FakeWorker, build_worker
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import CONFIG, build_worker
 from tests.pool_scene import Scene
 
 # Interval of the rounds that order moves, and the duration of a move.
--- a/tests/pool_scene.py
+++ b/tests/pool_scene.py
@@ -11,7 +11,8 @@
 from bergamotgap.pools.run_audit import Disagreement, find_disagreements
 from bergamotgap.ports.fleet import AdviceService, Tickets
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import CONFIG, SETTINGS, FakeOrders, FakeWorker, build_worker
+from stand_ins.pool_workers import SETTINGS, FakeWorker
+from stand_ins.pools import CONFIG, FakeOrders, build_worker
 from stand_ins.virtual_time import LoopClock
 
 PARTITION = ("keyed.jobs", 0)
--- a/tests/runs_disruptions.py
+++ b/tests/runs_disruptions.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from bergamotgap.domain.fleet import StepSpec
-from stand_ins.pools import MAX_ANSWER_S, FakeWorker, build_job
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import MAX_ANSWER_S, build_job
 from tests import waiting_disruptions
 
 if TYPE_CHECKING:
--- a/tests/runs_scene.py
+++ b/tests/runs_scene.py
@@ -13,7 +13,7 @@
 
 from bergamotgap.domain.fleet import TaskId, WorkerInfo
 from bergamotgap.ports.fleet import Accepted, Lease, OrderOutcome, StartOrder
-from stand_ins.pools import SETTINGS, FakeRun, FakeWorker
+from stand_ins.pool_workers import SETTINGS, FakeRun, FakeWorker
 from tests.runs_disruptions import RUNS_DISRUPTIONS
 from tests.waiting_checks import list_overlaps
 from tests.waiting_scene import WaitingScene
--- a/tests/test_admission_check.py
+++ b/tests/test_admission_check.py
@@ -17,7 +17,8 @@
 )
 from bergamotgap.pools.job_table import NotStored, Stored
 from bergamotgap.pools.pool import Pool
-from stand_ins.pools import CONFIG, SETTINGS
+from stand_ins.pool_workers import SETTINGS
+from stand_ins.pools import CONFIG
 from stand_ins.virtual_time import run_virtual
 from tests.customer_load import (
     Arrival,
--- a/tests/test_long_end_lists.py
+++ b/tests/test_long_end_lists.py
@@ -9,7 +9,8 @@
 from bergamotgap.platform.workers import WorkerOrderClient
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import EndReport, Lease, PollReply
-from stand_ins.pools import ENDS_PER_REPLY, build_job, build_worker
+from stand_ins.pool_workers import ENDS_PER_REPLY
+from stand_ins.pools import build_job, build_worker
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
 from tests.test_platform_adapter import JOB_ID, respond_with, serve
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -18,7 +18,8 @@
     PollOutcome,
     StartOrder,
 )
-from stand_ins.pools import FakeOrders, FakeRun, build_job
+from stand_ins.pool_workers import FakeRun
+from stand_ins.pools import FakeOrders, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.crash_scene import CrashScene
 from tests.pool_scene import Scene
--- a/tests/test_outage_at_size.py
+++ b/tests/test_outage_at_size.py
@@ -9,7 +9,7 @@
 from bergamotgap.pools.ownership_registry import Member, OwnershipRegistry
 from bergamotgap.ports.pool_peer import LogContactReply, PoolCall, PoolReply
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS
+from stand_ins.pool_workers import SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
 
 NODES = 300
--- a/tests/test_ownership_balance.py
+++ b/tests/test_ownership_balance.py
@@ -12,7 +12,7 @@
 )
 from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS
+from stand_ins.pool_workers import SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.test_pool_parts import start_registry
 
--- a/tests/test_pool_parts.py
+++ b/tests/test_pool_parts.py
@@ -21,7 +21,7 @@
     PoolReply,
 )
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS
+from stand_ins.pool_workers import SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
 
 TOPIC = "keyed.jobs"
--- a/tests/test_pool_takeover.py
+++ b/tests/test_pool_takeover.py
@@ -8,7 +8,8 @@
 from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from bergamotgap.ports.fleet import StartOrder
 from bergamotgap.ports.pool_peer import MaintenanceCall
-from stand_ins.pools import SETTINGS, FakeRun, build_job
+from stand_ins.pool_workers import SETTINGS, FakeRun
+from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import PARTITION, Scene
 
--- a/tests/test_queue_holdings.py
+++ b/tests/test_queue_holdings.py
@@ -25,14 +25,8 @@
 )
 from bergamotgap.pools.requests import JobRequests
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import (
-    CONFIG,
-    SETTINGS,
-    FakeOrders,
-    FakeWorker,
-    build_job,
-    build_worker,
-)
+from stand_ins.pool_workers import SETTINGS, FakeWorker
+from stand_ins.pools import CONFIG, FakeOrders, build_job, build_worker
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.test_pool_requests import FakePeers
 
--- a/tests/test_review_of_runs.py
+++ b/tests/test_review_of_runs.py
@@ -16,7 +16,8 @@
     StartOrder,
     Unanswered,
 )
-from stand_ins.pools import SETTINGS, FakeOrders, FakeRun, build_job
+from stand_ins.pool_workers import SETTINGS, FakeRun
+from stand_ins.pools import FakeOrders, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
 from tests.test_runs_at_once import build_scene
--- a/tests/test_runs_under_trouble.py
+++ b/tests/test_runs_under_trouble.py
@@ -12,7 +12,8 @@
     PollOutcome,
     StartOrder,
 )
-from stand_ins.pools import FakeOrders, FakeRun, FakeWorker, build_job
+from stand_ins.pool_workers import FakeRun, FakeWorker
+from stand_ins.pools import FakeOrders, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.test_runs_at_once import SlowAnswerOrders, build_scene, wait_for_start
 from tests.test_worker_lives import (
--- a/tests/test_stand_in_stops.py
+++ b/tests/test_stand_in_stops.py
@@ -4,7 +4,8 @@
 
 from bergamotgap.domain.fleet import TaskId
 from bergamotgap.ports.fleet import Accepted, Lease, PollReply, Refused, StartOrder
-from stand_ins.pools import SETTINGS, FakeOrders, FakeWorker, build_worker
+from stand_ins.pool_workers import SETTINGS, FakeWorker
+from stand_ins.pools import FakeOrders, build_worker
 from stand_ins.virtual_time import run_virtual
 
 
--- a/tests/test_trial_workers.py
+++ b/tests/test_trial_workers.py
@@ -17,7 +17,8 @@
 from bergamotgap.pools.trial_workers import TrialWorkers
 from bergamotgap.pools.worker_life import WorkerLife
 from bergamotgap.pools.worker_link import WorkerLink
-from stand_ins.pools import SETTINGS, build_job, build_worker
+from stand_ins.pool_workers import SETTINGS
+from stand_ins.pools import build_job, build_worker
 from stand_ins.virtual_time import LoopClock
 
 # A trial begins this long after runs of others have ended, or earlier.
--- a/tests/test_waiting_tasks.py
+++ b/tests/test_waiting_tasks.py
@@ -9,7 +9,8 @@
 from bergamotgap.domain.fleet import JobSpec, StepSpec, TaskId
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import StartOrder
-from stand_ins.pools import FakeRun, build_job
+from stand_ins.pool_workers import FakeRun
+from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
 from tests.crash_scene import CrashScene
 from tests.pool_scene import Scene
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -8,7 +8,8 @@
 
 from bergamotgap.domain.fleet import StepSpec
 from bergamotgap.pools.pool import Pool
-from stand_ins.pools import SETTINGS, build_job
+from stand_ins.pool_workers import SETTINGS
+from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
 
--- a/tests/waiting_checks.py
+++ b/tests/waiting_checks.py
@@ -17,7 +17,7 @@
 from bergamotgap.domain.task_state import Task, TaskPhase
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.worker_link import WorkerLink
-from stand_ins.pools import FakeWorker
+from stand_ins.pool_workers import FakeWorker
 
 # Tells whether the policy of the advice service lets a step run on a host.
 Allows = Callable[[StepKey, str], bool]
--- a/tests/waiting_disruptions.py
+++ b/tests/waiting_disruptions.py
@@ -11,7 +11,8 @@
 
 from bergamotgap.domain.fleet import WorkerState
 from bergamotgap.ports.pool_peer import MaintenanceCall
-from stand_ins.pools import SETTINGS, FakeWorker, build_worker
+from stand_ins.pool_workers import SETTINGS, FakeWorker
+from stand_ins.pools import build_worker
 
 if TYPE_CHECKING:
     from tests.waiting_scene import WaitingScene
--- a/tests/waiting_scene.py
+++ b/tests/waiting_scene.py
@@ -14,7 +14,8 @@
 from bergamotgap.pools.job_table import Stored
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import StoreError
-from stand_ins.pools import FakeOrders, FakeWorker, build_job
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import FakeOrders, build_job
 from tests.pool_scene import Scene
 from tests.waiting_checks import (
     check_overlaps,
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -35,7 +35,7 @@
     PoolReply,
 )
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS
+from stand_ins.pool_workers import SETTINGS
 from stand_ins.virtual_time import LoopClock
 from tests.controller_harness import build_fleet_view, run_host_controller
 from tests.pool_scene import find_pool_disagreements
