--- a/tests/test_host_needs.py
+++ b/tests/test_host_needs.py
@@ -21,7 +21,7 @@
 )
 from bergamotgap.domain.task_state import Task
 from bergamotgap.pools.pool import Pool
-from stand_ins.pools import build_job, build_worker
+from stand_ins.pools import MAX_ANSWER_S, build_job, build_worker
 from stand_ins.virtual_time import run_virtual
 from tests.host_scene import HostScene, build_spare
 
@@ -71,6 +71,25 @@
     run_virtual(main())
 
 
+def test_a_host_whose_worker_was_not_polled_yet_is_not_ordered_again() -> None:
+    """Guards against a second move by a round just after the first one has ended."""
+
+    async def main() -> None:
+        scene = HostScene(2, [build_spare(7), build_spare(8)])
+        scene.max_answer_s = MAX_ANSWER_S
+        filling = StepSpec(count=2, cpu=5000, is_long_running=True)
+        large = StepSpec(count=1, cpu=4000, is_long_running=True)
+        async with scene.run_moves() as pool:
+            await pool.submit(build_job("filling", steps=(filling,)))
+            await asyncio.sleep(1)
+            await pool.submit(build_job("large", steps=(large,)))
+            await asyncio.sleep(10)
+            assert scene.count_running("large") == 1
+            assert scene.moves == [("m7", "previews")]
+
+    run_virtual(main())
+
+
 def test_tasks_that_no_host_can_hold_move_none() -> None:
     """Guards against a fleet that is drained by a step that can never spread."""
 
