--- a/tests/runs_scene.py
+++ b/tests/runs_scene.py
@@ -85,7 +85,7 @@
                 continue
             other = self.starts[(start.task, run.order.run)]
             former, later = sorted([start, other], key=lambda start: start.sent_s)
-            reason = self._find_excuse(former, later)
+            reason = self.find_excuse(former, later)
             trace = f"{start.task}: {former.describe()}; {later.describe()}"
             if reason:
                 self.late_starts[reason] += 1
@@ -94,7 +94,7 @@
             else:
                 self.report(f"two runs at once: {trace}")
 
-    def _find_excuse(self, former: SentStart, later: SentStart) -> str:
+    def find_excuse(self, former: SentStart, later: SentStart) -> str:
         """Return why an overlap can't be prevented; empty if it can."""
         name = former.worker.info.worker_id
         is_life_later = former.life_start_s > later.sent_s
