--- a/tests/test_runs_scenes.py
+++ b/tests/test_runs_scenes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bergamotgap.domain.fleet import TaskId
-from stand_ins.pools import SETTINGS
+from stand_ins.pool_workers import SETTINGS
 from stand_ins.virtual_time import run_virtual
 from tests.runs_scene import RunsScene, SentStart
 from tests.waiting_scene import play
