Count a failed run whatever the order in which the ends are read

What the users' rules call BUDGET: a task started again after its last attempt.

Cause, by reading: a failed run counted only if its number was above the highest one counted. A successor reads the ends that its predecessor had not acknowledged worker by worker, so the end of an earlier run may come after that of a later one, and was left out. Runs that were counted are now remembered by number, also in the job's record.

test_failures_count_in_whatever_order_a_successor_reads_them failed before: two of three failures were counted, and the task started a fourth time.

--- a/src/bergamotgap/domain/job_records.py
+++ b/src/bergamotgap/domain/job_records.py
@@ -36,6 +36,7 @@
     blamed_crashes: int = 0
     runs_alone: bool = False
     confirmed_crashes: int = 0
+    counted_runs: tuple[int, ...] = ()
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -188,8 +188,7 @@
         """Record a failed run; in a gang it counts for every task."""
         step = self.get_step(task)
         for member in step.tasks if step.spec.is_gang else [task]:
-            member.counted_run = run
-            member.failures += 1
+            member.count_failure(run)
 
     def mark_started(self) -> None:
         """Record that a task has started."""
@@ -240,6 +239,7 @@
                 task.blamed_crashes,
                 task.runs_alone,
                 task.confirmed_crashes,
+                task.counted_runs,
             )
             for step in self._steps.values()
             if step.unfinished_tasks
@@ -273,6 +273,7 @@
             if task is None:
                 continue
             task.counted_run, task.failures = record.counted_run, record.failures
+            task.counted_runs = record.counted_runs or (record.counted_run,)
             task.checkpoint = record.checkpoint
             task.exposures = record.exposures
             task.crashed_workers = record.crashed_workers
--- a/src/bergamotgap/domain/task_state.py
+++ b/src/bergamotgap/domain/task_state.py
@@ -11,6 +11,8 @@
 # Wait of a task whose start a worker refused, doubled with each refusal in a row.
 FIRST_RETRY_MS = 50
 MAX_RETRY_MS = 1000
+# Failed runs that are remembered; only long-running tasks may have more.
+MAX_COUNTED_RUNS = 32
 
 
 class TaskPhase(IntEnum):
@@ -43,8 +45,10 @@
     run: int = 0
     # The highest run so far; that of an adopted run may be lower.
     highest_run: int = 0
-    # The highest run whose failure is counted in `failures`.
+    # The highest run whose failure is counted in `failures`, and the latest ones that
+    # were counted: a successor may read the end of a run after those of later ones.
     counted_run: int = 0
+    counted_runs: tuple[int, ...] = ()
     failures: int = 0
     checkpoint: str = ""
     worker_id: str = ""
@@ -74,6 +78,12 @@
         """Return whether a long-running task has completed its startup."""
         return self.phase is TaskPhase.RUNNING and self.percent >= 100
 
+    def count_failure(self, run: int) -> None:
+        """Count the failure of a run."""
+        self.failures += 1
+        self.counted_run = max(self.counted_run, run)
+        self.counted_runs = (*self.counted_runs, run)[-MAX_COUNTED_RUNS:]
+
     def begin_exposure(self, exposure: Exposure) -> None:
         """Record that a worker may get a run of the task."""
         self.end_exposure(exposure.worker_id)
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -323,7 +323,7 @@
             job.record_done(task)
             self._job_table.pending[job.job_id] = job
             return
-        if end.outcome == "failed" and end.run > task.counted_run:
+        if end.outcome == "failed" and end.run not in task.counted_runs:
             job.record_failure(task, end.run)
             task.failed_on.add(link.worker_id)
             attempts = self.queues.get_attempts(job)
