--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -343,10 +343,14 @@
             self._job_table.pending[job.job_id] = job
 
     def handle_worker_lost(
-        self, worker: WorkerInfo, runs: Sequence[LiveRun], reason: str
+        self,
+        worker: WorkerInfo,
+        runs: Sequence[LiveRun],
+        reason: str,
+        cut_off_ms: int,
     ) -> None:
         """Watch the worker until it is known whether it crashed."""
-        self._crash_watch.record_loss(worker, runs, reason)
+        self._crash_watch.record_loss(worker, runs, reason, cut_off_ms)
 
     def handle_lost(self, link: WorkerRuns, live: LiveRun, reason: str) -> None:
         """Return a task to waiting whose run is gone without a reported end."""
--- a/src/bergamotgap/pools/worker_runs.py
+++ b/src/bergamotgap/pools/worker_runs.py
@@ -189,7 +189,9 @@
         if lost:
             is_present_life = lost[0].life == self._life.number
             worker = self.info if is_present_life else lost[0].worker
-            self._events.handle_worker_lost(worker or self.info, lost, reason)
+            self._events.handle_worker_lost(
+                worker or self.info, lost, reason, self.cut_off_ms
+            )
 
     def _remove_lost_run(self, live: LiveRun, reason: str) -> None:
         self.remove_run(live)
--- a/tests/host_scene.py
+++ b/tests/host_scene.py
@@ -11,7 +11,8 @@
 from bergamotgap.pools.host_mover import HostMover
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.pool_peer import DemandCall, DrainCall, PoolCall, PoolReply
-from stand_ins.pools import CONFIG, FakeWorker, build_worker
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import CONFIG, build_worker
 from tests.pool_scene import Scene
 
 # Interval of the rounds that order moves, and the duration of a move.
@@ -35,6 +36,7 @@
             worker.reports_full_progress = True
         # No moves are ordered meanwhile.
         self.is_paused = False
+        self.max_answer_s = 0.0
         self.moves: list[tuple[str, str]] = []
         self._reports = {info.host: info for info in spare}
         self._hosts = {
@@ -48,7 +50,9 @@
     @asynccontextmanager
     async def run_moves(self) -> AsyncIterator[Pool]:
         """Run an owner and order the moves that its demand requires, until the end."""
-        async with self.run_owner(1) as (pool, _):
+        async with self.run_owner(1) as (pool, orders):
+            # Rounds don't come between the report of a worker and its first poll.
+            orders.max_answer_s = self.max_answer_s
             self._pool = pool
             mover = HostMover(
                 self, self._call_owner, lambda: True, 1, 6, MOVE_MS, self.clock
--- a/tests/runs_disruptions.py
+++ b/tests/runs_disruptions.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from bergamotgap.domain.fleet import StepSpec
-from stand_ins.pools import MAX_ANSWER_S, FakeWorker, build_job
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import MAX_ANSWER_S, build_job
 from tests import waiting_disruptions
 
 if TYPE_CHECKING:
@@ -54,9 +55,7 @@
     lag_s = scene.rng.choice((0.02, 0.2, MAX_REPORT_LAG_S))
     info = worker.info
     await asyncio.sleep(scene.rng.uniform(0, lag_s))
-    if name in scene.infos and info.incarnation_ms > scene.infos[name].incarnation_ms:
-        scene.infos[name] = info
-        scene.publish()
+    scene.list_life(name, info)
 
 
 async def _submit_short(scene: WaitingScene) -> None:
--- a/tests/runs_scene.py
+++ b/tests/runs_scene.py
@@ -13,7 +13,7 @@
 
 from bergamotgap.domain.fleet import TaskId, WorkerInfo
 from bergamotgap.ports.fleet import Accepted, Lease, OrderOutcome, StartOrder
-from stand_ins.pools import SETTINGS, FakeRun, FakeWorker
+from stand_ins.pool_workers import SETTINGS, FakeRun, FakeWorker
 from tests.runs_disruptions import RUNS_DISRUPTIONS
 from tests.waiting_checks import list_overlaps
 from tests.waiting_scene import WaitingScene
@@ -85,7 +85,7 @@
                 continue
             other = self.starts[(start.task, run.order.run)]
             former, later = sorted([start, other], key=lambda start: start.sent_s)
-            reason = self._find_excuse(former, later)
+            reason = self.find_excuse(former, later)
             trace = f"{start.task}: {former.describe()}; {later.describe()}"
             if reason:
                 self.late_starts[reason] += 1
@@ -94,7 +94,7 @@
             else:
                 self.report(f"two runs at once: {trace}")
 
-    def _find_excuse(self, former: SentStart, later: SentStart) -> str:
+    def find_excuse(self, former: SentStart, later: SentStart) -> str:
         """Return why an overlap can't be prevented; empty if it can."""
         name = former.worker.info.worker_id
         is_life_later = former.life_start_s > later.sent_s
--- a/tests/test_operators_warnings.py
+++ b/tests/test_operators_warnings.py
@@ -18,7 +18,8 @@
     KeyedRecord,
 )
 from stand_ins.pool_store import FakeStore
-from stand_ins.pools import SETTINGS, build_job
+from stand_ins.pool_workers import SETTINGS
+from stand_ins.pools import build_job
 from stand_ins.virtual_time import LoopClock, run_virtual
 from tests.pool_scene import PARTITION, Scene
 
--- a/tests/test_refused_starts.py
+++ b/tests/test_refused_starts.py
@@ -12,7 +12,8 @@
     StartOrder,
     Tickets,
 )
-from stand_ins.pools import FakeOrders, FakeWorker, build_job
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import FakeOrders, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.crash_scene import CrashScene
 from tests.pool_scene import Scene
--- a/tests/test_runs_at_once.py
+++ b/tests/test_runs_at_once.py
@@ -7,7 +7,8 @@
 from bergamotgap.domain.fleet import StepSpec, TaskId, WorkerInfo
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import Lease, OrderOutcome, StartOrder
-from stand_ins.pools import SETTINGS, FakeOrders, FakeRun, build_job
+from stand_ins.pool_workers import SETTINGS, FakeRun
+from stand_ins.pools import FakeOrders, build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
 from tests.test_worker_lives import list_simultaneous_runs, publish_reports
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,8 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from stand_ins.pools import FakeWorker, build_worker
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import build_worker
 from stand_ins.users_log import HttpServer, UsersLog
 from tools.soak import Soak
 
--- a/tests/test_ticket_cache.py
+++ b/tests/test_ticket_cache.py
@@ -7,7 +7,8 @@
 
 from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId, WorkerInfo
 from bergamotgap.ports.fleet import Lease, OrderOutcome, Refused, StartOrder, Tickets
-from stand_ins.pools import FakeOrders, FakeWorker, build_job, build_worker
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import FakeOrders, build_job, build_worker
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
 from tests.test_worker_lives import publish_reports
--- a/tests/waiting_scene.py
+++ b/tests/waiting_scene.py
@@ -14,7 +14,8 @@
 from bergamotgap.pools.job_table import Stored
 from bergamotgap.pools.pool import Pool
 from bergamotgap.ports.fleet import StoreError
-from stand_ins.pools import FakeOrders, FakeWorker, build_job
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import FakeOrders, build_job
 from tests.pool_scene import Scene
 from tests.waiting_checks import (
     check_overlaps,
@@ -30,6 +31,8 @@
 CHECK_STEP_S = 0.1
 # Stated target (rule LOST): in calm, a task with room starts within 6 s and 3 s.
 MAX_WAIT_S = 10.0
+# A report of a former life that is listed late is replaced after this time at most.
+MAX_FORMER_LISTED_S = 1.0
 # Time for polls to show what runs, and for leases to expire.
 MAX_DISAGREEMENT_S = 8.0
 DISRUPTION_S = 30.0
@@ -151,6 +154,18 @@
         """Let the owners read the list of workers once the log answers."""
         self._is_list_current = False
 
+    def list_life(self, name: str, info: WorkerInfo) -> None:
+        """List the report of a worker's life, and the present one after a former."""
+        if name not in self.infos:
+            return
+        self.infos[name] = info
+        self.publish()
+        present = self.workers[name].info
+        if info.incarnation_ms != present.incarnation_ms:
+            asyncio.get_running_loop().call_later(
+                self.rng.uniform(0, MAX_FORMER_LISTED_S), self.list_life, name, present
+            )
+
     async def supervise(self) -> None:
         """End runs that are due, and publish the list of workers."""
         while True:
--- a/tests/waiting_workers.py
+++ b/tests/waiting_workers.py
@@ -19,7 +19,8 @@
     StartOrder,
     Tickets,
 )
-from stand_ins.pools import FakeOrders, FakeRun, FakeWorker
+from stand_ins.pool_workers import FakeRun, FakeWorker
+from stand_ins.pools import FakeOrders
 
 if TYPE_CHECKING:
     from tests.waiting_scene import WaitingScene
--- a/tests/wave_fakes.py
+++ b/tests/wave_fakes.py
@@ -20,7 +20,8 @@
     StartOrder,
     Unanswered,
 )
-from stand_ins.pools import FakeOrders, FakeWorker
+from stand_ins.pool_workers import FakeWorker
+from stand_ins.pools import FakeOrders
 
 if TYPE_CHECKING:
     from tests.wave_scene import WaveScene
