--- a/src/bergamotgap/pools/run_lines.py
+++ b/src/bergamotgap/pools/run_lines.py
@@ -27,7 +27,7 @@
 def log_loss(
     task_id: TaskId, run: int, worker_id: str, reason: str, is_current: bool
 ) -> None:
-    """Log that a run is gone without an end; `is_current`: the task waits again."""
+    """Log that a run is gone without an end; a warning if its task waits again."""
     if reason == "stopped":
         log.info(
             "run ended",
@@ -39,11 +39,21 @@
             is_current=is_current,
         )
         return
+    if not is_current:
+        log.info(
+            "run lost",
+            task=task_id,
+            run=run,
+            worker=worker_id,
+            reason=reason,
+            is_current=False,
+        )
+        return
     log.warning(
         "run lost",
         task=task_id,
         run=run,
         worker=worker_id,
         reason=reason,
-        is_current=is_current,
+        is_current=True,
     )
