--- a/tests/test_host_needs.py
+++ b/tests/test_host_needs.py
@@ -49,6 +49,19 @@
     run_virtual(main())
 
 
+async def check_that_one_host_moves(scene: HostScene) -> None:
+    """Check that a task which others leave no room gets one host, m7."""
+    filling = StepSpec(count=2, cpu=5000, is_long_running=True)
+    large = StepSpec(count=1, cpu=4000, is_long_running=True)
+    async with scene.run_moves() as pool:
+        await pool.submit(build_job("filling", steps=(filling,)))
+        await asyncio.sleep(1)
+        await pool.submit(build_job("large", steps=(large,)))
+        await asyncio.sleep(10)
+        assert scene.count_running("large") == 1
+        assert scene.moves == [("m7", "previews")]
+
+
 def test_a_large_long_running_task_gets_a_host_when_others_fill_the_workers() -> None:
     """Guards against a task that waits for good while the sum of fragments has room.
 
@@ -58,15 +71,7 @@
     async def main() -> None:
         small = build_spare(6, cpu=2000)
         scene = HostScene(2, [small, build_spare(7), build_spare(8)])
-        filling = StepSpec(count=2, cpu=5000, is_long_running=True)
-        large = StepSpec(count=1, cpu=4000, is_long_running=True)
-        async with scene.run_moves() as pool:
-            await pool.submit(build_job("filling", steps=(filling,)))
-            await asyncio.sleep(1)
-            await pool.submit(build_job("large", steps=(large,)))
-            await asyncio.sleep(10)
-            assert scene.count_running("large") == 1
-            assert scene.moves == [("m7", "previews")]
+        await check_that_one_host_moves(scene)
 
     run_virtual(main())
 
@@ -77,15 +82,7 @@
     async def main() -> None:
         scene = HostScene(2, [build_spare(7), build_spare(8)])
         scene.max_answer_s = MAX_ANSWER_S
-        filling = StepSpec(count=2, cpu=5000, is_long_running=True)
-        large = StepSpec(count=1, cpu=4000, is_long_running=True)
-        async with scene.run_moves() as pool:
-            await pool.submit(build_job("filling", steps=(filling,)))
-            await asyncio.sleep(1)
-            await pool.submit(build_job("large", steps=(large,)))
-            await asyncio.sleep(10)
-            assert scene.count_running("large") == 1
-            assert scene.moves == [("m7", "previews")]
+        await check_that_one_host_moves(scene)
 
     run_virtual(main())
 
