--- a/tests/test_host_needs.py
+++ b/tests/test_host_needs.py
@@ -69,9 +69,8 @@
     """
 
     async def main() -> None:
-        small = build_spare(6, cpu=2000)
-        scene = HostScene(2, [small, build_spare(7), build_spare(8)])
-        await check_that_one_host_moves(scene)
+        spare = [build_spare(6, cpu=2000), build_spare(7), build_spare(8)]
+        await check_that_one_host_moves(HostScene(2, spare))
 
     run_virtual(main())
 
