Count a crash for a run that began over an earlier restart

Cause: a start whose call is open at a restart counts as lost with the former life; if the new life accepts it, a crash of that life was taken for the one already counted, so that a task that crashes its workers got one start more (BUDGET). test_a_crash_counts_for_a_run_that_began_over_an_earlier_restart failed before.

--- a/src/bergamotgap/pools/link_interface.py
+++ b/src/bergamotgap/pools/link_interface.py
@@ -66,6 +66,13 @@
             return ""
         return reason if self.life == life else "restart"
 
+    def begin_in_life(self, life: int) -> None:
+        """Record that a life of the worker has carried out the start."""
+        if self.life != life:
+            # The loss of a former life was not that of this run.
+            self.is_loss_recorded = False
+        self.life, self.is_in_life = life, True
+
     def forget_stop(self) -> None:
         """Forget that a stop was sent, since another life knows nothing of it."""
         self.stop_accepted_ms = None
--- a/src/bergamotgap/pools/worker_runs.py
+++ b/src/bergamotgap/pools/worker_runs.py
@@ -168,7 +168,7 @@
             self._events.handle_running(self, row)
             live = self.runs.get(row.task)
             if live is not None and live.run == row.run:
-                live.life, live.is_in_life = self._life.number, True
+                live.begin_in_life(self._life.number)
         if reply.may_have_more_ends:
             # A run that is not listed may have ended, and its end be listed later.
             return
--- a/tests/test_runs_at_once.py
+++ b/tests/test_runs_at_once.py
@@ -142,3 +142,35 @@
             assert any(TASK in w.running for w in scene.workers.values())
 
     run_virtual(main())
+
+
+def test_a_crash_counts_for_a_run_that_began_over_an_earlier_restart() -> None:
+    """Guards against deadly tasks whose second crash is taken for the first one.
+
+    The call of a start is open while the list shows a restart; the new life accepts it
+    and crashes.
+    """
+
+    async def main() -> None:
+        scene = build_scene(run_s=1000)
+        scene.orders_class = SlowAnswerOrders
+        step = StepSpec(count=1, cpu=1000, estimated_ms=1000)
+        async with scene.run_owner(1) as (pool, orders):
+            assert isinstance(orders, SlowAnswerOrders)
+            orders.answer_s = 0.3
+            await asyncio.sleep(1)
+            for worker in scene.workers.values():
+                worker.restart()
+            await pool.submit(build_job("job", steps=(step,)))
+            name = await wait_for_start(pool)
+            await asyncio.sleep(0.02)
+            publish_reports(scene, pool)
+            await asyncio.sleep(1)
+            assert TASK in scene.workers[name].running
+            before = pool.crash_watch.crashes
+            scene.workers[name].restart()
+            publish_reports(scene, pool)
+            await asyncio.sleep(0.5)
+            assert pool.crash_watch.crashes == before + 1
+
+    run_virtual(main())
