Test processes beside clients that don't behave, on each of their addresses

Clients that the users don't control ended a process: out of memory. These tests start real processes on loopback addresses with low limits (memory of 100 MB for a node, 120 MB for an entry host of `serve`, 300 descriptors) and let crowds of 8 to 320 clients act on each address that callers, checks and operators reach. They check that the process lives, that its peak memory and its open descriptors stay under the limits (60 descriptors stay free), and that an ordinary caller is answered beside the crowd and after it. `make crowds` runs them one at a time.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TEST_WORKERS ?= 4
 SOURCES := src stand_ins bench tools tests
 
-.PHONY: install format lint types unit test demo bench slopes binary matrix proto events soak
+.PHONY: install format lint types unit crowds test demo bench slopes binary matrix proto events soak
 
 install: $(VENV)/.installed
 
@@ -29,9 +29,13 @@
 
 # Most of the time of the tests is waiting, for processes to start and leases to end.
 unit: install
-	$(BIN)/pytest -n $(TEST_WORKERS) --dist worksteal
+	$(BIN)/pytest -n $(TEST_WORKERS) --dist worksteal --ignore=tests/crowds
 
-test: lint types unit
+# One at a time, apart from other load, as they measure memory and descriptors.
+crowds: install
+	$(BIN)/pytest -n 0 tests/crowds
+
+test: lint types unit crowds
 
 demo: install
 	$(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
--- a/stand_ins/users_platform.py
+++ b/stand_ins/users_platform.py
@@ -85,10 +85,20 @@
 
 
 class UsersPlatform:
-    """The log, the hosts and their workers; `pools` has the host count of each pool."""
+    """The log, the hosts and their workers; `pools` has the host count of each pool.
 
-    def __init__(self, pools: Mapping[str, int], run_s: float, seed: int) -> None:
+    `limits` are the limits of callers' requests in the configuration, if any.
+    """
+
+    def __init__(
+        self,
+        pools: Mapping[str, int],
+        run_s: float,
+        seed: int,
+        limits: object = None,
+    ) -> None:
         self._rng = random.Random(seed)
+        self._limits = limits
         self._run_s = run_s
         self._worker_numbers = itertools.count(1)
         self._stack = AsyncExitStack()
@@ -121,7 +131,7 @@
             task.cancel()
         await self._stack.aclose()
 
-    def _build_config(self) -> Mapping[str, Any]:
+    def _build_config(self, version: int = 1) -> Mapping[str, Any]:
         routes = [
             {
                 "name": f"q-{pool}",
@@ -136,7 +146,13 @@
             if pool != SPARE_POOL
         ]
         services = [{"name": pool, "spare": pool == SPARE_POOL} for pool in self._pools]
-        return {"version": 1, "routes": routes, "services": services}
+        config = {"version": version, "routes": routes, "services": services}
+        return config if self._limits is None else {**config, "limits": self._limits}
+
+    async def change_limits(self, limits: object, version: int) -> None:
+        """Publish a configuration with other limits of callers' requests."""
+        self._limits = limits
+        await self._publish("op", "config", self._build_config(version))
 
     async def _publish(self, topic: str, key: str, content: object) -> None:
         value = msgspec.json.encode(content) if content is not None else None
