Count what callers make a node hold, and close those that exceed the budget

Callers saw: nothing answered, and then the process gone, out of memory, while clients sent heads without end, large bodies, or small chunks and stayed. Cause: nothing counted what clients make a process hold. The configuration's limits of heads, bodies and waits were not read; the HTTP library's own hold instead (and refuse legal heads of one long field or of 200 fields); it reads up to 256 KB at once, and after an error keeps an exception with a copy of each further read; chunks and upgrades are parsed as fast as they come.

Now each connection counts what it holds (bytes not parsed, fields, bodies and their copies, unsent answers) against one budget of the process, which follows from the memory and the descriptors of its settings. What arrives reaches the parser in pieces of 4 KB, in turns of 4 ms, and nothing is parsed behind a request at work. Where the budget is full, the connections go that held most for longest, so prompt callers outlive stalled ones, and a whole request is never cut. Heads, bodies, idle connections and unread answers have time limits from the configuration, which change with it; a time in which the process stood still does not count. Unknown routes, missing keys and bodies over the limit are answered before the body is read. The addresses for checks and for operators share the budget. A body that breaks off as malformed no longer keeps its handler waiting.

--- a/src/bergamotgap/domain/fleet.py
+++ b/src/bergamotgap/domain/fleet.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bergamotgap.domain.amounts import Amount, measure_work, total
+from bergamotgap.domain.client_limits import ClientLimits
 
 if TYPE_CHECKING:
     from bergamotgap.domain.customers import Customers
@@ -192,7 +193,8 @@
 class FleetConfig:
     """One accepted version of the queues, services and customers.
 
-    `customers` is None where callers need no keys.
+    `customers` is None where callers need no keys, `client_limits` where nothing is
+    said of callers' requests.
     """
 
     version: int
@@ -200,6 +202,7 @@
     services: tuple[str, ...]
     spare_services: frozenset[str] = frozenset()
     customers: "Customers | None" = None
+    client_limits: ClientLimits | None = None
 
     @property
     def pools(self) -> tuple[str, ...]:
--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -25,6 +25,7 @@
     WorkerInfo,
     WorkerState,
 )
+from bergamotgap.platform.client_limits import convert_limits
 from bergamotgap.platform.figures import Natural, Positive, Quantity, Whole
 from bergamotgap.pools.fleet_view import DocumentFormat, UnreadableDocumentError
 
@@ -83,6 +84,7 @@
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Tenant] | None = None
+    limits: Any = None
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -217,6 +219,7 @@
         tuple(service.name for service in document.services),
         frozenset(service.name for service in document.services if service.spare),
         _convert_tenants(document.tenants),
+        convert_limits(document.limits),
     )
 
 
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -1,13 +1,25 @@
 """HTTP servers of a fleet node for callers, readiness checks and metrics."""
 
+import asyncio
 from collections.abc import Callable, Mapping
+from contextlib import AsyncExitStack
 from typing import Self
 
 import msgspec
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
+from aiohttp.web_protocol import RequestHandler
 
+from bergamotgap.adapters.client_guard import ClientGuard
+from bergamotgap.adapters.client_listener import ClientListener
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.metrics import Metrics, serve_metrics
+from bergamotgap.domain.client_limits import (
+    BODY_COPIES,
+    ClientBudget,
+    ClientLimits,
+)
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.early_refusal import RefusalReason
 from bergamotgap.domain.fleet import FleetConfig, Queue
@@ -21,6 +33,7 @@
 )
 from bergamotgap.pools.fleet_view import UnreadableDocumentError
 from bergamotgap.pools.request_outcomes import (
+    RETRY_AFTER_MS,
     JobAccepted,
     JobCancelled,
     JobState,
@@ -32,11 +45,14 @@
     WaitingCount,
 )
 from bergamotgap.pools.requests import JobRequests
+from bergamotgap.pools.settings import PoolSettings
 
 KEY_HEADER = "X-Key"
 DEADLINE_HEADER = "X-Request-Deadline"
 # Used when a request states no deadline.
 DEFAULT_WAIT_MS = 3000
+# Longer deadlines are cut to this one, so that the wait for an owner ends.
+MAX_WAIT_MS = 120_000
 CLOSE_TIMEOUT_S = 1.0
 # When callers with an unknown key are told to return to a node that has lost the log;
 # the platform sends them to another node by then.
@@ -61,6 +77,7 @@
         addresses: tuple[str, str, str],
         metrics: Metrics,
         clock: Clock,
+        budget: ClientBudget = PoolSettings.client_budget,
     ) -> None:
         self._requests = requests
         self._get_config = get_config
@@ -69,12 +86,19 @@
         self._addresses = addresses
         self._metrics = metrics
         self._clock = clock
-        self._runners: list[web.ServerRunner] = []
+        self._guard = ClientGuard(budget, self._get_limits, clock)
+        self._stack = AsyncExitStack()
         self.requests_in_progress = 0
         self.is_closing = False
 
+    @property
+    def client_guard(self) -> ClientGuard:
+        """The guard of all addresses."""
+        return self._guard
+
     async def __aenter__(self) -> Self:
         """Start the servers."""
+        await self._stack.enter_async_context(self._guard)
         callers, ready, metrics = self._addresses
         await self._start_server(callers, self._handle_request)
         await self._start_server(ready, self._handle_readiness)
@@ -83,8 +107,11 @@
 
     async def __aexit__(self, *exception: object) -> None:
         """Stop the servers."""
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._stack.aclose()
+
+    def _get_limits(self) -> ClientLimits | None:
+        config = self._get_config()
+        return config.client_limits if config else None
 
     def build_operator_handler(self) -> Handler:
         """Return the handler of the address for operators."""
@@ -100,12 +127,32 @@
         return handle
 
     async def _start_server(self, address: str, handler: Callable[..., object]) -> None:
-        host, _, port = address.rpartition(":")
-        server = web.Server(handler, access_log=None)  # type: ignore[arg-type]
+        server = web.Server(
+            handler,  # type: ignore[arg-type]
+            request_factory=self._make_request,
+        )
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port)).start()
-        self._runners.append(runner)
+        listener = ClientListener(runner, address, self._guard)
+        await self._stack.enter_async_context(listener)
+
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        """Build a request whose body may be as long as the configuration allows."""
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._guard.limits.max_body_bytes,
+        )
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self._is_ready() else 503)
@@ -124,8 +171,25 @@
         return response
 
     async def _route(self, request: web.BaseRequest) -> web.Response:
-        body = await request.read()
         config = self._get_config()
+        routed = self._find_route(request, config)
+        if isinstance(routed, web.Response):
+            return routed
+        refusal = self._refuse_body(request)
+        if refusal is not None:
+            return refusal
+        body = await request.read()
+        newest = self._get_config()
+        if newest is not config:
+            routed = self._find_route(request, newest)
+            if isinstance(routed, web.Response):
+                return routed
+        return await self._answer(request, body, *routed)
+
+    def _find_route(
+        self, request: web.BaseRequest, config: FleetConfig | None
+    ) -> tuple[Queue, Caller] | web.Response:
+        """Return the queue and the caller of a request, or its refusal."""
         if config is None:
             return _build_retry_response(503, "no_configuration", 1000)
         host = request.headers.get("Host", "").partition(":")[0]
@@ -133,9 +197,16 @@
         if queue is None:
             return web.Response(status=404)
         caller = self._identify_caller(request, config, queue)
-        if isinstance(caller, web.Response):
-            return caller
-        return await self._answer(request, body, queue, caller)
+        return caller if isinstance(caller, web.Response) else (queue, caller)
+
+    def _refuse_body(self, request: web.BaseRequest) -> web.Response | None:
+        """Return the refusal of a body that is too long, or has no room now."""
+        size = request.content_length or 0
+        if size > self._guard.limits.max_body_bytes:
+            return web.Response(status=413)
+        if not self._guard.has_room(size * BODY_COPIES):
+            return _build_retry_response(503, "overloaded", RETRY_AFTER_MS)
+        return None
 
     def _identify_caller(
         self, request: web.BaseRequest, config: FleetConfig, queue: Queue
@@ -192,7 +263,10 @@
 
 def _read_wait_ms(request: web.BaseRequest) -> int:
     text = request.headers.get(DEADLINE_HEADER, "")
-    return int(text) if text.isdecimal() else DEFAULT_WAIT_MS
+    if not text.isdecimal():
+        return DEFAULT_WAIT_MS
+    is_short = len(text) <= len(str(MAX_WAIT_MS))
+    return min(int(text), MAX_WAIT_MS) if is_short else MAX_WAIT_MS
 
 
 def _build_response(outcome: RequestOutcome, is_read: bool = False) -> web.Response:
--- a/src/bergamotgap/platform/node.py
+++ b/src/bergamotgap/platform/node.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from bergamotgap.adapters.client_gauges import register_client_gauges
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.adapters.metrics import Metrics
 from bergamotgap.domain.clock import Clock, SystemClock
@@ -93,8 +94,10 @@
             addresses,
             metrics,
             clock,
+            settings.client_budget,
         )
         register_gauges(metrics, node, clock)
+        register_client_gauges(metrics, ingress.client_guard)
         async with node, ingress:
             await stop.wait()
             await _shut_down(node, ingress, settings, clock)
--- a/src/bergamotgap/platform/settings.py
+++ b/src/bergamotgap/platform/settings.py
@@ -1,9 +1,13 @@
 """Settings file written by the platform: JSON, from the template in `deploy/`."""
 
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
+from bergamotgap.adapters.machine_limits import find_descriptors, find_memory_mb
+from bergamotgap.domain.client_limits import ClientBudget, divide_memory
+from bergamotgap.platform.client_limits import is_positive
 from bergamotgap.pools.settings import PoolSettings
 
 SETTINGS_VARIABLE = "BERGAMOTGAP_CONFIG"
@@ -41,6 +45,8 @@
 class _Limits(msgspec.Struct, rename="camel"):
     cpu_share: float = 1.0
     cores: float = 1.0
+    memory_mb: Any = None
+    file_descriptors: Any = None
 
 
 class _CloudApi(msgspec.Struct, rename="camel"):
@@ -104,4 +110,15 @@
         refuses_early=PRESSURE_CONTRACT in settings_file.contracts,
         heartbeat_interval_ms=settings_file.heartbeat_interval_ms,
         host_orders_per_s=settings_file.cloud_api.duties_per_s,
+        client_budget=_divide_machine(settings_file.limits),
     )
+
+
+def _divide_machine(limits: _Limits) -> ClientBudget:
+    """Return the budget of clients; what the file doesn't tell, the machine does."""
+    memory_mb, descriptors = find_memory_mb(), find_descriptors()
+    if is_positive(limits.memory_mb):
+        memory_mb = min(memory_mb, int(limits.memory_mb))
+    if is_positive(limits.file_descriptors):
+        descriptors = min(descriptors, int(limits.file_descriptors))
+    return divide_memory(memory_mb, descriptors)
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass
 
+from bergamotgap.domain.client_limits import ClientBudget, divide_memory
+
+# For a process with 1 GiB of memory and 1024 descriptors.
+DEFAULT_CLIENT_BUDGET = divide_memory(memory_mb=1024, descriptors=1024)
+
 
 @dataclass(frozen=True)
 class PoolSettings:
@@ -42,6 +47,8 @@
     # find out whether the log is down for all nodes. A successor waits that much longer
     # for the leases to expire.
     isolated_renewal_ms: int = 2000
+    # What clients may make the node hold.
+    client_budget: ClientBudget = DEFAULT_CLIENT_BUDGET
 
     @property
     def run_lease_ms(self) -> int:
