Bound what clients make an entry host of `serve` hold, too

Callers and operators saw the same as on the users' platform: an entry host of `serve` took 132 to 1,903 MB beside 40 to 150 clients (120 allowed) and used all 300 descriptors. Cause: its servers were the library's, with the library's limits. They are served through the same guard now. New settings, each with a default that ordinary callers don't meet: `memory_mb` (the machine's), `max_head_bytes`, `head_timeout_ms` and `idle_timeout_ms`. A declared body over the limit, or one for which there is no memory now, is answered before it is read (413, 503 `overloaded`).

--- a/src/bergamotgap/adapters/caller_http.py
+++ b/src/bergamotgap/adapters/caller_http.py
@@ -4,7 +4,7 @@
 import re
 import socket
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, suppress
 from typing import Protocol
 
@@ -19,6 +19,7 @@
 )
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.catalogue import MAX_DEADLINE_MS, Caller, Entry
+from bergamotgap.domain.client_limits import BODY_COPIES
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.outcomes import (
     Cancelled,
@@ -204,6 +205,8 @@
 async def _read_body(request: web.Request, limit_ms: int) -> bytes:
     if not request.can_read_body:
         return b""
+    if (request.content_length or 0) > request.client_max_size:
+        raise _RequestRejectedError(413, "body_too_large", "")
     try:
         if request.content.is_eof():
             return await request.read()
@@ -375,6 +378,21 @@
     return handle_gated
 
 
+def build_room_middleware(has_room: Callable[[int], bool]) -> Middleware:
+    """Return middleware that refuses a body for which there is no memory now."""
+
+    @web.middleware
+    async def handle_with_room(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if has_room((request.content_length or 0) * BODY_COPIES):
+            return await handler(request)
+        outcome = _get_rejection_outcome(request, 503)
+        return build_problem_response(503, "overloaded", outcome, "", RETRY_AFTER_MS)
+
+    return handle_with_room
+
+
 def _get_error_code(status: int) -> str:
     codes = {404: "not_found", 405: "method_not_allowed", 413: "body_too_large"}
     return codes.get(status, "bad_request")
--- a/src/bergamotgap/cli/serve.py
+++ b/src/bergamotgap/cli/serve.py
@@ -6,7 +6,7 @@
 import json
 import signal
 from collections.abc import Callable
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 from pydantic.fields import FieldInfo
@@ -50,7 +50,7 @@
 
 def _build_parameter(name: str, field: FieldInfo) -> inspect.Parameter:
     # Values stay text here; Settings parses them, so that all errors look the same.
-    default = "required" if field.is_required() else _format_default(field.default)
+    default = "required" if field.is_required() else _format_default(field)
     option = typer.Option(
         format_flag(name),
         envvar=format_variable(name),
@@ -66,7 +66,10 @@
     )
 
 
-def _format_default(value: Any) -> str:
+def _format_default(field: FieldInfo) -> str:
+    if field.default_factory is not None:
+        return "the machine's"
+    value = field.default
     return ",".join(value) or "none" if isinstance(value, tuple) else str(value)
 
 
--- a/src/bergamotgap/node/node.py
+++ b/src/bergamotgap/node/node.py
@@ -9,19 +9,28 @@
 from aiohttp import web
 from aiomisc import cancel_tasks
 
-from bergamotgap.adapters.caller_http import CallerApi, build_gate_middleware
+from bergamotgap.adapters.caller_http import (
+    CallerApi,
+    build_gate_middleware,
+    build_room_middleware,
+)
+from bergamotgap.adapters.client_gauges import register_client_gauges
+from bergamotgap.adapters.client_guard import ClientGuard
+from bergamotgap.adapters.client_listener import ClientListener
 from bergamotgap.adapters.job_http import JobApi
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.adapters.machine_limits import find_descriptors
 from bergamotgap.adapters.metrics import (
     Metrics,
     build_request_middleware,
     serve_metrics,
 )
-from bergamotgap.adapters.operator_http import OperatorApi
+from bergamotgap.adapters.operator_http import MAX_BODY_BYTES, OperatorApi
 from bergamotgap.adapters.platform_http import HttpPlatformClient
 from bergamotgap.adapters.worker_connections import WorkerConnections, open_session
 from bergamotgap.adapters.worker_http import HttpWorkerClient
 from bergamotgap.domain.catalogue import Catalogue
+from bergamotgap.domain.client_limits import ClientLimits, divide_memory
 from bergamotgap.domain.clock import Clock
 from bergamotgap.node.dispatch import Dispatcher
 from bergamotgap.node.dump import DumpSources, build_dump, build_operator_sources
@@ -47,6 +56,8 @@
 # Requests were given `shutdown_ms` to finish before the listeners close; this bounds
 # the wait for the remaining ones.
 CLOSE_TIMEOUT_S = 1.0
+# Limit for a whole body, in idle timeouts.
+BODY_IDLE_TIMES = 4
 
 log = get_logger(__name__)
 
@@ -62,6 +73,8 @@
         self._metrics = Metrics()
         self._stack.callback(self._metrics.close)
         self._gate = RequestGate()
+        self._client_guard = self._build_client_guard()
+        register_client_gauges(self._metrics, self._client_guard)
 
     async def __aenter__(self) -> Self:
         """Start all components, then listen to callers and operators."""
@@ -94,6 +107,7 @@
             self._clock,
         )
         await self._stack.enter_async_context(self._work)
+        await self._stack.enter_async_context(self._client_guard)
         await self._serve_callers(requests.dispatcher)
         self._register_gauges(writers)
         self._dump_sources = DumpSources(
@@ -157,12 +171,30 @@
             middlewares=[
                 build_request_middleware(self._metrics),
                 build_gate_middleware(self._gate),
+                build_room_middleware(self._client_guard.has_room),
             ],
         )
         callers.add_routes(app)
         jobs.add_routes(app)
         await self._serve_app(app, self._settings.caller_address)
 
+    def _build_client_guard(self) -> ClientGuard:
+        settings = self._settings
+        body_bytes = max(
+            settings.max_body_bytes,
+            settings.max_job_body_bytes * 2,
+            MAX_BODY_BYTES,
+        )
+        limits = ClientLimits(
+            settings.max_head_bytes,
+            body_bytes,
+            settings.head_timeout_ms,
+            settings.idle_timeout_ms,
+            settings.idle_timeout_ms * BODY_IDLE_TIMES,
+        )
+        budget = divide_memory(settings.memory_mb, find_descriptors())
+        return ClientGuard(budget, lambda: limits, self._clock)
+
     async def _serve_operators(self, writer: StreamWriter) -> None:
         sources = build_operator_sources(self._dump_sources, writer)
         app = OperatorApi(sources).build_app()
@@ -202,16 +234,11 @@
         return client
 
     async def _serve_app(self, app: web.Application, address: str) -> None:
-        host, _, port = address.rpartition(":")
         runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=CLOSE_TIMEOUT_S,
+            app, handler_cancellation=True, shutdown_timeout=CLOSE_TIMEOUT_S
         )
-        await runner.setup()
-        self._stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, host, int(port)).start()
+        listener = ClientListener(runner, address, self._client_guard)
+        await self._stack.enter_async_context(listener)
 
     def is_ready(self) -> bool:
         """Return whether the node has an up-to-date state and can serve."""
--- a/src/bergamotgap/node/settings.py
+++ b/src/bergamotgap/node/settings.py
@@ -5,6 +5,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from bergamotgap.adapters.machine_limits import find_memory_mb
 from bergamotgap.domain.problems import Problem, list_field_problems
 
 MAX_PORT = 65_535
@@ -87,6 +88,32 @@
     max_job_body_bytes: int = Field(
         default=64 << 10, ge=1024, le=512 << 10, description="largest body of a job"
     )
+    memory_mb: int = Field(
+        default_factory=find_memory_mb,
+        ge=64,
+        le=1 << 24,
+        description="memory of this process in MiB, the machine's by default; what "
+        "clients may make it hold is a part of it",
+    )
+    max_head_bytes: int = Field(
+        default=64 << 10,
+        ge=1024,
+        le=1 << 20,
+        description="largest request line and header fields",
+    )
+    head_timeout_ms: int = Field(
+        default=10_000,
+        ge=100,
+        le=600_000,
+        description="longest time for the head of a request",
+    )
+    idle_timeout_ms: int = Field(
+        default=75_000,
+        ge=100,
+        le=3_600_000,
+        description="longest wait for a client's next request, for the next bytes of "
+        "its body and for its reading of an answer",
+    )
     max_queue_ms: int = Field(
         default=30_000, ge=10, le=3_600_000, description="longest wait in a queue"
     )
--- a/tests/crowds/hosts.py
+++ b/tests/crowds/hosts.py
@@ -7,8 +7,8 @@
 import os
 import resource
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -191,6 +191,17 @@
     return Host(pid, MEMORY_MB, targets, ask)
 
 
+@contextmanager
+def _limit_descriptors() -> Iterator[None]:
+    """Let the processes that are started meanwhile inherit the limit."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
 @asynccontextmanager
 async def run_entry_host() -> AsyncIterator[Host]:
     """Run an entry host of `serve` with the product's own stand-ins."""
@@ -203,10 +214,11 @@
     # An environment variable, as versions without the setting ignore it.
     os.environ["BERGAMOTGAP_MEMORY_MB"] = str(ENTRY_MEMORY_MB)
     try:
-        async with run_fleet(**fleet_options) as fleet:
+        async with AsyncExitStack() as stack:
+            with _limit_descriptors():
+                fleet = await stack.enter_async_context(run_fleet(**fleet_options))
             node = fleet.nodes[0]
             pid = fleet.processes[node.name].pid
-            resource.prlimit(pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
             key = ("Authorization: Bearer founder-key",)
             targets = {
                 "caller": Target(
