Accept jobs only as far as their owner has memory for them

Callers saw: nothing, and then the process gone. A job of one step with a `count` of 100,000 takes 70 bytes on the wire and 50 MB at its owner, where it stays for two minutes after its end; a document of 262 KB has room for 18,000 steps, 14 MB. Eight such jobs took a node to 507 MB, twenty with many steps to 344 MB (100 allowed). Cause: the memory of accepted jobs had no bound.

The jobs of all pools of a process are measured by what they become (jobs, steps and tasks of all occurrences) and have a part of the process's memory. A job beyond it is refused with 503 (`memory`), which the log confirms like other refusals; one that could never fit is refused with 413. While the owner is asked, the specification counts against the clients' budget. The log line of an accepted job tells 20 of its steps at most.

--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -39,8 +39,7 @@
 _HOST_LABEL = r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
 HOST_NAME = re.compile(rf"{_HOST_LABEL}(\.{_HOST_LABEL})*\.?")
 TASK_NAME = re.compile(r"([^.]*)" + 3 * r"\.([0-9]{1,15})")
-# Tasks of a job in all its occurrences. Each takes about 500 bytes of its owner's
-# memory, so a job takes 50 MB at most.
+# Tasks of a job in all its occurrences.
 MAX_TASKS_PER_JOB = 100_000
 
 T = TypeVar("T")
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -22,7 +22,8 @@
 )
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.early_refusal import RefusalReason
-from bergamotgap.domain.fleet import FleetConfig, Queue
+from bergamotgap.domain.fleet import FleetConfig, JobSpec, Queue
+from bergamotgap.domain.job_memory import measure_job, measure_spec
 from bergamotgap.platform.callers import Caller, identify_caller
 from bergamotgap.platform.documents import decode_job
 from bergamotgap.platform.explain import (
@@ -246,9 +247,7 @@
                 except UnreadableDocumentError as error:
                     log.warning("malformed job rejected", job=job_id, reason=str(error))
                     return web.Response(status=400)
-                return _build_response(
-                    await self._requests.submit(spec, queue, wait_ms, caller.key)
-                )
+                return await self._submit(spec, queue, wait_ms, caller)
             case "GET":
                 outcome = await self._requests.get_state(
                     job_id, queue, wait_ms, caller.key
@@ -260,6 +259,20 @@
                 )
         return web.Response(status=405)
 
+    async def _submit(
+        self, spec: JobSpec, queue: Queue, wait_ms: int, caller: Caller
+    ) -> web.Response:
+        needed = measure_job(spec)
+        if needed > self._guard.budget.job_bytes:
+            log.warning("job too large", job=spec.job_id, needed_kb=needed // 1024)
+            return web.Response(status=413)
+        size = measure_spec(spec)
+        if not self._guard.has_room(size):
+            return _build_retry_response(503, "overloaded", RETRY_AFTER_MS)
+        with self._guard.reserve(size):
+            outcome = await self._requests.submit(spec, queue, wait_ms, caller.key)
+        return _build_response(outcome)
+
 
 def _read_wait_ms(request: web.BaseRequest) -> int:
     text = request.headers.get(DEADLINE_HEADER, "")
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -241,6 +241,9 @@
                 log.warning("pool not taken over", pool=name, error=str(error))
                 await self._clock.sleep_ms(TAKEOVER_RETRY_MS)
 
+    def _measure_jobs(self) -> int:
+        return sum(pool.job_table.held_bytes for pool in self.pools.values())
+
     async def _run_pool(self, name: str, claim: Claim, lost: asyncio.Event) -> None:
         pool = Pool(
             name,
@@ -262,6 +265,7 @@
             lambda _: lost.set(),
             self._ports.advice,
             self._call_owner_for_controller,
+            self._measure_jobs,
         )
         async with pool:
             self._require_newest_coordinator(pool)
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -13,6 +13,7 @@
 from bergamotgap.domain.amounts import Amount
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec
+from bergamotgap.domain.job_memory import measure_job
 from bergamotgap.domain.job_paths import get_declared_ms
 from bergamotgap.domain.job_records import JobProgress
 from bergamotgap.domain.job_state import Job
@@ -21,6 +22,8 @@
 
 # Ended jobs are kept this much longer than callers may query them.
 RETENTION_MARGIN_MS = 10_000
+# Further steps of a job are counted in its log line.
+MAX_LOGGED_STEPS = 20
 
 log = get_logger(__name__)
 
@@ -91,6 +94,9 @@
         self._begin_tasks: set[asyncio.Task[None]] = set()
         self.pending: dict[str, Job] = {}
         self.offered_load = OfferedLoad()
+        self._held_bytes = 0
+        # Returns the refusal of a new job that there is no memory for.
+        self.check_memory: Callable[[JobSpec], NotStored | None] = lambda spec: None
         # Returns the refusal of a new job that is not to be accepted.
         self.check_admission: Callable[[JobSpec], NotStored | None] = lambda spec: None
         # Returns the specification of a new job, marked if it is in excess.
@@ -107,6 +113,11 @@
         """All jobs by id, including ended ones."""
         return self._jobs
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the jobs take, by estimate."""
+        return self._held_bytes
+
     def restore(self, values: Mapping[str, bytes]) -> int:
         """Restore the jobs from the partition; return the number of open jobs."""
         prefix = f"{self._pool}/"
@@ -130,6 +141,7 @@
                 self._jobs[job_id] = job
             job.restore(saved)
         for job in self._jobs.values():
+            self._held_bytes += measure_job(job.spec)
             if job.phase.is_final:
                 self._retained_since_ms[job.job_id] = self._clock.monotonic_ms()
             else:
@@ -160,12 +172,13 @@
                     reason="log_lost",
                 )
                 return NotStored("platform_unavailable", retry_ms=1000)
-            refusal = self.check_admission(spec)
+            refusal = self.check_memory(spec) or self.check_admission(spec)
             if refusal is not None:
                 return await self._refuse(spec.job_id, refusal)
             spec = self.mark_excess(spec)
             job = Job(spec, self._clock.monotonic_ms())
             self._jobs[spec.job_id] = job
+            self._held_bytes += measure_job(spec)
             work = self.estimate_work(spec)
             self.offered_load.record(job.arrived_ms, work, spec.customer)
             change = self._journal.put(
@@ -201,7 +214,7 @@
             job=spec.job_id,
             pool=self._pool,
             queue=spec.queue,
-            steps=",".join(describe_step(step) for step in spec.steps),
+            steps=_describe_steps(spec.steps),
         )
         if not job.phase.is_final:
             job.begin_due_occurrences(self._clock.wall_ms())
@@ -299,7 +312,7 @@
             if since_ms > limit_ms:
                 return
             del self._retained_since_ms[job_id]
-            del self._jobs[job_id]
+            self._held_bytes -= measure_job(self._jobs.pop(job_id).spec)
             self._accept_changes.pop(job_id, None)
             self._end_changes.pop(job_id, None)
             key = format_record_key(self._pool, RecordKind.PROGRESS, job_id)
@@ -310,6 +323,13 @@
         return dict(Counter(job.phase.value for job in self._jobs.values()))
 
 
+def _describe_steps(steps: Sequence[StepSpec]) -> str:
+    described = [describe_step(step) for step in steps[:MAX_LOGGED_STEPS]]
+    if len(steps) > MAX_LOGGED_STEPS:
+        described.append(f"+{len(steps) - MAX_LOGGED_STEPS}")
+    return ",".join(described)
+
+
 def describe_step(step: StepSpec) -> str:
     """Format a step for a log line: tasks, 1/1000 cores, estimated ms and kind.
 
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -23,6 +23,7 @@
     SubmitOutcome,
 )
 from bergamotgap.pools.journal import Journal
+from bergamotgap.pools.memory_check import build_memory_check
 from bergamotgap.pools.owner_calls import CallOwner
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.placement_explainer import PoolParts, explain_placement
@@ -66,7 +67,10 @@
 
 
 class Pool:
-    """Own one pool during one term; stops at once when there is a newer owner."""
+    """Own one pool during one term; stops at once when there is a newer owner.
+
+    `measure_jobs` returns the memory that the jobs of all pools of this process take.
+    """
 
     def __init__(
         self,
@@ -81,6 +85,7 @@
         on_superseded: Callable[[str], None],
         advice: AdviceService | None = None,
         call_owner: CallOwner | None = None,
+        measure_jobs: Callable[[], int] | None = None,
     ) -> None:
         self.name = name
         self.term = term
@@ -101,6 +106,11 @@
             store, self._topic, self._part, fence, clock, self._handle_fenced
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
+        self.job_table.check_memory = build_memory_check(
+            name,
+            measure_jobs or (lambda: self.job_table.held_bytes),
+            settings.client_budget.job_bytes,
+        )
         self.customer_accounts = CustomerAccounts(
             name, self.job_table, settings.share_window_ms, clock
         )
--- a/tests/pool_scene.py
+++ b/tests/pool_scene.py
@@ -56,6 +56,7 @@
         self.is_log_down_for_all = False
         self.advice: AdviceService | None = None
         self.orders_class = FakeOrders
+        self.settings = SETTINGS
 
     @asynccontextmanager
     async def run_owner(
@@ -85,7 +86,7 @@
             self.store,
             PARTITION,
             orders,
-            SETTINGS,
+            self.settings,
             self.clock,
             LogConfirmation(get_confirmed_ms, lambda: self.is_log_down_for_all),
             lambda _: None,
