Refuse a specification above the 4,000 bytes of the users' pages

Callers saw: a `specification` of 262,000 bytes was accepted and stored, though the pages allow 4,000; eighty of them took a node to 131 MB (100 allowed). It is copied to the owner, to the log and to each worker. Cause: the length was not checked. It is refused with 400 like other malformed jobs.

--- a/src/bergamotgap/platform/documents.py
+++ b/src/bergamotgap/platform/documents.py
@@ -41,6 +41,7 @@
 TASK_NAME = re.compile(r"([^.]*)" + 3 * r"\.([0-9]{1,15})")
 # Tasks of a job in all its occurrences.
 MAX_TASKS_PER_JOB = 100_000
+MAX_SPECIFICATION_BYTES = 4000
 
 T = TypeVar("T")
 log = get_logger(__name__)
@@ -288,6 +289,10 @@
 ) -> JobSpec:
     """Decode a submitted job; raises UnreadableDocumentError."""
     job = decode_document(body, _Job)
+    if len(job.specification.encode(errors="replace")) > MAX_SPECIFICATION_BYTES:
+        raise UnreadableDocumentError(
+            f"the specification is longer than {MAX_SPECIFICATION_BYTES} bytes"
+        )
     steps = tuple(_convert_step(step) for step in job.steps)
     if not steps or any(
         before >= number for number, step in enumerate(steps) for before in step.after
