--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -397,3 +397,26 @@
         headers["Host"] = "other.example"
         async with session.request(method, url, json=body, headers=headers) as reply:
             assert reply.status == 404
+
+
+async def test_a_deadline_of_many_digits_is_cut() -> None:
+    """Guards against a header that fails a request, or holds it for days."""
+    requests = FakeRequests(JobAccepted())
+    ingress = Ingress(
+        requests,  # type: ignore[arg-type]
+        lambda: CONFIG,
+        lambda: True,
+        lambda: True,
+        ("", "", ""),
+        FakeMetrics(),  # type: ignore[arg-type]
+        LoopClock(),
+    )
+    async with serve(ingress._handle_request) as (session, address):  # type: ignore[arg-type]
+        for deadline in ("9" * 5000, "999999999"):
+            async with session.post(
+                f"http://{address}/previews/{JOB_ID}",
+                json={"steps": [{"count": 1}]},
+                headers={"Host": "previews.example", "X-Request-Deadline": deadline},
+            ) as reply:
+                assert reply.status == 200
+            assert requests.waits[-1] <= 120_000
