--- a/src/bergamotgap/adapters/caller_http.py
+++ b/src/bergamotgap/adapters/caller_http.py
@@ -388,7 +388,7 @@
         if has_room((request.content_length or 0) * BODY_COPIES):
             return await handler(request)
         outcome = _get_rejection_outcome(request, 503)
-        return build_problem_response(503, "overloaded", outcome, "", RETRY_AFTER_MS)
+        return build_problem_response(503, "no_memory", outcome, "", RETRY_AFTER_MS)
 
     return handle_with_room
 
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -206,7 +206,7 @@
         if size > self._guard.limits.max_body_bytes:
             return web.Response(status=413)
         if not self._guard.has_room(size * BODY_COPIES):
-            return _build_retry_response(503, "overloaded", RETRY_AFTER_MS)
+            return _build_retry_response(503, "memory", RETRY_AFTER_MS)
         return None
 
     def _identify_caller(
@@ -268,7 +268,7 @@
             return web.Response(status=413)
         size = measure_spec(spec)
         if not self._guard.has_room(size):
-            return _build_retry_response(503, "overloaded", RETRY_AFTER_MS)
+            return _build_retry_response(503, "memory", RETRY_AFTER_MS)
         with self._guard.reserve(size):
             outcome = await self._requests.submit(spec, queue, wait_ms, caller.key)
         return _build_response(outcome)
