Give the measuring of a connection's requests a class of its own

ClientConnection had the transport, the turns of the parser and the sums of what heads and bodies hold in one class of 430 lines. RequestMeter follows the parser and sums up; the connection passes the change on to the guard.

--- a/src/bergamotgap/adapters/client_connection.py
+++ b/src/bergamotgap/adapters/client_connection.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
 from itertools import islice
 from typing import Any, cast
@@ -18,13 +17,12 @@
 
 from bergamotgap.adapters.client_guard import ClientGuard
 from bergamotgap.adapters.logs import get_logger
+from bergamotgap.adapters.request_meter import RequestMeter
 from bergamotgap.domain.client_limits import (
     CONNECTION_BYTES,
     CloseReason,
     ConnectionState,
     Phase,
-    measure_body,
-    measure_head,
 )
 
 # What is given to the parser at once.
@@ -48,7 +46,6 @@
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
 IDENTITY = "identity"
-HEAD_END = b"\r\n\r\n"
 
 log = get_logger(__name__)
 
@@ -80,21 +77,9 @@
         self._unparsed = b""
         self._offset = 0
         self._is_scheduled = False
-        # Bytes held by each request that was parsed and not answered, oldest first.
-        self._requests: deque[int] = deque()
-        # A head that is not whole yet. Empty lines may come before it.
-        self._is_head_begun = False
-        self._head_size = 0
-        self._head_held = 0
-        self._head_tail = b""
-        # Body that is not whole yet; its request may have been answered already.
-        self._body: StreamReader | None = None
-        # Bytes of the body to come; None if its head doesn't tell.
-        self._body_left: int | None = None
-        self._is_body_answered = False
-        self._body_lines = 0
-        self._body_held = 0
-        self._size_without_progress = 0
+        self._meter = RequestMeter()
+        # What the meter held when it was last counted.
+        self._metered_bytes = 0
         self._unsent_bytes = 0
         self._held_bytes = 0
         self._received_ms = self._since_ms = guard.now_ms
@@ -110,11 +95,11 @@
             return Phase.CLOSING
         if self._unsent_bytes:
             return Phase.WRITING
-        if self._body is not None:
+        if self._meter.body is not None:
             return Phase.BODY
-        if self._requests:
+        if self._meter.has_requests:
             return Phase.WORKING
-        return Phase.HEAD if self._is_head_begun else Phase.IDLE
+        return Phase.HEAD if self._meter.is_head_begun else Phase.IDLE
 
     def _enter_phase(self) -> None:
         self._since_ms = self._guard.now_ms
@@ -123,6 +108,12 @@
         self._held_bytes += byte_count
         self._guard.charge(byte_count)
 
+    def _hold_metered(self) -> None:
+        """Count what the meter's requests hold now."""
+        change = self._meter.held_bytes - self._metered_bytes
+        self._metered_bytes += change
+        self._hold(change)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection if the guard has room for it."""
         self._own_transport = cast(asyncio.Transport, transport)
@@ -142,8 +133,7 @@
     def _release(self) -> None:
         self._is_ended = True
         self._unparsed, self._offset = b"", 0
-        self._requests.clear()
-        self._head_held = self._unsent_bytes = 0
+        self._unsent_bytes = 0
         self._hold(-self._held_bytes)
 
     def end(self) -> None:
@@ -158,15 +148,10 @@
 
     def shed(self) -> None:
         """Drop what came after the request at work, and close after its answer."""
-        if self._unparsed and self._is_whole:
+        if self._unparsed and self._meter.is_whole:
             self._stop_reading()
             self._close = True
 
-    @property
-    def _is_whole(self) -> bool:
-        """Whether all requests that were parsed are whole."""
-        return bool(self._requests) and self._body is None
-
     def data_received(self, data: bytes) -> None:
         """Parse what arrived now, or in turn with other connections."""
         if not data:
@@ -221,7 +206,7 @@
     @property
     def _is_held_up(self) -> bool:
         """Whether nothing is parsed before the handler goes on."""
-        return self._is_whole or self._reading_paused or self._buffer_paused
+        return self._meter.is_whole or self._reading_paused or self._buffer_paused
 
     def _resume_transport_reading(self) -> None:
         if self._unparsed:
@@ -232,54 +217,37 @@
     def _parse(self, piece: bytes) -> bytes:
         """Parse a piece up to the end of a request; return the rest."""
         while piece and not self._is_ended and not self._is_refused:
-            part = self._cut(piece)
+            part = self._meter.cut(piece)
             piece = piece[len(part) :]
             self._parse_part(part)
             if self._is_held_up:
                 break
         return piece
 
-    def _cut(self, piece: bytes) -> bytes:
-        """Return the beginning of a piece, up to the end of a head or body."""
-        if self._body is not None:
-            return piece if self._body_left is None else piece[: self._body_left]
-        # The end of the head may lie across two pieces.
-        end = (self._head_tail + piece).find(HEAD_END)
-        if end < 0:
-            self._head_tail = (self._head_tail + piece)[1 - len(HEAD_END) :]
-            return piece
-        end += len(HEAD_END) - len(self._head_tail)
-        self._head_tail = b""
-        return piece[:end]
-
     def _parse_part(self, part: bytes) -> None:
-        body, count = self._body, self._request_count
-        size_before = body.total_bytes if body is not None else 0
+        meter, body, count = self._meter, self._meter.body, self._request_count
         if body is None and not self._begin_head(part):
             return
         super().data_received(part)
         lines = part.count(b"\n")
         if body is not None:
-            self._count_body(body, body.total_bytes - size_before, part, lines)
+            self._count_body(body, part, lines)
         added = self._request_count - count
         if added:
             self._count_requests(added)
         elif body is None and part:
-            held = measure_head(len(part), lines)
-            self._head_held += held
-            self._hold(held)
-        if (body is not None or added) and self._is_whole:
-            self._count_rest(part, lines)
+            meter.add_head(part, lines)
+        if (body is not None or added) and meter.is_whole:
+            meter.add_rest(part, lines)
+        self._hold_metered()
         if self._upgraded:
             self._refuse(CloseReason.UNSUPPORTED_UPGRADE)
 
     def _begin_head(self, part: bytes) -> bool:
         """Count a part of a head; return False if the client is refused."""
-        if not self._is_head_begun and part.strip(b"\r\n"):
-            self._is_head_begun = True
+        if self._meter.begin_head(part):
             self._enter_phase()
-        self._head_size += len(part)
-        if self._head_size <= self._guard.limits.max_head_bytes:
+        if self._meter.head_size <= self._guard.limits.max_head_bytes:
             return True
         if self._own_transport is not None:
             self._own_transport.write(HEAD_TOO_LARGE)
@@ -289,63 +257,30 @@
 
     def _count_requests(self, count: int) -> None:
         """Count the last requests, whose heads are parsed now."""
-        size, change = self._head_size, -self._head_held
-        self._head_size, self._head_held, self._head_tail = 0, 0, b""
-        self._is_head_begun = False
-        unfinished, self._body, self._body_left = self._body, None, None
-        for message, body in islice(self._messages, len(self._messages) - count, None):
-            if not isinstance(message, RawRequestMessage):
-                if unfinished is not None:
-                    # The library would let its handler wait for the rest.
-                    unfinished.set_exception(RequestPayloadError("malformed body"))
-                self._requests.append(0)
-                self._refuse(CloseReason.MALFORMED)
-                break
-            held = measure_head(size, len(message.raw_headers))
-            held += measure_body(body.total_bytes, 0)
-            self._requests.append(held)
-            size, change = 0, change + held
-            self._body = None if body.is_eof() else body
-            length = message.headers.get("Content-Length")
-            self._body_left = int(length) - body.total_bytes if length else None
-        self._body_held = measure_body(body.total_bytes, 0)
-        self._body_lines = 0
-        self._is_body_answered = False
-        self._size_without_progress = 0
+        parsed = list(islice(self._messages, len(self._messages) - count, None))
+        unfinished = self._meter.body
+        requests = [
+            (message, body)
+            for message, body in parsed
+            if isinstance(message, RawRequestMessage)
+        ]
+        self._meter.add_requests(requests)
         self._enter_phase()
-        self._hold(change)
-
-    def _count_rest(self, part: bytes, lines: int) -> None:
-        """Count the beginning of a further head at the end of a part, if any."""
-        if self._body_left == 0 or part.endswith(HEAD_END):
-            return
-        self._head_held = measure_head(len(part), lines)
-        self._hold(self._head_held)
+        if len(requests) < count:
+            if unfinished is not None:
+                # The library would let its handler wait for the rest.
+                unfinished.set_exception(RequestPayloadError("malformed body"))
+            self._meter.add_error()
+            self._refuse(CloseReason.MALFORMED)
 
-    def _count_body(
-        self, body: StreamReader, size: int, part: bytes, lines: int
-    ) -> None:
+    def _count_body(self, body: StreamReader, part: bytes, lines: int) -> None:
         """Count what a part added to a body."""
-        if self._body_left is not None:
-            self._body_left -= size
-        self._body_lines += lines
-        if not self._is_body_answered and self._requests:
-            # A parser that pauses within a part has not come to all of its lines.
-            lines = 0 if self._reading_paused else self._body_lines
-            held = measure_body(body.total_bytes, lines)
-            change, self._body_held = held - self._body_held, held
-            self._requests[-1] += change
-            self._hold(change)
-        if size:
-            self._size_without_progress = 0
-        else:
-            self._size_without_progress += len(part)
-        if body.is_eof():
-            self._body = None
+        self._meter.add_body(part, lines, self._reading_paused)
+        if self._meter.body is None:
             self._enter_phase()
         elif body.exception() is not None:
             self._refuse(CloseReason.MALFORMED)
-        elif self._size_without_progress > self._guard.limits.max_head_bytes:
+        elif self._meter.size_without_progress > self._guard.limits.max_head_bytes:
             self._refuse(CloseReason.NO_BODY_PROGRESS)
             self.end()
 
@@ -381,13 +316,10 @@
     def _finish_request(self) -> None:
         if self._is_ended:
             return
-        if self._requests:
-            self._hold(-self._requests.popleft())
-        if not self._requests:
-            if self._body is not None:
-                self._is_body_answered = True
-            else:
-                self._enter_phase()
+        self._meter.finish_request()
+        self._hold_metered()
+        if not self._meter.has_requests and self._meter.body is None:
+            self._enter_phase()
         if self._is_refused:
             self._close = True
         elif self._unparsed:
