Let crowds of clients that don't behave join the random faults of the soak

The clients move from the tests to the stand-ins, so that the soak can use them: 60 clients, each in a way drawn by its number, call a node beside the other faults; its nodes have limits of memory and descriptors now. The clients of large and small chunks raised an error at their last piece, which ended the crowd instead of leaving it there, short of its end; they stay now.

--- a/tests/crowds/clients.py
+++ b/stand_ins/crowd_clients.py
@@ -103,7 +103,7 @@
         at_once = max(1, 65_536 // len(chunk))
         for _ in range((BODY_LIMIT - 1) // chunk_bytes // at_once):
             yield chunk * at_once
-        yield b"%x\r\n" % chunk_bytes + b" " * min(chunk_bytes, BODY_LIMIT - 1)[:-1]
+        yield b"%x\r\n" % chunk_bytes + b" " * (chunk_bytes - 1)
 
     return send
 
--- a/tests/crowds/members.py
+++ b/stand_ins/crowds.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from tests.crowds import clients
-from tests.crowds.clients import BODY_LIMIT, Behaviour, Target, run_crowd
+from stand_ins import crowd_clients as clients
+from stand_ins.crowd_clients import BODY_LIMIT, Behaviour, Target, run_crowd
 
 MANY_TASKS = msgspec.json.encode(
     {"specification": "s", "steps": [{"count": 100_000, "cpu": 1000}]}
--- a/tests/crowds/hosts.py
+++ b/tests/crowds/hosts.py
@@ -14,9 +14,9 @@
 
 import aiohttp
 
+from stand_ins.crowd_clients import BODY_LIMIT, HEAD_LIMIT, ID, Target
+from stand_ins.crowds import run_named_crowd
 from stand_ins.users_platform import UsersPlatform
-from tests.crowds.clients import BODY_LIMIT, HEAD_LIMIT, ID, Target
-from tests.crowds.members import run_named_crowd
 from tests.promise_harness import run_fleet
 from tools.fleet_plan import pick_ports
 
--- a/tests/crowds/test_legal_requests.py
+++ b/tests/crowds/test_legal_requests.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from tests.crowds.clients import BODY_LIMIT, HEAD_LIMIT
+from stand_ins.crowd_clients import BODY_LIMIT, HEAD_LIMIT
 from tests.crowds.hosts import JOB, Host, run_joined_host
 
 pytestmark = pytest.mark.processes
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,8 +2,9 @@
 
     python -m tools.soak --seed 7 --seconds 60
 
-Faults: node processes are killed, frozen and terminated; links to the log are reset or
-silenced; the log goes down; answers of the log and of workers are lost; workers crash.
+Faults: crowds of clients that don't behave; node processes are killed, frozen and
+terminated; links to the log are reset or silenced; the log goes down; answers of the
+log and of workers are lost; workers crash.
 Exits with 1 and prints its findings if an accepted job was not completed, a task ran
 twice at the same time, a job ran although every attempt to submit it was refused, or a
 worker ran more than its capacity allows.
@@ -12,6 +13,7 @@
 import asyncio
 import itertools
 import json
+import multiprocessing
 import os
 import random
 import signal
@@ -27,6 +29,8 @@
 import typer
 
 from bergamotgap.domain.fleet import TaskId
+from stand_ins.crowd_clients import ID, Target
+from stand_ins.crowds import run_named_crowd
 from stand_ins.link import Link
 from stand_ins.users_platform import SPARE_POOL, UsersPlatform
 from tools.fleet_plan import pick_ports
@@ -45,6 +49,10 @@
 # Attempts to submit a job under one id, as many as the users' callers make.
 MAX_ATTEMPTS = 5
 ROOT = Path(__file__).resolve().parent.parent
+# A crowd runs in a process of its own, so that it doesn't delay the platform.
+CONTEXT = multiprocessing.get_context("spawn")
+CROWD_SIZE = 60
+NODE_LIMITS = {"memoryMb": 160, "fileDescriptors": 512}
 
 
 @dataclass
@@ -121,6 +129,7 @@
                 "ready": f"127.0.0.1:{ready}",
             },
             "internalPortRange": [peer, peer],
+            "limits": NODE_LIMITS,
             "platform": {"address": link.address},
             "cloudApi": {"address": self._platform.host_server.address},
         }
@@ -201,6 +210,7 @@
             self._lose_log_answers,
             self._lose_worker_answers,
             self._crash_worker,
+            self._send_crowd,
         ]
         while loop.time() < until_s:
             fault = self._rng.choice(faults)
@@ -261,6 +271,21 @@
             self._rng.choice(list(self._platform.hosts.values()))
         )
 
+    async def _send_crowd(self, node: Node, duration_s: float) -> None:
+        """Let clients that don't behave call a node, each in a way of its own."""
+        path = f"/previews/{ID}"
+        target = Target(
+            node.caller_address, f"POST {path} HTTP/1.1", "previews.example"
+        )
+        over = CONTEXT.Event()
+        crowd = CONTEXT.Process(
+            target=run_named_crowd, args=(target, "mix", CROWD_SIZE, over)
+        )
+        crowd.start()
+        await asyncio.sleep(duration_s)
+        over.set()
+        await asyncio.to_thread(crowd.join)
+
     async def _restore_links(self) -> None:
         for node in self._nodes:
             node.link.restore()
