Close no idle connection before its limit has passed

Evidence: test_a_client_that_keeps_the_limits_is_never_closed failed before; the other tests of the guard, new here, passed before as well (time in which the process stood still, full house, reserved bytes, passes that free nothing).

--- a/src/bergamotgap/adapters/client_guard.py
+++ b/src/bergamotgap/adapters/client_guard.py
@@ -25,6 +25,9 @@
 # A sweep that is later than this was held up by the process itself, or its host was
 # suspended. Bytes of clients may wait unread then, so their time stands still.
 MAX_SWEEP_STEP_MS = 2 * SWEEP_INTERVAL_MS
+# A wait may have begun a sweep later than it is counted from, and its end may be on its
+# way: no client that keeps the limits is closed.
+SLACK_MS = 2 * SWEEP_INTERVAL_MS
 LOG_INTERVAL_MS = 5000
 # How long the loop parses what arrived before it serves its other work.
 PARSE_SLICE_MS = 4
@@ -223,7 +226,7 @@
         self._swept_ms = clock_ms
         self._refresh_limits()
         for connection, state in list(self._list_states()):
-            reason = find_overdue(state, self._limits, self._now_ms)
+            reason = find_overdue(state, self._limits, self._now_ms - SLACK_MS)
             if reason is not None:
                 self._end(connection, reason)
         if clock_ms - self._logged_ms >= LOG_INTERVAL_MS:
