Hold explanations of a job to the clients' budget, and stop callers' server first

An explanation keeps the decoded job while the owner is asked, like a submission: 18,000 steps in 262 KB become 5 MB. It is counted now, and answered 503 `memory` where there is no room (by reading; no crowd of the tests showed it). The servers stop in reverse order of their start since they are contexts; callers' starts last again, so that its requests don't wait for the end of the others.

--- a/src/bergamotgap/platform/explain.py
+++ b/src/bergamotgap/platform/explain.py
@@ -6,8 +6,10 @@
 import msgspec
 from aiohttp import web
 
+from bergamotgap.adapters.client_guard import ClientGuard
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig, Queue
+from bergamotgap.domain.job_memory import measure_spec
 from bergamotgap.domain.placement_explanation import PlacementExplanation
 from bergamotgap.platform.callers import Caller, identify_caller
 from bergamotgap.platform.documents import decode_job
@@ -29,6 +31,7 @@
     requests: JobRequests,
     get_config: Callable[[], FleetConfig | None],
     is_config_current: Callable[[], bool],
+    guard: ClientGuard,
     clock: Clock,
 ) -> Handler:
     """Return the handler of EXPLAIN_PATH.
@@ -63,8 +66,12 @@
         except UnreadableDocumentError as error:
             return _build_error(400, "malformed_job", str(error))
         outcome: PlacementExplanation | KeyRejected | OutcomeUnknown | None = None
+        size = measure_spec(spec)
+        if not guard.has_room(size):
+            return _build_error(503, "memory", "the node has no memory for it now")
         if caller is not None:
-            outcome = await requests.explain(spec, queue, WAIT_MS, caller.key)
+            with guard.reserve(size):
+                outcome = await requests.explain(spec, queue, WAIT_MS, caller.key)
         return _build_answer(config, queue, key_state, outcome)
 
     return handle
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -101,9 +101,10 @@
         """Start the servers."""
         await self._stack.enter_async_context(self._guard)
         callers, ready, metrics = self._addresses
-        await self._start_server(callers, self._handle_request)
-        await self._start_server(ready, self._handle_readiness)
+        # They stop in reverse order, so that callers don't wait for the others.
         await self._start_server(metrics, self.build_operator_handler())
+        await self._start_server(ready, self._handle_readiness)
+        await self._start_server(callers, self._handle_request)
         return self
 
     async def __aexit__(self, *exception: object) -> None:
@@ -117,7 +118,11 @@
     def build_operator_handler(self) -> Handler:
         """Return the handler of the address for operators."""
         explain = build_explain_handler(
-            self._requests, self._get_config, self._is_config_current, self._clock
+            self._requests,
+            self._get_config,
+            self._is_config_current,
+            self._guard,
+            self._clock,
         )
 
         async def handle(request: web.BaseRequest) -> web.Response:
