Free bodies that break off at once, and log no error for clients that leave

Cause: the error of a body that breaks off is kept by its reader, and its traceback keeps what was read; both refer to each other, so they stay until the next garbage collection, which counts objects and not bytes. The traceback is cleared when the request ends.

--- a/src/bergamotgap/adapters/client_connection.py
+++ b/src/bergamotgap/adapters/client_connection.py
@@ -311,6 +311,7 @@
         try:
             return await super()._handle_request(request, start_time, request_handler)
         finally:
+            _clear_traceback(request)
             self._finish_request()
 
     def _finish_request(self) -> None:
@@ -353,7 +354,8 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the response to a failed request and log a bounded line."""
-        if request.writer.output_size > 0 or isinstance(exc, ConnectionError):
+        is_gone = self.transport is None or isinstance(exc, ConnectionError)
+        if is_gone or request.writer.output_size > 0:
             raise ConnectionError("the connection is gone or has an answer already")
         if isinstance(exc, HttpProcessingError | RequestPayloadError):
             status = 400
@@ -369,5 +371,16 @@
         return response
 
 
+def _clear_traceback(request: web.BaseRequest) -> None:
+    """Free a body that broke off.
+
+    Its reader keeps the error, whose traceback would keep what was read until the next
+    garbage collection.
+    """
+    error = request.content.exception()
+    if error is not None:
+        error.__traceback__ = None
+
+
 async def _refuse_encoding(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(status=415, headers={"Accept-Encoding": IDENTITY})
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -1,7 +1,9 @@
 """Tests of the connections of clients: what they count, refuse, cut and give back."""
 
 import asyncio
+import gc
 import random
+import tracemalloc
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -270,3 +272,46 @@
             await reader.readuntil(b"/a %d" % len(body))
             await wait_until(lambda: edge.guard.held_bytes == CONNECTION_BYTES)
         writer.close()
+
+
+async def test_bodies_that_break_off_are_freed_at_once() -> None:
+    """Guards against bodies kept by their errors until the next garbage collection."""
+    count, size = 40, 19_000
+    request = build_request("/a", b"x" * 20_000)
+    async with run_edge() as edge:
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            before, _ = tracemalloc.get_traced_memory()
+            for _ in range(count):
+                _, writer = await edge.connect()
+                writer.write(request[: size - 20_000])
+                await wait_until(lambda: edge.guard.held_bytes > size)
+                writer.close()
+                await wait_until(lambda: edge.guard.connection_count == 0)
+            after, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+        # Not even one copy of each body is kept.
+        assert after - before < count * size
+
+
+async def test_a_client_that_leaves_early_is_no_error(
+    caplog: pytest.LogCaptureFixture, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a line with a traceback for each client that goes."""
+    request = build_request("/a", b"x" * 20_000)
+    async with run_edge() as edge:
+        for sent in (
+            request[:-1],
+            b"POST /a HTTP/1.1\r\nHost: h\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n1;" + b"e" * 5000,
+        ):
+            _, writer = await edge.connect()
+            writer.write(sent)
+            await asyncio.sleep(0.1)
+            writer.close()
+            await wait_until(lambda: edge.guard.connection_count == 0)
+    assert "error" not in capsys.readouterr().out + caplog.text
