--- a/src/bergamotgap/adapters/client_guard.py
+++ b/src/bergamotgap/adapters/client_guard.py
@@ -20,6 +20,7 @@
     fit_limits,
 )
 from bergamotgap.domain.clock import Clock
+from bergamotgap.node.supervision import supervise
 
 SWEEP_INTERVAL_MS = 500
 # A sweep that is later than this was held up by the process itself, or its host was
@@ -85,7 +86,8 @@
         """Start to look for clients that keep the process waiting."""
         self._swept_ms = self._clock.monotonic_ms()
         self._refresh_limits()
-        self._sweep_task = asyncio.create_task(self._run_sweeps())
+        sweeps = supervise("sweeps of client connections", self._run_sweeps)
+        self._sweep_task = asyncio.create_task(sweeps)
         return self
 
     async def __aexit__(self, *exception: object) -> None:
@@ -181,7 +183,7 @@
         until_ms = self._clock.monotonic_ms() + PARSE_SLICE_MS
         while self._to_parse:
             connection = self._to_parse.popleft()
-            if connection.parse_piece():
+            if self._parse_piece(connection):
                 self._to_parse.append(connection)
             if self._clock.monotonic_ms() >= until_ms:
                 break
@@ -189,6 +191,15 @@
         if self._is_parsing:
             asyncio.get_running_loop().call_soon(self._parse_in_turn)
 
+    def _parse_piece(self, connection: GuardedConnection) -> bool:
+        try:
+            return connection.parse_piece()
+        except Exception as error:
+            # The others still get their turn.
+            log.error("client connection failed", error=repr(error), exc_info=error)
+            connection.end()
+            return False
+
     def _list_states(self) -> Iterator[tuple[GuardedConnection, ConnectionState]]:
         return (
             (connection, connection.get_state()) for connection in self._connections
--- a/tests/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -1,5 +1,6 @@
 """Tests of the guard over all connections, with fake connections and a clock."""
 
+import asyncio
 from dataclasses import dataclass, replace
 
 from bergamotgap.adapters.client_guard import SWEEP_INTERVAL_MS, ClientGuard
@@ -26,6 +27,8 @@
     state: ConnectionState
     is_open: bool = True
     sheds: int = 0
+    pieces: int = 0
+    fails: bool = False
 
     def get_state(self) -> ConnectionState:
         return self.state
@@ -39,7 +42,10 @@
         self.sheds += 1
 
     def parse_piece(self) -> bool:
-        return False
+        self.pieces += 1
+        if self.fails:
+            raise ValueError("a fault of the parser")
+        return self.pieces < 3
 
 
 def build_guard() -> tuple[ClientGuard, ManualClock]:
@@ -133,3 +139,18 @@
     assert working.sheds == 1
     guard.charge(200)
     assert working.sheds == 2
+
+
+async def test_a_connection_that_fails_leaves_the_others_their_turn() -> None:
+    """Guards against one failure that stops the parsing of all connections."""
+    guard, _ = build_guard()
+    failing, other = (open_connection(guard, Phase.BODY) for _ in range(2))
+    failing.fails = True
+    guard.schedule_parse(failing)
+    guard.schedule_parse(other)
+    await asyncio.sleep(0.05)
+    assert not failing.is_open
+    assert other.pieces == 3
+    guard.schedule_parse(other)
+    await asyncio.sleep(0.05)
+    assert other.pieces == 4
