--- a/review/second/world.py
+++ b/review/second/world.py
@@ -76,7 +76,8 @@
 
 async def serve(handle, host="127.0.0.1"):
     """Serve a handler on a free port; return the runner and the address."""
-    runner = web.ServerRunner(web.Server(handle, access_log=None))
+    server = web.Server(handle, access_log=None)
+    runner = web.ServerRunner(server, shutdown_timeout=0.01)
     await runner.setup()
     await web.TCPSite(runner, host, 0).start()
     address = "{}:{}".format(*runner.addresses[0][:2])
@@ -296,6 +297,8 @@
         self.accepts_starts = True
         self._changed = asyncio.Event()
         self._tasks = []
+        # When the first beat after the registration is due.
+        self._phase_s = random.uniform(0, HEARTBEAT_S)
 
     def clock(self):
         """Return the worker's time in ms."""
@@ -323,6 +326,7 @@
     def register(self):
         """Write the worker's entry to the store."""
         self.counter += 1
+        self.beat_at = time.monotonic()
         entry = {
             "service": self.service, "address": self.address, "zone": "riga-a",
             "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
@@ -332,6 +336,8 @@
         self.world.store.put("keyed.servers", self.id, entry)
 
     async def _beat(self):
+        self.register()
+        await asyncio.sleep(self._phase_s)
         while True:
             if not self.world.store.is_down:
                 self.register()
@@ -355,7 +361,13 @@
         self._changed = asyncio.Event()
 
     async def handle(self, request):
-        """Answer one call."""
+        """Answer one call; a life that has ended answers nothing more."""
+        response = await self._handle_in_life(request)
+        if not self.is_up and request.transport is not None:
+            request.transport.abort()
+        return response
+
+    async def _handle_in_life(self, request):
         body = json.loads(await request.read())
         if request.headers.get("X-Expected-Instance") != self.id:
             return answer(421)
@@ -463,9 +475,11 @@
 class World:
     """The platform around the nodes, and the clients."""
 
-    def __init__(self, folder, services, config, seed=1):
+    def __init__(self, folder, services, config, seed=None):
+        seed = random.SystemRandom().randrange(10**6) if seed is None else seed
         random.seed(seed)
         self.record = Record(folder)
+        self.record.line(f"seed {seed}")
         self.store = Store(self.record)
         self.services, self.config = services, config
         self.machines, self.nodes, self.lives = {}, [], 0
@@ -508,6 +522,25 @@
         self.workers.append(worker)
         await worker.start()
 
+    async def crash(self, machine, down_s):
+        """Crash a machine's worker; another life starts under another id."""
+        former, machine.worker, machine.state = machine.worker, None, "down"
+        self.record.line(f"worker {former.id} of {machine.name} crashes")
+        await former.end()
+        await asyncio.sleep(down_s)
+        await self.add_worker(machine)
+        self.record.line(f"{machine.name} is up again with {machine.worker.id}")
+        await asyncio.sleep(max(0.0, 3 * HEARTBEAT_S - down_s))
+        self.store.put("keyed.servers", former.id, None)
+
+    def lapse_entries(self):
+        """Remove the entries that are silent for three heartbeat intervals."""
+        limit = time.monotonic() - 3 * HEARTBEAT_S
+        for worker in self.workers:
+            if worker.is_up and worker.beat_at < limit:
+                self.store.put("keyed.servers", worker.id, None)
+                self.record.line(f"the entry of {worker.id} has lapsed")
+
     def run(self, work):
         """Run something beside the rest."""
         task = asyncio.create_task(work)
