--- a/review/second/world.py
+++ b/review/second/world.py
@@ -282,9 +282,12 @@
 class Worker:
     """One life of a machine, served over HTTP; it starts whatever it is told to.
 
-    A task runs for the milliseconds that its specification names after `ms=`.
+    A task runs for the milliseconds that its specification names after `ms=`. `delay_s`
+    is the time that a call and its answer are on their way.
     """
 
+    delay_s = 0.0005
+
     def __init__(self, world, machine, service, number):
         self.world, self.machine, self.service = world, machine, service
         self.id = f"i-{number:04d}"
@@ -371,7 +374,7 @@
         body = json.loads(await request.read())
         if request.headers.get("X-Expected-Instance") != self.id:
             return answer(421)
-        await asyncio.sleep(0.0005)
+        await asyncio.sleep(self.delay_s)
         token = body.get("fencingToken", 0)
         if token < self.fence:
             return answer(409, {"clockMs": self.clock(), "reason": "fence"})
