--- a/review/second/world.py
+++ b/review/second/world.py
@@ -297,7 +297,7 @@
         self.running, self.barred, self.ended = {}, {}, []
         self.fence = self.sequence = self.lease = self.counter = 0
         self.is_up = True
-        self.accepts_starts = True
+        self.state = "ready"
         self._changed = asyncio.Event()
         self._tasks = []
         # When the first beat after the registration is due.
@@ -332,10 +332,12 @@
         self.beat_at = time.monotonic()
         entry = {
             "service": self.service, "address": self.address, "zone": "riga-a",
-            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+            "version": "v1", "slots": 8, "state": self.state, "coldRemainingMs": 0,
             "sequence": self.counter, "born": self.born, "machine": self.machine.name,
             "capacity": self.capacity, "labels": ["a", self.machine.rack],
         }
+        if self.state == "draining":
+            entry["remainingMs"] = 2000
         self.world.store.put("keyed.servers", self.id, entry)
 
     async def _beat(self):
