--- a/review/second/world.py
+++ b/review/second/world.py
@@ -29,6 +29,8 @@
 PARTITION_MB_S = 20.0
 ANSWER_S = 0.004
 HEARTBEAT_S = 1.5
+# From the start of a later life to its entry (`lag_ms` of the site files).
+ENTRY_LAG_S = 0.8
 MAX_HOLD_MS = 10_000
 STOP_S = 0.15
 MOVE_S = 1.5
@@ -74,12 +76,12 @@
         self._file.close()
 
 
-async def serve(handle, host="127.0.0.1"):
-    """Serve a handler on a free port; return the runner and the address."""
+async def serve(handle, host="127.0.0.1", port=0):
+    """Serve a handler, on a free port by default; return the runner and the address."""
     server = web.Server(handle, access_log=None)
     runner = web.ServerRunner(server, shutdown_timeout=0.01)
     await runner.setup()
-    await web.TCPSite(runner, host, 0).start()
+    await web.TCPSite(runner, host, port, reuse_address=True).start()
     address = "{}:{}".format(*runner.addresses[0][:2])
     return runner, address
 
@@ -287,17 +289,26 @@
     """
 
     delay_s = 0.0005
+    # Share of the starts that get no answer and are carried out 2 to 12 s later.
+    late_share = 0.0
 
-    def __init__(self, world, machine, service, number):
+    def __init__(self, world, machine, service, number, former=None):
         self.world, self.machine, self.service = world, machine, service
-        self.id = f"i-{number:04d}"
+        self.id = f"i-{number:04d}" if former is None else former.id
+        self._port = 0 if former is None else int(former.address.rpartition(":")[2])
+        self._entry_lag_s = 0.0 if former is None else ENTRY_LAG_S
         self.born = int(time.time() * 1000)
-        self._zero = time.monotonic() - random.uniform(100, 9000)
+        self._zero = time.monotonic()
+        if former is None:
+            self._zero -= random.uniform(100, 9000)
         self.capacity = {"cpu": 32_000, "requestedMemoryMb": 65_536}
         self.running, self.barred, self.ended = {}, {}, []
         self.fence = self.sequence = self.lease = self.counter = 0
         self.is_up = True
+        self.is_cut = False
         self.state = "ready"
+        # Polls under way, which a later life may still carry out.
+        self.open_polls = []
         self._changed = asyncio.Event()
         self._tasks = []
         # When the first beat after the registration is due.
@@ -309,7 +320,7 @@
 
     async def start(self):
         """Listen, and register."""
-        self.runner, self.address = await serve(self.handle)
+        self.runner, self.address = await serve(self.handle, port=self._port)
         self._tasks = [
             asyncio.create_task(self._beat()),
             asyncio.create_task(self._watch_lease()),
@@ -341,10 +352,11 @@
         self.world.store.put("keyed.servers", self.id, entry)
 
     async def _beat(self):
+        await asyncio.sleep(self._entry_lag_s)
         self.register()
         await asyncio.sleep(self._phase_s)
         while True:
-            if not self.world.store.is_down:
+            if not self.world.store.is_down and not self.is_cut:
                 self.register()
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -367,11 +379,28 @@
 
     async def handle(self, request):
         """Answer one call; a life that has ended answers nothing more."""
-        response = await self._handle_in_life(request)
-        if not self.is_up and request.transport is not None:
+        if request.path == "/run-start" and random.random() < self.late_share:
+            body = json.loads(await request.read())
+            late_s = random.uniform(2, 12)
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_s, self.world.deliver_late, self.machine, self.id, body)
+            await asyncio.sleep(1)
+            request.transport and request.transport.abort()
+            return answer(503)
+        is_lost = await self._wait_for_cut()
+        response = answer(503) if is_lost else await self._handle_in_life(request)
+        is_lost = await self._wait_for_cut() or is_lost
+        if (is_lost or not self.is_up) and request.transport is not None:
             request.transport.abort()
         return response
 
+    async def _wait_for_cut(self):
+        """Return whether something is lost in a cut, once that has healed."""
+        was_cut = self.is_cut
+        while self.is_cut:
+            await asyncio.sleep(0.05)
+        return was_cut
+
     async def _handle_in_life(self, request):
         body = json.loads(await request.read())
         if request.headers.get("X-Expected-Instance") != self.id:
@@ -390,7 +419,10 @@
             case "/pace":
                 return answer(200, {"clockMs": self.clock()})
             case "/hold":
-                return await self._hold(body, deadline)
+                self.open_polls.append(body)
+                response = await self._hold(body, deadline)
+                self.open_polls.remove(body)
+                return response
         return answer(404)
 
     def _start_run(self, body, deadline):
@@ -527,6 +559,54 @@
         self.workers.append(worker)
         await worker.start()
 
+    async def rebirth(self, machine, down_s, late_poll_s=None):
+        """Crash a machine's worker; another life starts under its id and address.
+
+        With `late_poll_s`, a poll that got no answer is carried out as late.
+        """
+        former, machine.worker, machine.state = machine.worker, None, "down"
+        self.record.line(f"worker {former.id} crashes")
+        if late_poll_s is not None and former.open_polls:
+            loop = asyncio.get_running_loop()
+            body = former.open_polls[-1]
+            loop.call_later(late_poll_s, self.deliver_late_poll, machine, body)
+        await former.end()
+        await asyncio.sleep(down_s)
+        worker = Worker(self, machine, machine.pool, 0, former)
+        machine.worker, machine.state = worker, "up"
+        self.workers.append(worker)
+        await worker.start()
+        self.record.line(f"worker {worker.id} has begun another life")
+
+    def deliver_late_poll(self, machine, body):
+        """Carry out a poll that had got no answer, by the life that has the id now."""
+        worker = machine.worker
+        if worker is None or not worker.is_up or body["fencingToken"] < worker.fence:
+            return
+        worker.fence = body["fencingToken"]
+        before = worker.lease
+        if body.get("deadlineMs", 0) > worker.clock():
+            deadline = min(body["deadlineMs"], worker.clock() + MAX_HOLD_MS)
+            worker.lease = max(worker.lease, deadline)
+        self.record.line(
+            f"worker {worker.id} carries out a poll late: its lease lasts "
+            f"{worker.lease - worker.clock()} ms, {worker.lease - before} ms more"
+        )
+
+    def deliver_late(self, machine, worker_id, body):
+        """Carry out a start that had got no answer, by whatever life has the id now."""
+        worker = machine.worker
+        if worker is None or worker.id != worker_id or not worker.is_up:
+            return
+        if body["fencingToken"] < worker.fence:
+            return
+        worker.fence = body["fencingToken"]
+        deadline = min(body["deadlineMs"], worker.clock() + MAX_HOLD_MS)
+        before = worker.running.get(body["task"])
+        worker._start_run(body, deadline)
+        if worker.running.get(body["task"]) is not before:
+            self.record.line(f"that start of {body['task']} was carried out late")
+
     async def crash(self, machine, down_s):
         """Crash a machine's worker; another life starts under another id."""
         former, machine.worker, machine.state = machine.worker, None, "down"
