--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,7 +25,7 @@
     "limits": {"maxHeaderBytes": 32_768, "maxBodyBytes": 262_144},
 }
 # 10/1000 of a core each: all tasks together take 37 % of the six workers of the pool.
-LARGE_TASKS, SMALLER_TASKS = 7000, 4000
+LARGE_TASKS, SMALLER_TASKS = 7000, 2000
 LARGE_STEP = {"cpu": 10, "requestedMemoryMb": 4, "estimatedMs": 90_000}
 SMALL_STEP = {"count": 2, "cpu": 500, "requestedMemoryMb": 50, "estimatedMs": 500}
 SMALL_STEPS = [SMALL_STEP, {**SMALL_STEP, "after": [0]}]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -27,12 +27,12 @@
     }
 ]
 STEPS = [
-    {"count": 1, "cpu": 28_000, "requestedMemoryMb": 5500, "estimatedMs": 4000}
+    {"count": 1, "cpu": 28_000, "requestedMemoryMb": 5500, "estimatedMs": 6000}
 ]
 # The store is down for as long as in the site file, and the node that owns the pool is
 # killed meanwhile; it is started again after a short delay.
 OUTAGE_S = 4.5
-KILL_AFTER_S = 3.0
+KILL_AFTER_S = 2.6
 RESTART_DELAY_S = 0.3
 
 
@@ -82,7 +82,7 @@
         await asyncio.sleep(15)
         owner = find_owner(world)
         others = [node for node in world.nodes if node is not owner]
-        jobs = [("ms=3500", FIRST_STEPS)] + [("ms=4000", STEPS)] * JOBS
+        jobs = [("ms=3500", FIRST_STEPS)] + [("ms=6000", STEPS)] * JOBS
         for number, (specification, steps) in enumerate(jobs):
             body = {"specification": specification, "steps": steps}
             status, _ = await world.call(
