--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,9 +12,15 @@
     "version": 3,
     "routes": [
         {
-            "name": f"q-{name}", "host": f"{name}.example", "pathPrefix": f"/{name}/",
-            "service": name, "priority": 0, "retryAttempts": 4, "stretch": 1.6,
-            "targetLatencyMs": 600, "timeoutMs": 10_000,
+            "name": f"q-{name}",
+            "host": f"{name}.example",
+            "pathPrefix": f"/{name}/",
+            "service": name,
+            "priority": 0,
+            "retryAttempts": 4,
+            "stretch": 1.6,
+            "targetLatencyMs": 600,
+            "timeoutMs": 10_000,
         }
         for name in ("previews", "audits")
     ],
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,9 +10,15 @@
     "version": 3,
     "routes": [
         {
-            "name": "q-reconcile", "host": HOST, "pathPrefix": PREFIX,
-            "service": "reconcile", "priority": 0, "retryAttempts": 4, "stretch": 1.6,
-            "targetLatencyMs": 600, "timeoutMs": 10_000,
+            "name": "q-reconcile",
+            "host": HOST,
+            "pathPrefix": PREFIX,
+            "service": "reconcile",
+            "priority": 0,
+            "retryAttempts": 4,
+            "stretch": 1.6,
+            "targetLatencyMs": 600,
+            "timeoutMs": 10_000,
         }
     ],
     "services": [{"name": "reconcile", "enforcesCapacity": False}],
@@ -22,13 +28,13 @@
 # One job takes all workers when the store goes down, and eight more wait for room.
 FIRST_STEPS = [
     {
-        "count": WORKERS, "cpu": 28_000, "requestedMemoryMb": 5500,
+        "count": WORKERS,
+        "cpu": 28_000,
+        "requestedMemoryMb": 5500,
         "estimatedMs": 3500,
     }
 ]
-STEPS = [
-    {"count": 1, "cpu": 28_000, "requestedMemoryMb": 5500, "estimatedMs": 6000}
-]
+STEPS = [{"count": 1, "cpu": 28_000, "requestedMemoryMb": 5500, "estimatedMs": 6000}]
 # The store is down for as long as in the site file, and the node that owns the pool is
 # killed meanwhile; it is started again after a short delay.
 OUTAGE_S = 4.5
--- a/review/second/world.py
+++ b/review/second/world.py
@@ -36,14 +36,36 @@
 MOVE_S = 1.5
 UPKEEP_S = 2.0
 BOUNDS = {
-    "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackTimeoutMs": 4000,
-    "catchUpS": 4, "drainTimeoutMs": 2000, "gracePeriodS": 6, "lossSlackMs": 200,
-    "configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000,
-    "recoveryS": 12, "maxHoldMs": MAX_HOLD_MS, "stopTimeoutMs": 200,
-    "gangTimeoutMs": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250,
-    "finish_s": 14, "status_s": 120, "remotePenalty": 1.5, "checkpointIntervalS": 2,
-    "restoreMs": 100, "noticeMs": 4500, "moveS": MOVE_S, "maintenanceS": UPKEEP_S,
-    "requireFencing": False, "leaseMs": 3000, "thawSlackMs": 300, "paceMs": 100,
+    "seedLagS": 3,
+    "reuseAfterS": 2,
+    "contactMs": 3000,
+    "ackTimeoutMs": 4000,
+    "catchUpS": 4,
+    "drainTimeoutMs": 2000,
+    "gracePeriodS": 6,
+    "lossSlackMs": 200,
+    "configApplyMs": 2000,
+    "rollbackSlackMs": 250,
+    "maxStretchMs": 5000,
+    "recoveryS": 12,
+    "maxHoldMs": MAX_HOLD_MS,
+    "stopTimeoutMs": 200,
+    "gangTimeoutMs": 3000,
+    "cancel_ms": 3000,
+    "visible_ms": 3000,
+    "early_ms": 250,
+    "finish_s": 14,
+    "status_s": 120,
+    "remotePenalty": 1.5,
+    "checkpointIntervalS": 2,
+    "restoreMs": 100,
+    "noticeMs": 4500,
+    "moveS": MOVE_S,
+    "maintenanceS": UPKEEP_S,
+    "requireFencing": False,
+    "leaseMs": 3000,
+    "thawSlackMs": 300,
+    "paceMs": 100,
     "harmMs": 4000,
 }
 
@@ -342,10 +364,18 @@
         self.counter += 1
         self.beat_at = time.monotonic()
         entry = {
-            "service": self.service, "address": self.address, "zone": "riga-a",
-            "version": "v1", "slots": 8, "state": self.state, "coldRemainingMs": 0,
-            "sequence": self.counter, "born": self.born, "machine": self.machine.name,
-            "capacity": self.capacity, "labels": ["a", self.machine.rack],
+            "service": self.service,
+            "address": self.address,
+            "zone": "riga-a",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "sequence": self.counter,
+            "born": self.born,
+            "machine": self.machine.name,
+            "capacity": self.capacity,
+            "labels": ["a", self.machine.rack],
         }
         if self.state == "draining":
             entry["remainingMs"] = 2000
@@ -383,7 +413,9 @@
             body = json.loads(await request.read())
             late_s = random.uniform(2, 12)
             loop = asyncio.get_running_loop()
-            loop.call_later(late_s, self.world.deliver_late, self.machine, self.id, body)
+            loop.call_later(
+                late_s, self.world.deliver_late, self.machine, self.id, body
+            )
             await asyncio.sleep(1)
             request.transport and request.transport.abort()
             return answer(503)
@@ -477,7 +509,9 @@
         return answer(
             200,
             {
-                "clockMs": self.clock(), "born": self.born, "running": running,
+                "clockMs": self.clock(),
+                "born": self.born,
+                "running": running,
                 "ended": self.ended[:500],
             },
         )
@@ -639,8 +673,11 @@
         if request.path == "/machines":
             rows = [
                 {
-                    "machine": m.name, "pool": m.pool, "state": m.state,
-                    "zone": "riga-a", "labels": ["a", m.rack],
+                    "machine": m.name,
+                    "pool": m.pool,
+                    "state": m.state,
+                    "zone": "riga-a",
+                    "labels": ["a", m.rack],
                     "capacity": {"cpu": 32_000, "requestedMemoryMb": 65_536},
                     "id": m.worker.id if m.worker else "",
                 }
@@ -676,35 +713,70 @@
         node = Node(name, len(self.nodes), self._block, cpu_share)
         front, ready, inner = pick_ports(node.ip, 3)
         settings = {
-            "node": name, "role": "entry", "machineClass": "front",
-            "serves": ["front"], "ip": node.ip, "zone": "riga-a", "region": "riga",
+            "node": name,
+            "role": "entry",
+            "machineClass": "front",
+            "serves": ["front"],
+            "ip": node.ip,
+            "zone": "riga-a",
+            "region": "riga",
             "zones": {"riga-a": "riga"},
             "listenAddresses": {
-                "front": f"{node.ip}:{front}", "ready": f"{node.ip}:{ready}",
+                "front": f"{node.ip}:{front}",
+                "ready": f"{node.ip}:{ready}",
             },
-            "internalPortRange": [inner, inner + 1], "seeds": [], "bootstrap": True,
+            "internalPortRange": [inner, inner + 1],
+            "seeds": [],
+            "bootstrap": True,
             "countsAsLoss": False,
             "limits": {
-                "cpuShare": cpu_share, "cores": 2, "memoryMb": 300,
-                "fileDescriptors": 4100, "linkMbps": 1000.0, "diskMb": 0,
+                "cpuShare": cpu_share,
+                "cores": 2,
+                "memoryMb": 300,
+                "fileDescriptors": 4100,
+                "linkMbps": 1000.0,
+                "diskMb": 0,
             },
-            "dataDirectory": None, "discovery": "platform", "entry": "vip",
+            "dataDirectory": None,
+            "discovery": "platform",
+            "entry": "vip",
             "heartbeatIntervalMs": 1500,
             "contracts": [
-                "base", "drain", "config", "cost", "recover", "sched", "platform",
-                "advice", "upkeep", "sharing", *contracts,
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "sched",
+                "platform",
+                "advice",
+                "upkeep",
+                "sharing",
+                *contracts,
             ],
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
-            "bounds": BOUNDS, "orders": "call", "advice": None,
+            "bounds": BOUNDS,
+            "orders": "call",
+            "advice": None,
             "platform": {
-                "address": self.store_address, "form": "log", "writesPerS": 600,
-                "readsPerS": 2000, "parts": 16, "appendMs": APPEND_MS,
-                "partitionMbS": PARTITION_MB_S, "readMbS": 80.0,
-                "recordBytes": RECORD_BYTES, "callBytes": CALL_BYTES, "keep_s": 300,
-                "partitionMb": 200, "minTtlMs": 1000,
+                "address": self.store_address,
+                "form": "log",
+                "writesPerS": 600,
+                "readsPerS": 2000,
+                "parts": 16,
+                "appendMs": APPEND_MS,
+                "partitionMbS": PARTITION_MB_S,
+                "readMbS": 80.0,
+                "recordBytes": RECORD_BYTES,
+                "callBytes": CALL_BYTES,
+                "keep_s": 300,
+                "partitionMb": 200,
+                "minTtlMs": 1000,
             },
             "cloudApi": {
-                "address": self.cloud_address, "ratePerS": 64.0, "duties": [],
+                "address": self.cloud_address,
+                "ratePerS": 64.0,
+                "duties": [],
                 "dutiesPerS": 64.0,
             },
         }
@@ -721,14 +793,20 @@
     def start_node(self, node):
         """Start a node's process with the command of the deploy file."""
         environment = {
-            "PATH": os.environ.get("PATH", ""), "HOME": self._temporary.name,
-            "LANG": "C.UTF-8", "PYTHONPATH": str(ROOT / "target" / "deps"),
-            "PYTHONDONTWRITEBYTECODE": "1", "BERGAMOTGAP_CONFIG": str(node.settings),
+            "PATH": os.environ.get("PATH", ""),
+            "HOME": self._temporary.name,
+            "LANG": "C.UTF-8",
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
+            "BERGAMOTGAP_CONFIG": str(node.settings),
         }
         with open(node.log, "ab") as output:
             node.process = subprocess.Popen(
-                ["python3", "deploy/start.py"], cwd=ROOT, env=environment,
-                stdout=output, stderr=output,
+                ["python3", "deploy/start.py"],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
             )
         self.record.line(f"node {node.name} started")
 
@@ -797,7 +875,10 @@
         began = self.record.now()
         try:
             async with self.session.request(
-                method, f"http://{node.front}{path}", data=data, headers=headers,
+                method,
+                f"http://{node.front}{path}",
+                data=data,
+                headers=headers,
                 timeout=aiohttp.ClientTimeout(total=wait_ms / 1000),
             ) as response:
                 content = await response.read()
