Let entries of workers lapse in the stand-ins' outages, and come back late

Cause: the stand-ins kept the list of workers complete over an outage of the log. No test could show what an owner does meanwhile.

Change: `stand_ins/outages.py` holds the switch for outages of both logs and the entries that lapse in one of 3 s or more. The scenes of pools and the HTTP platform use it after each outage.

--- a/stand_ins/pool_store.py
+++ b/stand_ins/pool_store.py
@@ -15,6 +15,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from stand_ins.outages import Outages
 
 CALL_LATENCY_S = 0.005
 
@@ -27,7 +28,7 @@
     fences: dict[str, tuple[int, int, int]] = field(default_factory=dict)
 
 
-class FakeStore:
+class FakeStore(Outages):
     """In-memory `Store`: log partitions with conditional and fenced appends.
 
     Faults: `is_down` and `refuses_reads` refuse calls, and the next `lose_answers`
@@ -35,9 +36,9 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.partitions: dict[tuple[str, int], Partition] = {}
         self.members: set[str] = set()
-        self.is_down = False
         self.refuses_reads = False
         self.lose_answers = 0
         self.appends = 0
--- a/stand_ins/users_log.py
+++ b/stand_ins/users_log.py
@@ -17,6 +17,7 @@
     KeyedRecord,
     SequenceError,
 )
+from stand_ins.outages import Outages
 from stand_ins.pool_store import FakeStore
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -43,7 +44,7 @@
         await self._runner.cleanup()
 
 
-class UsersLog:
+class UsersLog(Outages):
     """Log service with an in-memory store.
 
     Faults: `is_down` refuses all calls; `answer_loss_rate` is the fraction of calls
@@ -51,8 +52,8 @@
     """
 
     def __init__(self, rng: random.Random) -> None:
+        super().__init__()
         self.store = FakeStore()
-        self.is_down = False
         self.answer_loss_rate = 0.0
         self._rng = rng
         self._members: dict[str, float] = {}
--- a/stand_ins/users_platform.py
+++ b/stand_ins/users_platform.py
@@ -21,6 +21,7 @@
     Refused,
     StartOrder,
 )
+from stand_ins.outages import LapsedEntries
 from stand_ins.pool_workers import FakeWorker
 from stand_ins.pools import FakeOrders
 from stand_ins.users_log import HttpServer, UsersLog, build_answer
@@ -117,6 +118,10 @@
         self._stack = AsyncExitStack()
         self._tasks: set[asyncio.Task[None]] = set()
         self.log = UsersLog(self._rng)
+        self.log.on_return = self._lapse_entries
+        self._lapsed_entries = LapsedEntries(self._publish_listed, seed)
+        # Ids of the workers that the log lists.
+        self._listed: set[str] = set()
         names = [pool for pool, count in pools.items() for _ in range(count)]
         self.hosts = {f"m{n}": Host(f"m{n}", pool) for n, pool in enumerate(names)}
         # All incarnations of workers, including ended ones.
@@ -216,15 +221,36 @@
             "born": info.incarnation_ms,
             "machine": host.name,
         }
+        self._listed.add(info.worker_id)
         await self._publish("servers", info.worker_id, entry)
 
+    def _lapse_entries(self, outage_s: float) -> None:
+        self._lapsed_entries.lapse(sorted(self._listed), outage_s)
+
+    def _publish_listed(self) -> None:
+        """Publish which entries have lapsed, and those that are back."""
+        for worker_id in sorted(self._listed):
+            if self._lapsed_entries.is_missing(worker_id):
+                self._listed.discard(worker_id)
+                self._start_background(self._publish("servers", worker_id, None))
+        for host in self.hosts.values():
+            worker = host.worker
+            if worker is None or worker.fake_worker.info.worker_id in self._listed:
+                continue
+            if self._may_publish(host):
+                self._start_background(self._publish_worker(host))
+
+    def _may_publish(self, host: Host) -> bool:
+        worker = host.worker
+        if worker is None or worker.fake_worker.is_silent:
+            return False
+        return not self._lapsed_entries.is_missing(worker.fake_worker.info.worker_id)
+
     async def _run_heartbeats(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             for host in self.hosts.values():
-                worker = host.worker
-                is_up = worker is not None and not worker.fake_worker.is_silent
-                if is_up and not self.log.is_down:
+                if self._may_publish(host) and not self.log.is_down:
                     await self._publish_worker(host)
 
     def crash_worker(self, host: Host) -> None:
@@ -266,6 +292,7 @@
 
     async def _expire_worker(self, worker_id: str, after_s: float) -> None:
         await asyncio.sleep(max(0.0, after_s))
+        self._listed.discard(worker_id)
         await self._publish("servers", worker_id, None)
 
     async def _handle_host_call(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/crash_scene.py
+++ b/tests/crash_scene.py
@@ -122,7 +122,7 @@
     def publish_workers(self) -> None:
         """Let the owners read the list of workers."""
         for pool in self._pools:
-            pool.update_workers(dict(self.infos))
+            pool.update_workers(self.list_entries())
 
     def count_starts_of(self, task: TaskId) -> int:
         """Return how many workers have started a task."""
--- a/tests/pool_scene.py
+++ b/tests/pool_scene.py
@@ -5,11 +5,12 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
-from bergamotgap.domain.fleet import TaskId
+from bergamotgap.domain.fleet import TaskId, WorkerInfo
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
 from bergamotgap.pools.pool import Pool
 from bergamotgap.pools.run_audit import Disagreement, find_disagreements
 from bergamotgap.ports.fleet import AdviceService, Tickets
+from stand_ins.outages import LapsedEntries
 from stand_ins.pool_store import FakeStore
 from stand_ins.pool_workers import SETTINGS, FakeWorker
 from stand_ins.pools import CONFIG, FakeOrders, build_worker
@@ -57,6 +58,24 @@
         self.advice: AdviceService | None = None
         self.orders_class = FakeOrders
         self.settings = SETTINGS
+        self.lapsed_entries = LapsedEntries(self.publish_entries)
+        self.store.on_return = lambda outage_s: self.lapsed_entries.lapse(
+            self.infos, outage_s
+        )
+        self._running_pools: list[Pool] = []
+
+    def list_entries(self) -> dict[str, WorkerInfo]:
+        """Return the workers that the store lists, by id."""
+        return {
+            name: info
+            for name, info in self.infos.items()
+            if not self.lapsed_entries.is_missing(name)
+        }
+
+    def publish_entries(self) -> None:
+        """Let the owners read the list of workers."""
+        for pool in self._running_pools:
+            pool.update_workers(self.list_entries())
 
     @asynccontextmanager
     async def run_owner(
@@ -94,8 +113,12 @@
         )
         async with pool:
             pool.update_config(ADVISED_CONFIG if self.advice else CONFIG)
-            pool.update_workers(self.infos)
-            yield pool, orders
+            pool.update_workers(self.list_entries())
+            self._running_pools.append(pool)
+            try:
+                yield pool, orders
+            finally:
+                self._running_pools.remove(pool)
             found = find_pool_disagreements(pool)
             assert not found, found
 
--- a/tests/recut_scene.py
+++ b/tests/recut_scene.py
@@ -184,7 +184,7 @@
 
     def _publish(self) -> None:
         if self._pool is not None:
-            self._pool.update_workers(dict(self.infos))
+            self._pool.update_workers(self.list_entries())
 
     async def _submit_at(self, at_s: float, spec: JobSpec) -> None:
         await _sleep_until(at_s)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -45,7 +45,7 @@
 def publish_reports(scene: Scene, pool: Pool) -> None:
     """Let the owner read the reports of the workers' present lives."""
     scene.infos |= {name: worker.info for name, worker in scene.workers.items()}
-    pool.update_workers(scene.infos)
+    pool.update_workers(scene.list_entries())
 
 
 def list_simultaneous_runs(scene: Scene) -> list[object]:
--- a/tests/waiting_scene.py
+++ b/tests/waiting_scene.py
@@ -150,6 +150,9 @@
         self.publish()
         return name
 
+    def publish_entries(self) -> None:
+        self.publish()
+
     def publish(self) -> None:
         """Let the owners read the list of workers once the log answers."""
         self._is_list_current = False
@@ -176,7 +179,7 @@
             if not self._is_list_current and not self.store.is_down:
                 self._is_list_current = True
                 for owner in self._owners:
-                    owner.pool.update_workers(dict(self.infos))
+                    owner.pool.update_workers(self.list_entries())
 
     async def start_owner(self, is_former_owner_stopped: bool) -> None:
         """Start an owner, as often as the log refuses it."""
