Wait for the leases of unrecorded runs, whatever workers are listed

Cause: in an outage for all nodes an owner starts tasks without a record. Its successor took their runs as known once all listed workers were polled (`len(polled) == len(listed)`). Entries lapse in an outage, so at the log's return hardly any worker is listed: with 2 of 12 listed and polled, jobs were settled 0.2 s after the claim.

Evidence: in the trace the second starts come 0.75 s after the log's return on the four workers back by then, and the first runs are stopped only once their workers are listed. The new tests fail on the former code for a restarted owner at all three moments of the kill.

Fix: without records only the end of all leases that the former owner may have given proves anything. Absence from the list, and presence of a part of it, proves nothing. `are_former_starts_recorded` keeps the short wait.

The wait grows from 0.2 s (1.2 s for another node) to 6.1 s for restored jobs in that case.

--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -188,6 +188,9 @@
         workers that it recorded for the job were polled, or the leases of those workers
         have expired even by the slowest clock. By then it has not renewed any lease for
         a whole lease, and starts nothing, whatever workers answer.
+
+        Without records, any worker may have runs, also one that is not listed: entries
+        lapse while the log is down. Then only the end of all leases proves something.
         """
         if job.job_id not in self._unrecovered_jobs:
             return True
@@ -207,9 +210,8 @@
         )
         if not is_successor_known and not are_leases_expired:
             return False
-        are_runs_known = not job.former_workers
-        if not self.term.are_former_starts_recorded:
-            are_runs_known = are_runs_known and len(polled) == len(listed)
+        are_starts_recorded = self.term.are_former_starts_recorded
+        are_runs_known = are_starts_recorded and not job.former_workers
         if not are_runs_known and not are_leases_expired:
             return False
         log_settled(
--- /dev/null
+++ b/tests/test_restarts_in_outages.py
@@ -0,0 +1,77 @@
+"""Owners that end in an outage of the log, and workers whose entries are back late."""
+
+import asyncio
+
+import pytest
+
+from bergamotgap.domain.fleet import JobPhase, StepSpec
+from stand_ins.pool_workers import SETTINGS
+from stand_ins.pools import build_job
+from stand_ins.virtual_time import run_virtual
+from tests.pool_scene import Scene
+from tests.test_worker_lives import list_simultaneous_runs
+
+OUTAGE_S = 4.5
+DETECTION_S = 0.8
+WIDE = StepSpec(count=6, cpu=8000, estimated_ms=2500)
+NARROW = StepSpec(count=1, cpu=8000, estimated_ms=6000)
+LONG_S, SHORT_S = 6.0, 2.5
+
+
+def build_scene(workers: int = 6) -> Scene:
+    """Return a scene whose jobs `short` end during an outage, and others after it."""
+    scene = Scene(workers=workers)
+    for worker in scene.workers.values():
+        worker.choose_run_s = lambda order: (
+            SHORT_S if order.task.job == "short" else LONG_S
+        )
+    return scene
+
+
+async def begin_outage(scene: Scene) -> None:
+    """Let the log be down for all nodes, which their owners find out later."""
+    scene.store.is_down = True
+    scene.is_confirmed = False
+    scene.confirmation_lost_ms = scene.clock.monotonic_ms()
+    await asyncio.sleep(DETECTION_S)
+    scene.is_log_down_for_all = True
+
+
+def end_outage(scene: Scene) -> None:
+    """Let the log answer again."""
+    scene.store.is_down = scene.is_log_down_for_all = False
+    scene.is_confirmed = True
+
+
+@pytest.mark.parametrize("is_former_owner_stopped", [True, False])
+@pytest.mark.parametrize("killed_s", [1.8, 2.6, 3.8])
+def test_runs_on_workers_that_are_listed_late_are_not_started_again(
+    is_former_owner_stopped: bool, killed_s: float
+) -> None:
+    """Guards against second runs beside unrecorded ones of an owner that was killed.
+
+    The successor begins as the log is back, and few workers are listed by then.
+    """
+
+    async def main() -> None:
+        scene = build_scene()
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job("short", steps=(WIDE,)))
+            for number in range(4):
+                await pool.submit(build_job(f"job-{number}", steps=(NARROW,)))
+            await asyncio.sleep(SHORT_S - 1)
+            await begin_outage(scene)
+            await asyncio.sleep(killed_s - DETECTION_S)
+            started = sum(scene.count_starts().values())
+            assert started == 6 + 4
+        await asyncio.sleep(OUTAGE_S - killed_s)
+        end_outage(scene)
+        async with scene.run_owner(
+            2, 2, is_former_owner_stopped, are_former_starts_recorded=False
+        ) as (pool, _):
+            await asyncio.sleep(SETTINGS.former_lease_ms / 1000 + LONG_S + 3)
+            phases = {pool.job_table.get_durable_phase(f"job-{n}") for n in range(4)}
+        assert not list_simultaneous_runs(scene)
+        assert phases == {JobPhase.COMPLETED}
+
+    run_virtual(main())
