Count a log as silent whenever a peer may have been told so

Cause: two premises of "no outage for all" differed. A node tells its peers that the log is silent 600 ms after the sending of its last answered renewal; for itself it compared the sendings of two renewals. A renewal that was sent in time and answered late left the log steady here, while an owner that asked meanwhile may have started runs without records. And a log that is silent at this moment counted as steady until it answered again.

Change: `measure_steady_ms` follows the age that peers are told.

--- a/src/bergamotgap/pools/ownership_registry.py
+++ b/src/bergamotgap/pools/ownership_registry.py
@@ -169,8 +169,17 @@
         Owners start tasks without a record only during an outage of the log for all
         nodes. Without an outage in that time, every run with a valid lease is recorded.
         """
-        steady_ms = self._clock.monotonic_ms() - self._log_steady_since_ms
-        return steady_ms >= self._settings.restarted_lease_ms
+        return self.measure_steady_ms() >= self._settings.restarted_lease_ms
+
+    def measure_steady_ms(self) -> int:
+        """Return for how long the log has answered without a silence; 0 in one.
+
+        No peer was told in that time that this node had lost the log.
+        """
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self.last_renewal_ms >= LOG_SILENT_MS:
+            return 0
+        return now_ms - self._log_steady_since_ms
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call the listener after each read that returned claims."""
@@ -220,8 +229,9 @@
                 # A renewal confirms this node only together with a read of the claims:
                 # a successor may have claimed its pools since the last read.
                 await self.follower.refresh()
-                if sent_ms - self.last_renewal_ms > LOG_SILENT_MS:
-                    self._log_steady_since_ms = sent_ms
+                now_ms = self._clock.monotonic_ms()
+                if now_ms - self.last_renewal_ms >= LOG_SILENT_MS:
+                    self._log_steady_since_ms = now_ms
                 self.last_renewal_ms = sent_ms
                 if self._joined_since_ms is None:
                     self._joined_since_ms = self.last_renewal_ms
--- a/stand_ins/pool_store.py
+++ b/stand_ins/pool_store.py
@@ -31,14 +31,15 @@
 class FakeStore(Outages):
     """In-memory `Store`: log partitions with conditional and fenced appends.
 
-    Faults: `is_down` and `refuses_reads` refuse calls, and the next `lose_answers`
-    appends take effect without an answer.
+    Each call takes `latency_s`. Faults: `is_down` and `refuses_reads` refuse calls, and
+    the next `lose_answers` appends take effect without an answer.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.partitions: dict[tuple[str, int], Partition] = {}
         self.members: set[str] = set()
+        self.latency_s = CALL_LATENCY_S
         self.refuses_reads = False
         self.lose_answers = 0
         self.appends = 0
@@ -48,7 +49,7 @@
         return self.partitions.setdefault((topic, part), Partition())
 
     async def _simulate_call(self) -> None:
-        await asyncio.sleep(CALL_LATENCY_S)
+        await asyncio.sleep(self.latency_s)
         if self.is_down:
             raise StoreUnavailableError("the store is down")
 
