Ask the other members whether the log was steady

Cause: a process that has just begun can't know by itself that there was no outage of the log, so for 13.7 s every start of its former owner counted as possibly unrecorded.

Change: a member tells with its contact reply for how long it has known of no outage for all (`steady_ms`; older versions tell 0). An owner acts on an outage only if every member is silent, so one member that reached the log all the time disproves it for all. Nodes ask once as they begin, and again when they take a pool over; a later silence of their own ends what they learned.

Ruled out: asking for the list of workers that others saw. Their lists may miss entries that were written and deleted between two reads.

--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -176,7 +176,10 @@
 
     async def _answer_peer(self, call: PoolCall) -> PoolReply:
         if isinstance(call, LogContactCall):
-            return LogContactReply(self._outage_detector.measure_log_age_ms())
+            return LogContactReply(
+                self._outage_detector.measure_log_age_ms(),
+                self.registry.measure_steady_ms(),
+            )
         return await self.requests.answer_call(call)
 
     async def hand_over_pools(self) -> None:
@@ -262,7 +265,7 @@
                 claim.token,
                 claim.term,
                 claim.is_former_owner_stopped,
-                self.registry.is_log_steady(),
+                await self._outage_detector.is_log_steady(),
             ),
             self._ports.store,
             choose_partition(name, self._settings.log_parts),
--- a/src/bergamotgap/pools/outage_detector.py
+++ b/src/bergamotgap/pools/outage_detector.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable
 
+from aiomisc import cancel_tasks
+
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import MS_PER_SECOND, Clock
 from bergamotgap.pools.ownership_registry import (
@@ -57,6 +59,7 @@
         self._clock = clock
         self._outage_seen_ms: int | None = None
         self._is_outage = False
+        self._has_asked_others = False
         self._is_cut_off = False
 
     def measure_log_age_ms(self) -> int:
@@ -86,6 +89,29 @@
         """
         return self._is_cut_off
 
+    async def is_log_steady(self) -> bool:
+        """Return whether no outage for all can have left runs without a record.
+
+        A node that does not know asks members that may have seen the log for longer.
+        """
+        if self._registry.is_log_steady():
+            return True
+        others = self._list_others()
+        queries = [
+            asyncio.create_task(self._query_member(address))
+            for address in random.sample(others, min(SAMPLED_MEMBERS, len(others)))
+        ]
+        try:
+            for query in asyncio.as_completed(queries):
+                reply = await query
+                if reply is not None:
+                    self._registry.record_steady_peer(reply.steady_ms)
+                if self._registry.is_log_steady():
+                    return True
+        finally:
+            await cancel_tasks(queries)
+        return False
+
     async def run(self) -> None:
         """Query the members at an interval while the log does not answer."""
         while True:
@@ -93,6 +119,10 @@
             if self.measure_log_age_ms() < LOG_SILENT_MS:
                 self._set_outage(is_outage=False)
                 self._set_cut_off(is_cut_off=False)
+                if not self._has_asked_others:
+                    # The members that know may be gone when a pool is taken over.
+                    self._has_asked_others = True
+                    await self.is_log_steady()
                 continue
             sent_ms = self._clock.monotonic_ms()
             others = self._list_others()
@@ -101,7 +131,8 @@
             is_complete = self._has_pools()
             if not is_complete:
                 others = random.sample(others, min(SAMPLED_MEMBERS, len(others)))
-            ages = await asyncio.gather(*map(self._query_member, others))
+            replies = await asyncio.gather(*map(self._query_member, others))
+            ages = [reply.age_ms if reply else None for reply in replies]
             have_all_lost_log = all(
                 age is not None and age >= LOG_SILENT_MS for age in ages
             )
@@ -126,13 +157,13 @@
         addresses = {member.partition("/")[0] for member in members}
         return sorted(addresses - {self._own_address})
 
-    async def _query_member(self, address: str) -> int | None:
+    async def _query_member(self, address: str) -> LogContactReply | None:
         try:
             reply = await self._peers.call(address, LogContactCall(), CALL_TIMEOUT_MS)
         except PeerCallError as error:
             log.debug("peer did not answer", peer=address, error=str(error))
             return None
-        return reply.age_ms if isinstance(reply, LogContactReply) else None
+        return reply if isinstance(reply, LogContactReply) else None
 
     def _set_cut_off(self, is_cut_off: bool) -> None:
         if is_cut_off is not self._is_cut_off:
--- a/src/bergamotgap/pools/ownership_registry.py
+++ b/src/bergamotgap/pools/ownership_registry.py
@@ -181,6 +181,15 @@
             return 0
         return now_ms - self._log_steady_since_ms
 
+    def record_steady_peer(self, steady_ms: int) -> None:
+        """Record that another member knows of no outage for all in `steady_ms`.
+
+        In such an outage every member is silent, so one that reached the log
+        all the time speaks for the others, also for a process that has just begun.
+        """
+        since_ms = self._clock.monotonic_ms() - steady_ms
+        self._log_steady_since_ms = min(self._log_steady_since_ms, since_ms)
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call the listener after each read that returned claims."""
         self._listeners.append(listener)
--- a/src/bergamotgap/ports/pool_peer.py
+++ b/src/bergamotgap/ports/pool_peer.py
@@ -267,9 +267,14 @@
 
 
 class LogContactReply(msgspec.Struct, frozen=True, tag="contact_was"):
-    """Time since the log last responded to the sender, in ms."""
+    """Time since the log last responded to the sender, in ms.
+
+    `steady_ms` is for how long there has been no outage of the log for all nodes, as
+    far as the sender knows.
+    """
 
     age_ms: int
+    steady_ms: int = 0
 
 
 class NotOwnerReply(msgspec.Struct, frozen=True, tag="not_owner"):
