Tell with a release that all starts are recorded, and keep unsettled pools

Cause: a released pool gave its successor no more than a killed owner does: within 13.7 s of an outage all runs counted as unrecorded.

Ruled out: a statement that lasts longer than one claim. The next owner may start runs in another outage.

Result: the three new tests failed before.

--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -188,11 +188,10 @@
         log.info("handing over pools", pools=sorted(self.pools))
         pools = list(self.pools.values())
         self.pools.clear()
-        for pool in pools:
-            await stop_pool(pool)
+        recorded = {pool.name for pool in pools if await stop_pool(pool)}
         await cancel_tasks([task for _, task in self._owner_tasks.values()])
         self._owner_tasks.clear()
-        await self.registry.leave()
+        await self.registry.leave(recorded)
 
     def _handle_config_change(self) -> None:
         config = self.fleet_view.config
@@ -265,7 +264,8 @@
                 claim.token,
                 claim.term,
                 claim.is_former_owner_stopped,
-                await self._outage_detector.is_log_steady(),
+                claim.are_starts_recorded
+                or await self._outage_detector.is_log_steady(),
             ),
             self._ports.store,
             choose_partition(name, self._settings.log_parts),
--- a/src/bergamotgap/pools/ownership_balance.py
+++ b/src/bergamotgap/pools/ownership_balance.py
@@ -58,6 +58,7 @@
                 name
                 for name, pool in self._pools.items()
                 if now_ms - pool.run_tracker.ownership.started_ms >= MIN_OWNED_MS
+                and pool.run_tracker.ownership.are_runs_recorded()
             ]
             name = choose_pool_to_hand_over(
                 self._own_member,
@@ -72,9 +73,9 @@
         """Release a pool, so that the strongest member claims it."""
         pool = self._pools.pop(name)
         log.info("pool handed over", pool=name, reason="stronger_member")
-        await stop_pool(pool)
+        are_starts_recorded = await stop_pool(pool)
         try:
-            await self._registry.release(name)
+            await self._registry.release(name, are_starts_recorded)
         except StoreError as error:
             log.warning("pool not handed over", pool=name, error=str(error))
         # The claims that were read then end the ownership, unless it goes on.
@@ -104,9 +105,14 @@
     return min(own, default=None)
 
 
-async def stop_pool(pool: Pool) -> None:
-    """Start no more tasks of a pool, and write what has changed."""
+async def stop_pool(pool: Pool) -> bool:
+    """Start no more tasks of a pool, and write what has changed.
+
+    Returns whether the log names the worker of each run that may exist.
+    """
     pool.stop_placement()
     journal = pool.journal
     if not await journal.wait_committed_within(journal.last_change, FLUSH_TIMEOUT_MS):
         log.warning("journal not flushed before hand-over", pool=pool.name)
+        return False
+    return pool.run_tracker.ownership.are_runs_recorded()
--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -234,6 +234,10 @@
         """Return whether all restored jobs are recovered or have ended."""
         return all(job.phase.is_final for job in self._unrecovered_jobs.values())
 
+    def are_runs_recorded(self) -> bool:
+        """Return whether every run that may exist is known here or in the log."""
+        return self.term.are_former_starts_recorded or self.are_jobs_recovered()
+
     def list_jobs_with_unknown_runs(self) -> list[Job]:
         """Return the restored jobs with tasks that may run unknown to this owner.
 
--- a/src/bergamotgap/pools/ownership_registry.py
+++ b/src/bergamotgap/pools/ownership_registry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -46,12 +46,15 @@
 
     `token` is unique and rises with each claim. `is_former_owner_stopped` states that
     the former owner was known not to act any more when the claim was made.
+    `are_starts_recorded` states in a release that the log names the worker of each run
+    of the pool; the claim that follows repeats it.
     """
 
     member: str
     token: int
     term: int
     is_former_owner_stopped: bool = False
+    are_starts_recorded: bool = False
 
 
 @dataclass(frozen=True)
@@ -336,19 +339,26 @@
         if self._may_claim(pool):
             await self._append_claim(pool, self._member.name)
 
-    async def release(self, pool: str) -> None:
+    async def release(self, pool: str, are_starts_recorded: bool = False) -> None:
         """Release a pool of this node; raises StoreError if its claim can't be read."""
         await self.follower.refresh()
         if self.is_own_claim(self._claims.get(pool)):
-            await self._append_claim(pool, "")
+            await self._append_claim(pool, "", are_starts_recorded)
             await self.follower.refresh()
 
-    async def _append_claim(self, pool: str, member: str) -> None:
+    async def _append_claim(
+        self, pool: str, member: str, are_starts_recorded: bool = False
+    ) -> None:
         end = self.follower.next_offset or 0
         former_claim = self._claims.get(pool)
-        term = (former_claim.term if former_claim else 0) + 1
+        if former_claim is not None and not former_claim.member:
+            are_starts_recorded = former_claim.are_starts_recorded
         claim = Claim(
-            member, end + 1, term, self._is_former_owner_stopped(former_claim)
+            member,
+            end + 1,
+            (former_claim.term if former_claim else 0) + 1,
+            self._is_former_owner_stopped(former_claim),
+            are_starts_recorded,
         )
         record = KeyedRecord(pool, msgspec.msgpack.encode(claim))
         try:
@@ -371,14 +381,17 @@
             for member in self._members
         )
 
-    async def leave(self) -> None:
-        """Leave the group and release all pools so that others claim them at once."""
+    async def leave(self, recorded_pools: Collection[str] = ()) -> None:
+        """Leave the group and release all pools so that others claim them at once.
+
+        The log names the worker of each run of `recorded_pools`.
+        """
         self._is_leaving = True
         try:
             await self._store.leave(self._member.name)
             for pool, claim in list(self._claims.items()):
                 if self.is_own_claim(claim):
                     await self.follower.refresh()
-                    await self._append_claim(pool, "")
+                    await self._append_claim(pool, "", pool in recorded_pools)
         except StoreError as error:
             log.warning("pools not released", error=str(error))
--- a/tests/test_ownership_balance.py
+++ b/tests/test_ownership_balance.py
@@ -56,12 +56,13 @@
 
 
 class FakeJournal:
-    """Journal whose changes are all committed."""
+    """Journal whose changes are all committed, unless `is_failing`."""
 
     last_change = 0
+    is_failing = False
 
     async def wait_committed_within(self, change: int, timeout_ms: int) -> bool:
-        return True
+        return not self.is_failing
 
 
 class FakePool:
@@ -70,7 +71,11 @@
     def __init__(self, token: int) -> None:
         self.name = "previews"
         self.term = SimpleNamespace(token=token)
-        self.run_tracker = SimpleNamespace(ownership=SimpleNamespace(started_ms=0))
+        self.are_runs_recorded = True
+        ownership = SimpleNamespace(
+            started_ms=0, are_runs_recorded=lambda: self.are_runs_recorded
+        )
+        self.run_tracker = SimpleNamespace(ownership=ownership)
         self.journal = FakeJournal()
         self.is_active = True
 
@@ -168,3 +173,53 @@
         scene.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("is_flushed", [True, False])
+def test_a_release_tells_whether_all_runs_are_recorded(is_flushed: bool) -> None:
+    """Guards against a successor that waits for the leases of recorded runs.
+
+    A release with a full journal must not tell so, nor the claim after the next one.
+    """
+
+    async def main() -> None:
+        scene = BalanceScene()
+        pool = await scene.start()
+        pool.journal.is_failing = not is_flushed
+        strong = start_registry(scene.strong)
+        await asyncio.sleep(3)
+        claim = scene.weak.claims["previews"]
+        assert scene.strong.is_own_claim(claim)
+        assert claim.are_starts_recorded is is_flushed
+        for task in strong:
+            task.cancel()
+        scene.store.members.discard(claim.member)
+        await asyncio.sleep(4)
+        claim = scene.weak.claims["previews"]
+        assert scene.weak.is_own_claim(claim)
+        assert not claim.are_starts_recorded
+        scene.stop()
+
+    run_virtual(main())
+
+
+def test_a_pool_with_unknown_runs_is_not_handed_over() -> None:
+    """Guards against restored jobs that wait for leases anew with each owner.
+
+    After an outage a stronger node got a pool 2 s after its claim, while its jobs
+    waited for the leases of unrecorded runs.
+    """
+
+    async def main() -> None:
+        scene = BalanceScene()
+        pool = await scene.start()
+        pool.are_runs_recorded = False
+        scene.tasks += start_registry(scene.strong)
+        await asyncio.sleep(4)
+        assert scene.weak.is_own_claim(scene.weak.claims["previews"])
+        pool.are_runs_recorded = True
+        await asyncio.sleep(2)
+        assert scene.strong.is_own_claim(scene.strong.claims["previews"])
+        scene.stop()
+
+    run_virtual(main())
