Wait until the list of workers is complete before former runs count as gone

Cause: once the leases of former runs had ended, restored tasks started again on the workers that were listed, though an alive worker that was not back on the list may hold the end `done` of such a run. With one outage the leases outlast the two seconds in which entries return. With a second one before they are back, the list stays partial, and leases end meanwhile.

Fix: runs of a former owner count as gone only once the list was read 2.5 s after the log's return; a silence as long as a heartbeat or more counts as one in which entries may lapse.

Result: the new test fails without the condition (two starts of a task that is done), and passes with it.

--- a/bench/learned_run_times.py
+++ b/bench/learned_run_times.py
@@ -156,7 +156,7 @@
         FakeOrders(workers),
         SETTINGS,
         clock,
-        LogConfirmation(clock.monotonic_ms, lambda: False),
+        LogConfirmation(clock.monotonic_ms, lambda: False, lambda: True),
         lambda _: None,
     )
     async with owner as pool:
--- a/bench/turning_demand.py
+++ b/bench/turning_demand.py
@@ -267,7 +267,9 @@
                     FakeOrders(self._workers),
                     SETTINGS,
                     self.clock,
-                    LogConfirmation(self.clock.monotonic_ms, lambda: False),
+                    LogConfirmation(
+                        self.clock.monotonic_ms, lambda: False, lambda: True
+                    ),
                     lambda _: None,
                 )
                 self._pools[pool] = await stack.enter_async_context(owner)
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -51,6 +51,9 @@
 WORKERS_READ_INTERVAL_MS = 100
 IDLE_WORKERS_READ_INTERVAL_MS = 3000
 TAKEOVER_RETRY_MS = 200
+# Entries of workers that lapsed in an outage are back within about two seconds of the
+# log's return, if the worker is alive and reaches the log.
+ENTRIES_RETURN_MS = 2500
 CONTROLLER_CALL_TIMEOUT_MS = 1000
 # A waiting read of the configuration ends after READ_WAIT_MS; the rest is for an answer
 # of a slow log.
@@ -275,6 +278,7 @@
             LogConfirmation(
                 lambda: self.registry.last_renewal_ms,
                 self._outage_detector.is_log_down_for_all,
+                self._is_worker_list_complete,
             ),
             lambda _: lost.set(),
             self._ports.advice,
@@ -300,6 +304,11 @@
         if claim is not None:
             pool.customer_usage.require_coordinator(claim.token)
 
+    def _is_worker_list_complete(self) -> bool:
+        """Return whether entries that lapsed in an outage were back when last read."""
+        back_ms = self.registry.log_returned_ms + ENTRIES_RETURN_MS
+        return self._workers_follower.synced_ms >= back_ms
+
     async def _refresh_workers(self) -> None:
         try:
             await self._workers_follower.refresh()
--- a/src/bergamotgap/pools/ownership_guard.py
+++ b/src/bergamotgap/pools/ownership_guard.py
@@ -40,10 +40,15 @@
 
 @dataclass(frozen=True)
 class LogConfirmation:
-    """When the log last confirmed this node, and whether it is down for all nodes."""
+    """When the log last confirmed this node, and whether it is down for all nodes.
+
+    `is_worker_list_complete` tells whether the list of workers was read since all that
+    are alive can be listed again after an outage.
+    """
 
     get_confirmed_ms: Callable[[], int]
     is_log_down_for_all: Callable[[], bool]
+    is_worker_list_complete: Callable[[], bool]
 
 
 class PolledWorker(Protocol):
@@ -259,10 +264,16 @@
         ]
 
     def _are_leases_expired(self, job: Job) -> bool:
-        """Return whether no run of a former owner lasts on a worker not polled yet."""
+        """Return whether no run of a former owner lasts on a worker not polled yet.
+
+        A run may have ended there successfully, so its worker must be on the list if it
+        is alive.
+        """
         passed_ms = self._clock.monotonic_ms() - self.started_ms
         if passed_ms < self._settings.former_lease_ms:
             return False
+        if not self._confirmation.is_worker_list_complete():
+            return False
         return passed_ms >= self._measure_former_lease_ms(job)
 
     def _measure_former_lease_ms(self, job: Job) -> int:
--- a/src/bergamotgap/pools/ownership_registry.py
+++ b/src/bergamotgap/pools/ownership_registry.py
@@ -116,6 +116,9 @@
         self._generation = 0
         self._joined_since_ms: int | None = None
         self._log_steady_since_ms = clock.monotonic_ms()
+        # When the log answered first after a silence in which entries of workers may
+        # have lapsed.
+        self.log_returned_ms = clock.monotonic_ms()
         self.last_renewal_ms = 0
         self._is_leaving = False
         self._claimable_pools: frozenset[str] = frozenset()
@@ -242,8 +245,11 @@
                 # a successor may have claimed its pools since the last read.
                 await self.follower.refresh()
                 now_ms = self._clock.monotonic_ms()
-                if now_ms - self.last_renewal_ms >= LOG_SILENT_MS:
+                silent_ms = now_ms - self.last_renewal_ms
+                if silent_ms >= LOG_SILENT_MS:
                     self._log_steady_since_ms = now_ms
+                if silent_ms >= self._settings.heartbeat_interval_ms:
+                    self.log_returned_ms = now_ms
                 self.last_renewal_ms = sent_ms
                 if self._joined_since_ms is None:
                     self._joined_since_ms = self.last_renewal_ms
--- a/tests/cap_scene.py
+++ b/tests/cap_scene.py
@@ -121,7 +121,7 @@
             self.orders[pool],
             SETTINGS,
             self.clock,
-            LogConfirmation(self.clock.monotonic_ms, lambda: False),
+            LogConfirmation(self.clock.monotonic_ms, lambda: False, lambda: True),
             lambda _: None,
         )
         self._stacks[pool] = AsyncExitStack()
--- a/tests/pool_scene.py
+++ b/tests/pool_scene.py
@@ -55,6 +55,7 @@
         }
         self.is_confirmed = True
         self.is_log_down_for_all = False
+        self.is_list_complete = True
         self.advice: AdviceService | None = None
         self.orders_class = FakeOrders
         self.settings = SETTINGS
@@ -107,7 +108,11 @@
             orders,
             self.settings,
             self.clock,
-            LogConfirmation(get_confirmed_ms, lambda: self.is_log_down_for_all),
+            LogConfirmation(
+                get_confirmed_ms,
+                lambda: self.is_log_down_for_all,
+                lambda: self.is_list_complete,
+            ),
             lambda _: None,
             self.advice,
         )
--- a/tests/test_queue_holdings.py
+++ b/tests/test_queue_holdings.py
@@ -87,7 +87,7 @@
             FakeOrders(self.workers),
             SETTINGS,
             self.clock,
-            LogConfirmation(self.clock.monotonic_ms, lambda: False),
+            LogConfirmation(self.clock.monotonic_ms, lambda: False, lambda: True),
             lambda _: None,
             None,
             lambda call: self.requests.call_owner(call, 1000, ""),
--- a/tests/test_restarts_in_outages.py
+++ b/tests/test_restarts_in_outages.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from bergamotgap.domain.fleet import JobPhase, StepSpec
+from bergamotgap.domain.fleet import JobPhase, StepSpec, TaskId
 from stand_ins.pool_workers import SETTINGS
 from stand_ins.pools import build_job
 from stand_ins.virtual_time import run_virtual
 from tests.pool_scene import Scene
-from tests.test_worker_lives import list_simultaneous_runs
+from tests.test_worker_lives import find_busy, list_simultaneous_runs
 
 OUTAGE_S = 4.5
 DETECTION_S = 0.8
@@ -75,3 +75,39 @@
         assert phases == {JobPhase.COMPLETED}
 
     run_virtual(main())
+
+
+def test_an_end_on_a_worker_that_is_not_back_yet_is_waited_for() -> None:
+    """Guards against tasks that are done and start again in a second outage.
+
+    The log is lost again before all entries are back, until all leases have ended.
+    """
+
+    async def main() -> None:
+        scene = build_scene()
+        async with scene.run_owner(1) as (pool, _):
+            await pool.submit(build_job("short", steps=(WIDE,)))
+            await pool.submit(build_job("job", steps=(NARROW,)))
+            await asyncio.sleep(SHORT_S - 1)
+            await begin_outage(scene)
+            await asyncio.sleep(3.8)
+        # The run ends while nobody reads it.
+        end_outage(scene)
+        scene.is_list_complete = False
+        busy = find_busy(scene)
+        hidden = scene.infos.pop(busy)
+        scene.workers[busy].lease_end_s += LONG_S
+        async with scene.run_owner(2, 2, are_former_starts_recorded=False) as (pool, _):
+            await asyncio.sleep(0.5)
+            await begin_outage(scene)
+            await asyncio.sleep(SETTINGS.former_lease_ms / 1000 + 1)
+            assert scene.count_starts()[TaskId("job", 0, 0, 0)] == 1
+            end_outage(scene)
+            scene.infos[busy] = hidden
+            await asyncio.sleep(2.5)
+            scene.is_list_complete = True
+            await asyncio.sleep(3)
+            assert pool.job_table.get_durable_phase("job") is JobPhase.COMPLETED
+        assert scene.count_starts()[TaskId("job", 0, 0, 0)] == 1
+
+    run_virtual(main())
--- a/tests/wave_scene.py
+++ b/tests/wave_scene.py
@@ -206,7 +206,9 @@
             self._orders,
             SETTINGS,
             self.clock,
-            LogConfirmation(self.clock.monotonic_ms, lambda: self.store.is_down),
+            LogConfirmation(
+                self.clock.monotonic_ms, lambda: self.store.is_down, lambda: True
+            ),
             lambda _: None,
         )
         self._owners[name] = AsyncExitStack()
