Count the progress of a run from the sending of its start

What callers saw: sound runs stopped as stalled 1.5 s after their start was sent (4,366 in a run of the users with six jobs of 6,000 tasks).

Cause: a task's last progress was set when the task was placed, so the wait of its start in the queue of orders counted as time without progress.

Result: the new test failed before (tasks started twice), and passes.

--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -192,6 +192,8 @@
         """Send a start, and track what may come of it if it is not answered."""
         life, clock = self._life.number, self._life.clock_reading
         live.is_start_sent = live.is_start_open = True
+        # The wait in the queue is no lack of progress.
+        live.task.progress_changed_ms = self._clock.monotonic_ms()
         live.life, live.worker = life, self.info
         self._unanswered_starts.add(self.worker_id, live.task, live.run)
         try:
