Let a record that the log rejects for good fail alone

Cause: every refusal counted as an outage of the log. A batch was closed once it was past 512 KB, whatever its last record had; `recordBytes` and `callBytes` stand in the settings and were not read; a key above 255 bytes was an outage as well. And a change counted as committed only once no key at all was queued.

Change: 400 and 413 raise AppendRejectedError. A record above the limit is not sent. A rejected batch is appended record by record; one that is rejected while the log takes a probe fails alone: a line `record rejected`, a count, and `on_rejected` for its key. A log that rejects everything is in trouble and gets the batch again. Keys go in the order of their first queued change, so a change is committed once all before it are.

--- a/src/bergamotgap/platform/settings.py
+++ b/src/bergamotgap/platform/settings.py
@@ -7,6 +7,7 @@
 
 from bergamotgap.adapters.machine_limits import find_descriptors, find_memory_mb
 from bergamotgap.domain.client_limits import ClientBudget, divide_memory
+from bergamotgap.domain.record_limits import RecordLimits
 from bergamotgap.platform.client_limits import is_positive
 from bergamotgap.pools.settings import PoolSettings
 
@@ -40,6 +41,8 @@
     address: str
     parts: int = 16
     min_ttl_ms: int = 1000
+    record_bytes: Any = None
+    call_bytes: Any = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -110,10 +113,22 @@
         refuses_early=PRESSURE_CONTRACT in settings_file.contracts,
         heartbeat_interval_ms=settings_file.heartbeat_interval_ms,
         host_orders_per_s=settings_file.cloud_api.duties_per_s,
+        record_limits=_read_record_limits(settings_file.platform),
         client_budget=_divide_machine(settings_file.limits),
     )
 
 
+def _read_record_limits(platform: _Log) -> RecordLimits:
+    """Return the log's limits; what the file doesn't tell is as usual."""
+    usual = PoolSettings.record_limits
+    record_bytes, call_bytes = usual.record_bytes, usual.call_bytes
+    if is_positive(platform.record_bytes):
+        record_bytes = int(platform.record_bytes)
+    if is_positive(platform.call_bytes):
+        call_bytes = int(platform.call_bytes)
+    return RecordLimits(record_bytes, call_bytes)
+
+
 def _divide_machine(limits: _Limits) -> ClientBudget:
     """Return the budget of clients; what the file doesn't tell, the machine does."""
     memory_mb, descriptors = find_memory_mb(), find_descriptors()
--- a/src/bergamotgap/platform/store.py
+++ b/src/bergamotgap/platform/store.py
@@ -14,6 +14,7 @@
 
 from bergamotgap.ports.fleet import (
     AppendConflictError,
+    AppendRejectedError,
     Fence,
     FencedError,
     HistoryGoneError,
@@ -75,12 +76,12 @@
 
 
 def encode_records(records: Sequence[KeyedRecord]) -> bytes:
-    """Encode the request body of an append; raises StoreError for a key too long."""
+    """Encode the body of an append; raises AppendRejectedError for a long key."""
     chunks = []
     for record in records:
         key = record.key.encode()
         if len(key) > MAX_KEY_BYTES:
-            raise StoreUnavailableError(f"key {record.key[:40]!r} is too long")
+            raise AppendRejectedError(f"key {record.key[:40]!r} is too long")
         value = record.value or b""
         chunks.append(RECORD_LENGTH.pack(1 + len(key) + len(value)))
         chunks.append(bytes((len(key),)) + key + value)
@@ -150,6 +151,8 @@
         status, body = await self._request(
             "POST", "/log-append", query, encode_records(records)
         )
+        if status in (400, 413):
+            raise AppendRejectedError(f"append answered {status}")
         if status not in (200, 409, 412):
             raise StoreUnavailableError(f"append answered {status}")
         try:
--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -345,7 +345,13 @@
         topic, part = choose_partition(HOSTS_POOL, self._settings.log_parts)
         lost = asyncio.Event()
         journal = Journal(
-            store, topic, part, Fence(HOSTS_POOL, claim.token, 0), clock, lost.set
+            store,
+            topic,
+            part,
+            Fence(HOSTS_POOL, claim.token, 0),
+            clock,
+            lost.set,
+            self._settings.record_limits,
         )
         newest = await store.read_newest_values(topic, part)
         controller = HostController(
--- a/src/bergamotgap/pools/journal.py
+++ b/src/bergamotgap/pools/journal.py
@@ -2,10 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
+from bergamotgap.domain.record_limits import RecordLimits
+from bergamotgap.pools.settings import PoolSettings
 from bergamotgap.ports.fleet import (
+    AppendRejectedError,
     Fence,
     FencedError,
     KeyedRecord,
@@ -14,8 +18,13 @@
     StoreError,
 )
 
-# A batch is closed at this size, a quarter of the log's limit for one call.
+# A batch is closed at this size, a quarter of the log's usual limit for one call.
 MAX_BATCH_BYTES = 512 * 1024
+MAX_KEY_BYTES = 255
+# Bytes of a record beside its key and its value: two lengths.
+RECORD_OVERHEAD_BYTES = 5
+# Never has a value.
+PROBE_KEY = "probe"
 # The delay between attempts doubles from the minimum to the maximum while the log
 # refuses or does not answer.
 RETRY_MIN_MS = 100
@@ -25,12 +34,24 @@
 Encoder = Callable[[], bytes | None]
 
 
+@dataclass
+class QueuedKey:
+    """A key whose newest value is not appended yet, and the numbers of its changes."""
+
+    encode: Encoder
+    changes: list[int] = field(default_factory=list)
+
+
 class Journal:
     """Append the newest value of each changed key under the owner's fence.
 
-    An append without an answer is repeated with the same sequence number, so that it
-    takes effect once. `on_fenced` is called when a newer owner has appended. Changes
-    are numbered from 1; `last_append_ms` is when the last successful append was sent.
+    Keys are appended in the order of their first change that is not appended yet. An
+    append without an answer is repeated with the same sequence number, so that it takes
+    effect once. `on_fenced` is called when a newer owner has appended. Changes are
+    numbered from 1; `last_append_ms` is when the last successful append was sent.
+
+    A value that the log can't take never counts as committed; `on_rejected` is called
+    with its key, and the other keys go on.
     """
 
     def __init__(
@@ -41,6 +62,7 @@
         fence: Fence,
         clock: Clock,
         on_fenced: Callable[[], None],
+        limits: RecordLimits = PoolSettings.record_limits,
     ) -> None:
         self._store = store
         self._topic, self._part = topic, part
@@ -48,9 +70,12 @@
         self._sequence = fence.sequence
         self._clock = clock
         self._on_fenced = on_fenced
-        # Number and encoder of the newest change of each key that is not appended yet.
-        self._dirty_keys: dict[str, tuple[int, Encoder]] = {}
-        self._unencodable_changes: set[int] = set()
+        self._limits = limits
+        self.on_rejected: Callable[[str], None] = lambda key: None
+        self._queued: dict[str, QueuedKey] = {}
+        # Changes whose values could not be encoded or were rejected.
+        self._failed_changes: set[int] = set()
+        self.rejected_records = 0
         self._wake = asyncio.Event()
         self._last_change = 0
         self._committed_change = 0
@@ -65,8 +90,11 @@
 
     def is_committed(self, change: int) -> bool:
         """Return whether a change is durable in the log."""
-        is_past = change <= self._committed_change
-        return is_past and change not in self._unencodable_changes
+        return change <= self._committed_change and not self.has_failed(change)
+
+    def has_failed(self, change: int) -> bool:
+        """Return whether a change will never be durable."""
+        return change in self._failed_changes
 
     def put(self, key: str, encode: Encoder) -> int:
         """Queue a change of a key and return its number.
@@ -74,18 +102,19 @@
         `encode` is called when the batch is built; None deletes the key.
         """
         self._last_change += 1
-        self._dirty_keys.pop(key, None)
-        self._dirty_keys[key] = (self._last_change, encode)
+        queued = self._queued.setdefault(key, QueuedKey(encode))
+        queued.encode = encode
+        queued.changes.append(self._last_change)
         self._wake.set()
         return self._last_change
 
-    async def wait_committed(self, change: int) -> None:
-        """Return once a change is committed."""
-        if self.is_committed(change):
-            return
-        future = asyncio.get_running_loop().create_future()
-        self._waiters.append((change, future))
-        await future
+    async def wait_committed(self, change: int) -> bool:
+        """Return once a change is committed, or False once it has failed."""
+        if not self.is_committed(change) and not self.has_failed(change):
+            future = asyncio.get_running_loop().create_future()
+            self._waiters.append((change, future))
+            await future
+        return self.is_committed(change)
 
     async def wait_committed_within(self, change: int, timeout_ms: int) -> bool:
         """Wait a bounded time for a change; return whether it is committed."""
@@ -93,24 +122,27 @@
             return True
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                await self.wait_committed(change)
+                return await self.wait_committed(change)
         except TimeoutError:
             return False
-        return True
 
     async def run(self) -> None:
         """Append changes until a newer owner fences this one."""
         while True:
             await self._wake.wait()
             self._wake.clear()
-            while self._dirty_keys:
-                taken, records, change = self._take_batch()
+            while self._queued:
+                taken, records = self._take_batch()
+                # All changes before the first one that is still queued are in the
+                # batch or in former ones.
+                first_queued = next(iter(self._queued.values()), None)
+                change = self._last_change
+                if first_queued is not None:
+                    change = first_queued.changes[0] - 1
                 try:
-                    is_appended = not records or await self._append(records)
+                    is_appended = await self._append_apart(taken, records)
                 except Exception:
-                    # The changes stay queued for the next run, behind newer ones.
-                    self._dirty_keys = taken | self._dirty_keys
-                    self._wake.set()
+                    self._put_back(taken)
                     raise
                 if not is_appended:
                     self._on_fenced()
@@ -118,33 +150,109 @@
                 self._committed_change = change
                 self._release_waiters()
 
-    def _take_batch(
-        self,
-    ) -> tuple[dict[str, tuple[int, Encoder]], list[KeyedRecord], int]:
-        """Return the batch's changes, their records and the number of the last one."""
-        taken: dict[str, tuple[int, Encoder]] = {}
+    def _put_back(self, taken: dict[str, QueuedKey]) -> None:
+        """Queue changes again for the next run, before newer ones."""
+        for key, queued in taken.items():
+            newer = self._queued.pop(key, None)
+            if newer is not None:
+                queued.encode = newer.encode
+                queued.changes += newer.changes
+        self._queued = taken | self._queued
+        self._wake.set()
+
+    def _take_batch(self) -> tuple[dict[str, QueuedKey], list[KeyedRecord]]:
+        """Return the batch's changes and their records."""
+        taken: dict[str, QueuedKey] = {}
         records: list[KeyedRecord] = []
+        max_bytes = min(MAX_BATCH_BYTES, self._limits.call_bytes)
         size = 0
-        # `_dirty_keys` is ordered by the last change of each key, and an earlier change
-        # of a key may have been superseded by a later one that is still queued. So
-        # changes count as committed only with a batch that takes all keys.
-        for key in list(self._dirty_keys):
-            number, encode = self._dirty_keys.pop(key)
+        for key, queued in list(self._queued.items()):
+            record = self._encode(key, queued)
+            if record is not None:
+                record_bytes = _measure_record(record)
+                if records and size + record_bytes > max_bytes:
+                    break
+                size += record_bytes
+                taken[key] = queued
+                records.append(record)
+            del self._queued[key]
+        return taken, records
+
+    def _encode(self, key: str, queued: QueuedKey) -> KeyedRecord | None:
+        """Return a key's record, or None if the log can't take it.
+
+        It is left out then, or it would hold up all others.
+        """
+        try:
+            record = KeyedRecord(key, queued.encode())
+        except Exception:
+            log.exception("change not encoded", part=self._part, key=key)
+            self._failed_changes.update(queued.changes)
+            return None
+        record_bytes = _measure_record(record)
+        if len(key.encode()) > MAX_KEY_BYTES or (
+            record_bytes > self._limits.record_bytes
+        ):
+            self._reject(key, queued, record_bytes, "above_limit")
+            return None
+        return record
+
+    def _reject(
+        self, key: str, queued: QueuedKey, record_bytes: int, reason: str
+    ) -> None:
+        log.error(
+            "record rejected",
+            part=self._part,
+            key=key,
+            record_bytes=record_bytes,
+            max_bytes=self._limits.record_bytes,
+            reason=reason,
+        )
+        self.rejected_records += 1
+        self._failed_changes.update(queued.changes)
+        self.on_rejected(key)
+
+    async def _append_apart(
+        self, taken: dict[str, QueuedKey], records: list[KeyedRecord]
+    ) -> bool:
+        """Append a batch, record by record if the log rejects it as a whole."""
+        if not records:
+            return True
+        try:
+            return await self._append(records)
+        except AppendRejectedError as error:
+            log.warning(
+                "batch rejected",
+                part=self._part,
+                records=len(records),
+                error=str(error),
+            )
+        for record in records:
+            try:
+                if not await self._append_unless_rejected(record):
+                    return False
+            except AppendRejectedError as error:
+                queued = taken[record.key]
+                self._reject(record.key, queued, _measure_record(record), str(error))
+        return True
+
+    async def _append_unless_rejected(self, record: KeyedRecord) -> bool:
+        """Append a record; raises AppendRejectedError if the log takes others.
+
+        A log that takes no record at all is in trouble, so the append is repeated.
+        """
+        while True:
             try:
-                value = encode()
-            except Exception:
-                # It is left out, or it would hold up all others; it never counts as
-                # committed.
-                log.exception("change not encoded", part=self._part, key=key)
-                self._unencodable_changes.add(number)
-                continue
-            taken[key] = (number, encode)
-            records.append(KeyedRecord(key, value))
-            size += len(key) + len(value or b"")
-            if size >= MAX_BATCH_BYTES:
-                break
-        change = self._last_change if not self._dirty_keys else self._committed_change
-        return taken, records, change
+                return await self._append([record])
+            except AppendRejectedError as error:
+                try:
+                    if not await self._append([KeyedRecord(PROBE_KEY, None)]):
+                        return False
+                except AppendRejectedError:
+                    self.is_failing = True
+                    await self._clock.sleep_ms(RETRY_MAX_MS)
+                else:
+                    raise error from None
 
     async def _append(self, records: list[KeyedRecord]) -> bool:
         delay_ms = RETRY_MIN_MS
@@ -163,6 +271,8 @@
                     expected=error.expected,
                 )
                 fence = Fence(self._producer, self._epoch, error.expected)
+            except AppendRejectedError:
+                raise
             except StoreError as error:
                 if not self.is_failing:
                     log.warning("log lost", part=self._part, error=str(error))
@@ -180,8 +290,15 @@
     def _release_waiters(self) -> None:
         waiting = []
         for change, future in self._waiters:
-            if self.is_committed(change) and not future.done():
+            is_settled = self.is_committed(change) or self.has_failed(change)
+            if is_settled and not future.done():
                 future.set_result(None)
             elif not future.done():
                 waiting.append((change, future))
         self._waiters = waiting
+
+
+def _measure_record(record: KeyedRecord) -> int:
+    """Return the bytes that a record takes in a call."""
+    key_bytes = len(record.key.encode())
+    return key_bytes + len(record.value or b"") + RECORD_OVERHEAD_BYTES
--- a/src/bergamotgap/pools/settings.py
+++ b/src/bergamotgap/pools/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from bergamotgap.domain.client_limits import ClientBudget, divide_memory
+from bergamotgap.domain.record_limits import USUAL_RECORD_LIMITS, RecordLimits
 from bergamotgap.pools.run_lease import (
     CLOCK_TTL_MS,
     READING_DELAY_MS,
@@ -52,6 +53,8 @@
     # find out whether the log is down for all nodes. A successor waits that much longer
     # for the leases to expire.
     isolated_renewal_ms: int = 2000
+    # The log's limits of one record and of one call.
+    record_limits: RecordLimits = USUAL_RECORD_LIMITS
     # What clients may make the node hold.
     client_budget: ClientBudget = DEFAULT_CLIENT_BUDGET
 
--- a/src/bergamotgap/ports/fleet.py
+++ b/src/bergamotgap/ports/fleet.py
@@ -18,6 +18,10 @@
     """The call had no effect: the log refused it or could not be reached."""
 
 
+class AppendRejectedError(StoreError):
+    """The log rejects the records themselves, so repeating the append is of no use."""
+
+
 class StoreOutcomeUnknownError(StoreError):
     """The call got no response and may still take effect."""
 
--- a/stand_ins/pool_store.py
+++ b/stand_ins/pool_store.py
@@ -4,8 +4,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from bergamotgap.domain.record_limits import USUAL_RECORD_LIMITS
 from bergamotgap.ports.fleet import (
     AppendConflictError,
+    AppendRejectedError,
     Fence,
     FencedError,
     KeyedLogPage,
@@ -31,8 +33,9 @@
 class FakeStore(Outages):
     """In-memory `Store`: log partitions with conditional and fenced appends.
 
-    Each call takes `latency_s`. Faults: `is_down` and `refuses_reads` refuse calls, and
-    the next `lose_answers` appends take effect without an answer.
+    Each call takes `latency_s`. An append with a larger record than `max_record_bytes`,
+    or with a key in `rejected_keys`, is rejected. Faults: `is_down` and `refuses_reads`
+    refuse calls, and the next `lose_answers` appends take effect without an answer.
     """
 
     def __init__(self) -> None:
@@ -40,6 +43,8 @@
         self.partitions: dict[tuple[str, int], Partition] = {}
         self.members: set[str] = set()
         self.latency_s = CALL_LATENCY_S
+        self.max_record_bytes = USUAL_RECORD_LIMITS.record_bytes
+        self.rejected_keys: set[str] = set()
         self.refuses_reads = False
         self.lose_answers = 0
         self.appends = 0
@@ -64,6 +69,7 @@
     ) -> int:
         """Append records, as specified by `Store`."""
         await self._simulate_call()
+        self._check_records(records)
         partition = self.get(topic, part)
         if fence is not None:
             repeat = self._check_fence(partition, fence)
@@ -81,6 +87,12 @@
             raise StoreOutcomeUnknownError("the answer to the append was lost")
         return offset
 
+    def _check_records(self, records: Sequence[KeyedRecord]) -> None:
+        for record in records:
+            size = 1 + len(record.key.encode()) + len(record.value or b"")
+            if size > self.max_record_bytes or record.key in self.rejected_keys:
+                raise AppendRejectedError(f"{record.key} has {size} bytes")
+
     def _check_fence(self, partition: Partition, fence: Fence) -> int | None:
         epoch, sequence, offset = partition.fences.get(fence.producer, (-1, -1, 0))
         if fence.epoch < epoch:
