Store the tasks of large jobs in blocks

Cause: each change of a task wrote all tasks of the job that were begun or done, some 40 bytes for one on a worker and 16 for one that is done, with no bound. The bytes appended while a job ends grew with the square of its tasks.

Change: a job with more than 64 tasks has them in records of 32, each with a bit for a task that is done, the state of the others, and the workers that may have their runs; a change writes its block only. Smaller jobs keep their one record, so that older versions read them. What grows with each loss keeps its 16 latest entries, and a checkpoint above 1 KB is not stored: any job that is accepted fits at each moment (on workers, with all lost, failed and checkpointed; 1 to 100,000 tasks). A specification whose record takes more than three quarters of `recordBytes` is refused at the entry with 413 and the reason; a job whose progress is rejected all the same ends as failed (`record_rejected`), and the others go on.

Records of the former form are read, and divided by their new owner: the blocks are queued before the record that replaces the former one, so an owner that ends between the two loses nothing. Blocks are deleted once the end of their job is durable.

Ruled out: ranges of done tasks in one record (tasks that end in any order leave thousands); a limit at the entry alone (6,500 tasks, the product takes 100,000); workers in the job's own record (a worker that is forgotten there before the block of its last run is stored would hide that run).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     flood_policy,
     forwarder,
     headroom_price,
+    job_records,
     moves,
     outage,
     roll_out,
@@ -34,6 +35,7 @@
     "flood": flood.main,
     "urgent_start": urgent_start.main,
     "outage": outage.main,
+    "job_records": job_records.main,
     "wave": wave.main,
 }
 
--- a/src/bergamotgap/domain/job_records.py
+++ b/src/bergamotgap/domain/job_records.py
@@ -5,6 +5,11 @@
 from bergamotgap.domain.fleet import JobPhase, JobSpec
 
 
+def measure_spec_record(spec: JobSpec) -> int:
+    """Return the bytes of the record of a job's specification."""
+    return len(msgspec.msgpack.encode(spec))
+
+
 class Exposure(msgspec.Struct, frozen=True, array_like=True):
     """One life of a worker that may have a run of a task, or was lost with it.
 
@@ -22,7 +27,10 @@
 
 
 class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Persisted state of a task whose step is not done; fields as in `Task`."""
+    """Persisted state of a task whose step is not done; fields as in `Task`.
+
+    Of what grows with each loss of a worker, the latest entries are kept.
+    """
 
     occurrence: int
     step: int
@@ -44,6 +52,8 @@
 
     `workers` names the workers that may have runs of the job. `spec` is set, without
     its payload, if the job ended while it had any: its specification is deleted then.
+    Open jobs with many tasks have their tasks and workers in blocks; former versions
+    wrote those of all jobs here.
     """
 
     phase: JobPhase
--- a/src/bergamotgap/domain/job_state.py
+++ b/src/bergamotgap/domain/job_state.py
@@ -3,11 +3,12 @@
 The jobs in `work_items` are others: those that callers submit to the entry hosts.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 import msgspec
 
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec, TaskId
+from bergamotgap.domain.job_blocks import BLOCK_TASKS, TaskBlock, TaskNumbering
 from bergamotgap.domain.job_paths import ExpectedPath
 from bergamotgap.domain.job_records import JobProgress, TaskRecord
 from bergamotgap.domain.task_state import Task, TaskPhase
@@ -69,9 +70,13 @@
         self.end_reason = ""
         # Workers that may have runs started by a former owner and unknown to this one.
         self.former_workers: set[str] = set()
-        # Workers that were assigned tasks of the job, with the number of the change
-        # that persists each.
-        self.assigned_workers: dict[str, int] = {}
+        # Those that the record of the whole job named, and those of single blocks.
+        self._former_of_all: frozenset[str] = frozenset()
+        self._former_by_block: dict[int, frozenset[str]] = {}
+        # By block of tasks: workers that were assigned any of them, with the number of
+        # the change that persists each.
+        self._assigned_by_block: dict[int, dict[str, int]] = {}
+        self.numbering = TaskNumbering(spec)
         self._steps: dict[tuple[int, int], StepOccurrence] = {}
         self._begun_occurrences = 0
         self._unfinished_steps = 0
@@ -161,16 +166,37 @@
         """Return the tasks of all occurrences that have begun."""
         return [task for step in self._steps.values() for task in step.tasks]
 
-    def record_done(self, task: Task) -> None:
+    @property
+    def assigned_workers(self) -> Collection[str]:
+        """The workers that were assigned tasks of the job."""
+        return {name for names in self._assigned_by_block.values() for name in names}
+
+    def get_assignment(self, task: Task, worker_id: str) -> int | None:
+        """Return the change that persists a worker of a task's block, if any."""
+        block = self.numbering.find_block(task.task_id)
+        return self._assigned_by_block.get(block, {}).get(worker_id)
+
+    def assign_worker(self, task: Task, worker_id: str, change: int) -> None:
+        """Record that a worker may have runs of a task's block."""
+        block = self.numbering.find_block(task.task_id)
+        self._assigned_by_block.setdefault(block, {})[worker_id] = change
+
+    def forget_worker(self, worker_id: str) -> None:
+        """Record that a worker can have no run of the job any more."""
+        for assigned in self._assigned_by_block.values():
+            assigned.pop(worker_id, None)
+
+    def record_done(self, task: Task) -> list[Task]:
         """Record a successful run; completes the job after its last task.
 
-        The tasks of a gang end together, so one success counts for all of them.
+        The tasks of a gang end together, so one success counts for all of them. Returns
+        the tasks that were not done yet.
         """
         step = self.get_step(task)
         members = step.tasks if step.spec.is_gang else [task]
         ended = [member for member in members if member.phase is not TaskPhase.DONE]
         if not ended:
-            return
+            return []
         for member in ended:
             member.mark_done()
         step.unfinished_tasks -= len(ended)
@@ -183,12 +209,15 @@
         ):
             # Leaves `ended_ms` at 0; the job table sets it when it records the end.
             self.end(JobPhase.COMPLETED, 0)
+        return ended
 
-    def record_failure(self, task: Task, run: int) -> None:
-        """Record a failed run; in a gang it counts for every task."""
+    def record_failure(self, task: Task, run: int) -> list[Task]:
+        """Record a failed run; in a gang it counts for every task. Returns them."""
         step = self.get_step(task)
-        for member in step.tasks if step.spec.is_gang else [task]:
+        members = step.tasks if step.spec.is_gang else [task]
+        for member in members:
             member.count_failure(run)
+        return members
 
     def mark_started(self) -> None:
         """Record that a task has started."""
@@ -218,70 +247,88 @@
             self.expected_path = None
 
     def save(self) -> JobProgress:
-        """Return the state to persist."""
-        has_runs = any(task.is_active for task in self.list_tasks())
-        if self.phase.is_final and not has_runs:
+        """Return the state to persist, without the tasks that are in blocks."""
+        if self.phase.is_final:
+            if not any(task.is_active for task in self.list_tasks()):
+                return JobProgress(self.phase, self.ended_ms)
+            spec = msgspec.structs.replace(self.spec, payload="")
+            workers = tuple(sorted(self.former_workers.union(self.assigned_workers)))
+            return JobProgress(self.phase, self.ended_ms, workers=workers, spec=spec)
+        if self.numbering.is_in_blocks:
             return JobProgress(self.phase, self.ended_ms)
         done = tuple(
             key for key, step in self._steps.items() if not step.unfinished_tasks
         )
         records = tuple(
-            TaskRecord(
-                task.task_id.occurrence,
-                task.task_id.step,
-                task.task_id.number,
-                task.counted_run,
-                task.failures,
-                task.phase is TaskPhase.DONE,
-                task.checkpoint,
-                task.exposures,
-                task.crashed_workers,
-                task.blamed_crashes,
-                task.runs_alone,
-                task.confirmed_crashes,
-                task.counted_runs,
-            )
+            task.save()
             for step in self._steps.values()
             if step.unfinished_tasks
             for task in step.tasks
-            if task.phase is TaskPhase.DONE
-            or task.failures
-            or task.checkpoint
-            or task.exposures
-            or task.crashed_workers
+            if task.phase is TaskPhase.DONE or task.has_saved_state
         )
-        workers = self.former_workers.union(self.assigned_workers)
-        spec = None
-        if self.phase.is_final:
-            spec = msgspec.structs.replace(self.spec, payload="")
         return JobProgress(
-            self.phase, self.ended_ms, done, records, tuple(sorted(workers)), spec
+            self.phase, self.ended_ms, done, records, self._list_block_workers(0)
+        )
+
+    def save_block(self, block: int) -> TaskBlock:
+        """Return the state of a block's tasks to persist."""
+        done, records = bytearray(BLOCK_TASKS // 8), []
+        for position, task_id in enumerate(self.numbering.list_task_ids(block)):
+            step = self._steps.get((task_id.occurrence, task_id.step))
+            if step is None:
+                break
+            task = step.tasks[task_id.number]
+            if task.phase is TaskPhase.DONE:
+                done[position // 8] |= 1 << position % 8
+            elif task.has_saved_state:
+                records.append(task.save())
+        return TaskBlock(
+            block * BLOCK_TASKS,
+            bytes(done),
+            tuple(records),
+            self._list_block_workers(block),
         )
 
+    def _list_block_workers(self, block: int) -> tuple[str, ...]:
+        """Return the workers that may have runs of a block's tasks."""
+        former = self._former_by_block.get(block, self._former_of_all)
+        assigned = self._assigned_by_block.get(block, {})
+        return tuple(sorted((former & self.former_workers).union(assigned)))
+
     def restore(self, progress: JobProgress) -> None:
         """Restore the state that a former owner saved."""
+        self._former_of_all = frozenset(progress.workers)
         self.former_workers = set(progress.workers)
         for occurrence, number in progress.done_steps:
             for index in range(self.spec.steps[number].count):
-                task = self.get_task(TaskId(self.job_id, occurrence, number, index))
-                if task is not None:
-                    self.record_done(task)
-        for record in progress.tasks:
+                self._restore_done(TaskId(self.job_id, occurrence, number, index))
+        self._restore_tasks(progress.tasks)
+        if not self.phase.is_final:
+            self.phase = progress.phase
+            self.ended_ms = progress.ended_ms
+
+    def restore_block(self, block: TaskBlock) -> None:
+        """Restore a block of tasks that a former owner saved."""
+        number = block.first // BLOCK_TASKS
+        self._former_by_block[number] = frozenset(block.workers)
+        self.former_workers.update(block.workers)
+        for task_id in self.numbering.get_task_ids(block.list_done()):
+            self._restore_done(task_id)
+        self._restore_tasks(block.tasks)
+        self.mark_started()
+
+    def _restore_done(self, task_id: TaskId) -> None:
+        task = self.get_task(task_id)
+        if task is not None:
+            self.record_done(task)
+
+    def _restore_tasks(self, records: Iterable[TaskRecord]) -> None:
+        for record in records:
             task = self.get_task(
                 TaskId(self.job_id, record.occurrence, record.step, record.number)
             )
             if task is None:
                 continue
-            task.counted_run, task.failures = record.counted_run, record.failures
-            task.counted_runs = record.counted_runs or (record.counted_run,)
-            task.checkpoint = record.checkpoint
-            task.exposures = record.exposures
-            task.crashed_workers = record.crashed_workers
-            task.blamed_crashes = record.blamed_crashes
-            task.confirmed_crashes = record.confirmed_crashes
-            task.runs_alone = record.runs_alone
+            task.restore(record)
             if record.is_done:
                 self.record_done(task)
-        if not self.phase.is_final:
-            self.phase = progress.phase
-            self.ended_ms = progress.ended_ms
--- a/src/bergamotgap/domain/task_state.py
+++ b/src/bergamotgap/domain/task_state.py
@@ -6,13 +6,18 @@
 import msgspec
 
 from bergamotgap.domain.fleet import StepSpec, TaskId
-from bergamotgap.domain.job_records import Exposure
+from bergamotgap.domain.job_records import Exposure, TaskRecord
 
 # Wait of a task whose start a worker refused, doubled with each refusal in a row.
 FIRST_RETRY_MS = 50
 MAX_RETRY_MS = 1000
 # Failed runs that are remembered; only long-running tasks may have more.
 MAX_COUNTED_RUNS = 32
+# A longer checkpoint is not persisted: a successor that doesn't find the run on its
+# worker starts it from the beginning.
+MAX_PERSISTED_CHECKPOINT_BYTES = 1024
+# Workers of a kind that are persisted for a task.
+MAX_PERSISTED_WORKERS = 16
 
 
 class TaskPhase(IntEnum):
@@ -114,6 +119,45 @@
             exposure for exposure in self.exposures if exposure.worker_id != worker_id
         )
 
+    @property
+    def has_saved_state(self) -> bool:
+        """Return whether there is anything to persist of a task that is not done."""
+        return bool(
+            self.failures or self.checkpoint or self.exposures or self.crashed_workers
+        )
+
+    def save(self) -> TaskRecord:
+        """Return the state to persist."""
+        checkpoint = self.checkpoint
+        if len(checkpoint.encode()) > MAX_PERSISTED_CHECKPOINT_BYTES:
+            checkpoint = ""
+        return TaskRecord(
+            self.task_id.occurrence,
+            self.task_id.step,
+            self.task_id.number,
+            self.counted_run,
+            self.failures,
+            self.phase is TaskPhase.DONE,
+            checkpoint,
+            self.exposures[-MAX_PERSISTED_WORKERS:],
+            self.crashed_workers[-MAX_PERSISTED_WORKERS:],
+            self.blamed_crashes,
+            self.runs_alone,
+            self.confirmed_crashes,
+            self.counted_runs,
+        )
+
+    def restore(self, record: TaskRecord) -> None:
+        """Restore the state that a former owner saved, but for the phase."""
+        self.counted_run, self.failures = record.counted_run, record.failures
+        self.counted_runs = record.counted_runs or (record.counted_run,)
+        self.checkpoint = record.checkpoint
+        self.exposures = record.exposures
+        self.crashed_workers = record.crashed_workers
+        self.blamed_crashes = record.blamed_crashes
+        self.confirmed_crashes = record.confirmed_crashes
+        self.runs_alone = record.runs_alone
+
     def begin_run(
         self, phase: TaskPhase, run: int, worker_id: str, now_ms: int, percent: int = 0
     ) -> None:
--- a/src/bergamotgap/platform/ingress.py
+++ b/src/bergamotgap/platform/ingress.py
@@ -24,6 +24,8 @@
 from bergamotgap.domain.early_refusal import RefusalReason
 from bergamotgap.domain.fleet import FleetConfig, JobSpec, Queue
 from bergamotgap.domain.job_memory import is_too_large, measure_job, measure_spec
+from bergamotgap.domain.job_records import measure_spec_record
+from bergamotgap.domain.record_limits import RecordLimits
 from bergamotgap.platform.callers import Caller, identify_caller
 from bergamotgap.platform.documents import decode_job
 from bergamotgap.platform.explain import (
@@ -79,6 +81,7 @@
         metrics: Metrics,
         clock: Clock,
         budget: ClientBudget = PoolSettings.client_budget,
+        record_limits: RecordLimits = PoolSettings.record_limits,
     ) -> None:
         self._requests = requests
         self._get_config = get_config
@@ -87,6 +90,7 @@
         self._addresses = addresses
         self._metrics = metrics
         self._clock = clock
+        self._max_spec_bytes = record_limits.spec_bytes
         self._guard = ClientGuard(budget, self._get_limits, clock)
         self._stack = AsyncExitStack()
         self.requests_in_progress = 0
@@ -271,6 +275,15 @@
             needed_kb = measure_job(spec) // 1024
             log.warning("job too large", job=spec.job_id, needed_kb=needed_kb)
             return web.Response(status=413)
+        record_bytes = measure_spec_record(spec)
+        if record_bytes > self._max_spec_bytes:
+            log.warning(
+                "specification too large",
+                job=spec.job_id,
+                record_bytes=record_bytes,
+                max_bytes=self._max_spec_bytes,
+            )
+            return web.json_response({"reason": "specification_too_large"}, status=413)
         size = measure_spec(spec)
         if not self._guard.has_room(size):
             return _build_retry_response(503, "memory", RETRY_AFTER_MS)
--- a/src/bergamotgap/platform/node.py
+++ b/src/bergamotgap/platform/node.py
@@ -98,6 +98,7 @@
             metrics,
             clock,
             settings.client_budget,
+            settings.record_limits,
         )
         register_gauges(metrics, node, clock)
         register_client_gauges(metrics, ingress.client_guard)
--- a/src/bergamotgap/pools/crash_watch.py
+++ b/src/bergamotgap/pools/crash_watch.py
@@ -1,5 +1,6 @@
 """Tells crashes of a pool's workers from other losses, and counts them for tasks."""
 
+from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -217,10 +218,12 @@
                 task.end_exposure(lost.worker_id)
 
     def _record_progress(self, tasks: Sequence[Task]) -> None:
-        jobs = {task.task_id.job: self._find_job(task) for task in tasks}
-        for job in jobs.values():
-            if job is not None:
-                self._job_table.record_progress(job)
+        tasks_by_job: defaultdict[str, list[Task]] = defaultdict(list)
+        for task in tasks:
+            if self._find_job(task) is not None:
+                tasks_by_job[task.task_id.job].append(task)
+        for job_id, changed in tasks_by_job.items():
+            self._job_table.record_progress(self._job_table.jobs[job_id], changed)
 
     def _find_job(self, task: Task) -> Job | None:
         """Return the open job of a task; None for runs that are not wanted any more."""
--- a/src/bergamotgap/pools/gauges.py
+++ b/src/bergamotgap/pools/gauges.py
@@ -81,6 +81,11 @@
             link.capacity.speed < SLOW_SPEED for link in pool.run_tracker.links.values()
         ),
     )
+    observe(
+        "pool_rejected_records",
+        "Records in this term that the log can't take",
+        lambda pool: pool.journal.rejected_records,
+    )
     _register_job_counts(observe)
 
 
--- a/src/bergamotgap/pools/job_lookup.py
+++ b/src/bergamotgap/pools/job_lookup.py
@@ -8,7 +8,7 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.fleet import Queue
 from bergamotgap.pools.fleet_view import FleetView
-from bergamotgap.pools.job_table import RecordKind, format_record_key
+from bergamotgap.pools.job_journal import RecordKind, format_record_key
 from bergamotgap.pools.partitions import choose_partition
 from bergamotgap.pools.queue_holdings import decode_holding
 from bergamotgap.ports.fleet import Store, StoreError
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -2,47 +2,36 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from enum import StrEnum
 
-import msgspec
 from aiomisc import cancel_tasks
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.amounts import Amount
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import JobPhase, JobSpec, StepSpec
+from bergamotgap.domain.job_blocks import TaskBlock
 from bergamotgap.domain.job_memory import HeldJobs, measure_job
 from bergamotgap.domain.job_paths import get_declared_ms
 from bergamotgap.domain.job_records import JobProgress
 from bergamotgap.domain.job_state import Job
 from bergamotgap.domain.offered_load import OfferedLoad
+from bergamotgap.domain.task_state import Task
+from bergamotgap.pools.job_journal import JobJournal, RecordKind, format_record_key
 from bergamotgap.pools.journal import Journal
 
 # Ended jobs are kept this much longer than callers may query them.
 RETENTION_MARGIN_MS = 10_000
 # Further steps of a job are counted in its log line.
 MAX_LOGGED_STEPS = 20
+# Reason of a refusal, and of the end of a job, whose record the log can't take.
+RECORD_REJECTED = "record_rejected"
+REJECTED_RETRY_MS = 5000
 
 log = get_logger(__name__)
 
 
-class RecordKind(StrEnum):
-    """Kind of a record: the second part of its key `pool/kind/name`.
-
-    The name is a job's id, or a queue for `RUN_TIMES` and `HOLDING`.
-    """
-
-    SPEC = "j"
-    PROGRESS = "p"
-    # Never has a value; see `JobTable._refuse`.
-    REFUSED = "r"
-    RUN_TIMES = "e"
-    # See `QueueHoldings`.
-    HOLDING = "h"
-
-
 @dataclass(frozen=True)
 class Stored:
     """The job is durable; `is_new` is false if its id was submitted before."""
@@ -66,11 +55,6 @@
 SubmitOutcome = Stored | NotStored | QueueNotHeld
 
 
-def format_record_key(pool: str, kind: str, name: str) -> str:
-    """Return the key of a record of a job or queue in its pool's partition."""
-    return f"{pool}/{kind}/{name}"
-
-
 class JobTable:
     """Hold the jobs of a pool and write their changes to the journal.
 
@@ -82,6 +66,7 @@
     ) -> None:
         self._pool = pool
         self._journal = journal
+        self._records = JobJournal(pool, journal)
         self._clock = clock
         self._retention_ms = retention_ms
         self._jobs: dict[str, Job] = {}
@@ -108,6 +93,8 @@
         )
         self.on_job_accepted: Callable[[], None] = lambda: None
         self.on_job_ended: Callable[[str], None] = lambda job_id: None
+        # Ends an open job whose progress can't be stored.
+        self.on_job_rejected: Callable[[Job], None] = lambda job: None
 
     @property
     def jobs(self) -> Mapping[str, Job]:
@@ -132,26 +119,14 @@
 
     def restore(self, values: Mapping[str, bytes]) -> int:
         """Restore the jobs from the partition; return the number of open jobs."""
-        prefix = f"{self._pool}/"
-        progress: dict[str, JobProgress] = {}
-        for key, value in values.items():
-            if not key.startswith(prefix):
-                continue
-            kind, _, name = key[len(prefix) :].partition("/")
-            try:
-                self._restore_record(kind, name, value, progress)
-            except msgspec.MsgspecError as error:
-                log.error("job record not decoded", key=key, error=str(error))
-        for job_id, saved in progress.items():
-            job = self._jobs.get(job_id)
-            if job is None:
-                # The specification of a job is deleted when it ends.
-                spec = saved.spec or JobSpec(job_id, "", "", ())
-                job = Job(spec, self._clock.monotonic_ms())
-                if saved.spec is not None:
-                    job.begin_due_occurrences(self._clock.wall_ms())
-                self._jobs[job_id] = job
-            job.restore(saved)
+        stored = self._records.read(values)
+        for job_id, spec in stored.specs.items():
+            age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
+            self._jobs[job_id] = Job(spec, self._clock.monotonic_ms() - age_ms)
+        for job_id, saved in stored.progress.items():
+            self._restore_progress(job_id, saved)
+        for job_id, blocks in stored.blocks.items():
+            self._restore_blocks(job_id, blocks)
         for job in self._jobs.values():
             self._hold(job.spec)
             if job.phase.is_final:
@@ -161,16 +136,29 @@
                 self.pending[job.job_id] = job
         return len(self.pending)
 
-    def _restore_record(
-        self, kind: str, name: str, value: bytes, progress: dict[str, JobProgress]
-    ) -> None:
-        match kind:
-            case RecordKind.SPEC:
-                spec = msgspec.msgpack.decode(value, type=JobSpec)
-                age_ms = max(0, self._clock.wall_ms() - spec.accepted_ms)
-                self._jobs[name] = Job(spec, self._clock.monotonic_ms() - age_ms)
-            case RecordKind.PROGRESS:
-                progress[name] = msgspec.msgpack.decode(value, type=JobProgress)
+    def _restore_progress(self, job_id: str, saved: JobProgress) -> None:
+        job = self._jobs.get(job_id)
+        if job is None:
+            # The specification of a job is deleted when it ends.
+            spec = saved.spec or JobSpec(job_id, "", "", ())
+            job = Job(spec, self._clock.monotonic_ms())
+            if saved.spec is not None:
+                job.begin_due_occurrences(self._clock.wall_ms())
+            self._jobs[job_id] = job
+        job.restore(saved)
+        if job.numbering.is_in_blocks and (saved.tasks or saved.done_steps):
+            self._records.divide_progress(job)
+
+    def _restore_blocks(self, job_id: str, blocks: Iterable[TaskBlock]) -> None:
+        job = self._jobs.get(job_id)
+        if job is None or job.phase.is_final:
+            self._records.mark_obsolete(job_id)
+            return
+        for block in blocks:
+            job.restore_block(block)
+        if job.phase.is_final:
+            # Its former owner wrote the last block, but not the end.
+            self.record_end(job)
 
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Accept a job; return once it is durable, or at once if the log is lost."""
@@ -193,16 +181,15 @@
             self._hold(spec)
             work = self.estimate_work(spec)
             self.offered_load.record(job.arrived_ms, work, spec.customer)
-            change = self._journal.put(
-                format_record_key(self._pool, RecordKind.SPEC, spec.job_id),
-                lambda: msgspec.msgpack.encode(spec),
-            )
+            change = self._records.put_spec(spec)
             self._accept_changes[spec.job_id] = change
             # The job begins once it is durable, even if its caller is gone by then.
             begin_task = asyncio.create_task(self._begin_when_durable(job, change))
             self._begin_tasks.add(begin_task)
             begin_task.add_done_callback(self._begin_tasks.discard)
-        await self._journal.wait_committed(self._accept_changes.get(spec.job_id, 0))
+        change = self._accept_changes.get(spec.job_id, 0)
+        if not await self._journal.wait_committed(change):
+            return NotStored(RECORD_REJECTED, retry_ms=REJECTED_RETRY_MS)
         return Stored(is_new)
 
     async def _refuse(self, job_id: str, refusal: NotStored) -> SubmitOutcome:
@@ -219,8 +206,10 @@
         return Stored(is_new=False)
 
     async def _begin_when_durable(self, job: Job, change: int) -> None:
-        await self._journal.wait_committed(change)
         spec = job.spec
+        if not await self._journal.wait_committed(change):
+            self._forget_job(spec)
+            return
         log.info(
             "accepted",
             job=spec.job_id,
@@ -261,25 +250,33 @@
             if job.phase is JobPhase.QUEUED and job.spec.queue == queue
         )
 
-    def record_progress(self, job: Job) -> int:
-        """Write a job's progress to the journal; return the number of the change."""
-        return self._journal.put(
-            format_record_key(self._pool, RecordKind.PROGRESS, job.job_id),
-            lambda: msgspec.msgpack.encode(job.save()),
-        )
+    def record_progress(self, job: Job, tasks: Iterable[Task] = ()) -> int:
+        """Write the progress of some tasks of a job to the journal.
+
+        Returns the number of the last change, or 0 if there is none.
+        """
+        return self._records.put_tasks(job, tasks)
 
     def record_assigned_worker(
-        self, job: Job, worker_id: str, needs_record: bool = False
+        self, job: Job, task: Task, worker_id: str, needs_record: bool = False
     ) -> int:
-        """Record that a worker may have runs of a job; return the number of the change.
+        """Record that a worker may have a run of a task; return the change's number.
 
         With `needs_record`, the present state is recorded also where the worker was
         recorded before.
         """
-        if needs_record or worker_id not in job.assigned_workers:
-            job.assigned_workers[worker_id] = 0
-            job.assigned_workers[worker_id] = self.record_progress(job)
-        return job.assigned_workers[worker_id]
+        change = job.get_assignment(task, worker_id)
+        if change is None or needs_record:
+            job.assign_worker(task, worker_id, 0)
+            change = self.record_progress(job, [task])
+            job.assign_worker(task, worker_id, change)
+        return change
+
+    def handle_rejected_record(self, key: str) -> None:
+        """End a job whose progress the log can't take; the others go on."""
+        job = self._jobs.get(self._records.find_job_of_progress(key) or "")
+        if job is not None and not job.phase.is_final:
+            self.on_job_rejected(job)
 
     def end_job(self, job: Job, phase: JobPhase, reason: str = "") -> int:
         """End a job; return the number of the change that makes the end durable."""
@@ -296,10 +293,7 @@
         self._retained_since_ms[job.job_id] = self._clock.monotonic_ms()
         self.pending.pop(job.job_id, None)
         self.on_job_ended(job.job_id)
-        spec_key = format_record_key(self._pool, RecordKind.SPEC, job.job_id)
-        if job.spec.steps:
-            self._journal.put(spec_key, lambda: None)
-        self._end_changes[job.job_id] = self.record_progress(job)
+        self._end_changes[job.job_id] = self._records.put_end(job)
         log.info(
             "ended",
             job=job.job_id,
@@ -318,17 +312,21 @@
         """Delete ended jobs that callers may no longer query."""
         retention_ms = self._retention_ms + RETENTION_MARGIN_MS
         limit_ms = self._clock.monotonic_ms() - retention_ms
+        self._records.delete_obsolete_blocks()
         # The oldest end comes first.
         while self._retained_since_ms:
             job_id, since_ms = next(iter(self._retained_since_ms.items()))
             if since_ms > limit_ms:
                 return
             del self._retained_since_ms[job_id]
-            self._hold(self._jobs.pop(job_id).spec, -1)
-            self._accept_changes.pop(job_id, None)
-            self._end_changes.pop(job_id, None)
-            key = format_record_key(self._pool, RecordKind.PROGRESS, job_id)
-            self._journal.put(key, lambda: None)
+            self._forget_job(self._jobs[job_id].spec)
+            self._records.delete_progress(job_id)
+
+    def _forget_job(self, spec: JobSpec) -> None:
+        self._hold(spec, -1)
+        self._jobs.pop(spec.job_id, None)
+        self._accept_changes.pop(spec.job_id, None)
+        self._end_changes.pop(spec.job_id, None)
 
     def count_jobs_by_phase(self) -> dict[str, int]:
         """Return the number of jobs in each phase."""
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -1,6 +1,7 @@
 """Owner of one pool: accepts its jobs and places their tasks on its workers."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Collection, Mapping
 from typing import Any, Self
 
@@ -105,9 +106,19 @@
         self._fence = Fence(producer, term.token, 0)
         fence = Fence(producer, term.token, 1)
         self.journal = Journal(
-            store, self._topic, self._part, fence, clock, self._handle_fenced
+            store,
+            self._topic,
+            self._part,
+            fence,
+            clock,
+            self._handle_fenced,
+            settings.record_limits,
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
+        self.journal.on_rejected = self.job_table.handle_rejected_record
+        self.job_table.on_job_rejected = functools.partial(
+            self._end_failed_job, reason=StopReason.RECORD_REJECTED
+        )
         self.job_table.check_memory = build_memory_check(
             name,
             measure_jobs or self.job_table.measure_held,
@@ -120,7 +131,10 @@
         self.queue_holdings = QueueHoldings(
             name, self.job_table, self.journal, call_owner, clock
         )
-        self.crash_watch = CrashWatch(name, self.job_table, clock, self._give_up_job)
+        give_up = functools.partial(
+            self._end_failed_job, reason=StopReason.CRASHES_WORKERS
+        )
+        self.crash_watch = CrashWatch(name, self.job_table, clock, give_up)
 
     async def __aenter__(self) -> Self:
         """Fence former owners, restore the jobs and start; raises StoreError."""
@@ -284,9 +298,9 @@
         await self.job_table.wait_for_durable_end(job)
         return True
 
-    def _give_up_job(self, job: Job) -> None:
-        self.run_tracker.stop_job_runs(job, StopReason.CRASHES_WORKERS)
-        self.job_table.end_job(job, JobPhase.FAILED, "crashes_workers")
+    def _end_failed_job(self, job: Job, reason: StopReason) -> None:
+        self.run_tracker.stop_job_runs(job, reason)
+        self.job_table.end_job(job, JobPhase.FAILED, reason)
 
     async def confirm_ownership(self) -> bool:
         """Return whether the log shows no newer owner, as of this call."""
--- a/src/bergamotgap/pools/queue_holdings.py
+++ b/src/bergamotgap/pools/queue_holdings.py
@@ -8,7 +8,8 @@
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.fleet import FleetConfig
-from bergamotgap.pools.job_table import JobTable, RecordKind, format_record_key
+from bergamotgap.pools.job_journal import RecordKind, format_record_key
+from bergamotgap.pools.job_table import JobTable
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.owner_calls import CallOwner
 from bergamotgap.ports.pool_peer import QueuesReleasedReply, ReleaseQueuesCall
--- a/src/bergamotgap/pools/run_adoption.py
+++ b/src/bergamotgap/pools/run_adoption.py
@@ -28,13 +28,13 @@
         log_unwanted_run(report, link.worker_id)
         if not job.phase.is_final:
             # A successor must wait for this run as well.
-            job_table.record_assigned_worker(job, link.worker_id)
+            job_table.record_assigned_worker(job, task, link.worker_id)
         link.queue_stop(report.task, report.run)
         return
     task.begin_run(
         TaskPhase.RUNNING, report.run, link.worker_id, now_ms, report.percent
     )
     link.add_run(build_adopted_run(task, report.run, now_ms))
-    job_table.record_assigned_worker(job, link.worker_id)
+    job_table.record_assigned_worker(job, task, link.worker_id)
     job.mark_started()
     log.info("run adopted", task=report.task, run=report.run, worker=link.worker_id)
--- a/src/bergamotgap/pools/run_time_store.py
+++ b/src/bergamotgap/pools/run_time_store.py
@@ -8,7 +8,7 @@
 from bergamotgap.domain.clock import Clock
 from bergamotgap.domain.run_time_estimates import RunTimeEstimates
 from bergamotgap.domain.run_time_records import RunTimeRecord
-from bergamotgap.pools.job_table import RecordKind, format_record_key
+from bergamotgap.pools.job_journal import RecordKind, format_record_key
 from bergamotgap.pools.journal import Journal
 
 # Shortest time between two records of one queue; a successor lacks the runs of this
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -148,7 +148,7 @@
         # active without a run on the link would never start again.
         self._crash_watch.record_start(task, link.info, link.incarnation_ms)
         change = self._job_table.record_assigned_worker(
-            job, link.worker_id, task.runs_alone
+            job, task, link.worker_id, task.runs_alone
         )
         now_ms = self._clock.monotonic_ms()
         task.begin_run(TaskPhase.STARTING, run, link.worker_id, now_ms)
@@ -310,26 +310,29 @@
         task.end_exposure(link.worker_id)
         if end.outcome == "done":
             self._crash_watch.record_survival(task)
-        self._fold_end(link, end, job, task)
+        changed = self._fold_end(link, end, job, task)
         self._forget_assigned_worker(job, link.worker_id)
         if job.phase.is_final:
             self._job_table.record_end(job)
             self.stop_job_runs(job, StopReason.JOB_ENDED)
         else:
-            self._job_table.record_progress(job)
+            self._job_table.record_progress(job, [task, *changed])
 
-    def _fold_end(self, link: WorkerRuns, end: EndReport, job: Job, task: Task) -> None:
+    def _fold_end(
+        self, link: WorkerRuns, end: EndReport, job: Job, task: Task
+    ) -> list[Task]:
+        """Apply an end to its task, and return the tasks that changed with it."""
+        changed: list[Task] = []
         is_current = task.worker_id == link.worker_id and task.run == end.run
         log_end(end, link.worker_id, is_current)
         job.mark_started()
         if end.outcome == "done" and not task.step.is_long_running:
             if not is_current:
                 self.stop_run(task, StopReason.DONE_ELSEWHERE)
-            job.record_done(task)
             self._job_table.pending[job.job_id] = job
-            return
+            return job.record_done(task)
         if end.outcome == "failed" and end.run not in task.counted_runs:
-            job.record_failure(task, end.run)
+            changed = job.record_failure(task, end.run)
             task.failed_on.add(link.worker_id)
             attempts = self.queues.get_attempts(job)
             log.info(
@@ -342,10 +345,11 @@
             )
             if not task.step.is_long_running and task.failures >= attempts:
                 job.end(JobPhase.FAILED, self._clock.wall_ms(), "attempts_used")
-                return
+                return changed
         if is_current:
             task.requeue(end.checkpoint)
             self._job_table.pending[job.job_id] = job
+        return changed
 
     def handle_worker_lost(
         self,
@@ -375,7 +379,7 @@
             return
         self._forget_assigned_worker(job, link.worker_id)
         if reason in ENDED_REASONS or job.is_long_running:
-            self._job_table.record_progress(job)
+            self._job_table.record_progress(job, [live.task])
 
     def _forget_assigned_worker(self, job: Job, worker_id: str) -> None:
         """Forget a worker that can have no run of a long-running job any more.
@@ -390,7 +394,7 @@
         if not any(start.task_id.job == job.job_id for start in unanswered) and not any(
             runs.may_be_on(task.task_id, worker_id) for task in job.list_tasks()
         ):
-            job.assigned_workers.pop(worker_id, None)
+            job.forget_worker(worker_id)
 
     def may_start(self, task: Task, now_ms: int) -> bool:
         """Return whether a task may start: it waits, and no run of it may exist."""
--- a/src/bergamotgap/pools/stop_lines.py
+++ b/src/bergamotgap/pools/stop_lines.py
@@ -15,6 +15,7 @@
 
     CANCELLED = "cancelled"
     CRASHES_WORKERS = "crashes_workers"
+    RECORD_REJECTED = "record_rejected"
     JOB_ENDED = "job_ended"
     DONE_ELSEWHERE = "done_elsewhere"
     GANG_NOT_STARTED = "gang_not_started"
