Keep the workers of former records, and move claims to their own module

Cause: a former record of a large job that names workers and no tasks was not divided; the record that replaced it would have lost them. Read in the diff, the new test shows it.

--- a/src/bergamotgap/pools/fleet_node.py
+++ b/src/bergamotgap/pools/fleet_node.py
@@ -22,10 +22,11 @@
 from bergamotgap.pools.outage_detector import OutageDetector
 from bergamotgap.pools.ownership_balance import OwnershipBalancer, stop_pool
 from bergamotgap.pools.ownership_guard import LogConfirmation, Term
-from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
+from bergamotgap.pools.ownership_registry import OwnershipRegistry
 from bergamotgap.pools.partition_follower import READ_WAIT_MS, PartitionFollower
 from bergamotgap.pools.partitions import choose_partition
 from bergamotgap.pools.pool import Pool
+from bergamotgap.pools.pool_claims import Claim, Member
 from bergamotgap.pools.request_outcomes import NoReply
 from bergamotgap.pools.requests import JobRequests
 from bergamotgap.pools.settings import PoolSettings
@@ -345,13 +346,8 @@
         topic, part = choose_partition(HOSTS_POOL, self._settings.log_parts)
         lost = asyncio.Event()
         journal = Journal(
-            store,
-            topic,
-            part,
-            Fence(HOSTS_POOL, claim.token, 0),
-            clock,
-            lost.set,
-            self._settings.record_limits,
+            *(store, topic, part, Fence(HOSTS_POOL, claim.token, 0)),
+            *(clock, lost.set, self._settings.record_limits),
         )
         newest = await store.read_newest_values(topic, part)
         controller = HostController(
--- a/src/bergamotgap/pools/job_table.py
+++ b/src/bergamotgap/pools/job_table.py
@@ -146,7 +146,8 @@
                 job.begin_due_occurrences(self._clock.wall_ms())
             self._jobs[job_id] = job
         job.restore(saved)
-        if job.numbering.is_in_blocks and (saved.tasks or saved.done_steps):
+        is_whole = bool(saved.tasks or saved.done_steps or saved.workers)
+        if is_whole and job.numbering.is_in_blocks and not job.phase.is_final:
             self._records.divide_progress(job)
 
     def _restore_blocks(self, job_id: str, blocks: Iterable[TaskBlock]) -> None:
--- a/src/bergamotgap/pools/ownership_balance.py
+++ b/src/bergamotgap/pools/ownership_balance.py
@@ -5,12 +5,9 @@
 
 from bergamotgap.adapters.logs import get_logger
 from bergamotgap.domain.clock import Clock
-from bergamotgap.pools.ownership_registry import (
-    Claim,
-    OwnershipRegistry,
-    parse_member_cpu,
-)
+from bergamotgap.pools.ownership_registry import OwnershipRegistry
 from bergamotgap.pools.pool import Pool
+from bergamotgap.pools.pool_claims import Claim, parse_member_cpu
 from bergamotgap.ports.fleet import StoreError
 
 # A pool changes its owner for a node with more than this many times as much of a core
--- a/src/bergamotgap/pools/pool.py
+++ b/src/bergamotgap/pools/pool.py
@@ -1,7 +1,6 @@
 """Owner of one pool: accepts its jobs and places their tasks on its workers."""
 
 import asyncio
-import functools
 from collections.abc import Callable, Collection, Mapping
 from typing import Any, Self
 
@@ -116,9 +115,7 @@
         )
         self.job_table = JobTable(name, self.journal, clock, settings.job_retention_ms)
         self.journal.on_rejected = self.job_table.handle_rejected_record
-        self.job_table.on_job_rejected = functools.partial(
-            self._end_failed_job, reason=StopReason.RECORD_REJECTED
-        )
+        self.job_table.on_job_rejected = self._reject_job
         self.job_table.check_memory = build_memory_check(
             name,
             measure_jobs or self.job_table.measure_held,
@@ -131,10 +128,7 @@
         self.queue_holdings = QueueHoldings(
             name, self.job_table, self.journal, call_owner, clock
         )
-        give_up = functools.partial(
-            self._end_failed_job, reason=StopReason.CRASHES_WORKERS
-        )
-        self.crash_watch = CrashWatch(name, self.job_table, clock, give_up)
+        self.crash_watch = CrashWatch(name, self.job_table, clock, self._give_up_job)
 
     async def __aenter__(self) -> Self:
         """Fence former owners, restore the jobs and start; raises StoreError."""
@@ -298,7 +292,13 @@
         await self.job_table.wait_for_durable_end(job)
         return True
 
-    def _end_failed_job(self, job: Job, reason: StopReason) -> None:
+    def _give_up_job(self, job: Job) -> None:
+        self._fail_job(job, StopReason.CRASHES_WORKERS)
+
+    def _reject_job(self, job: Job) -> None:
+        self._fail_job(job, StopReason.RECORD_REJECTED)
+
+    def _fail_job(self, job: Job, reason: StopReason) -> None:
         self.run_tracker.stop_job_runs(job, reason)
         self.job_table.end_job(job, JobPhase.FAILED, reason)
 
--- a/tests/test_large_job_records.py
+++ b/tests/test_large_job_records.py
@@ -242,6 +242,22 @@
     run_virtual(main())
 
 
+def test_workers_of_a_former_version_are_divided_as_well() -> None:
+    """Guards against runs on workers that only the former record of a job names."""
+
+    async def main() -> None:
+        scene = build_scene()
+        for worker in scene.workers.values():
+            worker.is_silent = True
+        write_former_progress(scene, done=0, tasks=100)
+        async with scene.run_owner(1):
+            await asyncio.sleep(1)
+        async with scene.run_owner(2, 2) as (pool, _):
+            assert pool.job_table.jobs["large"].former_workers == {"w1"}
+
+    run_virtual(main())
+
+
 def test_a_job_whose_last_block_is_written_without_its_end_has_ended() -> None:
     """Guards against work that is done again since an end was not written."""
 
--- a/tests/test_operators_warnings.py
+++ b/tests/test_operators_warnings.py
@@ -9,8 +9,9 @@
 import pytest
 
 from bergamotgap.domain.fleet import JobPhase, StepSpec
-from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
+from bergamotgap.pools.ownership_registry import OwnershipRegistry
 from bergamotgap.pools.partition_follower import PartitionFollower
+from bergamotgap.pools.pool_claims import Claim, Member
 from bergamotgap.ports.fleet import (
     Fence,
     HistoryGoneError,
--- a/tests/test_outage_at_size.py
+++ b/tests/test_outage_at_size.py
@@ -6,7 +6,8 @@
 
 from bergamotgap.domain.clock import MS_PER_SECOND
 from bergamotgap.pools.outage_detector import OutageDetector
-from bergamotgap.pools.ownership_registry import Member, OwnershipRegistry
+from bergamotgap.pools.ownership_registry import OwnershipRegistry
+from bergamotgap.pools.pool_claims import Member
 from bergamotgap.ports.pool_peer import LogContactReply, PoolCall, PoolReply
 from stand_ins.pool_store import FakeStore
 from stand_ins.pool_workers import SETTINGS
--- a/tests/test_ownership_balance.py
+++ b/tests/test_ownership_balance.py
@@ -10,7 +10,8 @@
     OwnershipBalancer,
     choose_pool_to_hand_over,
 )
-from bergamotgap.pools.ownership_registry import Claim, Member, OwnershipRegistry
+from bergamotgap.pools.ownership_registry import OwnershipRegistry
+from bergamotgap.pools.pool_claims import Claim, Member
 from stand_ins.pool_store import FakeStore
 from stand_ins.pool_workers import SETTINGS
 from stand_ins.virtual_time import LoopClock, run_virtual
--- a/tests/test_pool_parts.py
+++ b/tests/test_pool_parts.py
@@ -6,12 +6,8 @@
 
 from bergamotgap.pools.journal import Journal
 from bergamotgap.pools.outage_detector import OutageDetector
-from bergamotgap.pools.ownership_registry import (
-    Claim,
-    Member,
-    OwnershipRegistry,
-    choose_claimant,
-)
+from bergamotgap.pools.ownership_registry import OwnershipRegistry
+from bergamotgap.pools.pool_claims import Claim, Member, choose_claimant
 from bergamotgap.ports.fleet import Fence, KeyedRecord
 from bergamotgap.ports.pool_peer import (
     LogContactCall,
