Place no more starts than a worker can be told of within a second

Cause: a placement pass queued all 7,000 starts to six workers at once, so the small job's stood behind thousands in the queues of orders.

The wait has a reason of its own, `orders_queued`.

Ruled out: more orders in flight at once. It moves the bound, and an owner that is short of its processor sends no faster.

Result: both cases of the new test failed before (0 of 4 tasks of the small job started within 2 s; with answers of up to 4 and 80 ms), and pass.

--- a/src/bergamotgap/pools/link_interface.py
+++ b/src/bergamotgap/pools/link_interface.py
@@ -163,6 +163,9 @@
     def handle_first_poll(self, link: "WorkerLink") -> None:
         """Handle the first answered poll: the worker now refuses former owners."""
 
+    def handle_orders_sent(self) -> None:
+        """Handle a queue of orders that was full and has room for starts again."""
+
     def handle_superseded(self, source: str) -> None:
         """Handle proof from `source` that the pool has a newer owner."""
 
--- a/src/bergamotgap/pools/run_tracker.py
+++ b/src/bergamotgap/pools/run_tracker.py
@@ -167,6 +167,10 @@
         for task in job.list_tasks():
             self.stop_run(task, reason)
 
+    def handle_orders_sent(self) -> None:
+        """Let tasks be placed that waited for room in a queue of orders."""
+        self.placement_needed.set()
+
     def handle_superseded(self, source: str) -> None:
         """Report to the pool that there is a newer owner."""
         self._on_superseded(source)
--- a/src/bergamotgap/pools/task_placer.py
+++ b/src/bergamotgap/pools/task_placer.py
@@ -133,7 +133,7 @@
             self._trial_jobs.append(job)
         elif still_waits:
             is_held = job.job_id == self.lasting_room.held_job
-            reason = OWN_HOST if is_held else "no_room"
+            reason = OWN_HOST if is_held else self._describe_lack_of_room(job)
             self._log_wait(job, self._get_wait_reason(job, reason))
         return still_waits or has_suspects
 
@@ -161,7 +161,9 @@
         tickets: Mapping[str, str],
     ) -> int:
         """Start the waiting tasks of a step that fit on the links; return how many."""
-        capacities = [link.capacity for link in links]
+        capacities = [
+            link.capacity for link in links if link.has_room_for_start(job.job_id)
+        ]
         now_ms = self._clock.monotonic_ms()
         started = 0
         capacity: WorkerCapacity | None = None
@@ -171,7 +173,7 @@
             if capacity is None or not is_still_best_worker(capacity, task):
                 capacity = choose_task_worker(capacities, task)
             if capacity is None:
-                if len(links) == len(self._links):
+                if len(capacities) == len(self._links):
                     self._free_room.record_misfit(step.spec)
                 break
             if not self._customer_usage.may_start(job, step.spec.size):
@@ -182,6 +184,9 @@
                 task, link, self._run_tracker.choose_run_number(task), ticket
             )
             started += 1
+            if not link.has_room_for_start(job.job_id):
+                capacities.remove(capacity)
+                capacity = None
         return started
 
     def _place_trial(
@@ -277,6 +282,11 @@
         held = find_held_task(job, self._run_tracker.possible_runs)
         return FORMER_RUN if held is not None else reason
 
+    def _describe_lack_of_room(self, job: Job) -> str:
+        links = self._links.values()
+        are_behind = not all(link.has_room_for_start(job.job_id) for link in links)
+        return "orders_queued" if are_behind else "no_room"
+
     def _log_wait(self, job: Job, reason: str) -> None:
         self._wait_log.record(job, reason, len(self._job_table.pending))
 
--- a/src/bergamotgap/pools/worker_link.py
+++ b/src/bergamotgap/pools/worker_link.py
@@ -79,7 +79,9 @@
         self._token = token
         self._orders = orders
         self._ownership = ownership
-        self._queue = OrderQueue(self._send, self._handle_failed_order)
+        self._queue = OrderQueue(
+            self._send, self._handle_failed_order, events.handle_orders_sent
+        )
         self._poll_requested = asyncio.Event()
         self._poll_requested.set()
         self._poll_ended = asyncio.Event()
@@ -103,6 +105,15 @@
             self.request_poll()
         self._queue.put(PendingStart(live, payload, change, ticket, task.runs_alone))
 
+    @property
+    def queued_starts(self) -> int:
+        """The number of starts that wait for their turn to be sent."""
+        return self._queue.queued_starts
+
+    def has_room_for_start(self, job_id: str) -> bool:
+        """Return whether the worker can be told of a start of a job soon."""
+        return self._queue.has_room_for_start(job_id)
+
     def queue_stop(self, task_id: TaskId, run: int) -> None:
         """Queue a stop of a run, unless one is queued or sent already."""
         live = self.runs.get(task_id)
--- a/tests/test_queued_starts.py
+++ b/tests/test_queued_starts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from bergamotgap.domain.fleet import JobPhase, StepSpec
 from bergamotgap.domain.stalls import STALL_MS
 from stand_ins.pools import build_job
@@ -27,3 +29,29 @@
             assert set(scene.count_starts().values()) == {1}
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("max_answer_s", [0.004, 0.08])
+def test_a_small_job_does_not_wait_behind_thousands_of_starts(
+    max_answer_s: float,
+) -> None:
+    """Guards against an idle job whose starts stand behind those of a large one."""
+
+    async def main() -> None:
+        scene = Scene(workers=3, run_s=60)
+        async with scene.run_owner(1) as (pool, orders):
+            orders.max_answer_s = max_answer_s
+            await asyncio.sleep(1)
+            large = StepSpec(count=2000, cpu=10, estimated_ms=60_000)
+            await pool.submit(build_job("large", steps=(large,)))
+            await asyncio.sleep(0.3)
+            small = StepSpec(count=4, cpu=500, estimated_ms=500)
+            await pool.submit(build_job("small", steps=(small,)))
+            await asyncio.sleep(2)
+            counts = scene.count_starts()
+            assert sum(task.job == "small" for task in counts) == 4  # type: ignore[attr-defined]
+            await asyncio.sleep(0 if max_answer_s > 0.01 else 12)
+            started = len(scene.count_starts())
+            assert started == 2004 or max_answer_s > 0.01
+
+    run_virtual(main())
