Take over the large job of a test once part of it has started

Cause: test_a_large_job_survives_a_takeover_in_its_middle took the job to be in its middle after 3 s.

The takeover now comes once 2,000 tasks have started. The assertions on starts and ends stay, and that the job is in its middle is still checked.

--- a/tests/test_large_job_records.py
+++ b/tests/test_large_job_records.py
@@ -186,8 +186,9 @@
             worker.choose_run_s = lambda order: 1.0 + order.task.number % 7
         async with scene.run_owner(1) as (pool, _):
             await pool.submit(build_large(5000))
-            await asyncio.sleep(3)
-        assert 1000 < len(scene.count_starts()) < 5000
+            while len(scene.count_starts()) < 2000:
+                await asyncio.sleep(0.01)
+        assert 2000 <= len(scene.count_starts()) < 5000
         async with scene.run_owner(2, 2, is_former_owner_stopped) as (pool, _):
             await asyncio.sleep(25)
             assert pool.job_table.get_durable_phase("large") is JobPhase.COMPLETED
