--- a/review/scene_3.py
+++ b/review/scene_3.py
@@ -270,9 +270,11 @@
         async with asyncio.timeout(limit_s):
             return await play()
 
+    # The processes that were started are ended then, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         is_broken = asyncio.run(play_in_time())
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         traceback.print_exc()
         sys.exit(2)
     print("broken" if is_broken else "held", flush=True)
