--- a/review/scene_3.py
+++ b/review/scene_3.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -209,6 +210,7 @@
             if node.process is not None:
                 node.process.wait()
         await self._stack.aclose()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def _is_ready(self, node: Node) -> bool:
         try:
